Lay out the workspace, contracts and checks

Cause: nothing exists yet; parts are to be written side by side and need one set of contracts and one way to check them. Ruled out: Error suffixes on exceptions (Django's own names have none).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+PACKAGES := $(wildcard packages/*)
+STAMP := $(VENV)/.installed
+
+.PHONY: install check format test demo bench proofs clean
+
+install: $(STAMP)
+
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation $(addprefix -e ,$(PACKAGES))
+	touch $(STAMP)
+
+check: install
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: install
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+test: install
+	$(VENV)/bin/pytest
+
+clean:
+	rm -rf $(VENV) var .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/packages/guavajunction-ctl/src/guavajunction_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The guavactl operator command."""
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The guavajunction daemon that runs on every entry instance."""
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins for the systems around guavajunction."""
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/events.py
@@ -0,0 +1,40 @@
+"""Numbered log events.
+
+Each aggregate declares its events as module constants in its ``_events`` module.
+docs/reference/log-events.md lists them all; a test compares the two.
+
+Number ranges: 100 process, 200 configuration, 300 membership and peers,
+400 customers, 500 backends, 600 placement, 700 routing, 800 once, 900 directory.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import eliot
+
+_CATALOGUE: dict[int, LogEvent] = {}
+
+
+class LogEvent:
+    """One kind of log line, with a number that never changes its meaning."""
+
+    def __init__(self, number: int, name: str, meaning: str) -> None:
+        if number in _CATALOGUE:
+            raise ValueError(f"log event {number} is declared twice")
+        self.number = number
+        """The number that operators search for."""
+        self.name = name
+        """The message type, `aggregate:what_happened`."""
+        self.meaning = meaning
+        """One sentence for the catalogue."""
+        _CATALOGUE[number] = self
+
+    def log(self, **fields: Any) -> None:
+        """Write one line. No field may hold a key or a prompt."""
+        eliot.log_message(message_type=self.name, event=self.number, **fields)
+
+
+def catalogue() -> list[LogEvent]:
+    """Return every declared event, by number."""
+    return [_CATALOGUE[number] for number in sorted(_CATALOGUE)]
