--- /dev/null
+++ b/tests/fakes_platform.py
@@ -0,0 +1,159 @@
+"""In-memory platform services with faults that a test can bring about."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from guavajunction.errors import (
+    ConditionFailed,
+    ObjectNotFound,
+    StoreAnswerLost,
+    StoreUnavailable,
+)
+from guavajunction.platform import InstanceRecord, Row
+
+
+class FakeTable:
+    """A table service in memory, also the root of per-instance views.
+
+    `client()` gives an instance its own view of the same rows, whose faults do not
+    touch the others: one instance can be cut from the store while the rest write.
+    """
+
+    def __init__(self, root: FakeTable | None = None) -> None:
+        self._root = root or self
+        self.rows: dict[tuple[str, str], Row] = root.rows if root else {}
+        """Shared by every view, by partition and sort key."""
+        self.down = False
+        """Whether every call fails before it takes effect."""
+        self.lose_answers = 0
+        """How many of the next writes take effect but are not answered."""
+        self.lose_requests = 0
+        """How many of the next writes are neither applied nor answered."""
+        self.before_effect: asyncio.Event | None = None
+        """If set, calls wait for it before they take effect."""
+        self.after_effect: asyncio.Event | None = None
+        """If set, calls wait for it after they took effect."""
+        self.counts: Counter[str] = Counter()
+        """Calls of this view by operation: get, query, put, delete."""
+
+    def client(self) -> FakeTable:
+        """Return a view of the same rows with its own faults and counts."""
+        return FakeTable(self._root)
+
+    async def get(self, partition: str, sort: str) -> Row | None:
+        """Read one row."""
+        await self._enter("get")
+        row = self.rows.get((partition, sort))
+        await self._leave()
+        return row
+
+    async def query(self, partition: str) -> list[Row]:
+        """Read a partition in the order of its sort keys."""
+        await self._enter("query")
+        rows = [row for key, row in sorted(self.rows.items()) if key[0] == partition]
+        await self._leave()
+        return rows
+
+    async def put(
+        self, partition: str, sort: str, body: bytes, *, expected: int
+    ) -> Row:
+        """Write a row if its version is the expected one."""
+        await self._enter("put")
+        self._lose_request()
+        self._check(partition, sort, expected)
+        row = Row(partition, sort, expected + 1, body)
+        self.rows[partition, sort] = row
+        await self._leave()
+        self._lose_answer()
+        return row
+
+    async def delete(self, partition: str, sort: str, *, expected: int) -> None:
+        """Delete a row if its version is the expected one."""
+        await self._enter("delete")
+        self._lose_request()
+        self._check(partition, sort, expected)
+        if expected == 0:
+            raise ConditionFailed(f"{partition}/{sort} does not exist")
+        del self.rows[partition, sort]
+        await self._leave()
+        self._lose_answer()
+
+    def _check(self, partition: str, sort: str, expected: int) -> None:
+        row = self.rows.get((partition, sort))
+        found = row.version if row else 0
+        if found != expected:
+            raise ConditionFailed(f"{partition}/{sort} has version {found}")
+
+    async def _enter(self, operation: str) -> None:
+        self.counts[operation] += 1
+        if self.before_effect is not None:
+            await self.before_effect.wait()
+        if self.down or self._root.down:
+            raise StoreUnavailable("the table service is down")
+
+    async def _leave(self) -> None:
+        if self.after_effect is not None:
+            await self.after_effect.wait()
+
+    def _lose_request(self) -> None:
+        if self.lose_requests > 0:
+            self.lose_requests -= 1
+            raise StoreAnswerLost("no answer; the write did not arrive")
+
+    def _lose_answer(self) -> None:
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise StoreAnswerLost("no answer; the write took effect")
+
+
+class FakeObjects:
+    """An object store in memory."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, bytes] = {}
+        self.down = False
+        """Whether every call fails before it takes effect."""
+        self.lose_answers = 0
+        """How many of the next puts take effect but are not answered."""
+        self.hidden: set[str] = set()
+        """Names that reads do not find yet."""
+        self.corrupt: set[str] = set()
+        """Names whose content comes back damaged."""
+        self.counts: Counter[str] = Counter()
+
+    async def put(self, name: str, body: bytes) -> None:
+        """Store an object."""
+        self._enter("put")
+        self.objects[name] = body
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise StoreAnswerLost("no answer; the object was stored")
+
+    async def get(self, name: str) -> bytes:
+        """Read an object."""
+        self._enter("get")
+        if name in self.hidden or name not in self.objects:
+            raise ObjectNotFound(f"no object {name}")
+        body = self.objects[name]
+        return body + b"?" if name in self.corrupt else body
+
+    def _enter(self, operation: str) -> None:
+        self.counts[operation] += 1
+        if self.down:
+            raise StoreUnavailable("the object store is down")
+
+
+class FakeInstanceList:
+    """An instance list that a test writes."""
+
+    def __init__(self, records: list[InstanceRecord] | None = None) -> None:
+        self.records = records or []
+        self.down = False
+
+    async def instances(self) -> list[InstanceRecord]:
+        """Return the records."""
+        if self.down:
+            raise StoreUnavailable("the instance list is down")
+        return list(self.records)
