Add settings, routing, directory and metrics

Cause: the daemon needs checked settings, a queue that is fair between customers, a choice among replicas, and a relay that can tell a whole answer from a cut one. Ruled out: asyncio.timeout around the wait for a slot: a slot granted in the same step as the timeout would leak, so the wait never cancels the future. aiohttp sends GET, PUT and DELETE again on a reused connection that was closed, so calls of plain services use a session that never reuses one.

--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/directory/__init__.py
@@ -0,0 +1,7 @@
+"""Which entry instances a caller should use."""
+
+from __future__ import annotations
+
+from ._directory import Directory, DirectoryEntry
+
+__all__ = ["Directory", "DirectoryEntry"]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/routing/__init__.py
@@ -0,0 +1,62 @@
+"""Chooses backend servers for requests, queues them and relays answers."""
+
+from __future__ import annotations
+
+from ._answer import AnswerSink, AnswerSummary, AnswerTimes
+from ._contention import ContentionShare
+from ._decision_log import DecisionLog
+from ._demand_meter import DemandMeter, DemandRate
+from ._dispatcher import Dispatcher, Grant
+from ._engine_call import EngineRequest
+from ._fair_queue import FairQueue
+from ._inference_router import InferenceRouter
+from ._load_book import LoadBook
+from ._model import (
+    BATCH,
+    LIVE,
+    Candidate,
+    Choice,
+    Replicas,
+    ReplicaState,
+    RoutedRequest,
+)
+from ._retry_budget import RetryBudget
+from ._selector import AffinitySelector, LeastLoadedSelector, RandomSelector, Selector
+from ._service_router import (
+    ServiceAnswer,
+    ServiceReplicas,
+    ServiceRequest,
+    ServiceRouter,
+)
+
+__all__ = [
+    "AffinitySelector",
+    "AnswerSink",
+    "AnswerSummary",
+    "AnswerTimes",
+    "BATCH",
+    "Candidate",
+    "Choice",
+    "ContentionShare",
+    "DecisionLog",
+    "DemandMeter",
+    "DemandRate",
+    "Dispatcher",
+    "EngineRequest",
+    "FairQueue",
+    "Grant",
+    "InferenceRouter",
+    "LIVE",
+    "LeastLoadedSelector",
+    "LoadBook",
+    "RandomSelector",
+    "ReplicaState",
+    "Replicas",
+    "RetryBudget",
+    "RoutedRequest",
+    "Selector",
+    "ServiceAnswer",
+    "ServiceReplicas",
+    "ServiceRequest",
+    "ServiceRouter",
+]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/routing/_demand_meter.py
@@ -0,0 +1,94 @@
+"""Measures the demand for each artifact on this instance."""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+from ..clock import Clock
+
+
+class DemandRate(NamedTuple):
+    """Demand for one artifact."""
+
+    requests_per_s: float
+    tokens_per_s: float
+    waiting: int
+    """Requests waiting now."""
+
+
+class DecayingRate:
+    """A rate whose past fades exponentially.
+
+    Attributes:
+        WINDOW_SECONDS: Time constant of the fading.
+    """
+
+    WINDOW_SECONDS = 5.0
+
+    def __init__(self, now: float) -> None:
+        self._value = 0.0
+        self._at = now
+
+    def add(self, now: float, amount: float) -> None:
+        """Count an amount that arrived now."""
+        self._value = self.per_second(now) + amount / self.WINDOW_SECONDS
+        self._at = now
+
+    def per_second(self, now: float) -> float:
+        """Return the rate at a moment."""
+        return self._value * math.exp((self._at - now) / self.WINDOW_SECONDS)
+
+
+class DemandMeter:
+    """Counts arrivals by artifact and how long requests hold a slot."""
+
+    HOLD_SMOOTHING = 0.2
+    """Weight of the newest hold time in the mean."""
+    IDLE_REQUESTS_PER_S = 0.001
+    """Artifacts below this rate are forgotten."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._requests: dict[str, DecayingRate] = {}
+        self._tokens: dict[str, DecayingRate] = {}
+        self._holds: dict[str, float] = {}
+
+    def arrived(self, artifact: str, tokens: float) -> None:
+        """Count a request that arrived."""
+        now = self._clock.monotonic()
+        if artifact not in self._requests:
+            self._requests[artifact] = DecayingRate(now)
+            self._tokens[artifact] = DecayingRate(now)
+        self._requests[artifact].add(now, 1.0)
+        self._tokens[artifact].add(now, tokens)
+
+    def held(self, artifact: str, seconds: float) -> None:
+        """Record how long a request held its slot."""
+        mean = self._holds.get(artifact, seconds)
+        self._holds[artifact] = mean + self.HOLD_SMOOTHING * (seconds - mean)
+
+    def hold_seconds(self, artifact: str) -> float | None:
+        """Return the mean time that a request holds a slot, None if unknown."""
+        return self._holds.get(artifact)
+
+    def rates(self) -> dict[str, DemandRate]:
+        """Return the demand by artifact, without those waiting."""
+        now = self._clock.monotonic()
+        self._forget_idle(now)
+        return {
+            artifact: DemandRate(
+                rate.per_second(now), self._tokens[artifact].per_second(now), 0
+            )
+            for artifact, rate in self._requests.items()
+        }
+
+    def _forget_idle(self, now: float) -> None:
+        idle = [
+            artifact
+            for artifact, rate in self._requests.items()
+            if rate.per_second(now) < self.IDLE_REQUESTS_PER_S
+        ]
+        for artifact in idle:
+            del self._requests[artifact]
+            del self._tokens[artifact]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -0,0 +1,217 @@
+"""Sends one request to one model engine and relays its answer."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple
+
+import aiohttp
+import msgspec
+
+from ..errors import BackendFailed, GuavaError
+from . import _events as events
+from ._answer import AnswerSink, AnswerSummary, AnswerTimes
+from ._decision_log import DecisionLog
+from ._event_stream import EventSplitter, StreamEvent
+from ._model import RoutedRequest
+
+NOT_RUN_STATUSES = frozenset({404, 429, 503})
+"""Statuses by which an engine says that it has not begun the request."""
+
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+class EngineRequest(NamedTuple):
+    """A request as it goes to an engine."""
+
+    req: RoutedRequest
+    path: str
+    body: bytes
+    stream: bool
+
+
+class NotBegun(GuavaError):
+    """The engine has certainly not begun the request."""
+
+
+class StreamCut(GuavaError):
+    """The answer ended before its end mark."""
+
+
+class EngineCall:
+    """One request's way through one or more connections to engines.
+
+    The offset in the stream outlives a connection: after a cut the next connection
+    resumes behind the last event that the caller has.
+    """
+
+    READ_TIMEOUT_SECONDS = 20.0
+    """Longest silence before an answer counts as cut."""
+    CONNECT_TIMEOUT_SECONDS = 1.0
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        out: EngineRequest,
+        sink: AnswerSink,
+        times: AnswerTimes,
+        decisions: DecisionLog,
+    ) -> None:
+        self._session = session
+        self._out = out
+        self._sink = sink
+        self._times = times
+        self._decisions = decisions
+        self._last_event = -1
+        self._usage: dict[str, Any] = {}
+        self._last_data = b""
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the caller has a part of the answer."""
+        return self._sink.started
+
+    @property
+    def output_tokens(self) -> float:
+        """Return the tokens relayed so far."""
+        return float(self._last_event + 1)
+
+    async def run(self, backend: str, address: str) -> AnswerSummary:
+        """Send the request to an engine and relay the answer.
+
+        Args:
+            backend: The engine's name.
+            address: Its `host:port`.
+
+        Returns:
+            A summary of the whole answer.
+
+        Raises:
+            NotBegun: Nothing was run; another engine may be tried.
+            StreamCut: The connection ended early; the call may be run again.
+            BackendFailed: The engine refused for a reason that will not change.
+            ConnectionError: The caller has left.
+        """
+        try:
+            async with self._post(address) as resp:
+                await self._check_status(resp)
+                self._check_identity(resp, backend)
+                if self._out.stream:
+                    return await self._relay_stream(resp, backend)
+                return await self._relay_whole(resp, backend)
+        except aiohttp.ClientConnectorError as exc:
+            raise NotBegun(f"cannot connect to {backend}: {exc.os_error}") from exc
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            raise StreamCut(f"{backend}: {type(exc).__name__}") from exc
+
+    def _post(self, address: str) -> Any:
+        headers = {
+            REQUEST_ID_HEADER: self._out.req.request_id,
+            "X-Priority": str(self._out.req.rank),
+            "Content-Type": "application/json",
+        }
+        if self._last_event >= 0:
+            headers["Last-Event-ID"] = str(self._last_event)
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=self.CONNECT_TIMEOUT_SECONDS,
+            sock_read=self.READ_TIMEOUT_SECONDS,
+        )
+        return self._session.post(
+            f"http://{address}{self._out.path}",
+            data=self._out.body,
+            headers=headers,
+            timeout=timeout,
+        )
+
+    async def _check_status(self, resp: aiohttp.ClientResponse) -> None:
+        if resp.status == 200:
+            return
+        await resp.read()
+        if resp.status in NOT_RUN_STATUSES:
+            raise NotBegun(f"the engine answered {resp.status}")
+        raise BackendFailed(
+            f"the engine refused the request with status {resp.status}",
+            not_run="true" if resp.status < 500 else "unknown",
+        )
+
+    def _check_identity(self, resp: aiohttp.ClientResponse, backend: str) -> None:
+        echoed = resp.headers.get(REQUEST_ID_HEADER)
+        if echoed not in (None, self._out.req.request_id):
+            self._note_foreign(backend)
+            resp.close()
+            raise StreamCut(f"{backend} answered another request")
+
+    async def _relay_whole(
+        self, resp: aiohttp.ClientResponse, backend: str
+    ) -> AnswerSummary:
+        body = await resp.read()
+        if self._out.req.request_id.encode() not in body:
+            self._note_foreign(backend)
+            raise StreamCut(f"{backend} answered another request")
+        self._read_usage(body)
+        self._times.on_token()
+        await self._sink.start(resp.status, "application/json")
+        await self._sink.write(body)
+        return self._summary(backend)
+
+    async def _relay_stream(
+        self, resp: aiohttp.ClientResponse, backend: str
+    ) -> AnswerSummary:
+        async for batch in self._batches(resp):
+            fresh = [event for event in batch if self._accept(event, backend)]
+            if fresh and not self._sink.started:
+                await self._sink.start(200, "text/event-stream")
+            if fresh:
+                await self._sink.write(b"".join(event.raw for event in fresh))
+            if fresh and fresh[-1].is_end:
+                self._read_usage(self._last_data)
+                return self._summary(backend)
+        raise StreamCut(f"{backend} ended the stream without its end mark")
+
+    async def _batches(
+        self, resp: aiohttp.ClientResponse
+    ) -> AsyncIterator[list[StreamEvent]]:
+        splitter = EventSplitter()
+        async for chunk in resp.content.iter_any():
+            batch = splitter.feed(chunk)
+            if splitter.is_oversize:
+                raise StreamCut("an event is longer than is accepted")
+            if batch:
+                yield batch
+
+    def _accept(self, event: StreamEvent, backend: str) -> bool:
+        """Return whether an event is the next one of this answer."""
+        own_id = self._out.req.request_id.encode()
+        if not event.is_end and own_id not in event.data:
+            self._note_foreign(backend)
+            return False
+        if event.number <= self._last_event:
+            return False
+        if event.number > self._last_event + 1:
+            raise StreamCut(f"{backend} left out events of the stream")
+        self._last_event = event.number
+        if not event.is_end:
+            self._last_data = event.data
+            self._times.on_token()
+        return True
+
+    def _note_foreign(self, backend: str) -> None:
+        self._decisions.note(
+            events.FOREIGN_EVENT, self._out.req.request_id, backend=backend
+        )
+
+    def _read_usage(self, data: bytes) -> None:
+        try:
+            answer = msgspec.json.decode(data)
+        except msgspec.DecodeError:
+            return
+        usage = answer.get("usage") if isinstance(answer, dict) else None
+        self._usage = usage if isinstance(usage, dict) else {}
+
+    def _summary(self, backend: str) -> AnswerSummary:
+        return AnswerSummary(
+            backend,
+            float(self._usage.get("completion_tokens", self._last_event + 1)),
+            self._usage.get("prompt_tokens"),
+        )
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/routing/_event_stream.py
@@ -0,0 +1,65 @@
+"""Splits a body of server-sent events into events."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+END_MARK = b"[DONE]"
+"""Data of the last event of a whole stream."""
+
+
+class StreamEvent(NamedTuple):
+    """One server-sent event."""
+
+    number: int
+    """Its `id`, or -1 if it has none."""
+    data: bytes
+    raw: bytes
+    """The event as received, with its closing blank line."""
+
+    @property
+    def is_end(self) -> bool:
+        """Return whether it is the end mark."""
+        return self.data == END_MARK
+
+
+class EventSplitter:
+    r"""Collects chunks and returns the events that they complete.
+
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"id: 0\ndata: a\n")
+    []
+    >>> [e.data for e in splitter.feed(b"\nid: 1\ndata: [DONE]\n\n")]
+    [b'a', b'[DONE]']
+    """
+
+    MAX_EVENT_BYTES = 1_048_576
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, chunk: bytes) -> list[StreamEvent]:
+        """Add a chunk of the body.
+
+        Returns:
+            The events that are complete now.
+        """
+        *whole, self._rest = (self._rest + chunk).split(b"\n\n")
+        return [_parse(raw) for raw in whole if raw.strip()]
+
+    @property
+    def is_oversize(self) -> bool:
+        """Return whether an unfinished event is longer than is accepted."""
+        return len(self._rest) > self.MAX_EVENT_BYTES
+
+
+def _parse(raw: bytes) -> StreamEvent:
+    number = -1
+    data = b""
+    for line in raw.split(b"\n"):
+        name, _, value = line.partition(b":")
+        if name == b"data":
+            data += value.strip()
+        elif name == b"id" and value.strip().isdigit():
+            number = int(value)
+    return StreamEvent(number, data, raw + b"\n\n")
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/routing/_inference_router.py
@@ -0,0 +1,148 @@
+"""Takes a request for a model from the queue to its whole answer."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+import aiohttp
+
+from ..clock import Clock
+from ..configuration import Configuration
+from ..errors import AnswerCut, BackendFailed, GuavaError, NoReplica, Overloaded
+from . import _events as events
+from ._answer import AnswerSink, AnswerSummary, AnswerTimes
+from ._decision_log import DecisionLog
+from ._dispatcher import Dispatcher, Grant
+from ._engine_call import EngineCall, EngineRequest, NotBegun, StreamCut
+from ._model import Replicas
+from ._retry_budget import RetryBudget
+
+
+class InferenceRouter:
+    """Routes, relays, resumes and retries requests to model engines."""
+
+    MAX_ATTEMPTS = 4
+    """Connections that one request may use."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        dispatcher: Dispatcher,
+        replicas: Replicas,
+        budget: RetryBudget,
+        decisions: DecisionLog,
+        configuration: Callable[[], Configuration],
+        clock: Clock,
+    ) -> None:
+        self._session = session
+        self._dispatcher = dispatcher
+        self._replicas = replicas
+        self._budget = budget
+        self._decisions = decisions
+        self._configuration = configuration
+        self._clock = clock
+
+    async def route(
+        self,
+        out: EngineRequest,
+        sink: AnswerSink,
+        times: AnswerTimes,
+        check_allowed: Callable[[], None],
+    ) -> AnswerSummary:
+        """Answer one request.
+
+        Args:
+            out: The request.
+            sink: The caller's side.
+            times: Told of each token.
+            check_allowed: Called after each wait for a slot; raises a request error
+                if the request may no longer run.
+
+        Returns:
+            A summary of the whole answer.
+
+        Raises:
+            Overloaded: It was not run and can't be in time.
+            NoReplica: No backend server has the artifact ready.
+            BackendFailed: Backend servers failed it before an answer began.
+            AnswerCut: The answer began and could not be completed.
+            ConnectionError: The caller has left.
+        """
+        self._budget.earn()
+        call = EngineCall(self._session, out, sink, times, self._decisions)
+        failures: Counter[str] = Counter()
+        failure: GuavaError = NoReplica("no attempt was made")
+        for _ in range(self.MAX_ATTEMPTS):
+            try:
+                grant = await self._acquire(out, call, failures)
+            except (Overloaded, NoReplica) as exc:
+                raise self._final(exc, failure, call) from exc
+            try:
+                return await self._attempt(call, grant, check_allowed)
+            except (NotBegun, StreamCut) as exc:
+                failure = exc
+                failures[grant.backend] += 1
+                self._replicas.note_failure(grant.backend)
+                self._note_retry(out, grant, exc, call)
+            if not call.has_begun and not self._budget.spend():
+                self._decisions.note(events.NO_RETRY_LEFT, out.req.request_id)
+                break
+            await self._clock.sleep(self._budget.backoff())
+        raise self._final(None, failure, call)
+
+    async def _acquire(
+        self, out: EngineRequest, call: EngineCall, failures: Counter[str]
+    ) -> Grant:
+        """Wait for a slot on a backend server that has not failed the request.
+
+        A stream that has begun may be resumed once on the backend server that cut it,
+        and waits as long as a new request may.
+        """
+        if not call.has_begun:
+            return await self._dispatcher.acquire(out.req, frozenset(failures))
+        excluded = frozenset(name for name, count in failures.items() if count > 1)
+        req = out.req._replace(arrived=self._clock.monotonic())
+        return await self._dispatcher.acquire(req, excluded)
+
+    async def _attempt(
+        self, call: EngineCall, grant: Grant, check_allowed: Callable[[], None]
+    ) -> AnswerSummary:
+        used = 0.0
+        try:
+            if not call.has_begun:
+                check_allowed()
+            backend = self._configuration().backends.get(grant.backend)
+            if backend is None:
+                raise NotBegun(f"{grant.backend} left the configuration")
+            summary = await call.run(backend.name, backend.address)
+            used = summary.output_tokens + (summary.prompt_tokens or 0.0)
+            return summary
+        finally:
+            self._dispatcher.release(grant, used or call.output_tokens)
+
+    def _note_retry(
+        self, out: EngineRequest, grant: Grant, exc: GuavaError, call: EngineCall
+    ) -> None:
+        self._decisions.note(
+            events.RESUMED if call.has_begun else events.RETRIED,
+            out.req.request_id,
+            backend=grant.backend,
+            reason=exc.message,
+            tokens=call.output_tokens,
+        )
+
+    def _final(
+        self,
+        refusal: Overloaded | NoReplica | None,
+        failure: GuavaError,
+        call: EngineCall,
+    ) -> GuavaError:
+        """Return what the caller is told, true to what has run."""
+        if call.has_begun:
+            return AnswerCut(f"the answer was cut: {failure.message}")
+        if isinstance(failure, StreamCut):
+            return BackendFailed(failure.message, retry_after=1.0)
+        if refusal is not None:
+            return refusal
+        return BackendFailed(failure.message, retry_after=1.0, not_run="true")
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/routing/_load_book.py
@@ -0,0 +1,69 @@
+"""Estimates of the load on each backend server between its lagging reports."""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+
+from ..clock import Clock
+from ._model import ReplicaState
+
+
+class LoadBook:
+    """Adds this instance's own requests in flight to the last report.
+
+    A report speaks of a moment that has passed. What this instance sent since then is
+    not in it, and what ended since then still is; the difference is added.
+    """
+
+    HISTORY_SECONDS = 5.0
+    """How long changes of the own load are kept."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._own: defaultdict[str, int] = defaultdict(int)
+        self._own_batch: defaultdict[str, int] = defaultdict(int)
+        self._history: defaultdict[str, deque[tuple[float, int]]] = defaultdict(deque)
+
+    def own(self, backend: str) -> int:
+        """Return the requests of this instance in flight on a backend server."""
+        return self._own[backend]
+
+    def own_batch(self, backend: str) -> int:
+        """Return the batch requests among them."""
+        return self._own_batch[backend]
+
+    @property
+    def total(self) -> int:
+        """Return the requests of this instance in flight anywhere."""
+        return sum(self._own.values())
+
+    def add(self, backend: str, rank: int) -> None:
+        """Count a request that is being sent."""
+        self._change(backend, rank, 1)
+
+    def remove(self, backend: str, rank: int) -> None:
+        """Count a request that ended."""
+        self._change(backend, rank, -1)
+
+    def estimate(self, state: ReplicaState) -> float:
+        """Return the estimated number of requests on a backend server now."""
+        own_now = self._own[state.name]
+        change = own_now - self._own_at(state.name, state.as_of)
+        return float(max(own_now, state.running + state.waiting + change))
+
+    def _change(self, backend: str, rank: int, by: int) -> None:
+        now = self._clock.monotonic()
+        self._own[backend] += by
+        if rank > 0:
+            self._own_batch[backend] += by
+        history = self._history[backend]
+        history.append((now, self._own[backend]))
+        while len(history) > 1 and history[1][0] < now - self.HISTORY_SECONDS:
+            history.popleft()
+
+    def _own_at(self, backend: str, moment: float) -> int:
+        history = self._history[backend]
+        for when, count in reversed(history):
+            if when <= moment:
+                return count
+        return 0
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/routing/_service_router.py
@@ -0,0 +1,218 @@
+"""Takes a call of a plain service to its answer."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import aiohttp
+
+from ..clock import Clock
+from ..configuration import BackendServer, Configuration, Route
+from ..errors import BackendFailed, NoReplica, OutcomeUnknown
+from . import _events as events
+from ._decision_log import DecisionLog
+from ._engine_call import REQUEST_ID_HEADER
+from ._retry_budget import RetryBudget
+
+
+class ServiceRequest(NamedTuple):
+    """A call of a plain service, without the caller's credentials."""
+
+    request_id: str
+    method: str
+    path: str
+    """Path and query below the service."""
+    headers: dict[str, str]
+    body: bytes
+
+
+class ServiceAnswer(NamedTuple):
+    """A whole answer of a plain service."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class ServiceReplicas:
+    """The backend servers of a service that may be given new work."""
+
+    def __init__(
+        self,
+        configuration: Callable[[], Configuration],
+        usable: Callable[[str], bool],
+    ) -> None:
+        self._configuration = configuration
+        self._usable = usable
+
+    def of(self, service: str) -> list[BackendServer]:
+        """Return the backend servers of a service, by name."""
+        cfg = self._configuration()
+        pool = cfg.services[service].pool
+        return [
+            backend
+            for _, backend in sorted(cfg.backends.items())
+            if backend.kind == "service"
+            and backend.pool == pool
+            and not backend.leaving
+            and self._usable(backend.name)
+        ]
+
+
+class ServiceRouter:
+    """Sends calls to plain services, those that may not be repeated only once."""
+
+    MAX_ATTEMPTS = 3
+    """Sends of a call that may be repeated."""
+    CONNECT_TIMEOUT_SECONDS = 1.0
+    HEADERS_KEPT = frozenset({"content-type", "location", "etag", "cache-control"})
+
+    def __init__(
+        self,
+        single_use: aiohttp.ClientSession,
+        replicas: ServiceReplicas,
+        budget: RetryBudget,
+        decisions: DecisionLog,
+        clock: Clock,
+        rng: random.Random,
+        *,
+        timeout: float,
+        note_failure: Callable[[str], None] = lambda backend: None,
+    ) -> None:
+        """Create a router.
+
+        Args:
+            single_use: Session that closes each connection after one call. On a
+                connection that is used again, aiohttp sends GET, PUT and DELETE a
+                second time when the server has closed it meanwhile.
+            replicas: Which backend servers run a service.
+            budget: Bounds the retries.
+            decisions: Where choices are logged.
+            clock: For pauses before retries.
+            rng: Chooses among replicas.
+            timeout: Seconds in which a service must answer.
+            note_failure: Told of backend servers that failed.
+        """
+        self._session = single_use
+        self._replicas = replicas
+        self._budget = budget
+        self._decisions = decisions
+        self._clock = clock
+        self._rng = rng
+        self._timeout = timeout
+        self._note_failure = note_failure
+
+    async def call(
+        self, route: Route, req: ServiceRequest, check_allowed: Callable[[], None]
+    ) -> ServiceAnswer:
+        """Send a call, again on failure only if the route allows it.
+
+        Args:
+            route: The route that the call matched.
+            req: The call.
+            check_allowed: Called before each send; raises a request error if the
+                call may no longer run.
+
+        Returns:
+            The service's answer, whatever its status.
+
+        Raises:
+            NoReplica: No backend server could be reached; it has not run.
+            OutcomeUnknown: It was sent, may not be repeated and was not answered.
+            BackendFailed: It was sent, may be repeated and was never answered.
+        """
+        self._budget.earn()
+        tried: set[str] = set()
+        sent = False
+        for _ in range(self.MAX_ATTEMPTS):
+            backend = self._choose(route, req, tried)
+            if backend is None:
+                break
+            tried.add(backend.name)
+            if not sent:
+                check_allowed()
+            try:
+                return await self._send(backend, req)
+            except aiohttp.ClientConnectorError:
+                self._note_retry(req, backend, "not connected")
+            except (aiohttp.ClientError, TimeoutError) as exc:
+                sent = True
+                self._note_failure(backend.name)
+                if not route.idempotent:
+                    raise self._unknown(route, exc) from exc
+                self._note_retry(req, backend, type(exc).__name__)
+            if not self._budget.spend():
+                break
+            await self._clock.sleep(self._budget.backoff())
+        raise self._failure(route, sent)
+
+    def _choose(
+        self, route: Route, req: ServiceRequest, tried: set[str]
+    ) -> BackendServer | None:
+        replicas = [b for b in self._replicas.of(route.service) if b.name not in tried]
+        if not replicas:
+            return None
+        chosen = self._rng.choice(replicas)
+        self._decisions.note(
+            events.ROUTED,
+            req.request_id,
+            service=route.service,
+            backend=chosen.name,
+            reason="random",
+            candidates=[b.name for b in replicas],
+        )
+        return chosen
+
+    async def _send(self, backend: BackendServer, req: ServiceRequest) -> ServiceAnswer:
+        headers = req.headers | {REQUEST_ID_HEADER: req.request_id}
+        timeout = aiohttp.ClientTimeout(
+            total=self._timeout, sock_connect=self.CONNECT_TIMEOUT_SECONDS
+        )
+        async with self._session.request(
+            req.method,
+            f"http://{backend.address}{req.path}",
+            data=req.body or None,
+            headers=headers,
+            timeout=timeout,
+            allow_redirects=False,
+        ) as resp:
+            body = await resp.read()
+            echoed = resp.headers.get(REQUEST_ID_HEADER)
+            if echoed not in (None, req.request_id):
+                self._decisions.note(
+                    events.FOREIGN_EVENT, req.request_id, backend=backend.name
+                )
+                raise aiohttp.ClientPayloadError("the answer is to another request")
+            return ServiceAnswer(resp.status, self._kept(resp), body)
+
+    def _kept(self, resp: aiohttp.ClientResponse) -> dict[str, str]:
+        return {
+            name: value
+            for name, value in resp.headers.items()
+            if name.lower() in self.HEADERS_KEPT
+        }
+
+    def _note_retry(
+        self, req: ServiceRequest, backend: BackendServer, reason: str
+    ) -> None:
+        self._note_failure(backend.name)
+        self._decisions.note(
+            events.RETRIED, req.request_id, backend=backend.name, reason=reason
+        )
+
+    def _unknown(self, route: Route, exc: Exception) -> OutcomeUnknown:
+        return OutcomeUnknown(
+            f"the call of {route.service!r} was sent and not answered"
+            f" ({type(exc).__name__}); it is not sent again"
+        )
+
+    def _failure(self, route: Route, sent: bool) -> BackendFailed | NoReplica:
+        if sent:
+            return BackendFailed(
+                f"no backend server of {route.service!r} answered", retry_after=1.0
+            )
+        return NoReplica(
+            f"no backend server of {route.service!r} can be reached", retry_after=1.0
+        )
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/settings/_reader.py
@@ -0,0 +1,101 @@
+"""Reads a settings file and reports everything that is wrong with it at once."""
+
+from __future__ import annotations
+
+import configparser
+from pathlib import Path
+from typing import Any, NamedTuple, get_type_hints
+
+from ..errors import SettingsInvalid
+from ._faults import SettingsFault, ValueFault
+from ._model import Settings
+
+
+def read_settings(path: str) -> Settings:
+    """Read and check a settings file.
+
+    Args:
+        path: Name of an INI file.
+
+    Returns:
+        The settings, with the content of each secret file in place of its name.
+
+    Raises:
+        SettingsInvalid: One or more faults, a line for each.
+    """
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    faults: list[SettingsFault] = []
+    try:
+        parser.read_string(Path(path).read_text(encoding="utf-8"), source=path)
+    except OSError as exc:
+        faults.append(SettingsFault(path, "", "", exc.strerror or "", "a file"))
+    except (configparser.Error, UnicodeDecodeError) as exc:
+        found = " ".join(str(exc).split())
+        faults.append(SettingsFault(path, "", "", found, "an INI file"))
+    if faults:
+        raise _invalid(faults)
+    return _read_sections(path, parser)
+
+
+def _read_sections(path: str, parser: configparser.ConfigParser) -> Settings:
+    kinds = get_type_hints(Settings)
+    faults = [
+        SettingsFault(path, name, "", "an unknown section", f"one of {sorted(kinds)}")
+        for name in parser.sections()
+        if name not in kinds
+    ]
+    sections: dict[str, Any] = {}
+    for name, kind in kinds.items():
+        items = dict(parser.items(name)) if parser.has_section(name) else {}
+        reader = _SectionReader(path, name, kind, items)
+        sections[name] = reader.read()
+        faults.extend(reader.faults)
+    if faults:
+        raise _invalid(faults)
+    return Settings(**sections)
+
+
+def _invalid(faults: list[SettingsFault]) -> SettingsInvalid:
+    return SettingsInvalid("\n".join(str(fault) for fault in faults))
+
+
+class _SectionReader:
+    """Reads one section into its type."""
+
+    def __init__(
+        self, path: str, name: str, kind: type[NamedTuple], items: dict[str, str]
+    ) -> None:
+        self.faults: list[SettingsFault] = []
+        self._path = path
+        self._name = name
+        self._kind = kind
+        self._items = items
+
+    def read(self) -> Any:
+        """Return the section, or None if it has faults."""
+        hints = get_type_hints(self._kind, include_extras=True)
+        self._note_unknown_keys(set(hints))
+        values = {key: self._value(key, hint) for key, hint in hints.items()}
+        return None if self.faults else self._kind(**values)
+
+    def _note_unknown_keys(self, known: set[str]) -> None:
+        for key in self._items:
+            if key not in known:
+                self._fault(key, "an unknown key", f"one of {sorted(known)}")
+
+    def _value(self, key: str, hint: Any) -> Any:
+        defaults = self._kind._field_defaults
+        if key not in self._items:
+            if key not in defaults:
+                self._fault(key, "nothing", "a value")
+            return defaults.get(key)
+        parse = hint.__metadata__[0]
+        try:
+            return parse(self._items[key].strip())
+        except ValueFault as exc:
+            self._fault(key, exc.found, exc.expected)
+            return None
+
+    def _fault(self, key: str, found: str, expected: str) -> None:
+        fault = SettingsFault(self._path, self._name, key, found, expected)
+        self.faults.append(fault)
