Add clients of the table service, object store and instance list

Cause: every aggregate stores and reads through the platform's protocols. Ruled out: retrying inside the client, which would hide a lost answer behind a second write; treating a 5xx as "no effect", which only throttling says. Change: TableClient, ObjectClient, InstanceListClient over aiohttp; reads fail as StoreUnavailable, writes as StoreUnavailable only where no effect is certain and else as StoreAnswerLost. aiohttp sends a PUT again on a closed kept connection but never a POST: tests hold both, objects being named by their content.

--- a/packages/guavajunction/src/guavajunction/platform/__init__.py
+++ b/packages/guavajunction/src/guavajunction/platform/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from ._instances import InstanceListClient
+from ._objects import ObjectClient
 from ._protocols import (
     InstanceList,
     InstanceRecord,
@@ -9,11 +11,15 @@
     Row,
     TableService,
 )
+from ._table import TableClient
 
 __all__ = [
     "InstanceList",
+    "InstanceListClient",
     "InstanceRecord",
+    "ObjectClient",
     "ObjectStore",
     "Row",
+    "TableClient",
     "TableService",
 ]
