Add the configuration aggregate: document, acceptance, keeper, operator routes

Cause: the daemon needs a configuration to read, accept and keep in force. Change: typed document with all faults reported, compare-and-set acceptance with section versions and attempt ids, a keeper that polls and is pushed to, and the operator routes. Ruled out: one version for the whole document (teams would collide), a query of the whole history (grows without bound; single rows instead).

--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/configuration/_bodies.py
@@ -0,0 +1,118 @@
+"""Section bodies in the object store, under their hash."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from guavajunction.clock import Clock
+from guavajunction.errors import ObjectCorrupt, PlatformError
+from guavajunction.platform import ObjectStore
+
+from ._head import SectionRef
+from ._tables import Section, Sections, empty_sections
+
+READ_ATTEMPTS = 5
+WRITE_ATTEMPTS = 3
+_FIRST_PAUSE_SECONDS = 0.05
+
+
+def encode_section(section: Section) -> bytes:
+    """Encode a section so that equal sections have equal bodies."""
+    return msgspec.json.encode(section, order="deterministic")
+
+
+def digest_of(body: bytes) -> str:
+    """Return the SHA-256 of a body, hexadecimal."""
+    return hashlib.sha256(body).hexdigest()
+
+
+class SectionBodies:
+    """Reads and writes section bodies; remembers the latest body of each."""
+
+    def __init__(
+        self,
+        objects: ObjectStore,
+        clock: Clock,
+        *,
+        jitter: Callable[[], float] = random.random,
+    ) -> None:
+        self._objects = objects
+        self._clock = clock
+        self._jitter = jitter
+        self._latest: dict[str, tuple[str, Section]] = {}
+
+    async def write(self, section: str, body: bytes) -> str:
+        """Store a body and return its digest.
+
+        Raises:
+            PlatformError: The store did not answer any of several attempts.
+        """
+        digest = digest_of(body)
+        name = f"configuration/{section}/{digest}"
+        for attempt in range(WRITE_ATTEMPTS):
+            try:
+                await self._objects.put(name, body)
+            except PlatformError:
+                if attempt == WRITE_ATTEMPTS - 1:
+                    raise
+                await self._pause(attempt)
+            else:
+                break
+        return digest
+
+    async def read_all(self, refs: dict[str, SectionRef]) -> Sections:
+        """Read the whole document that a head refers to.
+
+        Raises:
+            PlatformError: A body could not be read whole in several attempts.
+        """
+        sections = empty_sections()
+        for name, ref in refs.items():
+            sections[name] = await self.read(name, ref)
+        return sections
+
+    async def read(self, section: str, ref: SectionRef) -> Section:
+        """Read one section, from memory if it is the latest that was read.
+
+        Raises:
+            PlatformError: The body could not be read whole in several attempts.
+        """
+        digest, decoded = self._latest.get(section, ("", {}))
+        if digest == ref.digest:
+            return decoded
+        body = await self._fetch(ref.object_name(section), ref.digest)
+        return self.learn(section, ref.digest, body)
+
+    def learn(self, section: str, digest: str, body: bytes) -> Section:
+        """Remember a body that came from elsewhere.
+
+        Raises:
+            ObjectCorrupt: The body does not have the digest.
+        """
+        if digest_of(body) != digest:
+            raise ObjectCorrupt(f"section {section} does not have its digest")
+        decoded = msgspec.json.decode(body)
+        self._latest[section] = (digest, decoded)
+        return decoded
+
+    async def _fetch(self, name: str, digest: str) -> bytes:
+        """Read an object until a read returns the content of its name."""
+        for attempt in range(READ_ATTEMPTS):
+            try:
+                body = await self._objects.get(name)
+            except PlatformError:
+                if attempt == READ_ATTEMPTS - 1:
+                    raise
+            else:
+                if digest_of(body) == digest:
+                    return body
+            await self._pause(attempt)
+        raise ObjectCorrupt(f"{name} does not have its digest")
+
+    async def _pause(self, attempt: int) -> None:
+        pause = _FIRST_PAUSE_SECONDS * 2**attempt
+        await self._clock.sleep(pause * (0.5 + self._jitter()))
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/configuration/_diff.py
@@ -0,0 +1,49 @@
+"""Differences between two documents."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from ._tables import Sections
+
+
+class Difference(NamedTuple):
+    """One value that differs."""
+
+    path: str
+    """Where, as `section.entry.key`."""
+    before: Any
+    """Value before, None if there was none."""
+    after: Any
+    """Value after, None if there is none."""
+
+
+def differences(before: Sections, after: Sections) -> list[Difference]:
+    """List the values that differ, by path; digests of keys are not shown.
+
+    >>> differences({"customers": {}}, {"customers": {"a": {"rate": 1.0}}})
+    [Difference(path='customers.a.rate', before=None, after=1.0)]
+    """
+    old, new = dict(_values("", before)), dict(_values("", after))
+    return [
+        Difference(path, _shown(path, old.get(path)), _shown(path, new.get(path)))
+        for path in sorted(old.keys() | new.keys())
+        if old.get(path) != new.get(path)
+    ]
+
+
+def _values(path: str, value: Any) -> Iterator[tuple[str, Any]]:
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield from _values(f"{path}.{key}" if path else key, inner)
+    elif isinstance(value, list) and value and isinstance(value[0], dict):
+        for index, inner in enumerate(value):
+            yield from _values(f"{path}[{index}]", inner)
+    else:
+        yield path, value
+
+
+def _shown(path: str, value: Any) -> Any:
+    hidden = path.startswith("keys.") and path.endswith(".digest")
+    return "(digest)" if hidden and value is not None else value
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/configuration/_document.py
@@ -0,0 +1,114 @@
+"""Parses and checks the configuration document."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from guavajunction.errors import DocumentInvalid
+
+from ._capacity import capacity_faults
+from ._fault import Fault
+from ._references import reference_faults
+from ._shape import section_faults, show
+from ._tables import SECTION_NAMES, Sections, empty_sections
+
+BASED_ON = "based_on"
+"""Table of the document that names the section versions it was edited from."""
+
+
+class Document(NamedTuple):
+    """A parsed document, which may hold only some of the sections."""
+
+    given: Sections
+    """Sections that stand in the text."""
+    based_on: dict[str, int]
+    """Versions of the sections that the editor started from, if it says so."""
+
+    def over(self, base: Sections) -> Sections:
+        """Return the base with the given sections in place of its own."""
+        return {**base, **self.given}
+
+
+def parse_document(text: str, base: Sections | None = None) -> Document:
+    """Parse a document and check it together with what it does not hold.
+
+    Args:
+        text: The document in TOML.
+        base: Sections in force, for those that the text lacks; empty by default.
+
+    Returns:
+        The document, free of faults.
+
+    Raises:
+        DocumentInvalid: With every fault that was found.
+    """
+    tables = _tables(text)
+    based_on = tables.pop(BASED_ON, {})
+    faults = [*_based_on_faults(based_on), *_unknown_sections(tables)]
+    given = {name: tables[name] for name in SECTION_NAMES if name in tables}
+    doc = Document(given, based_on)
+    faults += faults_of(doc.over(base or empty_sections()))
+    refuse(faults)
+    return doc
+
+
+def check_sections(sections: Sections) -> None:
+    """Check a whole document.
+
+    Raises:
+        DocumentInvalid: With every fault that was found.
+    """
+    refuse(faults_of(sections))
+
+
+def faults_of(sections: Sections) -> list[Fault]:
+    """Return the faults of a whole document.
+
+    Entries are compared with each other only once each has the right shape.
+    """
+    faults = [f for name in SECTION_NAMES for f in section_faults(name, sections[name])]
+    if faults:
+        return faults
+    faults = list(reference_faults(sections))
+    if any(fault.path.startswith("backends.") for fault in faults):
+        return faults
+    return [*faults, *capacity_faults(sections)]
+
+
+def refuse(faults: list[Fault]) -> None:
+    """Raise the faults, if there are any.
+
+    Raises:
+        DocumentInvalid: With the faults.
+    """
+    if faults:
+        lines = "\n".join(str(fault) for fault in faults)
+        raise DocumentInvalid(f"The document has faults:\n{lines}", faults)
+
+
+def _tables(text: str) -> dict[str, Any]:
+    try:
+        return tomllib.loads(text)
+    except tomllib.TOMLDecodeError as exc:
+        refuse([Fault("document", str(exc), "TOML")])
+        raise
+
+
+def _unknown_sections(tables: dict[str, Any]) -> Iterator[Fault]:
+    for name in sorted(tables.keys() - set(SECTION_NAMES)):
+        expected = "one of " + ", ".join(SECTION_NAMES)
+        yield Fault(name, "unknown section", expected)
+
+
+def _based_on_faults(based_on: Any) -> Iterator[Fault]:
+    if not isinstance(based_on, dict):
+        yield Fault(BASED_ON, show(BASED_ON, based_on), "a table of whole numbers")
+        return
+    for name, version in based_on.items():
+        path = f"{BASED_ON}.{name}"
+        if name not in SECTION_NAMES:
+            yield Fault(path, "unknown section", "one of " + ", ".join(SECTION_NAMES))
+        elif type(version) is not int or version < 0:
+            yield Fault(path, show(path, version), "a whole number, at least 0")
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/configuration/_head.py
@@ -0,0 +1,140 @@
+"""The row that decides which configuration is accepted, and its history rows."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from guavajunction.platform import Row
+
+PARTITION = "configuration"
+SORT = "head"
+HISTORY_PARTITION = "configuration-history"
+RECENT_ATTEMPTS = 16
+"""Attempts that the head row remembers."""
+
+_VERSION_DIGITS = 12
+
+
+class SectionRef(NamedTuple):
+    """Which body of a section is accepted."""
+
+    version: int
+    """Counts the accepted changes of the section, from 1."""
+    digest: str
+    """SHA-256 of the body, hexadecimal."""
+    author: str
+    """Who changed the section last."""
+    changed_at: float
+    """When, in seconds since 1970."""
+
+    def object_name(self, section: str) -> str:
+        """Return the name of the object that holds the body."""
+        return f"configuration/{section}/{self.digest}"
+
+
+class Attempt(NamedTuple):
+    """An attempt to change the configuration that was accepted."""
+
+    attempt_id: str
+    """Unique identity that its author drew."""
+    version: int
+    """Version of the configuration that it made."""
+
+
+class _Content(NamedTuple):
+    """Body of the head row and of a history row."""
+
+    author: str
+    changed_at: float
+    changed: tuple[str, ...]
+    sections: dict[str, SectionRef]
+    attempts: tuple[Attempt, ...]
+
+
+class Head(NamedTuple):
+    """One accepted version of the configuration, by reference."""
+
+    version: int
+    """Version of the configuration and of the head row, from 1; 0 before any."""
+    author: str = ""
+    """Who made this version."""
+    changed_at: float = 0.0
+    """When it was made, in seconds since 1970."""
+    changed: tuple[str, ...] = ()
+    """Sections that it changed."""
+    sections: dict[str, SectionRef] = {}
+    """Body of each section that was ever accepted."""
+    attempts: tuple[Attempt, ...] = ()
+    """The latest accepted attempts, this one last."""
+
+    def accepted_version(self, attempt_id: str) -> int | None:
+        """Return the version that an attempt made, if it is remembered."""
+        for attempt in self.attempts:
+            if attempt.attempt_id == attempt_id:
+                return attempt.version
+        return None
+
+    def section_version(self, section: str) -> int:
+        """Return the version of a section, 0 if it was never accepted."""
+        ref = self.sections.get(section)
+        return ref.version if ref else 0
+
+    def successor(
+        self, digests: dict[str, str], author: str, changed_at: float, attempt_id: str
+    ) -> Head:
+        """Return the head that follows this one when sections change.
+
+        Args:
+            digests: SHA-256 of the new body of each changed section.
+            author: Who changes them.
+            changed_at: When, in seconds since 1970.
+            attempt_id: Identity of the attempt.
+        """
+        version = self.version + 1
+        sections = dict(self.sections)
+        for name, digest in digests.items():
+            ref = SectionRef(self.section_version(name) + 1, digest, author, changed_at)
+            sections[name] = ref
+        attempts = (*self.attempts, Attempt(attempt_id, version))[-RECENT_ATTEMPTS:]
+        changed = tuple(digests)
+        return Head(version, author, changed_at, changed, sections, attempts)
+
+
+NO_HEAD = Head(0)
+"""Stands for the head row before anything was accepted."""
+
+
+def encode_head(head: Head) -> bytes:
+    """Encode a head without its version, which the row itself carries."""
+    return msgspec.msgpack.encode(_Content(*head[1:]))
+
+
+def decode_head(row: Row) -> Head:
+    """Decode the head row."""
+    return head_from(row.version, row.body)
+
+
+def head_from(version: int, content: bytes) -> Head:
+    """Decode a head whose version came beside its content."""
+    return Head(version, *msgspec.msgpack.decode(content, type=_Content))
+
+
+def history_sort(version: int) -> str:
+    """Return the sort key of a version's history row.
+
+    >>> history_sort(7)
+    '000000000007'
+    """
+    return f"{version:0{_VERSION_DIGITS}}"
+
+
+def encode_history(head: Head) -> bytes:
+    """Encode a past head for its history row, without the older attempts."""
+    return encode_head(head._replace(attempts=head.attempts[-1:]))
+
+
+def decode_history(row: Row) -> Head:
+    """Decode a history row."""
+    return head_from(int(row.sort), row.body)
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/configuration/_key_routes.py
@@ -0,0 +1,90 @@
+"""Operator routes for customers' keys."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from guavajunction.errors import (
+    AcceptanceUnknown,
+    EntryUnknown,
+    KeyAlreadyIssued,
+    PlatformError,
+)
+
+from ._document_routes import accepted_response
+from ._events import KEY_ISSUED, KEY_WITHDRAWN
+from ._head import Head
+from ._operator_guard import read_body
+from ._operator_messages import EditRequest, IssueRequest
+from ._operator_parts import OperatorParts, OperatorRoute
+from ._tables import Section
+
+
+class KeyRoutes:
+    """Lists, issues and withdraws keys."""
+
+    def __init__(self, parts: OperatorParts) -> None:
+        self._store = parts.store
+        self._editor = parts.editor
+        self._issue = parts.issue
+
+    def routes(self) -> list[OperatorRoute]:
+        """Return the handlers by method and path."""
+        return [
+            ("GET", "keys", self.list_keys),
+            ("POST", "keys", self.issue),
+            ("DELETE", "keys/{key_id}", self.withdraw),
+        ]
+
+    async def list_keys(self, req: web.Request) -> web.Response:
+        """List the keys by their public identity."""
+        head = await self._store.read_head()
+        keys = await self._keys(head)
+        listed = [{"key_id": k, "customer": keys[k]["customer"]} for k in sorted(keys)]
+        return web.json_response({"version": head.version, "keys": listed})
+
+    async def issue(self, req: web.Request) -> web.Response:
+        """Issue a key to a customer and answer it this once."""
+        body = await read_body(req, IssueRequest)
+        key, record = self._issue(body["customer"])
+        table = {"customer": record.customer, "digest": record.digest}
+
+        def add(keys: Section) -> None:
+            keys[record.key_id] = table
+
+        author, attempt_id = body["author"], body["attempt_id"]
+        accepted = await self._editor.edit("keys", add, author, attempt_id)
+        await self._check_issued(record.key_id, accepted.head, attempt_id)
+        KEY_ISSUED.log(key_id=record.key_id, customer=record.customer)
+        answer = {"version": accepted.version, "key_id": record.key_id, "key": key}
+        return web.json_response(answer)
+
+    async def withdraw(self, req: web.Request) -> web.Response:
+        """Withdraw a key."""
+        body = await read_body(req, EditRequest)
+        key_id = req.match_info["key_id"]
+
+        def remove(keys: Section) -> None:
+            if keys.pop(key_id, None) is None:
+                raise EntryUnknown(f"There is no key {key_id}.")
+
+        accepted = await self._editor.edit(
+            "keys", remove, body["author"], body["attempt_id"]
+        )
+        KEY_WITHDRAWN.log(key_id=key_id)
+        return accepted_response(accepted)
+
+    async def _check_issued(self, key_id: str, head: Head, attempt_id: str) -> None:
+        """Refuse to show a key that an earlier send of the attempt has replaced."""
+        try:
+            keys = await self._keys(head)
+        except PlatformError as exc:
+            raise AcceptanceUnknown(f"Key {key_id} may have been issued.") from exc
+        if key_id not in keys:
+            raise KeyAlreadyIssued(
+                f"Attempt {attempt_id} has issued a key before, whose answer was lost."
+                " Withdraw that key and issue another."
+            )
+
+    async def _keys(self, head: Head) -> Section:
+        return (await self._store.load_sections(head))["keys"]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/configuration/_operator_guard.py
@@ -0,0 +1,94 @@
+"""Lets operators in by their token and answers failures by type."""
+
+from __future__ import annotations
+
+import functools
+import hmac
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import msgspec
+from aiohttp import web
+
+from guavajunction.errors import (
+    AcceptanceUnknown,
+    DocumentInvalid,
+    GuavaError,
+    OperatorError,
+    OperatorRefused,
+    OperatorRequestInvalid,
+    PlatformError,
+    SectionConflict,
+)
+
+from ._events import OPERATOR_REFUSED
+
+Handler = Callable[[web.Request], Awaitable[web.Response]]
+T = TypeVar("T")
+
+_SCHEME = "Bearer "
+_STATUS_AND_TYPE: dict[type[GuavaError], tuple[int, str]] = {
+    DocumentInvalid: (422, "document_invalid"),
+    SectionConflict: (409, "section_conflict"),
+    AcceptanceUnknown: (503, "acceptance_unknown"),
+    PlatformError: (503, "store_unavailable"),
+    GuavaError: (503, "not_accepted"),
+}
+"""First match by class decides."""
+
+
+class OperatorGuard:
+    """Checks the bearer token of each request before its handler runs."""
+
+    def __init__(self, token: str) -> None:
+        self._token = token.encode()
+
+    def wrap(self, handler: Handler) -> Handler:
+        """Return a handler that checks the token and answers typed failures."""
+
+        @functools.wraps(handler)
+        async def guarded(req: web.Request) -> web.Response:
+            try:
+                self._check(req)
+                return await handler(req)
+            except GuavaError as exc:
+                return _failure(exc)
+
+        return guarded
+
+    def _check(self, req: web.Request) -> None:
+        header = req.headers.get("Authorization", "")
+        presented = header.removeprefix(_SCHEME).encode(errors="surrogateescape")
+        matches = hmac.compare_digest(presented, self._token)
+        if not (matches and self._token and header.startswith(_SCHEME)):
+            OPERATOR_REFUSED.log(path=req.path, address=req.remote)
+            raise OperatorRefused("The operator token is missing or wrong.")
+
+
+async def read_body(req: web.Request, kind: type[T]) -> T:
+    """Decode a JSON body strictly.
+
+    Raises:
+        OperatorRequestInvalid: The body is not of the type.
+    """
+    try:
+        return msgspec.json.decode(await req.read(), type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise OperatorRequestInvalid(f"The body is malformed: {exc}") from exc
+
+
+def _failure(exc: GuavaError) -> web.Response:
+    status, kind = _classify(exc)
+    error: dict[str, Any] = {"type": kind, "message": exc.message}
+    if isinstance(exc, DocumentInvalid):
+        error["faults"] = [fault._asdict() for fault in exc.faults]
+    return web.json_response({"error": error}, status=status)
+
+
+def _classify(exc: GuavaError) -> tuple[int, str]:
+    if isinstance(exc, OperatorError):
+        return exc.STATUS, exc.TYPE
+    for kind, status_and_type in _STATUS_AND_TYPE.items():
+        if isinstance(exc, kind):
+            return status_and_type
+    raise exc
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/configuration/_store.py
@@ -0,0 +1,282 @@
+"""Accepted configurations in the platform's services."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from datetime import UTC, datetime
+from typing import NamedTuple
+
+from guavajunction.clock import Clock
+from guavajunction.errors import (
+    AcceptanceUnknown,
+    ConditionFailed,
+    DocumentInvalid,
+    EntryUnknown,
+    PlatformError,
+    SectionConflict,
+    StoreAnswerLost,
+)
+from guavajunction.platform import ObjectStore, TableService
+
+from ._bodies import SectionBodies, digest_of, encode_section
+from ._build import build
+from ._document import check_sections
+from ._head import (
+    HISTORY_PARTITION,
+    NO_HEAD,
+    PARTITION,
+    RECENT_ATTEMPTS,
+    SORT,
+    Head,
+    decode_head,
+    decode_history,
+    encode_head,
+    encode_history,
+    history_sort,
+)
+from ._model import Configuration
+from ._tables import Sections
+
+ACCEPT_ATTEMPTS = 8
+"""Writes of the head row before an acceptance is given up."""
+
+_FIRST_PAUSE_SECONDS = 0.05
+_LONGEST_PAUSE_SECONDS = 0.5
+
+
+class Accepted(NamedTuple):
+    """A change that was accepted."""
+
+    version: int
+    """Version of the configuration that the change made."""
+    head: Head
+    """The head row when acceptance was seen, of this version or a later one."""
+
+
+class Change(NamedTuple):
+    """Sections that an operator wants to replace."""
+
+    sections: Sections
+    """New content of each section."""
+    based_on: dict[str, int]
+    """Version of each of the sections that the change was made from."""
+    author: str
+    attempt_id: str
+    """Unique identity, by which the change is recognised when an answer is lost."""
+
+
+class ConfigurationStore:
+    """Reads, accepts and lists configurations in the platform's services.
+
+    The compare-and-set of the head row alone decides what is accepted.
+    """
+
+    def __init__(
+        self,
+        table: TableService,
+        objects: ObjectStore,
+        clock: Clock,
+        *,
+        now: Callable[[], float] = time.time,
+        jitter: Callable[[], float] = random.random,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._now = now
+        self._jitter = jitter
+        self.bodies = SectionBodies(objects, clock, jitter=jitter)
+        """The bodies that heads refer to."""
+
+    async def read_head(self) -> Head:
+        """Read the head row consistently.
+
+        Raises:
+            PlatformError: The table service did not answer.
+        """
+        row = await self._table.get(PARTITION, SORT)
+        return NO_HEAD if row is None else decode_head(row)
+
+    async def load(self, head: Head) -> Configuration:
+        """Load the configuration that a head refers to.
+
+        Raises:
+            PlatformError: A body could not be read whole.
+        """
+        return build(head.version, await self.load_sections(head))
+
+    async def load_sections(self, head: Head) -> Sections:
+        """Load the document that a head refers to, in its wire form.
+
+        Raises:
+            PlatformError: A body could not be read whole.
+        """
+        return await self.bodies.read_all(head.sections)
+
+    async def accept(self, change: Change) -> Accepted:
+        """Make a change the accepted configuration, unless it conflicts.
+
+        Sections that others changed meanwhile are kept as they are. Repeating a
+        change with the same attempt id accepts it at most once.
+
+        Args:
+            change: The sections to replace.
+
+        Returns:
+            The version that the change made.
+
+        Raises:
+            SectionConflict: Somebody else changed one of the sections meanwhile.
+            DocumentInvalid: The change does not fit the other sections.
+            PlatformError: The change is not accepted, as the store failed.
+            AcceptanceUnknown: It may or may not have been accepted.
+        """
+        bodies = await self._write_bodies(change.sections)
+        pending = _PendingWrite()
+        for attempt in range(ACCEPT_ATTEMPTS):
+            await self._pause(attempt)
+            try:
+                return await self._accept_once(change, bodies, pending)
+            except PlatformError as exc:
+                failure = exc
+            except (SectionConflict, DocumentInvalid) as exc:
+                if pending.open:
+                    raise AcceptanceUnknown(_unknown(change)) from exc
+                raise
+        if pending.open:
+            raise AcceptanceUnknown(_unknown(change)) from failure
+        raise failure
+
+    async def history(self, limit: int) -> list[Head]:
+        """Return the latest accepted versions, the last one first.
+
+        Args:
+            limit: How many versions to return at most.
+
+        Raises:
+            PlatformError: The table service did not answer.
+        """
+        head = await self.read_head()
+        if head.version == 0:
+            return []
+        oldest = max(1, head.version - limit + 1)
+        older = range(head.version - 1, oldest - 1, -1)
+        return [head, *[await self.past(version) for version in older]]
+
+    async def past(self, version: int) -> Head:
+        """Return the head of a version that was replaced.
+
+        Raises:
+            EntryUnknown: There was never such a version.
+            PlatformError: The table service did not answer.
+        """
+        row = await self._table.get(HISTORY_PARTITION, history_sort(version))
+        if row is None:
+            raise EntryUnknown(f"Version {version} was never replaced.")
+        return decode_history(row)
+
+    async def _write_bodies(self, sections: Sections) -> dict[str, bytes]:
+        bodies = {name: encode_section(table) for name, table in sections.items()}
+        for name, body in bodies.items():
+            await self.bodies.write(name, body)
+        return bodies
+
+    async def _accept_once(
+        self, change: Change, bodies: dict[str, bytes], pending: _PendingWrite
+    ) -> Accepted:
+        head = await self.read_head()
+        pending.settle(head)
+        version = head.accepted_version(change.attempt_id)
+        if version is not None:
+            return Accepted(version, head)
+        _refuse_conflicts(change, head)
+        check_sections({**await self.load_sections(head), **change.sections})
+        await self._record_history(head)
+        digests = {name: digest_of(body) for name, body in bodies.items()}
+        following = head.successor(
+            digests, change.author, self._now(), change.attempt_id
+        )
+        await self._write_head(following, pending)
+        for name, body in bodies.items():
+            self.bodies.learn(name, digests[name], body)
+        return Accepted(following.version, following)
+
+    async def _write_head(self, following: Head, pending: _PendingWrite) -> None:
+        expected = following.version - 1
+        try:
+            await self._table.put(
+                PARTITION, SORT, encode_head(following), expected=expected
+            )
+        except StoreAnswerLost:
+            pending.sent(expected)
+            raise
+
+    async def _record_history(self, head: Head) -> None:
+        """Keep a version before its successor replaces it in the head row."""
+        if head.version == 0:
+            return
+        try:
+            await self._table.put(
+                HISTORY_PARTITION,
+                history_sort(head.version),
+                encode_history(head),
+                expected=0,
+            )
+        except ConditionFailed:
+            return
+
+    async def _pause(self, attempt: int) -> None:
+        if attempt == 0:
+            return
+        pause = min(_FIRST_PAUSE_SECONDS * 2 ** (attempt - 1), _LONGEST_PAUSE_SECONDS)
+        await self._clock.sleep(pause * (0.5 + self._jitter()))
+
+
+class _PendingWrite:
+    """Whether a write of the head row may still take effect or have done so."""
+
+    def __init__(self) -> None:
+        self._expected: int | None = None
+
+    @property
+    def open(self) -> bool:
+        """Whether the outcome of an earlier write is not known."""
+        return self._expected is not None
+
+    def sent(self, expected: int) -> None:
+        """Note a write that was not answered."""
+        self._expected = expected
+
+    def settle(self, head: Head) -> None:
+        """Note a read: once another version stands, a write has no future.
+
+        Past the attempts that the row remembers, the write's fate stays unknown.
+        """
+        if self._expected is None:
+            return
+        if 0 < head.version - self._expected <= RECENT_ATTEMPTS:
+            self._expected = None
+
+
+def _refuse_conflicts(change: Change, head: Head) -> None:
+    for name in change.sections:
+        based_on = change.based_on.get(name, 0)
+        if based_on == head.section_version(name):
+            continue
+        raise SectionConflict(_conflict(name, based_on, head))
+
+
+def _conflict(section: str, based_on: int, head: Head) -> str:
+    ref = head.sections.get(section)
+    if ref is None:
+        return f"Section {section} has no version {based_on}; none was accepted yet."
+    when = datetime.fromtimestamp(ref.changed_at, UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
+    return (
+        f"Section {section} was changed by {ref.author} at {when} to version"
+        f" {ref.version}; the change was made from version {based_on}."
+    )
+
+
+def _unknown(change: Change) -> str:
+    return f"The store did not say whether attempt {change.attempt_id} was accepted."
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/configuration/_tables.py
@@ -0,0 +1,132 @@
+"""The document's wire form: one typed table for each section's entries."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal, NotRequired, TypedDict
+
+from ._rule import ADDRESS, DIGEST, NAME, PREFIX, Rule
+
+Method = Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+
+
+class CustomerTable(TypedDict):
+    """An organisation that calls with its own keys."""
+
+    rate: Annotated[
+        float, Rule("Tokens a second, over all instances together", above=0)
+    ]
+    burst: Annotated[
+        float, Rule("Tokens that may be used at once; at least `rate`", above=0)
+    ]
+    weight: NotRequired[
+        Annotated[float, Rule("Share of a contended backend server", above=0)]
+    ]
+    models: NotRequired[
+        Annotated[
+            list[str],
+            Rule("Models and adapters that it may use; empty for all", form=NAME),
+        ]
+    ]
+
+
+class KeyTable(TypedDict):
+    """A key that was issued, by its key id; managed by `guavactl keys`."""
+
+    customer: Annotated[str, Rule("Customer that calls with the key", form=NAME)]
+    digest: Annotated[str, Rule("HMAC-SHA256 of the key", form=DIGEST)]
+
+
+class AdapterTable(TypedDict):
+    """A small set of weights on top of the base model that it stands under."""
+
+    version: Annotated[str, Rule("Version that is deployed", form=NAME)]
+    memory_mib: Annotated[int, Rule("Accelerator memory in MiB", at_least=1)]
+
+
+class ModelTable(TypedDict):
+    """A base model."""
+
+    version: Annotated[str, Rule("Version that is deployed", form=NAME)]
+    pool: Annotated[str, Rule("Pool of engines that may hold it", form=NAME)]
+    memory_mib: Annotated[int, Rule("Accelerator memory in MiB", at_least=1)]
+    min_replicas: NotRequired[
+        Annotated[int, Rule("Engines that hold it at least", at_least=1)]
+    ]
+    adapters: NotRequired[
+        Annotated[dict[str, AdapterTable], Rule("Adapters of the model, by name")]
+    ]
+
+
+class BackendTable(TypedDict):
+    """A backend server: a model engine or a plain service."""
+
+    kind: Annotated[Literal["engine", "service"], Rule("What it runs")]
+    address: Annotated[str, Rule("IP number and port", form=ADDRESS)]
+    data_centre: Annotated[str, Rule("Where it runs", form=NAME)]
+    pool: Annotated[str, Rule("Pool that it belongs to", form=NAME)]
+    accelerators: NotRequired[
+        Annotated[int, Rule("Accelerators that it has", at_least=0)]
+    ]
+    memory_mib: NotRequired[
+        Annotated[int, Rule("Accelerator memory in MiB; engines only", at_least=0)]
+    ]
+    kv_reserve_mib: NotRequired[
+        Annotated[int, Rule("Part of the memory kept for KV cache", at_least=0)]
+    ]
+    slots: NotRequired[
+        Annotated[int, Rule("Requests that it runs at once", at_least=1)]
+    ]
+    checks_orders: NotRequired[
+        Annotated[bool, Rule("Whether it refuses orders with an old fencing number")]
+    ]
+    leaving: NotRequired[Annotated[bool, Rule("Whether it must get no new work")]]
+
+
+class RouteTable(TypedDict):
+    """A path prefix of a plain service; the longest prefix of a path decides."""
+
+    prefix: Annotated[str, Rule("Path below the service", form=PREFIX)]
+    methods: Annotated[list[Method], Rule("Methods that it takes", at_least=1)]
+    idempotent: Annotated[bool, Rule("Whether a call may be sent again")]
+    open_to_all: NotRequired[Annotated[bool, Rule("Whether it needs no key")]]
+    cost: NotRequired[Annotated[float, Rule("Tokens charged for a call", at_least=0)]]
+
+
+class ServiceTable(TypedDict):
+    """A plain service beside the model engines."""
+
+    pool: Annotated[str, Rule("Pool of backend servers that run it", form=NAME)]
+    routes: Annotated[list[RouteTable], Rule("Its routes", at_least=1)]
+
+
+class ObjectiveTable(TypedDict):
+    """What a class of requests, `live` or `batch`, is owed."""
+
+    first_token: Annotated[float, Rule("Seconds to the first token", above=0)]
+    between_tokens: Annotated[float, Rule("Seconds between tokens", above=0)]
+    max_wait: Annotated[float, Rule("Seconds that it may queue", at_least=0)]
+
+
+Section = dict[str, Any]
+"""One section: its entries' tables by name."""
+
+Sections = dict[str, Section]
+"""The whole document: every section by name."""
+
+SECTION_TABLES: dict[str, type] = {
+    "customers": CustomerTable,
+    "keys": KeyTable,
+    "models": ModelTable,
+    "backends": BackendTable,
+    "services": ServiceTable,
+    "objectives": ObjectiveTable,
+}
+"""Type of each section's entries."""
+
+SECTION_NAMES = tuple(SECTION_TABLES)
+"""Every section, in the order of the document."""
+
+
+def empty_sections() -> Sections:
+    """Return a document without entries."""
+    return {name: {} for name in SECTION_NAMES}
--- a/packages/guavajunction/src/guavajunction/errors.py
+++ b/packages/guavajunction/src/guavajunction/errors.py
@@ -7,7 +7,11 @@
 
 from __future__ import annotations
 
-from typing import Literal
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, Literal
+
+if TYPE_CHECKING:
+    from guavajunction.configuration import Fault
 
 NotRun = Literal["true", "false", "unknown"]
 
@@ -257,6 +261,11 @@
 class DocumentInvalid(GuavaError):
     """The configuration document breaks one or more rules."""
 
+    def __init__(self, message: str, faults: Sequence[Fault] = ()) -> None:
+        super().__init__(message)
+        self.faults = list(faults)
+        """Every fault that was found."""
+
 
 class SectionConflict(GuavaError):
     """A section was changed by somebody else since it was read."""
@@ -266,5 +275,40 @@
     """A configuration change was sent and may or may not have been accepted."""
 
 
+class OperatorError(GuavaError):
+    """Base of the failures that only an operator's request can have."""
+
+    STATUS = 400
+    """HTTP status of the answer."""
+
+    TYPE = "bad_request"
+    """Name of the failure in the answer's body."""
+
+
+class OperatorRequestInvalid(OperatorError):
+    """The operator's request is malformed."""
+
+
+class OperatorRefused(OperatorError):
+    """The operator's request carries no token or a wrong one."""
+
+    STATUS = 401
+    TYPE = "token_refused"
+
+
+class EntryUnknown(OperatorError):
+    """The request names a key, backend server or version that does not exist."""
+
+    STATUS = 404
+    TYPE = "entry_unknown"
+
+
+class KeyAlreadyIssued(OperatorError):
+    """The attempt has issued a key before, which cannot be shown again."""
+
+    STATUS = 409
+    TYPE = "key_already_issued"
+
+
 class OrderRefused(GuavaError):
     """A backend server refused an order."""
