--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/backends/__init__.py
@@ -0,0 +1,70 @@
+"""Backend servers: their state, their memory and the orders they are sent."""
+
+from __future__ import annotations
+
+from ._client import HttpBackendClient
+from ._errors import (
+    AlreadyResident,
+    BackendUnreachable,
+    BaseInUse,
+    BaseMissing,
+    LedgerRefused,
+    LedgerUnsettled,
+    MemoryCommitted,
+    NotResident,
+    OrderLacksMemory,
+    OrderNotSent,
+    OrderPending,
+    OrderStale,
+    OrderUnanswered,
+)
+from ._inventory import Inventory
+from ._ledger import Intent, Ledger, LedgerRecord
+from ._model import (
+    LOADING,
+    READY,
+    UNLOADING,
+    BackendState,
+    CacheEvent,
+    CacheEvents,
+    LoadReport,
+    Order,
+    Resident,
+)
+from ._order_desk import OrderDesk
+from ._protocols import BackendClient, Members
+from ._retirement import Retirement
+
+__all__ = [
+    "LOADING",
+    "READY",
+    "UNLOADING",
+    "AlreadyResident",
+    "BackendClient",
+    "BackendState",
+    "BackendUnreachable",
+    "BaseInUse",
+    "BaseMissing",
+    "CacheEvent",
+    "CacheEvents",
+    "HttpBackendClient",
+    "Intent",
+    "Inventory",
+    "Ledger",
+    "LedgerRecord",
+    "LedgerRefused",
+    "LedgerUnsettled",
+    "LoadReport",
+    "Members",
+    "MemoryCommitted",
+    "NotResident",
+    "Order",
+    "OrderDesk",
+    "OrderLacksMemory",
+    "OrderNotSent",
+    "OrderPending",
+    "OrderStale",
+    "OrderUnanswered",
+    "Resident",
+    "Retirement",
+]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/backends/_client.py
@@ -0,0 +1,167 @@
+"""HTTP client of the administrative interface of backend servers."""
+
+from __future__ import annotations
+
+from typing import Any, NotRequired, TypedDict
+
+import aiohttp
+import msgspec
+
+from ..errors import OrderRefused
+from ._errors import (
+    BackendUnreachable,
+    OrderLacksMemory,
+    OrderNotSent,
+    OrderStale,
+    OrderUnanswered,
+)
+from ._model import CacheEvent, CacheEvents, LoadReport, Order, Resident
+
+ACCEPTED = 202
+STALE_FENCE = 409
+LACKS_MEMORY = 507
+
+
+class _ResidentBody(TypedDict):
+    artifact: str
+    mib: int
+    state: str
+    order_id: NotRequired[str | None]
+
+
+class _LoadBody(TypedDict, total=False):
+    seq: int
+    age_seconds: float
+    running: int
+    waiting: int
+    slots: int
+    memory_mib: int
+    used_mib: int
+    kv_used_mib: int
+    resident: list[_ResidentBody]
+    role: str | None
+    last_fence: int
+    applied_orders: list[str]
+    refused_orders: list[str]
+    leaving: bool
+
+
+class _CacheEventBody(TypedDict):
+    seq: int
+    kind: str
+    artifact: str
+    prefix: str
+
+
+class _CacheEventsBody(TypedDict):
+    events: list[_CacheEventBody]
+    first: int
+    last: int
+
+
+class _RefusalBody(TypedDict, total=False):
+    last_fence: int
+
+
+class HttpBackendClient:
+    """Calls backend servers over a client session that its owner closes."""
+
+    QUERY_TIMEOUT_SECONDS = 1.0
+    ORDER_TIMEOUT_SECONDS = 3.0
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def load(self, address: str) -> LoadReport:
+        """Read the load of an engine."""
+        body = await self._get(f"http://{address}/admin/load")
+        return _report(_decode(body, _LoadBody))
+
+    async def service_load(self, address: str) -> LoadReport:
+        """Read the health of a plain service, and its load if it reports any."""
+        await self._get(f"http://{address}/healthz")
+        try:
+            return await self.load(address)
+        except BackendUnreachable:
+            return _report({})
+
+    async def cache_events(self, address: str, after: int) -> CacheEvents:
+        """Read the cache events after a sequence number."""
+        body = await self._get(f"http://{address}/admin/cache-events?after={after}")
+        answer = _decode(body, _CacheEventsBody)
+        events = tuple(CacheEvent(**event) for event in answer["events"])
+        return CacheEvents(events, answer["first"], answer["last"])
+
+    async def order(self, address: str, order: Order) -> None:
+        """Send an order and return once the engine has accepted it."""
+        url = f"http://{address}/admin/orders"
+        timeout = aiohttp.ClientTimeout(total=self.ORDER_TIMEOUT_SECONDS)
+        try:
+            async with self._session.post(
+                url, json=order._asdict(), timeout=timeout
+            ) as resp:
+                body = await resp.read()
+                status = resp.status
+        except aiohttp.ClientConnectorError as exc:
+            raise OrderNotSent(f"{address}: {exc!r}") from exc
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise OrderUnanswered(f"{address}: {exc!r}") from exc
+        _check_order_answer(address, status, body)
+
+    async def _get(self, url: str) -> bytes:
+        timeout = aiohttp.ClientTimeout(total=self.QUERY_TIMEOUT_SECONDS)
+        try:
+            async with self._session.get(url, timeout=timeout) as resp:
+                resp.raise_for_status()
+                return await resp.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise BackendUnreachable(f"{url}: {exc!r}") from exc
+
+
+def _check_order_answer(address: str, status: int, body: bytes) -> None:
+    if status == ACCEPTED:
+        return
+    if status == STALE_FENCE:
+        raise OrderStale(f"{address}: stale fence", _last_fence(body))
+    if status == LACKS_MEMORY:
+        raise OrderLacksMemory(f"{address}: no memory")
+    if status >= 500:
+        raise OrderUnanswered(f"{address}: status {status}")
+    raise OrderRefused(f"{address}: status {status}")
+
+
+def _last_fence(body: bytes) -> int:
+    try:
+        return msgspec.json.decode(body, type=_RefusalBody).get("last_fence", 0)
+    except msgspec.DecodeError:
+        return 0
+
+
+def _decode(body: bytes, body_type: Any) -> Any:
+    try:
+        return msgspec.json.decode(body, type=body_type)
+    except msgspec.DecodeError as exc:
+        raise BackendUnreachable(f"malformed answer: {exc}") from exc
+
+
+def _report(body: _LoadBody) -> LoadReport:
+    resident = tuple(
+        Resident(r["artifact"], r["mib"], r["state"], r.get("order_id") or "")
+        for r in body.get("resident", [])
+    )
+    return LoadReport(
+        seq=body.get("seq", 0),
+        age_seconds=body.get("age_seconds", 0.0),
+        running=body.get("running", 0),
+        waiting=body.get("waiting", 0),
+        slots=body.get("slots", 0),
+        memory_mib=body.get("memory_mib", 0),
+        used_mib=body.get("used_mib", 0),
+        kv_used_mib=body.get("kv_used_mib", 0),
+        resident=resident,
+        role=body.get("role") or "",
+        last_fence=body.get("last_fence", 0),
+        applied_orders=frozenset(body.get("applied_orders", [])),
+        refused_orders=frozenset(body.get("refused_orders", [])),
+        leaving=body.get("leaving", False),
+    )
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/backends/_inventory.py
@@ -0,0 +1,391 @@
+"""What every instance knows of the backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+
+import msgspec
+import xxhash
+
+from ..clock import Clock
+from ..configuration import Adapter, BackendServer, Configuration
+from ..peers import Links, PeerId
+from ._errors import BackendUnreachable
+from ._events import (
+    BACKEND_HEALTHY,
+    BACKEND_LEAVING,
+    BACKEND_SUSPECTED,
+    BACKEND_UNHEALTHY,
+    CACHE_GAP,
+)
+from ._messages import CacheNews, LoadDigest, StateDigest, StateWanted
+from ._model import READY, BackendState, LoadReport
+from ._passive_health import PassiveHealth
+from ._prefix_index import PrefixIndex
+from ._protocols import BackendClient, Members
+from ._retirement import Retirement
+
+
+class Inventory:
+    """The latest state of each backend server.
+
+    One instance, the reader, polls a backend server and tells its peers: the whole
+    state when anything but the load has changed, the load alone when it has moved,
+    and at least one message per `TELL_SECONDS`. An instance that hears nothing of a
+    backend server, or hears that it is unhealthy, reads it itself.
+    """
+
+    TELL_SECONDS = 1.5
+    """Longest time between two digests of a backend server."""
+    SILENCE_SECONDS = 4.0
+    """Time without a digest after which an instance reads by itself."""
+    MISSES = 2
+    """Queries in a row without an answer that make a server unhealthy."""
+    LOAD_STEP = 8
+    """A load digest is due when the load moved by `slots / LOAD_STEP`."""
+    RESTART_SECONDS = 3.0
+    """Newer by this much, a report with a lower number is of a restarted server."""
+
+    def __init__(
+        self,
+        client: BackendClient,
+        links: Links,
+        members: Members,
+        configuration: Callable[[], Configuration],
+        retirement: Retirement,
+        clock: Clock,
+        *,
+        poll: float = 0.5,
+    ) -> None:
+        """Register the handlers.
+
+        Args:
+            client: Calls the backend servers.
+            links: Links to the other instances.
+            members: Chooses each backend server's reader.
+            configuration: Returns the configuration in force.
+            retirement: Artifacts that are being drained.
+            clock: Time source.
+            poll: Seconds between two queries of a backend server.
+        """
+        self._client = client
+        self._links = links
+        self._members = members
+        self._configuration = configuration
+        self._retirement = retirement
+        self._clock = clock
+        self._poll = poll
+        self._states: dict[str, BackendState] = {}
+        self._fingerprints: dict[str, int] = {}
+        self._heard: dict[str, float] = {}
+        self._own_reads: dict[str, float] = {}
+        self._told: dict[str, tuple[float, int, int]] = {}
+        self._misses: dict[str, int] = {}
+        self._prefixes: defaultdict[str, PrefixIndex] = defaultdict(PrefixIndex)
+        self._passive = PassiveHealth(clock)
+        self._holders: dict[str, list[str]] | None = None
+        self._holders_version = -1
+        self._reading: dict[str, asyncio.Task[None]] = {}
+        self._known_peers: set[PeerId] = set()
+        self._started = clock.monotonic()
+        links.handle(StateDigest, self._on_state)
+        links.handle(LoadDigest, self._on_load)
+        links.handle(StateWanted, self._on_wanted)
+        links.handle(CacheNews, self._on_cache_news)
+
+    def state(self, name: str) -> BackendState | None:
+        """Return the latest state of a backend server, None if never seen."""
+        state = self._states.get(name)
+        server = self._configuration().backends.get(name)
+        if state is None or server is None:
+            return None
+        healthy = state.healthy and not self._passive.suspects(name)
+        leaving = state.leaving or server.leaving
+        return state._replace(healthy=healthy, leaving=leaving)
+
+    def states(self) -> list[BackendState]:
+        """Return the latest state of every configured backend server."""
+        found = (self.state(name) for name in self._configuration().backends)
+        return [state for state in found if state is not None]
+
+    def ready(self, artifact: str) -> list[BackendState]:
+        """Return the backend servers that may be given work for an artifact.
+
+        They are healthy, not leaving, not draining the artifact and have it ready;
+        for an adapter, its base model too.
+        """
+        names = self._index().get(artifact, [])
+        return [
+            self._states[name]
+            for name in names
+            if not self._retirement.covers(name, artifact)
+        ]
+
+    def ready_in_pool(self, pool: str) -> list[BackendState]:
+        """Return the plain services of a pool that may be given work."""
+        servers = self._configuration().backends.values()
+        names = [s.name for s in servers if s.pool == pool and s.kind == "service"]
+        states = (self.state(name) for name in names)
+        return [s for s in states if s is not None and s.healthy and not s.leaving]
+
+    def serving(self, name: str) -> str | None:
+        """Return the artifact that answers for a model or adapter name.
+
+        It is the configured version once that has enough ready replicas to take
+        over from the older version, and until then the older version.
+        """
+        cfg = self._configuration()
+        entry = cfg.models.get(name) or cfg.adapters.get(name)
+        if entry is None:
+            return None
+        older = self._older_ready(name, entry.artifact)
+        if not older:
+            return entry.artifact
+        most = max(older, key=lambda artifact: (older[artifact], artifact))
+        least = 1 if isinstance(entry, Adapter) else entry.min_replicas
+        enough = max(least, -(-older[most] // 2))
+        return entry.artifact if len(self.ready(entry.artifact)) >= enough else most
+
+    def cached(self, backend: str, prefix: str) -> bool:
+        """Return whether a backend server is thought to hold a prompt prefix."""
+        index = self._prefixes.get(backend)
+        return index is not None and prefix in index
+
+    def note_failure(self, backend: str) -> None:
+        """Record that a request failed on a backend server."""
+        if self._passive.note_failure(backend):
+            BACKEND_SUSPECTED.log(backend=backend)
+            self._holders = None
+
+    async def run(self) -> None:
+        """Read and pass on states until cancelled."""
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self._stop_reading)
+            while True:
+                self.start_reads()
+                await self._clock.sleep(self._poll)
+
+    def start_reads(self) -> None:
+        """Start a query of each backend server that this instance should read."""
+        if self._passive.expire():
+            self._holders = None
+        self._greet_new_peers()
+        for name, server in self._configuration().backends.items():
+            if name not in self._reading and self._should_read(name):
+                task = asyncio.ensure_future(self._read(server))
+                self._reading[name] = task
+                task.add_done_callback(lambda _, name=name: self._reading.pop(name))
+
+    async def finish_reads(self) -> None:
+        """Wait until the queries that were started have ended."""
+        await asyncio.gather(*self._reading.values())
+
+    async def _stop_reading(self) -> None:
+        tasks = list(self._reading.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def is_reader(self, name: str) -> bool:
+        """Return whether this instance reads a backend server for the others."""
+        return self._members.author(f"backend/{name}") == self._links.me
+
+    def _should_read(self, name: str) -> bool:
+        if self.is_reader(name) or name not in self._states:
+            return True
+        silent = self._clock.monotonic() - self._heard.get(name, self._started)
+        return silent >= self.SILENCE_SECONDS
+
+    async def _read(self, server: BackendServer) -> None:
+        sent_at = self._clock.monotonic()
+        engine = server.kind == "engine"
+        query = self._client.load if engine else self._client.service_load
+        try:
+            report = await query(server.address)
+        except BackendUnreachable as exc:
+            self._missed(server.name, exc)
+            return
+        self._misses[server.name] = 0
+        self._own_reads[server.name] = self._clock.monotonic()
+        self._take(_state_of(server.name, report, sent_at), own=True)
+        self._tell(server.name)
+        if engine and self.is_reader(server.name):
+            await self._read_cache_events(server)
+
+    def _missed(self, name: str, exc: BackendUnreachable) -> None:
+        self._misses[name] = self._misses.get(name, 0) + 1
+        state = self._states.get(name)
+        if state is None or self._misses[name] < self.MISSES:
+            return
+        if state.healthy:
+            BACKEND_UNHEALTHY.log(backend=name, reason=exc.message)
+        self._take(state._replace(healthy=False, as_of=self._clock.monotonic()))
+        self._tell(name)
+
+    async def _read_cache_events(self, server: BackendServer) -> None:
+        index = self._prefixes[server.name]
+        after = index.last
+        try:
+            answer = await self._client.cache_events(server.address, after)
+        except BackendUnreachable:
+            return
+        if answer.first > after + 1 or answer.last < after:
+            after = max(0, answer.first - 1)
+        news = CacheNews(server.name, after, answer.events, answer.last)
+        self._learn(news)
+        if answer.events:
+            self._links.tell_all(news)
+
+    def _learn(self, news: CacheNews) -> None:
+        index = self._prefixes[news.name]
+        known = index.last
+        if not index.extend(news.after, news.events, news.last):
+            CACHE_GAP.log(backend=news.name, known=known, last=news.last)
+
+    def _take(self, state: BackendState, *, own: bool = False) -> None:
+        old = self._states.get(state.name)
+        if old is not None and not self._supersedes(state, old, own):
+            return
+        self._states[state.name] = state
+        fingerprint = _fingerprint(state)
+        if self._fingerprints.get(state.name) == fingerprint:
+            return
+        self._fingerprints[state.name] = fingerprint
+        self._holders = None
+        if old is not None and state.leaving and not old.leaving:
+            BACKEND_LEAVING.log(backend=state.name)
+        if old is not None and state.healthy and not old.healthy:
+            BACKEND_HEALTHY.log(backend=state.name)
+
+    def _supersedes(self, new: BackendState, old: BackendState, own: bool) -> bool:
+        if new.seq > old.seq:
+            return True
+        if own or new.seq == old.seq:
+            return new.as_of >= old.as_of
+        return new.as_of - old.as_of >= self.RESTART_SECONDS
+
+    def _tell(self, name: str) -> None:
+        if not self.is_reader(name):
+            return
+        state = self._states[name]
+        now = self._clock.monotonic()
+        load = state.running + state.waiting
+        fingerprint = self._fingerprints[name]
+        at, told_load, told_fingerprint = self._told.get(name, (-1e9, 0, 0))
+        moved = abs(load - told_load) >= max(1, state.slots // self.LOAD_STEP)
+        if fingerprint != told_fingerprint:
+            self._links.tell_all(_digest_of(state, now))
+        elif moved or now - at >= self.TELL_SECONDS:
+            self._links.tell_all(_load_digest_of(state, now, fingerprint))
+        else:
+            return
+        self._told[name] = (now, load, fingerprint)
+
+    def _greet_new_peers(self) -> None:
+        peers = set(self._links.peers())
+        now = self._clock.monotonic()
+        for peer in peers - self._known_peers:
+            for name, state in self._states.items():
+                if self.is_reader(name):
+                    self._links.tell(peer, _digest_of(state, now))
+        self._known_peers = peers
+
+    async def _on_state(self, sender: PeerId, digest: StateDigest) -> None:
+        now = self._clock.monotonic()
+        name, age, *rest = digest
+        if digest.healthy:
+            self._heard[name] = now
+        else:
+            # The reader alone may be cut off: this instance looks for itself.
+            self._heard.pop(name, None)
+            if now - self._own_reads.get(name, -1e9) < self.SILENCE_SECONDS:
+                return
+        self._take(BackendState(name, now - age, *rest))
+
+    async def _on_load(self, sender: PeerId, digest: LoadDigest) -> None:
+        if self._fingerprints.get(digest.name) != digest.fingerprint:
+            self._links.tell(sender, StateWanted(digest.name))
+            return
+        now = self._clock.monotonic()
+        state = self._states[digest.name]
+        new = state._replace(
+            as_of=now - digest.age,
+            running=digest.running,
+            waiting=digest.waiting,
+            seq=digest.seq,
+        )
+        self._take(new)
+        if state.healthy:
+            self._heard[digest.name] = now
+
+    async def _on_wanted(self, sender: PeerId, wanted: StateWanted) -> None:
+        state = self._states.get(wanted.name)
+        if state is not None:
+            self._links.tell(sender, _digest_of(state, self._clock.monotonic()))
+
+    async def _on_cache_news(self, sender: PeerId, news: CacheNews) -> None:
+        self._learn(news)
+
+    def _index(self) -> dict[str, list[str]]:
+        cfg = self._configuration()
+        if self._holders is None or self._holders_version != cfg.version:
+            self._holders = self._build_index(cfg)
+            self._holders_version = cfg.version
+        return self._holders
+
+    def _build_index(self, cfg: Configuration) -> dict[str, list[str]]:
+        bases = {adapter.name: adapter.model for adapter in cfg.adapters.values()}
+        holders: defaultdict[str, list[str]] = defaultdict(list)
+        for state in self.states():
+            if not state.healthy or state.leaving:
+                continue
+            loaded = [r.artifact for r in state.resident if r.state == READY]
+            names = {artifact.partition("@")[0] for artifact in loaded}
+            for artifact in loaded:
+                base = bases.get(artifact.partition("@")[0])
+                if base is None or base in names:
+                    holders[artifact].append(state.name)
+        return dict(holders)
+
+    def _older_ready(self, name: str, current: str) -> dict[str, int]:
+        prefix = f"{name}@"
+        return {
+            artifact: count
+            for artifact in self._index()
+            if artifact.startswith(prefix) and artifact != current
+            if (count := len(self.ready(artifact)))
+        }
+
+
+def _state_of(name: str, report: LoadReport, sent_at: float) -> BackendState:
+    return BackendState(
+        name=name,
+        as_of=sent_at - report.age_seconds,
+        running=report.running,
+        waiting=report.waiting,
+        slots=report.slots,
+        resident=report.resident,
+        used_mib=report.used_mib,
+        leaving=report.leaving,
+        healthy=True,
+        seq=report.seq,
+    )
+
+
+def _digest_of(state: BackendState, now: float) -> StateDigest:
+    return StateDigest(state.name, now - state.as_of, *state[2:])
+
+
+def _load_digest_of(state: BackendState, now: float, fingerprint: int) -> LoadDigest:
+    age = now - state.as_of
+    return LoadDigest(
+        state.name, age, state.running, state.waiting, state.seq, fingerprint
+    )
+
+
+def _fingerprint(state: BackendState) -> int:
+    lasting = (state.slots, state.resident, state.leaving, state.healthy)
+    return xxhash.xxh32_intdigest(msgspec.msgpack.encode(lasting))
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/backends/_retirement.py
@@ -0,0 +1,91 @@
+"""Drains one artifact on one engine before it is unloaded."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..errors import PeerError
+from ..peers import Links, PeerId
+from ._events import ARTIFACT_RETIRING
+from ._messages import RetireAnswer, RetireAsk
+
+
+class Retirement:
+    """Marks of artifacts that get no new work on an engine, in all instances.
+
+    A mark lapses unless it is renewed, so that a planner that dies while it drains
+    an artifact does not keep the replica out of use.
+    """
+
+    MARK_SECONDS = 8.0
+    """How long a mark holds after it was last asked for."""
+    ASK_TIMEOUT_SECONDS = 1.0
+
+    def __init__(
+        self, links: Links, in_flight: Callable[[str, str], int], clock: Clock
+    ) -> None:
+        """Register the handler.
+
+        Args:
+            links: Links to the other instances.
+            in_flight: Returns this instance's running requests for a backend server
+                and an artifact.
+            clock: Time source.
+        """
+        self._links = links
+        self._in_flight = in_flight
+        self._clock = clock
+        self._until: dict[tuple[str, str], float] = {}
+        links.handle(RetireAsk, self._on_ask)
+
+    def covers(self, backend: str, artifact: str) -> bool:
+        """Return whether an artifact gets no new work on a backend server."""
+        until = self._until.get((backend, artifact))
+        return until is not None and until > self._clock.monotonic()
+
+    def marks(self) -> list[tuple[str, str]]:
+        """Return the backend server and artifact of each mark that holds."""
+        now = self._clock.monotonic()
+        self._until = {key: at for key, at in self._until.items() if at > now}
+        return list(self._until)
+
+    def mark(self, backend: str, artifact: str, seconds: float) -> int:
+        """Set or renew a mark in this instance alone.
+
+        Returns:
+            This instance's requests that still run.
+        """
+        if not self.covers(backend, artifact):
+            ARTIFACT_RETIRING.log(backend=backend, artifact=artifact)
+        self._until[backend, artifact] = self._clock.monotonic() + seconds
+        return self._in_flight(backend, artifact)
+
+    def release(self, backend: str, artifact: str) -> None:
+        """Drop a mark in this instance; those of the peers lapse."""
+        self._until.pop((backend, artifact), None)
+
+    async def drained(self, backend: str, artifact: str) -> bool:
+        """Mark an artifact in every instance and see whether its work is done.
+
+        Returns:
+            True if every instance has set the mark and has nothing in flight.
+        """
+        own = self.mark(backend, artifact, self.MARK_SECONDS)
+        ask = RetireAsk(backend, artifact, self.MARK_SECONDS)
+        peers = self._links.peers()
+        counts = await asyncio.gather(*(self._ask(peer, ask) for peer in peers))
+        return own == 0 and all(count == 0 for count in counts)
+
+    async def _ask(self, peer: PeerId, ask: RetireAsk) -> int | None:
+        try:
+            answer = await self._links.ask(
+                peer, ask, RetireAnswer, timeout=self.ASK_TIMEOUT_SECONDS
+            )
+        except PeerError:
+            return None
+        return answer.in_flight
+
+    async def _on_ask(self, sender: PeerId, ask: RetireAsk) -> RetireAnswer:
+        return RetireAnswer(self.mark(ask.backend, ask.artifact, ask.seconds))
