Add the stand-ins of the platform, engine and plain service

Cause: the daemon and its tests need outside systems with faults on one machine. A shared in-memory mock was ruled out, since lost answers, cut connections and refused sockets are only real on a socket.

Before: no tests of the package.

--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/_instances.py
@@ -0,0 +1,56 @@
+"""Stand-in for the platform's instance list."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from aiohttp import web
+
+from ._server import FakeServer
+
+
+class FakeInstances(FakeServer):
+    """Lists instances as they were a while ago."""
+
+    FIELDS = frozenset(
+        {"name", "data_centre", "address", "http_port", "peer_port", "state"}
+    )
+
+    def __init__(self, *, lag: float = 2.0) -> None:
+        super().__init__()
+        self._lag = lag
+        self._past: list[tuple[float, list[dict[str, Any]]]] = []
+
+    def set(self, instances: list[dict[str, Any]]) -> None:
+        """Set what is true now; readers see it after the lag, the first at once."""
+        at = time.monotonic() if self._past else 0.0
+        self._past.append((at, instances))
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that callers use."""
+        return [
+            web.get("/instances", self._handle_get),
+            web.put("/instances", self._handle_put),
+        ]
+
+    def kind_of(self, req: web.Request) -> str:
+        """Return `GET` or `PUT`."""
+        return req.method
+
+    def stats(self) -> dict[str, Any]:
+        """Return figures for `GET /stats`."""
+        return {**super().stats(), "reads": self.counts["GET"]}
+
+    async def _handle_get(self, req: web.Request) -> web.Response:
+        lag = max(self._lag, self.faults.now.stale_seconds)
+        limit = time.monotonic() - lag
+        seen = [instances for at, instances in self._past if at <= limit]
+        return web.json_response({"instances": seen[-1] if seen else []})
+
+    async def _handle_put(self, req: web.Request) -> web.Response:
+        instances = (await req.json())["instances"]
+        if any(set(entry) != self.FIELDS for entry in instances):
+            raise web.HTTPBadRequest(text=f"each entry has {sorted(self.FIELDS)}")
+        self.set(instances)
+        return web.Response(status=204)
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/_server.py
@@ -0,0 +1,156 @@
+"""What all stand-ins share: an HTTP server with faults and counts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from typing import Any
+
+from aiohttp import web
+
+from ._faults import FaultBoard
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class FakeServer:
+    """A stand-in that runs in a test's own loop or as a process of its own."""
+
+    HOST = "127.0.0.1"
+    MAX_BODY_BYTES = 64 * 1024 * 1024
+    SHUTDOWN_SECONDS = 0.2
+    CANCEL_ON_DISCONNECT = False
+    """Whether a caller that hangs up ends its operation."""
+
+    def __init__(self) -> None:
+        self.faults = FaultBoard()
+        """What it does wrong."""
+        self.counts: Counter[str] = Counter()
+        """Operations met so far, by kind."""
+        self._jobs: set[asyncio.Task[Any]] = set()
+        self._loop_held_seconds = 0.0
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that callers use."""
+        raise NotImplementedError
+
+    def kind_of(self, req: web.Request) -> str:
+        """Return the kind of an operation, for counts and faults."""
+        resource = req.match_info.route.resource
+        path = resource.canonical if resource is not None else req.path
+        return f"{req.method} {path}"
+
+    def has_effect(self, req: web.Request) -> bool:
+        """Return whether an operation changes something."""
+        return req.method != "GET"
+
+    def stats(self) -> dict[str, Any]:
+        """Return figures for `GET /stats`."""
+        return {
+            "operations": dict(self.counts),
+            "operations_total": sum(self.counts.values()),
+            "loop_held_seconds": round(self._loop_held_seconds, 4),
+        }
+
+    def spawn(self, job: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Run a job until it ends or the server stops."""
+        task = asyncio.ensure_future(job)
+        self._jobs.add(task)
+        task.add_done_callback(self._jobs.discard)
+        return task
+
+    def start_jobs(self) -> None:
+        """Start what runs as long as the server does."""
+
+    def app(self) -> web.Application:
+        """Return the application, not yet listening."""
+        app = web.Application(
+            middlewares=[self._meet],
+            client_max_size=self.MAX_BODY_BYTES,
+        )
+        app.add_routes(self.routes())
+        app.add_routes(
+            [
+                web.post("/faults", self.faults.handle_post),
+                web.get("/stats", self._handle_stats),
+            ]
+        )
+        return app
+
+    @contextlib.asynccontextmanager
+    async def serve(self, port: int = 0, host: str = HOST) -> AsyncIterator[str]:
+        """Listen while the context is open.
+
+        Args:
+            port: TCP port, 0 for any free one.
+            host: IP number to listen on.
+
+        Yields:
+            The URL of the server, without a trailing slash.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            runner = web.AppRunner(
+                self.app(),
+                access_log=None,
+                shutdown_timeout=self.SHUTDOWN_SECONDS,
+                handler_cancellation=self.CANCEL_ON_DISCONNECT,
+            )
+            await runner.setup()
+            stack.push_async_callback(runner.cleanup)
+            site = web.TCPSite(runner, host, port, reuse_address=True)
+            await site.start()
+            port = runner.addresses[0][1]
+            stack.push_async_callback(self._stop_jobs)
+            self.spawn(self._measure_loop())
+            self.spawn(self._refuse_during_outages(runner, site, host, port))
+            self.start_jobs()
+            yield f"http://{host}:{port}"
+
+    @web.middleware
+    async def _meet(self, req: web.Request, handler: Handler) -> web.StreamResponse:
+        if req.path in FaultBoard.CONTROL_PATHS:
+            return await handler(req)
+        kind = self.kind_of(req)
+        self.counts[kind] += 1
+        refusal = await self.faults.before(req, kind)
+        if refusal is not None:
+            return refusal
+        resp = await handler(req)
+        return await self.faults.after(req, kind, resp, self.has_effect(req))
+
+    async def _handle_stats(self, req: web.Request) -> web.Response:
+        return web.json_response(self.stats())
+
+    async def _stop_jobs(self) -> None:
+        self.faults.close()
+        jobs = list(self._jobs)
+        for job in jobs:
+            job.cancel()
+        await asyncio.gather(*jobs, return_exceptions=True)
+
+    async def _measure_loop(self) -> None:
+        interval = 0.1
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(interval)
+            late = time.monotonic() - began - interval
+            self._loop_held_seconds = max(self._loop_held_seconds, late)
+
+    async def _refuse_during_outages(
+        self, runner: web.AppRunner, site: web.TCPSite, host: str, port: int
+    ) -> None:
+        while True:
+            await self.faults.changed.wait()
+            if self.faults.now.outage != "refuse":
+                continue
+            await site.stop()
+            for conn in list(runner.server.connections if runner.server else []):
+                if conn.transport is not None:
+                    conn.transport.abort()
+            while self.faults.now.outage == "refuse":
+                await self.faults.changed.wait()
+            site = web.TCPSite(runner, host, port, reuse_address=True)
+            await site.start()
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/_table.py
@@ -0,0 +1,218 @@
+"""Stand-in for the platform's table service."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+
+from aiohttp import web
+
+from ._server import FakeServer
+
+Item = dict[str, dict[str, str]]
+
+
+class TableError(Exception):
+    """An operation is refused with one of the service's error types."""
+
+    def __init__(self, name: str, message: str) -> None:
+        super().__init__(message)
+        self.name = name
+        """Type name on the wire."""
+
+
+class FakeTable(FakeServer):
+    """One table in memory with consistent reads and conditional writes."""
+
+    TARGET_PREFIX = "DynamoDB_20120810."
+    CONTENT_TYPE = "application/x-amz-json-1.0"
+    PAGE_ROWS = 100
+    READS = frozenset({"GetItem", "Query"})
+    WRITES = frozenset({"PutItem", "DeleteItem"})
+    BURST_SECONDS = 1.0
+    """Seconds of the rate that may be used at once."""
+
+    def __init__(
+        self,
+        *,
+        table: str = "guavajunction",
+        writes_per_second: float = float("inf"),
+        reads_per_second: float = float("inf"),
+    ) -> None:
+        super().__init__()
+        self.rows: dict[tuple[str, str], Item] = {}
+        """Rows by partition and sort key."""
+        self._table = table
+        self._write_meter = _Meter(writes_per_second, self.BURST_SECONDS)
+        self._read_meter = _Meter(reads_per_second, self.BURST_SECONDS)
+        self._condition_failures = 0
+        self._throttled = 0
+        self._past: dict[tuple[str, str], list[tuple[float, Item | None]]] = {}
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that callers use."""
+        return [web.post("/", self._handle)]
+
+    def kind_of(self, req: web.Request) -> str:
+        """Return the operation's name, such as `PutItem`."""
+        return req.headers.get("X-Amz-Target", "").removeprefix(self.TARGET_PREFIX)
+
+    def has_effect(self, req: web.Request) -> bool:
+        """Return whether the operation is a write."""
+        return self.kind_of(req) in self.WRITES
+
+    def stats(self) -> dict[str, Any]:
+        """Return figures for `GET /stats`."""
+        return {
+            **super().stats(),
+            "reads": sum(self.counts[kind] for kind in self.READS),
+            "writes": sum(self.counts[kind] for kind in self.WRITES),
+            "condition_failures": self._condition_failures,
+            "throttled": self._throttled,
+            "rows": len(self.rows),
+        }
+
+    async def _handle(self, req: web.Request) -> web.Response:
+        operations = {
+            "GetItem": self._get_item,
+            "Query": self._query,
+            "PutItem": self._put_item,
+            "DeleteItem": self._delete_item,
+        }
+        kind = self.kind_of(req)
+        try:
+            body = json.loads(await req.read())
+            if kind not in operations:
+                raise TableError("UnknownOperationException", kind)
+            if body.get("TableName") != self._table:
+                raise TableError("ResourceNotFoundException", "no such table")
+            self._throttle(kind)
+            answer = operations[kind](body)
+        except TableError as exc:
+            return self._refusal(exc)
+        except (KeyError, TypeError, ValueError) as exc:
+            return self._refusal(TableError("ValidationException", repr(exc)))
+        return web.json_response(answer, content_type=self.CONTENT_TYPE)
+
+    def _refusal(self, exc: TableError) -> web.Response:
+        body = {
+            "__type": f"com.amazonaws.dynamodb.v20120810#{exc.name}",
+            "message": str(exc),
+        }
+        return web.json_response(body, status=400, content_type=self.CONTENT_TYPE)
+
+    def _throttle(self, kind: str) -> None:
+        meter = self._write_meter if kind in self.WRITES else self._read_meter
+        if not meter.admit():
+            self._throttled += 1
+            raise TableError("ProvisionedThroughputExceededException", "slow down")
+
+    def _get_item(self, body: dict[str, Any]) -> dict[str, Any]:
+        item = self._read(_key_of(body["Key"]), body.get("ConsistentRead", False))
+        return {} if item is None else {"Item": item}
+
+    def _query(self, body: dict[str, Any]) -> dict[str, Any]:
+        expression = _named(body["KeyConditionExpression"], body)
+        if expression.replace(" ", "") != "pk=:pk":
+            raise TableError("ValidationException", f"unsupported: {expression}")
+        partition = body["ExpressionAttributeValues"][":pk"]["S"]
+        start = body.get("ExclusiveStartKey")
+        after = _key_of(start)[1] if start else None
+        keys = sorted(key for key in self.rows if key[0] == partition)
+        keys = [key for key in keys if after is None or key[1] > after]
+        limit = min(body.get("Limit", self.PAGE_ROWS), self.PAGE_ROWS)
+        page = keys[:limit]
+        answer: dict[str, Any] = {
+            "Items": [self.rows[key] for key in page],
+            "Count": len(page),
+            "ScannedCount": len(page),
+        }
+        if len(keys) > len(page):
+            answer["LastEvaluatedKey"] = _attributes_of(page[-1])
+        return answer
+
+    def _put_item(self, body: dict[str, Any]) -> dict[str, Any]:
+        item = body["Item"]
+        key = _key_of(item)
+        int(item["ver"]["N"])
+        self._check_condition(key, body)
+        self._write(key, item)
+        return {}
+
+    def _delete_item(self, body: dict[str, Any]) -> dict[str, Any]:
+        key = _key_of(body["Key"])
+        self._check_condition(key, body)
+        self._write(key, None)
+        return {}
+
+    def _check_condition(self, key: tuple[str, str], body: dict[str, Any]) -> None:
+        raw = body.get("ConditionExpression")
+        if raw is None:
+            return
+        expression = _named(raw, body).replace(" ", "")
+        row = self.rows.get(key)
+        if expression == "attribute_not_exists(pk)":
+            holds = row is None
+        elif expression == "ver=:ver":
+            expected = body["ExpressionAttributeValues"][":ver"]["N"]
+            holds = row is not None and row["ver"]["N"] == expected
+        else:
+            raise TableError("ValidationException", f"unsupported: {raw}")
+        if not holds:
+            self._condition_failures += 1
+            raise TableError(
+                "ConditionalCheckFailedException", "The conditional request failed"
+            )
+
+    def _write(self, key: tuple[str, str], item: Item | None) -> None:
+        past = self._past.setdefault(key, [(0.0, None)])
+        past.append((time.monotonic(), item))
+        del past[:-8]
+        if item is None:
+            self.rows.pop(key, None)
+        else:
+            self.rows[key] = item
+
+    def _read(self, key: tuple[str, str], consistent: bool) -> Item | None:
+        if consistent or not self.faults.now.stale_seconds:
+            return self.rows.get(key)
+        limit = time.monotonic() - self.faults.now.stale_seconds
+        past = self._past.get(key, [(0.0, None)])
+        seen = [item for at, item in past if at <= limit]
+        return seen[-1] if seen else past[0][1]
+
+
+class _Meter:
+    """Admits operations up to a rate."""
+
+    def __init__(self, rate: float, burst_seconds: float) -> None:
+        self._rate = rate
+        self._burst = rate * burst_seconds
+        self._level = self._burst
+        self._at = time.monotonic()
+
+    def admit(self) -> bool:
+        if self._rate == float("inf"):
+            return True
+        now = time.monotonic()
+        self._level = min(self._burst, self._level + (now - self._at) * self._rate)
+        self._at = now
+        if self._level < 1.0:
+            return False
+        self._level -= 1.0
+        return True
+
+
+def _key_of(attributes: Item) -> tuple[str, str]:
+    return attributes["pk"]["S"], attributes["sk"]["S"]
+
+
+def _attributes_of(key: tuple[str, str]) -> Item:
+    return {"pk": {"S": key[0]}, "sk": {"S": key[1]}}
+
+
+def _named(expression: str, body: dict[str, Any]) -> str:
+    for alias, name in body.get("ExpressionAttributeNames", {}).items():
+        expression = expression.replace(alias, name)
+    return expression
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/_weights.py
@@ -0,0 +1,113 @@
+"""Stand-in for the weight store."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any, NamedTuple
+
+import xxhash
+from aiohttp import web
+
+from ._server import FakeServer
+
+
+class WeightStoreConfig(NamedTuple):
+    """Limits of the weight store."""
+
+    models_per_second: float = 1.5
+    models_burst: float = 2.0
+    """Fetches of base models that may begin at once."""
+    models_at_once: int = 10
+    model_seconds: float = 3.0
+    """How long one fetch of a base model lasts."""
+    adapters_knee: int = 90
+    """Fetches of adapters in flight above which each takes longer in proportion."""
+    adapter_min_seconds: float = 0.004
+    adapter_max_seconds: float = 0.015
+
+
+class FakeWeights(FakeServer):
+    """Serves weights slowly, up to a rate and a number in flight."""
+
+    BODY = b"weights"
+
+    def __init__(self, cfg: WeightStoreConfig | None = None) -> None:
+        super().__init__()
+        self._cfg = cfg or WeightStoreConfig()
+        self._tokens = self._cfg.models_burst
+        self._filled_at = time.monotonic()
+        self._models = _Gauge()
+        self._adapters = _Gauge()
+        self._refused = 0
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that callers use."""
+        return [
+            web.get("/weights/adapters/{artifact}", self._handle_adapter),
+            web.get("/weights/{artifact}", self._handle_model),
+        ]
+
+    def kind_of(self, req: web.Request) -> str:
+        """Return `adapter` or `model`."""
+        return "adapter" if req.path.startswith("/weights/adapters/") else "model"
+
+    def stats(self) -> dict[str, Any]:
+        """Return figures for `GET /stats`."""
+        return {
+            **super().stats(),
+            "loads": self._models.begun + self._adapters.begun,
+            "model_loads": self._models.begun,
+            "model_loads_in_flight_max": self._models.most,
+            "adapter_loads": self._adapters.begun,
+            "adapter_loads_in_flight_max": self._adapters.most,
+            "slow_downs": self._refused,
+        }
+
+    async def _handle_model(self, req: web.Request) -> web.Response:
+        if not self._admit_model():
+            self._refused += 1
+            text = "<Error><Code>SlowDown</Code></Error>"
+            return web.Response(status=503, text=text, content_type="application/xml")
+        with self._models:
+            await asyncio.sleep(self._cfg.model_seconds)
+        return web.Response(body=self.BODY)
+
+    async def _handle_adapter(self, req: web.Request) -> web.Response:
+        with self._adapters:
+            await asyncio.sleep(self._adapter_seconds(req.match_info["artifact"]))
+        return web.Response(body=self.BODY)
+
+    def _admit_model(self) -> bool:
+        now = time.monotonic()
+        gained = (now - self._filled_at) * self._cfg.models_per_second
+        self._tokens = min(self._cfg.models_burst, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1.0 or self._models.now >= self._cfg.models_at_once:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _adapter_seconds(self, artifact: str) -> float:
+        share = xxhash.xxh3_64_intdigest(artifact.encode()) % 1000 / 1000
+        cfg = self._cfg
+        span = cfg.adapter_max_seconds - cfg.adapter_min_seconds
+        seconds = cfg.adapter_min_seconds + share * span
+        return seconds * max(1.0, self._adapters.now / cfg.adapters_knee)
+
+
+class _Gauge:
+    """Counts what is in flight while its context is open."""
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.most = 0
+        self.begun = 0
+
+    def __enter__(self) -> None:
+        self.begun += 1
+        self.now += 1
+        self.most = max(self.most, self.now)
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.now -= 1
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/engine/__init__.py
@@ -0,0 +1,16 @@
+"""Emulated model engine: batching, memory, orders, cache and streams."""
+
+from __future__ import annotations
+
+from ._answers import answer_tokens, expected_answer, prompt_of
+from ._config import EngineConfig, Resident
+from ._engine import FakeEngine
+
+__all__ = [
+    "EngineConfig",
+    "FakeEngine",
+    "Resident",
+    "answer_tokens",
+    "expected_answer",
+    "prompt_of",
+]
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_engine.py
@@ -0,0 +1,391 @@
+"""HTTP side of the emulated model engine."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+import uuid
+from typing import Any, NamedTuple
+
+from aiohttp import web
+
+from .._faults import cut
+from .._run_log import RunLog
+from .._server import FakeServer
+from ._answers import answer_tokens, prefix_of, prompt_of, tokens_in
+from ._batch import Batch, Job
+from ._config import EngineConfig
+from ._load_report import LoadReports
+from ._memory import Artifact, Memory
+from ._orders import Order, OrderBook
+from ._prefix_cache import PrefixCache
+
+
+class _Kept(NamedTuple):
+    """A stream that can be resumed."""
+
+    job: Job
+    begun_at: float
+
+
+class FakeEngine(FakeServer):
+    """An OpenAI-compatible engine whose work is only time."""
+
+    DEFAULT_MAX_TOKENS = 256
+    DEFAULT_PRIORITY = 1
+    RETRY_AFTER_SECONDS = 1
+    IMPORTED_TOKENS = 512
+    CANCEL_ON_DISCONNECT = True
+    INFERENCE_PATHS = ("/v1/chat/completions", "/v1/completions")
+
+    def __init__(self, cfg: EngineConfig | None = None) -> None:
+        super().__init__()
+        self.cfg = cfg or EngineConfig()
+        """Speed, size and strictness."""
+        self.log = RunLog()
+        """What it ran."""
+        self.memory = Memory(self.cfg.memory_mib, self.cfg.kv_reserve_mib)
+        """What is resident."""
+        self.cache = PrefixCache(
+            mib_per_token=self.cfg.kv_mib_per_token,
+            lag=self.cfg.cache_event_lag,
+            gap=self.cfg.cache_event_gap,
+        )
+        """Prompt prefixes."""
+        self.batch = Batch(self.cfg, self.cache)
+        """Requests that wait and run."""
+        self.orders = OrderBook(self.cfg, self.memory, self.cache, self.spawn)
+        """What it was told to load and unload."""
+        self.leaving = False
+        """Whether the load report says that the engine is leaving."""
+        self._reports = LoadReports(
+            self._measure,
+            every=self.cfg.load_report_every,
+            lag=self.cfg.load_report_lag,
+        )
+        self._kept: dict[str, _Kept] = {}
+        self._disconnects = 0
+        self._resumed = 0
+        self._refused = 0
+        for resident in self.cfg.residents:
+            self.memory.add(Artifact(*resident, order_id="", state="ready"))
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that callers use."""
+        return [
+            *(web.post(path, self._handle_infer) for path in self.INFERENCE_PATHS),
+            web.post("/admin/cancel", self._handle_cancel),
+            web.get("/admin/load", self._handle_load),
+            web.post("/admin/orders", self._handle_order),
+            web.post("/admin/leaving", self._handle_leaving),
+            web.get("/admin/cache-events", self._handle_cache_events),
+            web.get("/admin/kv/{prefix}", self._handle_kv_get),
+            web.put("/admin/kv/{prefix}", self._handle_kv_put),
+            web.get("/healthz", self._handle_health),
+            *self.log.routes(),
+        ]
+
+    def start_jobs(self) -> None:
+        """Start the batch and the measurement of load."""
+        self.spawn(self.batch.run())
+        self.spawn(self._reports.run())
+
+    def stats(self) -> dict[str, Any]:
+        """Return figures for `GET /stats`."""
+        return {
+            **super().stats(),
+            **self.log.stats(),
+            "overcommits": self.memory.overcommits,
+            "peak_mib": self.memory.peak_mib,
+            "memory_mib": self.memory.capacity_mib,
+            "loads": self.orders.loads,
+            "unloads": self.orders.unloads,
+            "unloads_in_use": self.orders.unloads_in_use,
+            "stale_orders": self.orders.stale,
+            "repeated_orders": self.orders.repeats,
+            "preemptions": self.batch.preemptions,
+            "tokens": self.batch.tokens_made,
+            "busy_seconds": round(self.batch.busy_seconds, 3),
+            "cache_hits": self.cache.hits,
+            "cache_misses": self.cache.misses,
+            "disconnects": self._disconnects,
+            "resumed": self._resumed,
+            "refused": self._refused,
+            "last_fence": self.orders.last_fence,
+            "role": self.orders.role,
+        }
+
+    async def _handle_infer(self, req: web.Request) -> web.StreamResponse:
+        self.log.inspect(req)
+        try:
+            body = await req.json()
+            prompt = prompt_of(body)
+            artifact = self.memory.ready(body["model"])
+        except (json.JSONDecodeError, KeyError, TypeError) as exc:
+            return _error(400, "bad_request", repr(exc))
+        if artifact is None:
+            self._refused += 1
+            return _error(404, "unknown_artifact", str(body["model"]))
+        if len(self.batch.waiting) >= self.cfg.max_waiting:
+            self._refused += 1
+            headers = {"Retry-After": str(self.RETRY_AFTER_SECONDS)}
+            return _error(503, "full", "no room to wait", headers)
+        if "Last-Event-ID" in req.headers:
+            job = self._resume(req)
+            if job is None:
+                return _error(410, "cannot_resume", "the stream is not kept")
+        else:
+            job = self._begin(req, body, prompt, artifact)
+        self.batch.submit(job)
+        return await self._answer(req, body, job)
+
+    def _begin(
+        self, req: web.Request, body: dict[str, Any], prompt: str, artifact: Artifact
+    ) -> Job:
+        request_id = req.headers.get("X-Request-Id") or uuid.uuid4().hex
+        bound = body.get("max_completion_tokens") or body.get("max_tokens")
+        if self.faults.take("cross_answers"):
+            prompt, request_id = f"crossed {prompt}", f"crossed-{request_id}"
+        job = Job(
+            request_id,
+            artifact,
+            prefix_of(body),
+            answer_tokens(artifact.name, prompt, int(bound or self.DEFAULT_MAX_TOKENS)),
+            prompt_tokens=tokens_in(prompt),
+            priority=self._priority(req),
+        )
+        self.log.add(req, artifact.name)
+        self._keep(job)
+        return job
+
+    def _priority(self, req: web.Request) -> int:
+        text = req.headers.get("X-Priority", "")
+        return int(text) if text.isdigit() else self.DEFAULT_PRIORITY
+
+    def _keep(self, job: Job) -> None:
+        now = time.monotonic()
+        self._kept[job.request_id] = _Kept(job, now)
+        for request_id, kept in list(self._kept.items()):
+            if now - kept.begun_at < self.cfg.keep_streams_seconds:
+                break
+            del self._kept[request_id]
+
+    def _resume(self, req: web.Request) -> Job | None:
+        kept = self._kept.get(req.headers.get("X-Request-Id", ""))
+        text = req.headers["Last-Event-ID"]
+        if kept is None or not text.isdigit():
+            return None
+        old = kept.job
+        self.batch.cancel(old)
+        self._resumed += 1
+        job = Job(
+            old.request_id,
+            old.artifact,
+            old.prefix,
+            old.tokens,
+            prompt_tokens=old.prompt_tokens,
+            priority=self._priority(req),
+            first=min(int(text) + 1, len(old.tokens)),
+        )
+        self._kept[job.request_id] = kept._replace(job=job)
+        return job
+
+    async def _answer(
+        self, req: web.Request, body: dict[str, Any], job: Job
+    ) -> web.StreamResponse:
+        try:
+            if body.get("stream"):
+                return await self._stream(req, job)
+            return await self._whole(req, job)
+        except (ConnectionError, asyncio.CancelledError):
+            self._disconnects += 1
+            raise
+        finally:
+            self.batch.cancel(job)
+
+    async def _whole(self, req: web.Request, job: Job) -> web.Response:
+        parts = []
+        while (token := await job.out.get()) is not None:
+            parts.append(token)
+        if job.cancelled:
+            return cut(req)
+        answer = _Chunks(req.path, job).whole("".join(parts))
+        return web.json_response(answer, headers={"X-Request-Id": job.request_id})
+
+    async def _stream(self, req: web.Request, job: Job) -> web.StreamResponse:
+        first = job.made
+        resp = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "Cache-Control": "no-cache",
+                "X-Request-Id": job.request_id,
+            }
+        )
+        await resp.prepare(req)
+        stream = _Stream(self, req, resp)
+        chunks = _Chunks(req.path, job)
+        event = first
+        while (token := await job.out.get()) is not None:
+            await stream.send(event, chunks.token(token))
+            event += 1
+        if job.cancelled:
+            return cut(req)
+        # The last two events may already have been sent before a resumption.
+        last_seen = int(req.headers.get("Last-Event-ID", -1))
+        for number, data in ((event, chunks.end()), (event + 1, "[DONE]")):
+            if number > last_seen:
+                await stream.send(number, data)
+        await resp.write_eof()
+        return resp
+
+    async def _handle_cancel(self, req: web.Request) -> web.Response:
+        kept = self._kept.get((await req.json())["request_id"])
+        if kept is not None:
+            self.batch.cancel(kept.job)
+        return web.json_response({"known": kept is not None})
+
+    async def _handle_load(self, req: web.Request) -> web.Response:
+        return web.json_response(self._reports.published())
+
+    async def _handle_order(self, req: web.Request) -> web.Response:
+        try:
+            order = Order.from_body(await req.json())
+        except (json.JSONDecodeError, TypeError) as exc:
+            return _error(400, "bad_order", repr(exc))
+        accepted = web.json_response({"order_id": order.order_id}, status=202)
+        if self.faults.take("lose_orders"):
+            return accepted
+        if self.faults.take("delay_orders"):
+            self.spawn(self._apply_later(order, self.faults.now.delay_orders_seconds))
+            return accepted if self.faults.now.answer_delayed_orders else cut(req)
+        if self.faults.take("duplicate_orders"):
+            self.spawn(self._apply_later(order, self.faults.now.delay_orders_seconds))
+        verdict = self.orders.apply(order)
+        return web.json_response(verdict.body, status=verdict.status)
+
+    async def _apply_later(self, order: Order, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        self.orders.apply(order)
+
+    async def _handle_leaving(self, req: web.Request) -> web.Response:
+        self.leaving = bool((await req.json())["leaving"])
+        return web.Response(status=204)
+
+    async def _handle_cache_events(self, req: web.Request) -> web.Response:
+        after = int(req.query.get("after", 0))
+        return web.json_response(self.cache.published(after))
+
+    async def _handle_kv_get(self, req: web.Request) -> web.Response:
+        found = self.cache.peek(req.match_info["prefix"])
+        if not found:
+            return _error(404, "unknown_prefix", req.match_info["prefix"])
+        return web.Response(body=json.dumps(found).encode())
+
+    async def _handle_kv_put(self, req: web.Request) -> web.Response:
+        room = self.cfg.kv_reserve_mib - (self.batch.kv_used_mib - self.cache.mib)
+        for artifact, tokens in json.loads(await req.read()).items():
+            self.cache.store(artifact, req.match_info["prefix"], tokens, room)
+        return web.Response(status=204)
+
+    async def _handle_health(self, req: web.Request) -> web.Response:
+        return web.json_response({"status": "ok"})
+
+    def _measure(self) -> dict[str, Any]:
+        kv_used_mib = round(self.batch.kv_used_mib)
+        return {
+            "running": len(self.batch.running),
+            "waiting": len(self.batch.waiting),
+            "slots": self.cfg.slots,
+            "memory_mib": self.cfg.memory_mib,
+            "used_mib": self.memory.weights_mib + kv_used_mib,
+            "kv_used_mib": kv_used_mib,
+            "resident": [a.report() for a in self.memory.artifacts.values()],
+            "role": self.orders.role,
+            "last_fence": self.orders.last_fence,
+            "applied_orders": list(self.orders.applied),
+            "refused_orders": list(self.orders.refused),
+            "leaving": self.leaving,
+        }
+
+
+class _Stream:
+    """Sends events until a fault cuts the stream."""
+
+    def __init__(
+        self, engine: FakeEngine, req: web.Request, resp: web.StreamResponse
+    ) -> None:
+        self._faults = engine.faults
+        self._req = req
+        self._resp = resp
+        self._cuts = self._faults.take("cut_streams")
+        self._left = self._faults.now.cut_after_events
+
+    async def send(self, number: int, data: str) -> None:
+        """Send one event.
+
+        Raises:
+            ConnectionResetError: The stream is cut, by a fault or by the caller.
+        """
+        if self._cuts and self._left == 0:
+            cut(self._req)
+            raise ConnectionResetError("cut by a fault")
+        self._left -= 1
+        await self._resp.write(f"id: {number}\ndata: {data}\n\n".encode())
+
+
+class _Chunks:
+    """Writes the bodies of one answer."""
+
+    def __init__(self, path: str, job: Job) -> None:
+        self._chat = path.endswith("/chat/completions")
+        self._job = job
+        self._id = f"chatcmpl-{job.request_id}"
+
+    def token(self, text: str) -> str:
+        """Return the chunk of one token."""
+        return json.dumps(self._chunk(self._choice(text, None)))
+
+    def end(self) -> str:
+        """Return the chunk that names the reason of the end."""
+        chunk = self._chunk(self._choice("", "stop"))
+        return json.dumps({**chunk, "usage": self._usage()})
+
+    def whole(self, text: str) -> dict[str, Any]:
+        """Return the body of an answer that is not streamed."""
+        if self._chat:
+            message = {"role": "assistant", "content": text}
+            choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        else:
+            choice = {"index": 0, "text": text, "finish_reason": "stop"}
+        kind = "chat.completion" if self._chat else "text_completion"
+        return {**self._chunk(choice), "object": kind, "usage": self._usage()}
+
+    def _chunk(self, choice: dict[str, Any]) -> dict[str, Any]:
+        return {
+            "id": self._id,
+            "object": "chat.completion.chunk" if self._chat else "text_completion",
+            "model": self._job.artifact.name,
+            "choices": [choice],
+        }
+
+    def _choice(self, text: str, reason: str | None) -> dict[str, Any]:
+        if self._chat:
+            delta = {"content": text} if text else {}
+            return {"index": 0, "delta": delta, "finish_reason": reason}
+        return {"index": 0, "text": text, "finish_reason": reason}
+
+    def _usage(self) -> dict[str, int]:
+        prompt, completion = self._job.prompt_tokens, len(self._job.tokens)
+        return {
+            "prompt_tokens": prompt,
+            "completion_tokens": completion,
+            "total_tokens": prompt + completion,
+        }
+
+
+def _error(
+    status: int, kind: str, message: str, headers: dict[str, str] | None = None
+) -> web.Response:
+    body = {"error": {"type": kind, "message": message}}
+    return web.json_response(body, status=status, headers=headers)
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_prefix_cache.py
@@ -0,0 +1,105 @@
+"""Prefix cache of limited size, with its late and incomplete events."""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict, deque
+from typing import Any, NamedTuple
+
+Key = tuple[str, str]
+"""Artifact and prefix hash."""
+
+
+class _Event(NamedTuple):
+    seq: int
+    at: float
+    kind: str
+    artifact: str
+    prefix: str
+
+
+class PrefixCache:
+    """Least recently used prefixes, within the memory that requests leave free."""
+
+    MAX_EVENTS = 1024
+
+    def __init__(self, *, mib_per_token: float, lag: float, gap: int) -> None:
+        self._tokens: OrderedDict[Key, int] = OrderedDict()
+        self._events: deque[_Event] = deque(maxlen=self.MAX_EVENTS)
+        self._mib_per_token = mib_per_token
+        self._lag = lag
+        self._gap = gap
+        self._seq = 0
+        self.hits = 0
+        self.misses = 0
+
+    @property
+    def mib(self) -> float:
+        """Memory that the cached prefixes take."""
+        return sum(self._tokens.values()) * self._mib_per_token
+
+    def lookup(self, artifact: str, prefix: str) -> int:
+        """Return how many tokens of a prefix are cached."""
+        tokens = self._tokens.get((artifact, prefix), 0)
+        if tokens:
+            self.hits += 1
+            self._tokens.move_to_end((artifact, prefix))
+        else:
+            self.misses += 1
+        return tokens
+
+    def peek(self, prefix: str) -> dict[str, int]:
+        """Return the cached tokens of a prefix, by artifact."""
+        return {key[0]: n for key, n in self._tokens.items() if key[1] == prefix}
+
+    def store(self, artifact: str, prefix: str, tokens: int, room_mib: float) -> None:
+        """Cache a prefix and evict others until all fit.
+
+        Args:
+            artifact: What computed it.
+            prefix: Hash of the prefix.
+            tokens: Its length.
+            room_mib: Memory that the whole cache may take.
+        """
+        key = (artifact, prefix)
+        if key not in self._tokens:
+            self._note("stored", key)
+        self._tokens[key] = max(tokens, self._tokens.get(key, 0))
+        self._tokens.move_to_end(key)
+        self.shrink(room_mib)
+
+    def shrink(self, room_mib: float) -> None:
+        """Evict the least recently used prefixes until the cache fits."""
+        while self._tokens and self.mib > room_mib:
+            self._note("removed", self._tokens.popitem(last=False)[0])
+
+    def drop(self, artifact: str) -> None:
+        """Evict everything that an artifact computed."""
+        for key in [key for key in self._tokens if key[0] == artifact]:
+            del self._tokens[key]
+            self._note("removed", key)
+
+    def published(self, after: int) -> dict[str, Any]:
+        """Return the answer of `GET /admin/cache-events`."""
+        limit = time.monotonic() - self._lag
+        visible = [event for event in self._events if event.at <= limit]
+        return {
+            "events": [
+                {
+                    "seq": event.seq,
+                    "kind": event.kind,
+                    "artifact": event.artifact,
+                    "prefix": event.prefix,
+                }
+                for event in visible
+                if event.seq > after
+            ],
+            "first": visible[0].seq if visible else 0,
+            "last": visible[-1].seq if visible else 0,
+        }
+
+    def _note(self, kind: str, key: Key) -> None:
+        self._seq += 1
+        if self._gap and self._seq % self._gap == 0:
+            return
+        self._events.append(_Event(self._seq, time.monotonic(), kind, *key))
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/main.py
@@ -0,0 +1,49 @@
+"""Command line of the stand-ins: ``guavafakes COMMAND --flag=value``."""
+
+from __future__ import annotations
+
+import sys
+
+from absl import flags
+
+from ._commands import COMMANDS
+
+EXIT_USAGE = 2
+"""Exit status for wrong arguments."""
+
+
+def run(argv: list[str] | None = None) -> int:
+    """Run the command that the arguments name.
+
+    Args:
+        argv: Program name and arguments; those of the process if None.
+
+    Returns:
+        Exit status, 0 if all went well and 2 for wrong arguments.
+    """
+    argv = sys.argv if argv is None else argv
+    name = argv[1] if len(argv) > 1 else ""
+    command = COMMANDS.get(name)
+    if command is None:
+        print(_usage(), file=sys.stderr)
+        return EXIT_USAGE
+    values = flags.FlagValues()
+    command.define(values)
+    try:
+        rest = values([f"{argv[0]} {name}", *argv[2:]])
+    except flags.Error as exc:
+        print(f"{exc}\n{values.get_help()}", file=sys.stderr)
+        return EXIT_USAGE
+    if len(rest) > 1:
+        print(f"unexpected arguments: {rest[1:]}", file=sys.stderr)
+        return EXIT_USAGE
+    return command.run(values)
+
+
+def _usage() -> str:
+    lines = [f"  {name:10} {cmd.summary}" for name, cmd in COMMANDS.items()]
+    return "\n".join(["usage: guavafakes COMMAND [flags]", *lines])
+
+
+if __name__ == "__main__":
+    sys.exit(run())
