Add keys, rate limits and claims of non-idempotent requests

Cause: the entry daemon needs the customers and once aggregates to wire a request. Change: shares of 1,024 units that move between peers and are recovered by epochs; keyed hashes of keys; claims by conditional insert that are never stolen. Tests before: none for these aggregates. Conclusion: the public API is importable; nothing about its promises is shown yet.

--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/customers/__init__.py
@@ -0,0 +1,22 @@
+"""Customers: their keys and the limits of their rate and burst."""
+
+from __future__ import annotations
+
+from guavajunction.customers._credentials import strip_credentials
+from guavajunction.customers._key_ring import KeyRing, bearer_token
+from guavajunction.customers._keys import IssuedKey, digest, issue
+from guavajunction.customers._members import Members
+from guavajunction.customers._rate_limits import RateLimits
+from guavajunction.customers._reservation import Reservation
+
+__all__ = [
+    "IssuedKey",
+    "KeyRing",
+    "Members",
+    "RateLimits",
+    "Reservation",
+    "bearer_token",
+    "digest",
+    "issue",
+    "strip_credentials",
+]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/customers/_borrower.py
@@ -0,0 +1,136 @@
+"""Fetches units from peers when the own share is too low for a request."""
+
+from __future__ import annotations
+
+import asyncio
+
+from guavajunction.clock import Clock
+from guavajunction.customers import _events
+from guavajunction.customers._bucket import MICRO, Charge
+from guavajunction.customers._holding import TOTAL_UNITS, Holding
+from guavajunction.customers._members import Members
+from guavajunction.customers._messages import UnitsAsk, UnitsReply
+from guavajunction.customers._peer_shares import PeerShares, Portion
+from guavajunction.customers._share_book import ShareBook, acknowledgement
+from guavajunction.errors import PeerError
+from guavajunction.peers import Links, PeerId
+
+
+class Borrower:
+    """Asks the peers with the most to spare, and gives when it is asked.
+
+    Whoever is asked gives what is needed at once, or more if the asker's part of
+    both demands is larger, so that a load that moved is not asked for again and
+    again.
+    """
+
+    PATIENCE_SECONDS = 0.25
+    """How long one request may wait for units."""
+
+    ASK_TIMEOUT_SECONDS = 0.1
+
+    ROUNDS = 2
+    """Asks for one request: a second if the first found less than was expected."""
+
+    def __init__(
+        self,
+        book: ShareBook,
+        peers: PeerShares,
+        links: Links,
+        members: Members,
+        clock: Clock,
+    ) -> None:
+        self._book = book
+        self._peers = peers
+        self._links = links
+        self._members = members
+        self._clock = clock
+        links.handle(UnitsAsk, self._on_ask)
+
+    async def charge(self, holding: Holding, cost: int) -> Charge | None:
+        """Charge a cost after fetching what it lacks, or return None."""
+        if not self._plan(holding, cost):
+            return holding.charge(cost, self._clock.monotonic())
+        try:
+            async with asyncio.timeout(self.PATIENCE_SECONDS), holding.borrowing:
+                return await self._fetch_and_charge(holding, cost)
+        except TimeoutError:
+            return None
+
+    def wait_seconds(self, holding: Holding, cost: int) -> float:
+        """Return how long until this instance and its peers have a cost together."""
+        now = self._clock.monotonic()
+        customer = holding.customer
+        shares = self._peers.of(customer.name, self._others()).values()
+        units = holding.units + sum(s.units for s in shares)
+        level = holding.level(now) + sum(s.level_at(customer, now) for s in shares)
+        rate = customer.rate * MICRO * max(1, units) / TOTAL_UNITS
+        return max(0.0, cost - level) / rate
+
+    async def _fetch_and_charge(self, holding: Holding, cost: int) -> Charge | None:
+        for _ in range(self.ROUNDS):
+            charge = holding.charge(cost, self._clock.monotonic())
+            if charge is not None:
+                return charge
+            portions = self._plan(holding, cost)
+            if not portions:
+                return None
+            await asyncio.gather(*(self._ask(holding, p) for p in portions))
+        return holding.charge(cost, self._clock.monotonic())
+
+    def _plan(self, holding: Holding, cost: int) -> list[Portion]:
+        now = self._clock.monotonic()
+        needed = cost - holding.level(now)
+        return self._peers.plan(holding.customer, needed, self._others(), now)
+
+    def _others(self) -> set[PeerId]:
+        return set(self._members.live_members()) - {self._links.me}
+
+    async def _ask(self, holding: Holding, portion: Portion) -> None:
+        now = self._clock.monotonic()
+        name = holding.customer.name
+        demand = holding.demand.rate(now)
+        ask = UnitsAsk(name, holding.epoch, portion.level, holding.units, demand)
+        peer = portion.peer
+        timeout = self.ASK_TIMEOUT_SECONDS
+        try:
+            reply = await self._links.ask(peer, ask, UnitsReply, timeout=timeout)
+        except PeerError:
+            # Nothing is expected of it before its next heartbeat.
+            self._peers.update(peer, name, 0, 0, now)
+            return
+        now = self._clock.monotonic()
+        self._peers.update(peer, name, reply.units, reply.level, now)
+        self._book.enter(holding, reply.epoch)
+        if reply.transfer is not None:
+            taken = self._book.accept(peer, reply.transfer)
+            self._links.tell(peer, acknowledgement(reply.transfer, taken))
+
+    async def _on_ask(self, sender: PeerId, ask: UnitsAsk) -> UnitsReply:
+        holding = self._book.by_name(ask.customer)
+        if holding is None:
+            return UnitsReply(0, None, 0, 0)
+        self._book.enter(holding, ask.epoch)
+        now = self._clock.monotonic()
+        units = self._units_for(holding, ask, now)
+        transfer = None
+        if units > 0 and ask.epoch == holding.epoch and self._book.may_give(holding):
+            transfer = holding.give(sender, units, now)
+            _events.UNITS_MOVED.log(
+                customer=ask.customer, to=sender.name, units=units, why="asked"
+            )
+        return UnitsReply(holding.epoch, transfer, holding.units, holding.level(now))
+
+    def _units_for(self, holding: Holding, ask: UnitsAsk, now: float) -> int:
+        level = holding.level(now)
+        if level <= 0:
+            return 0
+        needed = -(-ask.level * holding.units // level)
+        return min(holding.units, max(needed, self._fair_part(holding, ask, now)))
+
+    def _fair_part(self, holding: Holding, ask: UnitsAsk, now: float) -> int:
+        demand = ask.demand + holding.demand.rate(now)
+        if demand <= 0:
+            return 0
+        target = (ask.units + holding.units) * ask.demand / demand
+        return int(target) - ask.units
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/once/_claim.py
@@ -0,0 +1,100 @@
+"""The right to send a non-idempotent request, once."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from types import TracebackType
+
+from guavajunction.errors import InstanceNotReady
+from guavajunction.once import _events
+from guavajunction.once._members import Members
+from guavajunction.once._model import (
+    DONE,
+    NOT_RUN,
+    UNKNOWN,
+    ClaimKey,
+    Outcome,
+    RecordedAnswer,
+    decode,
+)
+from guavajunction.once._outcome_log import OutcomeLog
+from guavajunction.platform import Row
+
+
+class Claim:
+    """A claimed request; use it as an asynchronous context manager.
+
+    Call `check` after the last `await` before the request is sent, and one of
+    `done`, `not_run` and `unknown` once it is known how it ended. A claim that is
+    left without an outcome has not run if it was never checked, and is unknown
+    otherwise.
+    """
+
+    def __init__(
+        self, key: ClaimKey, row: Row, members: Members, outcomes: OutcomeLog
+    ) -> None:
+        self.attempt = decode(row).attempt
+        """Random identity of this send."""
+        self._key = key
+        self._row = row
+        self._members = members
+        self._outcomes = outcomes
+        self._checked = False
+        self._settled = False
+
+    async def __aenter__(self) -> Claim:
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._settled:
+            return
+        # Not awaited: the task may be in the middle of being cancelled.
+        state = UNKNOWN if self._checked else NOT_RUN
+        _events.CLAIM_UNSETTLED.log(attempt=self.attempt, state=state)
+        self._settled = True
+        self._outcomes.defer(self._key, self.attempt, Outcome(state), self._row)
+
+    def check(self) -> None:
+        """Confirm that the request may be sent now, in the same step.
+
+        Raises:
+            InstanceNotReady: This instance can no longer prove that it is a member;
+                the request has not been sent.
+        """
+        if not self._members.standing():
+            raise InstanceNotReady("the instance may not serve now", retry_after=1.0)
+        self._checked = True
+
+    async def done(
+        self, status: int, headers: Iterable[tuple[str, str]], body: bytes
+    ) -> None:
+        """Record the answer, so that a repeat gets the same.
+
+        Returns also if the store fails: the answer is then recorded later.
+
+        Args:
+            status: HTTP status.
+            headers: Names and values.
+            body: The whole body.
+        """
+        answer = RecordedAnswer(status, tuple(headers), body)
+        await self._settle(Outcome(DONE, answer))
+
+    async def not_run(self) -> None:
+        """Record that no byte of the request was sent."""
+        await self._settle(Outcome(NOT_RUN))
+
+    async def unknown(self) -> None:
+        """Record that the request was sent and may or may not have run."""
+        await self._settle(Outcome(UNKNOWN))
+
+    async def _settle(self, outcome: Outcome) -> None:
+        if self._settled:
+            return
+        self._settled = True
+        await self._outcomes.record(self._key, self.attempt, outcome, self._row)
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/once/_sweeper.py
@@ -0,0 +1,55 @@
+"""Deletes claims past their retention."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from guavajunction.errors import ConditionFailed, PlatformError
+from guavajunction.once import _events
+from guavajunction.once._claim_key import PARTITIONS, partition
+from guavajunction.once._members import Members
+from guavajunction.once._model import decode
+from guavajunction.peers import PeerId
+from guavajunction.platform import Row, TableService
+
+
+class Sweeper:
+    """Walks through the partitions that this instance is the author of."""
+
+    def __init__(
+        self,
+        table: TableService,
+        me: PeerId,
+        members: Members,
+        wall: Callable[[], float],
+    ) -> None:
+        self._table = table
+        self._me = me
+        self._members = members
+        self._wall = wall
+        self._next = 0
+
+    async def step(self) -> None:
+        """Sweep the next partition if it falls to this instance."""
+        name = partition(self._next)
+        self._next = (self._next + 1) % PARTITIONS
+        if self._members.author(name) != self._me:
+            return
+        try:
+            await self._sweep(name)
+        except PlatformError as exc:
+            _events.SWEEP_FAILED.log(partition=name, reason=exc.message)
+
+    async def _sweep(self, name: str) -> None:
+        rows = await self._table.query(name)
+        expired = [row for row in rows if decode(row).expires_at <= self._wall()]
+        for row in expired:
+            await self._delete(row)
+        if expired:
+            _events.CLAIMS_EXPIRED.log(partition=name, count=len(expired))
+
+    async def _delete(self, row: Row) -> None:
+        try:
+            await self._table.delete(row.partition, row.sort, expected=row.version)
+        except ConditionFailed:
+            return
