Test the emulated engine and cache prefixes at the end of a request

Cause: a prompt larger than half of the KV reserve was stored while its own request still held the same memory, so it was evicted at once and the second request computed its prefill again. Slow prefill was ruled out: the lookup was a miss.

Change: a prefix is stored when its request ends; tests for streams, batching, cache, orders and memory.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_batch.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_batch.py
@@ -158,7 +158,7 @@
         for job in list(self.running):
             if job.prefill_left > 0:
                 continue
-            self._note_prefilled(job)
+            job.prefilled = True
             if job.made < len(job.tokens):
                 job.out.put_nowait(job.tokens[job.made])
                 job.made += 1
@@ -166,16 +166,12 @@
             if job.made >= len(job.tokens):
                 self._finish(job)
 
-    def _note_prefilled(self, job: Job) -> None:
-        if job.prefilled:
-            return
-        job.prefilled = True
-        room = self._cfg.kv_reserve_mib - self._running_kv_mib()
-        self._cache.store(job.artifact.name, job.prefix, job.prompt_tokens, room)
-
     def _finish(self, job: Job) -> None:
         for jobs in (self.running, self.waiting):
             if job in jobs:
                 jobs.remove(job)
         job.artifact.release()
+        if job.prefilled:
+            room = self._cfg.kv_reserve_mib - self._running_kv_mib()
+            self._cache.store(job.artifact.name, job.prefix, job.prompt_tokens, room)
         job.out.put_nowait(None)
--- /dev/null
+++ b/tests/fakes/test_engine.py
@@ -0,0 +1,366 @@
+"""The emulated model engine."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import time
+
+import aiohttp
+import pytest
+
+from guavajunction_fakes import (
+    EngineConfig,
+    FakeEngine,
+    FakeWeights,
+    Resident,
+    WeightStoreConfig,
+    expected_answer,
+)
+
+CFG = EngineConfig(
+    memory_mib=1000,
+    kv_reserve_mib=200,
+    residents=(Resident("m@1", 300),),
+    step_seconds=0.002,
+    step_seconds_per_request=0.0002,
+    load_seconds=0.05,
+    unload_seconds=0.01,
+)
+
+
+@pytest.fixture
+async def session():
+    async with aiohttp.ClientSession() as session:
+        yield session
+
+
+def body_of(prompt, *, model="m@1", max_tokens=64, stream=True):
+    messages = [{"role": "user", "content": prompt}]
+    return {
+        "model": model,
+        "messages": messages,
+        "max_tokens": max_tokens,
+        "stream": stream,
+    }
+
+
+async def read_events(resp):
+    events = []
+    async for line in resp.content:
+        if line.startswith(b"id: "):
+            number = int(line[4:])
+        elif line.startswith(b"data: "):
+            events.append((number, line[6:].decode().strip()))
+    return events
+
+
+def text_of(events):
+    chunks = [json.loads(data) for _, data in events if data != "[DONE]"]
+    return "".join(c["choices"][0]["delta"].get("content", "") for c in chunks)
+
+
+def ask(session, url, body, **headers):
+    headers = {name.replace("_", "-"): str(value) for name, value in headers.items()}
+    return session.post(f"{url}/v1/chat/completions", json=body, headers=headers)
+
+
+async def run(session, url, prompt, **headers):
+    async with ask(session, url, body_of(prompt), **headers) as resp:
+        return await read_events(resp)
+
+
+async def order(session, url, order_id, action, artifact, *, fence=1, mib=300):
+    body = {"order_id": order_id, "fence": fence, "action": action}
+    body |= {"artifact": artifact, "mib": mib, "base": None}
+    async with session.post(f"{url}/admin/orders", json=body) as resp:
+        return resp.status
+
+
+async def until(condition, seconds=2.0):
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + seconds
+    for _ in iter(lambda: bool(condition()), True):
+        assert loop.time() < deadline
+        await asyncio.sleep(0.005)
+
+
+class TestStreams:
+    """Whole, cut, resumed and crossed answers."""
+
+    async def test_a_stream_is_whole_and_numbered(self, session):
+        async with (
+            FakeEngine(CFG).serve() as url,
+            ask(session, url, body_of("hi"), X_Request_Id="r") as resp,
+        ):
+            events = await read_events(resp)
+            assert resp.headers["X-Request-Id"] == "r"
+        assert [number for number, _ in events] == list(range(len(events)))
+        assert events[-1][1] == "[DONE]"
+        assert json.loads(events[0][1])["id"] == "chatcmpl-r"
+        assert text_of(events) == expected_answer("m", "hi", 64)
+
+    async def test_an_answer_that_is_not_streamed_is_the_same(self, session):
+        async with (
+            FakeEngine(CFG).serve() as url,
+            ask(session, url, body_of("hi", stream=False)) as resp,
+        ):
+            answer = await resp.json()
+        content = answer["choices"][0]["message"]["content"]
+        assert content == expected_answer("m", "hi", 64)
+
+    async def test_a_cut_stream_is_resumed_without_loss(self, session):
+        engine = FakeEngine(CFG)
+        async with engine.serve() as url:
+            engine.faults.set(cut_streams=1, cut_after_events=4)
+            async with ask(session, url, body_of("hi"), X_Request_Id="r") as resp:
+                with pytest.raises(aiohttp.ClientError):
+                    await resp.read()
+            async with ask(
+                session, url, body_of("hi"), X_Request_Id="r", Last_Event_ID=3
+            ) as resp:
+                rest = await read_events(resp)
+        assert rest[0][0] == 4
+        words = expected_answer("m", "hi", 64).split()
+        assert text_of(rest).split() == words[4:]
+        assert engine.stats()["runs"] == 1
+
+    async def test_only_the_missing_end_is_sent_again(self, session):
+        async with FakeEngine(CFG).serve() as url:
+            async with ask(session, url, body_of("hi"), X_Request_Id="r") as resp:
+                events = await read_events(resp)
+            last = events[-2][0]
+            async with ask(
+                session, url, body_of("hi"), X_Request_Id="r", Last_Event_ID=last
+            ) as resp:
+                assert await read_events(resp) == events[-1:]
+
+    async def test_an_unknown_stream_is_not_resumed(self, session):
+        async with (
+            FakeEngine(CFG).serve() as url,
+            ask(session, url, body_of("hi"), X_Request_Id="r", Last_Event_ID=3) as resp,
+        ):
+            assert resp.status == 410
+
+    async def test_a_crossed_answer_names_another_request(self, session):
+        engine = FakeEngine(CFG)
+        async with engine.serve() as url:
+            engine.faults.set(cross_answers=1)
+            async with ask(session, url, body_of("hi"), X_Request_Id="r") as resp:
+                assert resp.headers["X-Request-Id"] != "r"
+                text = text_of(await read_events(resp))
+        assert text != expected_answer("m", "hi", 64)
+
+    async def test_a_caller_that_hangs_up_frees_its_slot(self, session):
+        engine = FakeEngine(CFG._replace(step_seconds=0.05))
+        async with engine.serve() as url:
+            async with ask(session, url, body_of("hi")) as resp:
+                await resp.content.readline()
+                assert len(engine.batch.running) == 1
+            await until(lambda: not engine.batch.running)
+            assert engine.stats()["disconnects"] == 1
+
+    async def test_a_cancelled_stream_is_not_whole(self, session):
+        engine = FakeEngine(CFG._replace(step_seconds=0.05))
+        async with (
+            engine.serve() as url,
+            ask(session, url, body_of("hi"), X_Request_Id="r") as resp,
+        ):
+            await resp.content.readline()
+            await session.post(f"{url}/admin/cancel", json={"request_id": "r"})
+            with pytest.raises(aiohttp.ClientError):
+                await resp.read()
+
+
+class TestBatch:
+    """Time, priority and the prefix cache."""
+
+    async def test_a_live_request_preempts_a_batch_one(self, session):
+        engine = FakeEngine(CFG._replace(slots=1, step_seconds=0.01))
+        async with engine.serve() as url:
+            ended = []
+
+            async def run_as(name, priority):
+                events = await run(session, url, name, X_Priority=priority)
+                ended.append(name)
+                return text_of(events) == expected_answer("m", name, 64)
+
+            batch = asyncio.ensure_future(run_as("slow batch", 5))
+            await until(lambda: engine.batch.running)
+            live = asyncio.ensure_future(run_as("live", 0))
+            assert await asyncio.gather(batch, live) == [True, True]
+        assert ended == ["live", "slow batch"]
+        assert engine.stats()["preemptions"] == 1
+
+    async def test_a_full_engine_has_not_run_the_request(self, session):
+        engine = FakeEngine(CFG._replace(slots=1, max_waiting=1, step_seconds=0.05))
+        async with engine.serve() as url:
+            first = asyncio.ensure_future(run(session, url, "first"))
+            await until(lambda: engine.batch.running)
+            second = asyncio.ensure_future(run(session, url, "second"))
+            await until(lambda: engine.batch.waiting)
+            async with ask(session, url, body_of("third")) as resp:
+                assert resp.status == 503
+                assert resp.headers["Retry-After"] == "1"
+            assert engine.stats()["runs"] == 2
+            first.cancel()
+            second.cancel()
+
+    async def test_a_cached_prefix_makes_the_first_token_early(self, session):
+        cfg = CFG._replace(prefill_tokens_per_second=5000, kv_mib_per_token=0.1)
+        prompt = "p" * 4000
+        took = []
+        async with FakeEngine(cfg).serve() as url:
+            for _ in range(2):
+                began = time.monotonic()
+                async with ask(session, url, body_of(prompt, max_tokens=1)) as resp:
+                    await resp.read()
+                took.append(time.monotonic() - began)
+        assert took[1] < took[0] / 2
+
+    async def test_the_cache_never_outgrows_its_memory(self, session):
+        engine = FakeEngine(CFG._replace(kv_reserve_mib=50, cache_event_lag=0.0))
+        async with engine.serve() as url:
+            for number in range(12):
+                prompt = f"{number} " + "p" * 200
+                async with ask(session, url, body_of(prompt, max_tokens=4)) as resp:
+                    await resp.read()
+                assert engine.batch.kv_used_mib <= 50
+            async with session.get(f"{url}/admin/cache-events?after=0") as resp:
+                events = (await resp.json())["events"]
+        seen = [event["seq"] for event in events]
+        assert {event["kind"] for event in events} == {"stored", "removed"}
+        assert 11 not in seen
+        assert 12 in seen
+
+    async def test_a_larger_batch_is_slower(self, session):
+        cfg = CFG._replace(step_seconds=0.002, step_seconds_per_request=0.004)
+
+        async def seconds(count):
+            async with FakeEngine(cfg).serve() as url:
+                began = time.monotonic()
+
+                async def run(number):
+                    body = body_of(str(number), max_tokens=8)
+                    async with ask(session, url, body) as resp:
+                        await resp.read()
+
+                await asyncio.gather(*(run(n) for n in range(count)))
+                return time.monotonic() - began
+
+        assert await seconds(8) > 2 * await seconds(1)
+
+
+class TestOrders:
+    """Loads and unloads under faults."""
+
+    async def test_a_load_fetches_through_the_weight_store(self, session):
+        async with contextlib.AsyncExitStack() as stack:
+            cfg = WeightStoreConfig(models_burst=1, model_seconds=0.05)
+            weights = FakeWeights(cfg._replace(models_per_second=10))
+            weights_url = await stack.enter_async_context(weights.serve())
+            engine = FakeEngine(
+                CFG._replace(weights_url=weights_url, fetch_backoff_seconds=0.03)
+            )
+            url = await stack.enter_async_context(engine.serve())
+            assert await order(session, url, "1", "load", "a@1") == 202
+            assert await order(session, url, "2", "load", "b@1", mib=100) == 202
+            assert engine.memory.ready("a@1") is None
+            await until(lambda: engine.memory.ready("a@1"))
+            await until(lambda: engine.memory.ready("b@1"))
+            assert weights.stats()["slow_downs"] >= 1
+
+    async def test_a_load_that_does_not_fit_is_refused(self, session):
+        engine = FakeEngine(CFG)
+        async with engine.serve() as url:
+            assert await order(session, url, "1", "load", "a@1", mib=501) == 507
+            assert engine.stats()["overcommits"] == 0
+            assert list(engine.orders.refused) == ["1"]
+
+    async def test_overcommit_is_recorded_where_it_is_not_refused(self, session):
+        engine = FakeEngine(CFG._replace(checks_memory=False))
+        async with engine.serve() as url:
+            assert await order(session, url, "1", "load", "a@1", mib=501) == 202
+            assert engine.stats()["overcommits"] == 1
+            assert engine.stats()["peak_mib"] == 1001
+
+    @pytest.mark.parametrize(("checks", "status"), [(True, 409), (False, 202)])
+    async def test_an_old_fence(self, session, checks, status):
+        engine = FakeEngine(CFG._replace(checks_orders=checks))
+        async with engine.serve() as url:
+            assert await order(session, url, "1", "load", "a@1", fence=7) == 202
+            assert await order(session, url, "2", "unload", "a@1", fence=6) == status
+            assert engine.stats()["stale_orders"] == 1
+            unloading = engine.memory.artifacts["a@1"].state == "unloading"
+            assert unloading is not checks
+
+    async def test_an_order_id_is_applied_once(self, session):
+        engine = FakeEngine(CFG)
+        async with engine.serve() as url:
+            engine.faults.set(duplicate_orders=1, delay_orders_seconds=0.1)
+            await order(session, url, "1", "load", "a@1")
+            await order(session, url, "2", "unload", "a@1")
+            await until(lambda: engine.stats()["repeated_orders"] == 1)
+            await until(lambda: "a@1" not in engine.memory.artifacts)
+            assert engine.stats()["loads"] == 1
+
+    async def test_a_lost_order_is_acknowledged_and_forgotten(self, session):
+        engine = FakeEngine(CFG)
+        async with engine.serve() as url:
+            engine.faults.set(lose_orders=1)
+            assert await order(session, url, "1", "load", "a@1") == 202
+            assert not engine.orders.applied
+            assert await order(session, url, "1", "load", "a@1") == 202
+            assert list(engine.orders.applied) == ["1"]
+
+    async def test_a_late_order_takes_effect_after_its_sender_gave_up(self, session):
+        engine = FakeEngine(CFG)
+        async with engine.serve() as url:
+            engine.faults.set(
+                delay_orders=1, delay_orders_seconds=0.1, answer_delayed_orders=False
+            )
+            with pytest.raises(aiohttp.ClientError):
+                await order(session, url, "1", "load", "a@1")
+            assert not engine.orders.applied
+            await until(lambda: engine.memory.ready("a@1"))
+
+    async def test_an_unload_waits_for_running_requests(self, session):
+        engine = FakeEngine(CFG)
+        async with engine.serve() as url:
+            async with ask(session, url, body_of("hi")) as resp:
+                await resp.content.readline()
+                await order(session, url, "1", "unload", "m@1")
+                async with ask(session, url, body_of("late")) as late:
+                    assert late.status == 404
+                assert engine.memory.weights_mib == 300
+                assert b"[DONE]" in await resp.read()
+            await until(lambda: engine.memory.weights_mib == 0)
+            assert engine.stats()["unloads_in_use"] == 1
+
+    async def test_an_adapter_answers_only_while_its_base_is_ready(self, session):
+        residents = (Resident("m@1", 300), Resident("a@1", 10, "m@1"))
+        engine = FakeEngine(CFG._replace(residents=residents))
+        async with engine.serve() as url:
+            async with ask(session, url, body_of("hi", model="a@1")) as resp:
+                assert text_of(await read_events(resp)) == expected_answer(
+                    "a", "hi", 64
+                )
+            await order(session, url, "1", "unload", "m@1")
+            async with ask(session, url, body_of("hi", model="a@1")) as resp:
+                assert resp.status == 404
+
+    async def test_the_load_report_lags(self, session):
+        cfg = CFG._replace(load_report_every=0.02, load_report_lag=0.2)
+        async with FakeEngine(cfg).serve() as url:
+            await asyncio.sleep(0.25)
+            await order(session, url, "1", "load", "a@1")
+            async with session.get(f"{url}/admin/load") as resp:
+                early = await resp.json()
+            await asyncio.sleep(0.3)
+            async with session.get(f"{url}/admin/load") as resp:
+                late = await resp.json()
+        assert early["applied_orders"] == []
+        assert early["age_seconds"] >= 0.2
+        assert late["applied_orders"] == ["1"]
+        assert late["seq"] > early["seq"]
