--- /dev/null
+++ b/packages/guavajunction-ctl/src/guavajunction_ctl/_client.py
@@ -0,0 +1,173 @@
+"""Calls the operator routes of whichever instance answers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+
+from ._errors import NoInstanceAnswered, NotAccepted, OutcomeUnknown, Refused
+
+Answer = dict[str, Any]
+
+SETTLE_ATTEMPTS = 5
+"""Readings of an attempt's outcome before it is called unknown."""
+
+SETTLE_PAUSE_SECONDS = 0.5
+
+_UNKNOWN_TYPES = {"acceptance_unknown"}
+_ELSEWHERE_TYPES = {"store_unavailable", "not_accepted"}
+
+
+class OperatorClient:
+    """Tries the instances in order, any of which does.
+
+    A change carries an attempt id: it is sent again after an unknown outcome only
+    because an instance accepts an attempt at most once.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        instances: list[str],
+        token: str,
+        *,
+        timeout: float,
+    ) -> None:
+        self._session = session
+        self._headers = {"Authorization": f"Bearer {token}"}
+        self._timeout = aiohttp.ClientTimeout(total=timeout)
+        self.instances = instances
+        """URLs of the instances."""
+
+    async def read(self, path: str, body: Answer | None = None) -> Answer:
+        """Ask the first instance that answers; nothing is changed by it.
+
+        Args:
+            path: Path below ``/operator/``.
+            body: Body to post, or None for a GET.
+
+        Raises:
+            Refused: An instance refused.
+            NoInstanceAnswered: None was reached.
+        """
+        method = "GET" if body is None else "POST"
+        failure: Exception = NoInstanceAnswered("No instance is named.")
+        for url in self.instances:
+            try:
+                return await self.call(url, method, path, body)
+            except NoInstanceAnswered as exc:
+                failure = exc
+            except OutcomeUnknown as exc:
+                failure = NoInstanceAnswered(exc.message)
+            except Refused as exc:
+                failure = exc
+                if exc.type not in _ELSEWHERE_TYPES:
+                    raise
+        raise failure
+
+    async def change(self, method: str, path: str, body: Answer) -> Answer:
+        """Get a change accepted by the first instance that can.
+
+        Args:
+            method: HTTP method.
+            path: Path below ``/operator/``.
+            body: Body with `author` and `attempt_id`.
+
+        Returns:
+            The instance's answer; only `version` if the answer itself was lost.
+
+        Raises:
+            Refused: An instance refused the change.
+            NotAccepted: No instance could get it accepted.
+            OutcomeUnknown: It may or may not have been accepted.
+        """
+        attempt_id = body["attempt_id"]
+        unknown = False
+        reasons = []
+        for url in self.instances:
+            try:
+                return await self.call(url, method, path, body)
+            except OutcomeUnknown as exc:
+                unknown = True
+                reasons.append(exc.message)
+            except NoInstanceAnswered as exc:
+                reasons.append(exc.message)
+            except Refused as exc:
+                unknown = unknown or exc.type in _UNKNOWN_TYPES
+                reasons.append(exc.message)
+                if not _may_go_on(exc, unknown):
+                    raise
+            if unknown and (version := await self._outcome(attempt_id)) is not None:
+                return {"version": version}
+        return await self._settle(attempt_id, unknown, "\n".join(reasons))
+
+    async def call(
+        self, url: str, method: str, path: str, body: Answer | None = None
+    ) -> Answer:
+        """Call one instance.
+
+        Raises:
+            Refused: It refused.
+            NoInstanceAnswered: It was not reached: nothing was sent.
+            OutcomeUnknown: It did not answer what was sent.
+        """
+        full = f"{url}/operator/{path}"
+        try:
+            async with self._session.request(
+                method, full, json=body, headers=self._headers, timeout=self._timeout
+            ) as resp:
+                return await _read_answer(url, resp)
+        except aiohttp.ClientConnectorError as exc:
+            raise NoInstanceAnswered(f"{url} was not reached.") from exc
+        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+            if method == "GET":
+                raise NoInstanceAnswered(f"{url} did not answer.") from exc
+            raise OutcomeUnknown(f"{url} did not answer.") from exc
+
+    async def _outcome(self, attempt_id: str) -> int | None:
+        """Return the version that an attempt made, None if none is known of."""
+        for url in self.instances:
+            try:
+                answer = await self.call(url, "GET", f"attempts/{attempt_id}")
+            except (Refused, NoInstanceAnswered):
+                continue
+            if answer["version"] is not None:
+                return answer["version"]
+        return None
+
+    async def _settle(self, attempt_id: str, unknown: bool, reasons: str) -> Answer:
+        """Read the outcome of an attempt until it is known or patience ends."""
+        if not unknown:
+            raise NotAccepted(f"Not accepted: nothing was changed.\n{reasons}")
+        for _ in range(SETTLE_ATTEMPTS):
+            version = await self._outcome(attempt_id)
+            if version is not None:
+                return {"version": version}
+            await asyncio.sleep(SETTLE_PAUSE_SECONDS)
+        raise OutcomeUnknown(
+            f"It is not known whether the change was accepted.\n{reasons}\n"
+            f"Repeat the command with --attempt={attempt_id}; it is accepted at most"
+            " once."
+        )
+
+
+def _may_go_on(exc: Refused, unknown: bool) -> bool:
+    """Tell whether another instance may do better after a refusal.
+
+    A refusal does not say what became of an earlier send with an unknown outcome,
+    but for a conflict, which that send would meet as well.
+    """
+    if exc.type in _UNKNOWN_TYPES | _ELSEWHERE_TYPES:
+        return True
+    return unknown and exc.type != "section_conflict"
+
+
+async def _read_answer(url: str, resp: aiohttp.ClientResponse) -> Answer:
+    answer = await resp.json()
+    if resp.ok:
+        return answer
+    if "error" in answer:
+        raise Refused(answer["error"])
+    raise Refused({"type": "http_error", "message": f"{url} answered {resp.status}."})
--- /dev/null
+++ b/packages/guavajunction-ctl/src/guavajunction_ctl/_document_commands.py
@@ -0,0 +1,126 @@
+"""Commands for the document and its versions."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from ._command import Command, Context, Outcome
+from ._errors import UsageError
+from ._in_force import report_in_force
+from ._table import render_table, render_time
+
+
+async def validate(context: Context, args: list[str]) -> Outcome:
+    """Check a document and change nothing."""
+    body = {"document": _read(args[0])}
+    answer = await context.client.read("validate", body)
+    entries = [f"{count} {name}" for name, count in answer["entries"].items()]
+    text = f"The document is valid: {', '.join(entries) or 'no section'}."
+    return Outcome(text, answer)
+
+
+async def diff(context: Context, args: list[str]) -> Outcome:
+    """Compare a document with the accepted one."""
+    body = {"document": _read(args[0])}
+    answer = await context.client.read("diff", body)
+    return Outcome("\n".join(_diff_lines(answer)), answer)
+
+
+async def apply(context: Context, args: list[str]) -> Outcome:
+    """Get a document accepted and wait until it is in force."""
+    document = _read(args[0])
+    compared = await context.client.read("diff", {"document": document})
+    body = {"document": document, "based_on": compared["based_on"], **context.who}
+    answer = await context.client.change("POST", "apply", body)
+    return await report_in_force(context, answer, _diff_lines(compared), compared)
+
+
+async def show(context: Context, args: list[str]) -> Outcome:
+    """Print the accepted document."""
+    answer = await context.client.read("document")
+    return Outcome(answer["document"].rstrip("\n"), answer)
+
+
+async def history(context: Context, args: list[str]) -> Outcome:
+    """List the latest accepted versions."""
+    answer = await context.client.read("history")
+    rows = [
+        [v["version"], render_time(v["changed_at"]), v["author"], v["changed"]]
+        for v in answer["versions"]
+    ]
+    headings = ["version", "accepted (UTC)", "author", "sections"]
+    return Outcome(render_table(headings, rows), answer)
+
+
+async def roll_back(context: Context, args: list[str]) -> Outcome:
+    """Accept an earlier version again and wait until it is in force."""
+    if not args[0].isascii() or not args[0].isdigit():
+        raise UsageError(f"{args[0]!r} is not a version.")
+    body = {"version": int(args[0]), **context.who}
+    answer = await context.client.change("POST", "rollback", body)
+    return await report_in_force(context, answer, [], {})
+
+
+def _read(path: str) -> str:
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise UsageError(f"{path} cannot be read: {exc}") from exc
+
+
+def _diff_lines(answer: dict[str, Any]) -> list[str]:
+    if not answer["changes"]:
+        return [f"No difference from version {answer['version']}."]
+    rows = [
+        [change["path"], _shown(change["before"]), _shown(change["after"])]
+        for change in answer["changes"]
+    ]
+    return [render_table(["value", f"version {answer['version']}", "document"], rows)]
+
+
+def _shown(value: Any) -> str | None:
+    return None if value is None else json.dumps(value, ensure_ascii=False)
+
+
+DOCUMENT_COMMANDS = [
+    Command(
+        "validate",
+        ("FILE",),
+        "Check a document and list every fault.",
+        "Sections that the file lacks are taken from the accepted document.",
+        validate,
+    ),
+    Command(
+        "diff",
+        ("FILE",),
+        "Compare a document with the accepted one.",
+        "Values that the document removes have no value in the last column.",
+        diff,
+    ),
+    Command(
+        "apply",
+        ("FILE",),
+        "Get a document accepted and in force everywhere.",
+        "Sections that the file lacks stay as they are. A section that somebody else\n"
+        "changed since the version in the file's [based_on] is a conflict; without\n"
+        "[based_on], since the difference was shown.",
+        apply,
+    ),
+    Command(
+        "document",
+        (),
+        "Print the accepted document, with [based_on].",
+        "Keys are not part of it.",
+        show,
+    ),
+    Command("history", (), "List the latest accepted versions.", "", history),
+    Command(
+        "rollback",
+        ("VERSION",),
+        "Accept an earlier version again, as a new one.",
+        "Keys stay as they are: a withdrawn key does not come back.",
+        roll_back,
+    ),
+]
--- /dev/null
+++ b/packages/guavajunction-ctl/src/guavajunction_ctl/_fleet_commands.py
@@ -0,0 +1,134 @@
+"""Commands for instances, backend servers and single requests."""
+
+from __future__ import annotations
+
+import json
+from urllib.parse import quote
+
+from ._client import Answer
+from ._command import Command, Context, Outcome
+from ._errors import NoInstanceAnswered, NotFoundAnywhere, OutcomeUnknown, Refused
+from ._exit_status import ExitStatus
+from ._in_force import report_in_force
+from ._table import render_table, render_time
+
+
+async def status(context: Context, args: list[str]) -> Outcome:
+    """Show what is accepted and what is in force on each instance."""
+    answer = await context.client.read("status")
+    sections = [
+        [name, ref["version"], render_time(ref["changed_at"]), ref["author"]]
+        for name, ref in answer["sections"].items()
+    ]
+    instances = [[i["name"], i["version"], i["reached"]] for i in answer["instances"]]
+    parts = [
+        f"Version {answer['accepted']} is accepted; seen from {answer['instance']}.",
+        render_table(["section", "version", "changed (UTC)", "author"], sections),
+        render_table(["instance", "in force", "reached"], instances),
+    ]
+    late = answer["not_reached"]
+    if late:
+        parts.append(f"Not known to be in force on: {', '.join(late)}.")
+    exit_status = ExitStatus.UNSURE if late else ExitStatus.OK
+    return Outcome("\n\n".join(parts), answer, exit_status)
+
+
+async def explain(context: Context, args: list[str]) -> Outcome:
+    """Show the decisions that any instance took for a request."""
+    path = f"explain/{quote(args[0], safe='')}"
+    answers, silent = [], []
+    for url in await _all_urls(context):
+        try:
+            answers.append(await context.client.call(url, "GET", path))
+        except (NoInstanceAnswered, Refused):
+            silent.append(url)
+    found = [answer for answer in answers if answer["decisions"]]
+    if not found:
+        unasked = f" Not asked: {', '.join(silent)}." if silent else ""
+        raise NotFoundAnywhere(f"No instance knows request {args[0]}.{unasked}")
+    text = "\n".join(line for answer in found for line in _decision_lines(answer))
+    return Outcome(text, {"instances": found})
+
+
+async def drain_backend(context: Context, args: list[str]) -> Outcome:
+    """Mark a backend server as leaving and wait until that is in force."""
+    path = f"backends/{quote(args[0], safe='')}/drain"
+    answer = await context.client.change("POST", path, context.who)
+    lines = [f"Backend server {args[0]} gets no new work."]
+    return await report_in_force(context, answer, lines, {})
+
+
+async def drain_instance(context: Context, args: list[str]) -> Outcome:
+    """Start the graceful stop of one instance."""
+    url = await _url_of(context, args[0])
+    try:
+        answer = await context.client.call(url, "POST", "instance/drain", {})
+    except OutcomeUnknown as exc:
+        raise OutcomeUnknown(
+            f"{exc.message} It is not known whether {args[0]} drains; repeat safely."
+        ) from exc
+    return Outcome(f"Instance {args[0]} stops gracefully.", answer)
+
+
+async def _all_urls(context: Context) -> list[str]:
+    """Return the URLs that were given and those that the fleet knows of."""
+    urls = dict.fromkeys(context.client.instances)
+    answer = await context.client.read("status")
+    urls |= dict.fromkeys(i["url"] for i in answer["instances"] if i["url"])
+    return list(urls)
+
+
+async def _url_of(context: Context, name: str) -> str:
+    """Return the URL at which the instance of a name answers by that name."""
+    for url in await _all_urls(context):
+        try:
+            answer = await context.client.call(url, "GET", "status")
+        except (NoInstanceAnswered, Refused):
+            continue
+        if answer["instance"] == name:
+            return url
+    raise NotFoundAnywhere(f"No instance answers by the name {name}.")
+
+
+def _decision_lines(answer: Answer) -> list[str]:
+    lines = [f"On {answer['instance']}:"]
+    for decision in answer["decisions"]:
+        pairs = [f"{key}={_text(value)}" for key, value in decision.items()]
+        lines.append("  " + " ".join(pairs))
+    return lines
+
+
+def _text(value: object) -> str:
+    return value if isinstance(value, str) else json.dumps(value)
+
+
+FLEET_COMMANDS = [
+    Command(
+        "status",
+        (),
+        "Show what is accepted and what is in force on each instance.",
+        "",
+        status,
+    ),
+    Command(
+        "explain",
+        ("REQUEST_ID",),
+        "Show which decisions were taken for a request, and why.",
+        "Every instance that is known is asked.",
+        explain,
+    ),
+    Command(
+        "drain backend",
+        ("NAME",),
+        "Give a backend server no new work.",
+        "It is refused if the rest cannot hold what must be resident.",
+        drain_backend,
+    ),
+    Command(
+        "drain instance",
+        ("NAME",),
+        "Stop an instance gracefully.",
+        "No request is cut.",
+        drain_instance,
+    ),
+]
--- /dev/null
+++ b/packages/guavajunction-ctl/src/guavajunction_ctl/_key_commands.py
@@ -0,0 +1,56 @@
+"""Commands for customers' keys."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+from ._command import Command, Context, Outcome
+from ._errors import KeyLost
+from ._in_force import report_in_force
+from ._table import render_table
+
+
+async def issue(context: Context, args: list[str]) -> Outcome:
+    """Issue a key and print it this once."""
+    body = {"customer": args[0], **context.who}
+    answer = await context.client.change("POST", "keys", body)
+    if "key" not in answer:
+        raise KeyLost(
+            f"A key was issued in version {answer['version']}, but its answer was"
+            " lost.\nFind it by `guavactl keys list`, withdraw it and issue another."
+        )
+    lines = [f"Key {answer['key_id']}, shown this once:", answer["key"]]
+    return await report_in_force(context, answer, lines, {})
+
+
+async def withdraw(context: Context, args: list[str]) -> Outcome:
+    """Withdraw a key and wait until it is refused everywhere."""
+    path = f"keys/{quote(args[0], safe='')}"
+    answer = await context.client.change("DELETE", path, context.who)
+    return await report_in_force(context, answer, [f"Key {args[0]} withdrawn."], {})
+
+
+async def list_keys(context: Context, args: list[str]) -> Outcome:
+    """List the keys by their public identity."""
+    answer = await context.client.read("keys")
+    rows = [[key["key_id"], key["customer"]] for key in answer["keys"]]
+    return Outcome(render_table(["key", "customer"], rows), answer)
+
+
+KEY_COMMANDS = [
+    Command(
+        "keys issue",
+        ("CUSTOMER",),
+        "Issue a key to a customer and print it once.",
+        "Only a keyed digest of the key is kept.",
+        issue,
+    ),
+    Command(
+        "keys withdraw",
+        ("KEY_ID",),
+        "Withdraw a key.",
+        "The key stops working on each instance as soon as the version is in force.",
+        withdraw,
+    ),
+    Command("keys list", (), "List the keys that are valid.", "", list_keys),
+]
--- /dev/null
+++ b/tests/fakes_operator.py
@@ -0,0 +1,119 @@
+"""A fleet whose operator routes are served over HTTP, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator
+from typing import Any
+
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from fakes_configuration import Fleet, Node
+from guavajunction.clock import ManualClock
+from guavajunction.configuration import KeyRecord, OperatorParts, operator_routes
+from guavajunction.platform import InstanceRecord
+
+TOKEN = "operator-token"
+_BEAT_SECONDS = 0.01
+
+
+class Explanations:
+    """Remembers one request."""
+
+    def explain(self, request_id: str) -> list[dict[str, Any]]:
+        """Return the decisions for the request `r1`."""
+        decision = {"event": 700, "backend": "runner-1", "why": "prefix", "load": 0.5}
+        return [decision] if request_id == "r1" else []
+
+
+class ServedNode:
+    """One instance of the fleet with its HTTP server."""
+
+    def __init__(self, served: ServedFleet, node: Node, *, token: str = TOKEN) -> None:
+        self.node = node
+        self.drained = False
+        self.fault: str | None = None
+        """`before` drops requests unhandled, `after` drops their answers."""
+        node.keeper._clock = ManualClock()
+        parts = OperatorParts(
+            node.store,
+            node.keeper,
+            node.editor,
+            Explanations(),
+            served.records,
+            self._drain,
+            served.issue,
+        )
+        app = web.Application(middlewares=[self._break])
+        app.add_routes(operator_routes(parts, token=token))
+        self.server = TestServer(app)
+
+    @property
+    def url(self) -> str:
+        """Where it listens."""
+        return str(self.server.make_url("")).rstrip("/")
+
+    def _drain(self) -> None:
+        self.drained = True
+
+    @web.middleware
+    async def _break(self, req: web.Request, handler: Any) -> web.StreamResponse:
+        fault = self.fault if req.method != "GET" else None
+        if fault == "before":
+            req.transport.abort()
+        resp = await handler(req) if fault != "before" else web.Response()
+        if fault == "after":
+            req.transport.abort()
+        return resp
+
+
+class ServedFleet(Fleet):
+    """Instances that run their keepers, hear each other and serve operators."""
+
+    def __init__(self, *names: str) -> None:
+        super().__init__(*names)
+        self.listed: list[str] = list(names)
+        """Names on the platform's instance list."""
+        self._ids = itertools.count(1)
+        self.served = [ServedNode(self, node) for node in self.nodes]
+
+    def records(self) -> list[InstanceRecord]:
+        """Return the platform's instance list."""
+        ports = {
+            served.node.links.me.name: served.server.port for served in self.served
+        }
+        return [
+            InstanceRecord(name, "t", "127.0.0.1", ports.get(name) or 9, 0, "live")
+            for name in self.listed
+        ]
+
+    def issue(self, customer: str) -> tuple[str, KeyRecord]:
+        """Draw keys that a test can foresee."""
+        key_id = f"k{next(self._ids)}"
+        return f"gj_{key_id}_secret", KeyRecord(key_id, customer, key_id[1] * 64)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[ServedFleet]:
+        """Serve and run until the context is left."""
+        async with contextlib.AsyncExitStack() as stack:
+            for served in self.served:
+                await served.server.start_server()
+                stack.push_async_callback(served.server.close)
+            loops = [node.keeper.run() for node in self.nodes]
+            tasks = [asyncio.create_task(loop) for loop in [*loops, self._beat()]]
+            stack.push_async_callback(_cancel, tasks)
+            yield self
+
+    async def _beat(self) -> None:
+        while True:
+            self.network.beat()
+            await asyncio.sleep(_BEAT_SECONDS)
+
+
+async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
