Add links between instances over ZeroMQ

Cause: instances tell, ask and hear each other, and only the fleet may connect. Ruled out: trusting the age that a heartbeat states, which leaves out its time on the way; addressing heartbeats to one incarnation, with which a restarted instance was never met again (seen as a failing test before the change). Change: PeerMesh with one router, a dealer a peer, CURVE with the fleet's key pair checked over ZAP, asks and tells, topics in heartbeats, echoes that bound a heartbeat's age on the receiver's clock, sends that drop and count instead of waiting, FullMesh and RingSubset as strategies for targets.

--- a/packages/guavajunction/src/guavajunction/peers/__init__.py
+++ b/packages/guavajunction/src/guavajunction/peers/__init__.py
@@ -2,6 +2,19 @@
 
 from __future__ import annotations
 
+from ._keys import FleetKeys
+from ._mesh import LinkTraffic, PeerMesh
 from ._protocols import Handler, Links, PeerId
+from ._targets import FullMesh, RingSubset, TargetStrategy
 
-__all__ = ["Handler", "Links", "PeerId"]
+__all__ = [
+    "FleetKeys",
+    "FullMesh",
+    "Handler",
+    "LinkTraffic",
+    "Links",
+    "PeerId",
+    "PeerMesh",
+    "RingSubset",
+    "TargetStrategy",
+]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/peers/_mesh.py
@@ -0,0 +1,438 @@
+"""Links between instances over ZeroMQ."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter, deque
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any, NamedTuple
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+from guavajunction.clock import Clock
+from guavajunction.errors import GuavaError, PeerError, PeerTimeout, PeerUnknown
+from guavajunction.platform import InstanceRecord
+
+from . import _events as events
+from ._authenticator import ZAP_DOMAIN, FleetAuthenticator
+from ._envelope import Beat, Envelope, Kind
+from ._keys import FleetKeys
+from ._link import Link
+from ._peer import Peer
+from ._protocols import Handler, M, PeerId
+from ._targets import FullMesh, TargetStrategy
+
+
+class _Topic(NamedTuple):
+    provide: Callable[[], Any]
+    accept: Callable[[PeerId, Any], None]
+    decoder: msgspec.msgpack.Decoder[Any]
+
+
+class _Sent(NamedTuple):
+    sequence: int
+    at: float
+
+
+class LinkTraffic(NamedTuple):
+    """What went over the links of one instance, payload only."""
+
+    sent_bytes: int
+    sent_messages: int
+    received_bytes: int
+    received_messages: int
+    dropped: int
+
+
+class PeerMesh:
+    """Implements `Links`: one router for what arrives, one dealer for each peer.
+
+    Every heartbeat echoes the highest sequence heard from its receiver. So the
+    receiver knows, on its own clock alone, a moment after which the heartbeat was
+    sent, however long it was on its way: see `echoed_at`.
+    """
+
+    HEARTBEAT_SECONDS = 0.5
+    HEARD_SECONDS = 2.5
+    FORGET_SECONDS = 60.0
+    REMEMBERED_HEARTBEATS = 240
+    MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+    def __init__(
+        self,
+        me: PeerId,
+        address: str,
+        port: int,
+        keys: FleetKeys,
+        clock: Clock,
+        *,
+        strategy: TargetStrategy | None = None,
+        heartbeat_seconds: float = HEARTBEAT_SECONDS,
+    ) -> None:
+        """Create the links; nothing is opened before `run`.
+
+        Args:
+            me: Identity of this run of this instance.
+            address: IP number to listen on and to give to peers.
+            port: Port to listen on; 0 to let the system choose.
+            keys: The fleet's key pair.
+            clock: Source of time.
+            strategy: Which instances to link to; every one if omitted.
+            heartbeat_seconds: Seconds between heartbeats.
+        """
+        self._me = me
+        self._host = address
+        self._port = port
+        self._keys = keys
+        self._clock = clock
+        self._strategy = strategy or FullMesh()
+        self._heartbeat_seconds = heartbeat_seconds
+        self._targets: list[InstanceRecord] = []
+        self._links: dict[str, Link] = {}
+        self._peers: dict[PeerId, Peer] = {}
+        self._handlers: dict[str, tuple[msgspec.msgpack.Decoder[Any], Any]] = {}
+        self._topics: dict[str, _Topic] = {}
+        self._asks: dict[int, asyncio.Future[msgspec.Raw]] = {}
+        self._last_ask = 0
+        self._sent: deque[_Sent] = deque(maxlen=self.REMEMBERED_HEARTBEATS)
+        self._sequence = 0
+        self._context: zmq.asyncio.Context | None = None
+        self._ready = asyncio.Event()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._envelopes = msgspec.msgpack.Decoder(Envelope)
+        self._beats = msgspec.msgpack.Decoder(Beat)
+        self.counts: Counter[str] = Counter()
+        """Messages dropped on arrival, by reason."""
+        self.refused = 0
+        """Connections refused for want of the fleet's key, while running."""
+
+    @property
+    def me(self) -> PeerId:
+        """Identity of this run of this instance."""
+        return self._me
+
+    @property
+    def address(self) -> str:
+        """Where this instance listens, `host:port`."""
+        return f"{self._host}:{self._port}"
+
+    async def ready(self) -> None:
+        """Wait until this instance listens."""
+        await self._ready.wait()
+
+    def set_targets(self, records: list[InstanceRecord]) -> None:
+        """Set the known instances, from which the strategy chooses the links."""
+        self._targets = self._strategy.choose(self._me.name, records)
+        if self._context is not None:
+            self._open_links()
+
+    def peers(self) -> list[PeerId]:
+        """Return the peers heard from lately, without this instance."""
+        return sorted(self.heard(self.HEARD_SECONDS))
+
+    def heard(self, within: float) -> set[PeerId]:
+        """Return the peers whose latest heartbeat arrived within some seconds."""
+        since = self._clock.monotonic() - within
+        return {peer.peer_id for peer in self._peers.values() if peer.heard_at > since}
+
+    def mutual(self, within: float) -> set[PeerId]:
+        """Return the peers that confirmed a heartbeat sent within some seconds."""
+        since = self._clock.monotonic() - within
+        return {peer.peer_id for peer in self._peers.values() if peer.echoed_at > since}
+
+    def echoed_at(self, peer: PeerId) -> float | None:
+        """Return a moment after which the peer's latest heartbeat was sent.
+
+        It is when that heartbeat of this instance left which the peer's confirms,
+        on this instance's monotonic clock; None if it confirms none yet.
+        """
+        known = self._peers.get(peer)
+        if known is None or known.echoed_at == float("-inf"):
+            return None
+        return known.echoed_at
+
+    def handle(self, message_type: type[M], handler: Handler[M]) -> None:
+        """Register the one handler for a message type."""
+        name = message_type.__name__
+        if name in self._handlers:
+            raise ValueError(f"{name} already has a handler")
+        self._handlers[name] = (msgspec.msgpack.Decoder(message_type), handler)
+
+    def share(
+        self,
+        topic: str,
+        provide: Callable[[], Any],
+        accept: Callable[[PeerId, Any], None],
+        value_type: type[Any],
+    ) -> None:
+        """Add a small value to every heartbeat."""
+        if topic in self._topics:
+            raise ValueError(f"the topic {topic} is shared already")
+        decoder = msgspec.msgpack.Decoder(value_type)
+        self._topics[topic] = _Topic(provide, accept, decoder)
+
+    def tell(self, to: PeerId, message: Any) -> None:
+        """Send a message without waiting; it may be lost."""
+        if not self._send(Kind.TELL, to, 0, message):
+            self.counts["not_linked"] += 1
+
+    def tell_all(self, message: Any) -> None:
+        """Send a message to every peer heard from lately."""
+        for peer in self.peers():
+            self.tell(peer, message)
+
+    async def ask(
+        self, to: PeerId, message: Any, reply_type: type[M], *, timeout: float
+    ) -> M:
+        """Send a message and wait for the handler's answer.
+
+        Raises:
+            PeerTimeout: No answer came in time; the message may have arrived.
+            PeerUnknown: The peer is not linked.
+        """
+        self._last_ask += 1
+        ask_id = self._last_ask
+        fut: asyncio.Future[msgspec.Raw] = asyncio.get_running_loop().create_future()
+        self._asks[ask_id] = fut
+        try:
+            if not self._send(Kind.ASK, to, ask_id, message):
+                raise PeerUnknown(f"no link to {to.name}")
+            body = await asyncio.wait_for(fut, timeout)
+            return msgspec.msgpack.decode(body, type=reply_type)
+        except TimeoutError as exc:
+            raise PeerTimeout(f"{to.name} did not answer in {timeout:g} s") from exc
+        except msgspec.DecodeError as exc:
+            raise PeerTimeout(f"{to.name} answered with something else") from exc
+        finally:
+            del self._asks[ask_id]
+
+    def traffic(self) -> dict[str, LinkTraffic]:
+        """Return what went over each link, by the peer's address."""
+        addresses = set(self._links) | {p.address for p in self._peers.values()}
+        return {address: self._traffic_of(address) for address in sorted(addresses)}
+
+    async def run(self) -> None:
+        """Listen, send heartbeats and handle messages until cancelled.
+
+        Raises:
+            PeerError: The port cannot be listened on.
+        """
+        with ExitStack() as stack:
+            context = zmq.asyncio.Context()
+            stack.callback(context.destroy, linger=0)
+            auth = stack.enter_context(FleetAuthenticator(context, self._keys.public))
+            router = self._open_router(context)
+            stack.callback(router.close, linger=0)
+            self._context = context
+            stack.callback(self._close_all)
+            self._open_links()
+            self._ready.set()
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._receive(router, auth))
+                tasks.create_task(self._beat())
+
+    def _open_router(self, context: zmq.asyncio.Context) -> zmq.asyncio.Socket:
+        router = context.socket(zmq.ROUTER)
+        router.linger = 0
+        router.maxmsgsize = self.MAX_MESSAGE_BYTES
+        router.tcp_keepalive = 1
+        router.curve_server = 1
+        router.curve_publickey = self._keys.public.encode("ascii")
+        router.curve_secretkey = self._keys.secret.encode("ascii")
+        router.zap_domain = ZAP_DOMAIN.encode("ascii")
+        try:
+            router.bind(f"tcp://{self._host}:{self._port or '*'}")
+        except zmq.ZMQError as exc:
+            router.close(linger=0)
+            raise PeerError(f"cannot listen on {self.address}: {exc}") from exc
+        endpoint = router.last_endpoint.rstrip(b"\0").decode("ascii")
+        self._port = int(endpoint.rpartition(":")[2])
+        return router
+
+    def _close_all(self) -> None:
+        self._context = None
+        self._ready.clear()
+        for peer in self._peers.values():
+            peer.close()
+        for link in self._links.values():
+            link.close()
+        self._peers.clear()
+        self._links.clear()
+
+    def _open_links(self) -> None:
+        wanted = {f"{t.address}:{t.peer_port}" for t in self._targets}
+        wanted |= {peer.address for peer in self._peers.values()}
+        wanted.discard(self.address)
+        for address in wanted - set(self._links):
+            self._open_link(address)
+        for address in set(self._links) - wanted:
+            self._links.pop(address).close()
+
+    def _open_link(self, address: str) -> None:
+        if self._context is not None:
+            self._links[address] = Link(self._context, address, self._keys)
+
+    async def _beat(self) -> None:
+        while True:
+            self._send_beats()
+            self._forget_silent()
+            await self._clock.sleep(self._heartbeat_seconds)
+
+    def _send_beats(self) -> None:
+        self._sequence += 1
+        topics = {name: self._provide(topic) for name, topic in self._topics.items()}
+        self._sent.append(_Sent(self._sequence, self._clock.monotonic()))
+        fresh = self.heard(self.HEARD_SECONDS)
+        unheard = set(self._links)
+        for peer_id in fresh:
+            peer = self._peers[peer_id]
+            unheard.discard(peer.address)
+            self._send_beat(peer.address, peer_id.incarnation, peer.sequence, topics)
+        for address in unheard:
+            self._send_beat(address, "", 0, topics)
+
+    def _provide(self, topic: _Topic) -> msgspec.Raw:
+        return msgspec.Raw(self._encoder.encode(topic.provide()))
+
+    def _send_beat(
+        self, address: str, to: str, echo: int, topics: dict[str, msgspec.Raw]
+    ) -> None:
+        link = self._links.get(address)
+        if link is not None:
+            beat = Beat(self._sequence, echo, topics)
+            link.send(self._envelope(Kind.BEAT, to, 0, "", beat))
+
+    def _forget_silent(self) -> None:
+        since = self._clock.monotonic() - self.FORGET_SECONDS
+        silent = [p for p in self._peers.values() if p.heard_at < since]
+        for peer in silent:
+            events.PEER_SILENT.log(peer=peer.peer_id.name, address=peer.address)
+            self._peers.pop(peer.peer_id).close()
+        if silent:
+            self._open_links()
+
+    def _envelope(
+        self, kind: Kind, to: str, ask_id: int, name: str, content: Any
+    ) -> bytes:
+        body = msgspec.Raw(self._encoder.encode(content))
+        envelope = Envelope(kind, self._me, self.address, to, ask_id, name, body)
+        return self._encoder.encode(envelope)
+
+    def _send(self, kind: Kind, to: PeerId, ask_id: int, message: Any) -> bool:
+        peer = self._peers.get(to)
+        link = self._links.get(peer.address) if peer else None
+        if link is None:
+            return False
+        name = "" if kind is Kind.REPLY else type(message).__name__
+        link.send(self._envelope(kind, to.incarnation, ask_id, name, message))
+        return True
+
+    async def _receive(
+        self, router: zmq.asyncio.Socket, auth: FleetAuthenticator
+    ) -> None:
+        while True:
+            frames = await router.recv_multipart()
+            self.refused = auth.refused
+            self._take(frames[-1])
+
+    def _take(self, payload: bytes) -> None:
+        try:
+            envelope = self._envelopes.decode(payload)
+            self._take_envelope(envelope, len(payload))
+        except msgspec.DecodeError as exc:
+            self.counts["malformed"] += 1
+            events.MESSAGE_MALFORMED.log(reason=str(exc))
+
+    def _take_envelope(self, envelope: Envelope, size: int) -> None:
+        # Heartbeats are for whoever listens here: a restarted instance must meet the
+        # peers that still address its predecessor.
+        if envelope.kind is not Kind.BEAT and envelope.to != self._me.incarnation:
+            self.counts["other_incarnation"] += 1
+            return
+        peer = self._peers.get(envelope.sender)
+        if peer is None:
+            if envelope.kind is not Kind.BEAT:
+                self.counts["not_heard"] += 1
+                return
+            peer = self._meet(envelope)
+        peer.received_bytes += size
+        peer.received_messages += 1
+        if envelope.kind is Kind.BEAT:
+            self._take_beat(peer, envelope)
+        elif envelope.kind is Kind.TELL:
+            peer.take_message(envelope)
+        elif envelope.kind is Kind.ASK:
+            peer.take_ask(envelope)
+        else:
+            self._take_reply(envelope)
+
+    def _meet(self, envelope: Envelope) -> Peer:
+        peer = Peer(envelope.sender, envelope.address, self._dispatch)
+        self._peers[envelope.sender] = peer
+        if envelope.address not in self._links and envelope.address != self.address:
+            self._open_link(envelope.address)
+        events.PEER_HEARD.log(
+            peer=envelope.sender.name,
+            incarnation=envelope.sender.incarnation,
+            address=envelope.address,
+        )
+        return peer
+
+    def _take_beat(self, peer: Peer, envelope: Envelope) -> None:
+        beat = self._beats.decode(envelope.body)
+        if envelope.to == self._me.incarnation:
+            peer.echoed_at = max(peer.echoed_at, self._sent_at(beat.echo))
+        if beat.sequence <= peer.sequence:
+            self.counts["old_heartbeat"] += 1
+            return
+        peer.sequence = beat.sequence
+        peer.heard_at = self._clock.monotonic()
+        for name, raw in beat.topics.items():
+            topic = self._topics.get(name)
+            if topic is not None:
+                topic.accept(peer.peer_id, topic.decoder.decode(raw))
+
+    def _sent_at(self, sequence: int) -> float:
+        if not self._sent or sequence < self._sent[0].sequence:
+            return float("-inf")
+        index = sequence - self._sent[0].sequence
+        return self._sent[index].at if index < len(self._sent) else float("-inf")
+
+    def _take_reply(self, envelope: Envelope) -> None:
+        fut = self._asks.get(envelope.ask_id)
+        if fut is None or fut.done():
+            self.counts["late_reply"] += 1
+            return
+        fut.set_result(msgspec.Raw(bytes(envelope.body)))
+
+    async def _dispatch(self, envelope: Envelope) -> None:
+        known = self._handlers.get(envelope.name)
+        if known is None:
+            self.counts["no_handler"] += 1
+            return
+        decoder, handler = known
+        try:
+            answer = await handler(envelope.sender, decoder.decode(envelope.body))
+        except (GuavaError, msgspec.DecodeError) as exc:
+            events.HANDLER_FAILED.log(
+                peer=envelope.sender.name,
+                message=envelope.name,
+                error=type(exc).__name__,
+            )
+            return
+        if envelope.kind is Kind.ASK:
+            self._send(Kind.REPLY, envelope.sender, envelope.ask_id, answer)
+
+    def _traffic_of(self, address: str) -> LinkTraffic:
+        link = self._links.get(address)
+        peers = [p for p in self._peers.values() if p.address == address]
+        return LinkTraffic(
+            link.sent_bytes if link else 0,
+            link.sent_messages if link else 0,
+            sum(p.received_bytes for p in peers),
+            sum(p.received_messages for p in peers),
+            (link.dropped if link else 0) + sum(p.dropped for p in peers),
+        )
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/peers/_targets.py
@@ -0,0 +1,57 @@
+"""Which instances an instance links to."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from guavajunction.platform import InstanceRecord
+
+
+class TargetStrategy(Protocol):
+    """Chooses the links of an instance; the choice must be symmetric.
+
+    If `a` chooses `b` from a set of records, `b` must choose `a` from the same set:
+    two instances are mutually heard only over a link in each direction.
+    """
+
+    def choose(self, me: str, records: list[InstanceRecord]) -> list[InstanceRecord]:
+        """Return the instances to link to.
+
+        Args:
+            me: Name of the choosing instance.
+            records: Every known instance, perhaps including the choosing one.
+        """
+        ...
+
+
+class FullMesh:
+    """Links to every other instance."""
+
+    def choose(self, me: str, records: list[InstanceRecord]) -> list[InstanceRecord]:
+        """Return every record but those of the instance itself."""
+        return [record for record in records if record.name != me]
+
+
+class RingSubset:
+    """Links to the instances at distances 1, 2, 4, ... on a ring sorted by name.
+
+    Any two instances are then at most about log2(n) / 2 links apart, and the number
+    of links grows with the logarithm of the fleet.
+    """
+
+    def choose(self, me: str, records: list[InstanceRecord]) -> list[InstanceRecord]:
+        """Return the neighbours at power-of-two distances in both directions.
+
+        >>> from guavajunction.platform import InstanceRecord
+        >>> fleet = [InstanceRecord(f"e{i}", "a", "", 0, 0, "live") for i in range(9)]
+        >>> [record.name for record in RingSubset().choose("e0", fleet)]
+        ['e1', 'e2', 'e4', 'e5', 'e7', 'e8']
+        """
+        ring = sorted({record.name for record in records} | {me})
+        at, size = ring.index(me), len(ring)
+        chosen: set[str] = set()
+        distance = 1
+        while distance <= size // 2:
+            chosen |= {ring[(at + distance) % size], ring[(at - distance) % size]}
+            distance *= 2
+        return [record for record in records if record.name in chosen - {me}]
--- /dev/null
+++ b/tests/peers/test_mesh.py
@@ -0,0 +1,271 @@
+"""Links between instances over real sockets on the loopback interface."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, suppress
+from typing import NamedTuple
+
+import pytest
+import zmq
+import zmq.asyncio
+
+from guavajunction.clock import SystemClock
+from guavajunction.errors import PeerError, PeerTimeout, PeerUnknown
+from guavajunction.peers import FleetKeys, PeerId, PeerMesh, RingSubset
+from guavajunction.platform import InstanceRecord
+
+BEAT = 0.02
+
+
+class Note(NamedTuple):
+    """A message of the tests."""
+
+    text: str
+
+
+def curve_keys() -> FleetKeys:
+    public, secret = zmq.curve_keypair()
+    return FleetKeys(public.decode(), secret.decode())
+
+
+def record(mesh: PeerMesh) -> InstanceRecord:
+    host, _, port = mesh.address.rpartition(":")
+    return InstanceRecord(mesh.me.name, "dc", host, 0, int(port), "live")
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(5):
+        while not condition():  # noqa: ASYNC110 - no event to wait for
+            await asyncio.sleep(0.005)
+
+
+class Fleet:
+    """Starts and stops meshes that share a key."""
+
+    def __init__(self, stack: AsyncExitStack) -> None:
+        self._stack = stack
+        self.keys = curve_keys()
+
+    async def start(
+        self, name: str, incarnation: str = "1", port: int = 0, keys: object = None
+    ) -> PeerMesh:
+        me = PeerId(name, incarnation)
+        mesh = PeerMesh(
+            me,
+            "127.0.0.1",
+            port,
+            keys if isinstance(keys, FleetKeys) else self.keys,
+            SystemClock(),
+            heartbeat_seconds=BEAT,
+        )
+        task = asyncio.create_task(mesh.run())
+        self._stack.push_async_callback(self.stop, task)
+        mesh.stop = lambda: self.stop(task)
+        await mesh.ready()
+        return mesh
+
+    async def stop(self, task: asyncio.Task[None]) -> None:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def pair(self) -> tuple[PeerMesh, PeerMesh]:
+        a, b = await self.start("a"), await self.start("b")
+        a.set_targets([record(a), record(b)])
+        await until(lambda: bool(a.mutual(1) and b.mutual(1)))
+        return a, b
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    async with AsyncExitStack() as stack:
+        yield Fleet(stack)
+
+
+class TestHeartbeats:
+    """Who hears whom, and what heartbeats carry."""
+
+    async def test_one_side_knowing_the_other_is_enough(self, fleet: Fleet) -> None:
+        a, b = await fleet.pair()
+        assert a.peers() == [b.me]
+        assert b.peers() == [a.me]
+        traffic = a.traffic()[b.address]
+        assert traffic.sent_bytes > 0
+        assert traffic.received_messages > 0
+
+    async def test_shared_values_arrive_and_echo_bounds_their_age(
+        self, fleet: Fleet
+    ) -> None:
+        a, b = await fleet.start("a"), await fleet.start("b")
+        seen: list[tuple[PeerId, float]] = []
+        clock = SystemClock()
+        a.share("now", clock.monotonic, lambda *_: None, float)
+        b.share("now", lambda: 0.0, lambda p, v: seen.append((p, v)), float)
+        a.set_targets([record(b)])
+        await until(lambda: b.echoed_at(a.me) is not None)
+        sender, sent = seen[-1]
+        assert sender == a.me
+        assert b.echoed_at(a.me) <= sent + BEAT
+
+    async def test_peer_that_does_not_hear_us_is_heard_but_not_mutual(
+        self, fleet: Fleet
+    ) -> None:
+        a, b = await fleet.pair()
+        b._take_beat = lambda *_: None
+        await until(lambda: not a.mutual(0.2))
+        assert a.heard(0.2) == {b.me}
+
+    async def test_dead_peer_is_neither_heard_nor_mutual(self, fleet: Fleet) -> None:
+        a, b = await fleet.pair()
+        await b.stop()
+        await until(lambda: not a.mutual(0.2) and not a.heard(0.2))
+
+
+class TestMessages:
+    """Tells and asks between two incarnations."""
+
+    async def test_ask_is_answered_by_its_own_reply(self, fleet: Fleet) -> None:
+        a, b = await fleet.pair()
+
+        async def answer(sender: PeerId, note: Note) -> Note:
+            await asyncio.sleep(0.05 if note.text == "slow" else 0)
+            return Note(f"{sender.name}:{note.text}")
+
+        b.handle(Note, answer)
+        slow = a.ask(b.me, Note("slow"), Note, timeout=2)
+        quick = a.ask(b.me, Note("quick"), Note, timeout=2)
+        assert await asyncio.gather(slow, quick) == [Note("a:slow"), Note("a:quick")]
+
+    async def test_tells_of_one_peer_are_handled_in_order(self, fleet: Fleet) -> None:
+        a, b = await fleet.pair()
+        seen: list[str] = []
+
+        async def note_down(_: PeerId, note: Note) -> None:
+            await asyncio.sleep(0.001 if note.text == "0" else 0)
+            seen.append(note.text)
+
+        b.handle(Note, note_down)
+        for number in range(20):
+            a.tell(b.me, Note(str(number)))
+        await until(lambda: len(seen) == 20)
+        assert seen == [str(number) for number in range(20)]
+
+    async def test_missing_handler_times_out_and_unknown_peer_is_told_apart(
+        self, fleet: Fleet
+    ) -> None:
+        a, b = await fleet.pair()
+        with pytest.raises(PeerTimeout):
+            await a.ask(b.me, Note("x"), Note, timeout=0.05)
+        with pytest.raises(PeerUnknown):
+            await a.ask(PeerId("b", "other"), Note("x"), Note, timeout=0.05)
+        assert b.counts["no_handler"] == 1
+
+    async def test_another_incarnation_never_gets_the_message(
+        self, fleet: Fleet
+    ) -> None:
+        a, old = await fleet.pair()
+        port = int(old.address.rpartition(":")[2])
+        await old.stop()
+        new = await fleet.start("b", "2", port=port)
+        seen: list[Note] = []
+
+        async def note_down(_: PeerId, note: Note) -> None:
+            seen.append(note)
+
+        new.handle(Note, note_down)
+        await until(lambda: new.me in a.mutual(1))
+        a.tell(old.me, Note("for the old one"))
+        await until(lambda: new.counts["other_incarnation"] > 0)
+        a.tell(new.me, Note("for the new one"))
+        await until(lambda: bool(seen))
+        assert seen == [Note("for the new one")]
+
+    async def test_send_to_a_dead_peer_drops_and_does_not_wait(
+        self, fleet: Fleet
+    ) -> None:
+        a, b = await fleet.pair()
+        await b.stop()
+        for _ in range(3000):
+            a.tell(b.me, Note("x" * 1000))
+        assert a.traffic()[b.address].dropped > 0
+
+
+class TestAuthentication:
+    """Only holders of the fleet's key get through."""
+
+    async def test_own_key_against_the_fleets_public_key_is_refused(
+        self, fleet: Fleet
+    ) -> None:
+        a = await fleet.start("a")
+        own = curve_keys()
+        stranger = _dealer(a.address, fleet.keys.public, own)
+        try:
+            await self._flood(stranger, a)
+            assert a.peers() == []
+            assert a.counts == {}
+        finally:
+            stranger.close(linger=0)
+            stranger.context.destroy(linger=0)
+
+    async def test_same_flood_with_the_fleets_key_gets_through(
+        self, fleet: Fleet
+    ) -> None:
+        a = await fleet.start("a")
+        member = _dealer(a.address, fleet.keys.public, fleet.keys)
+        try:
+            await self._flood(member, a)
+            await until(lambda: a.counts["malformed"] > 0)
+        finally:
+            member.close(linger=0)
+            member.context.destroy(linger=0)
+
+    async def test_plain_connection_is_refused(self, fleet: Fleet) -> None:
+        a = await fleet.start("a")
+        stranger = _dealer(a.address, None, None)
+        try:
+            await self._flood(stranger, a)
+            assert a.counts == {}
+        finally:
+            stranger.close(linger=0)
+            stranger.context.destroy(linger=0)
+
+    async def test_port_in_use_is_a_typed_error(self, fleet: Fleet) -> None:
+        a = await fleet.start("a")
+        port = int(a.address.rpartition(":")[2])
+        mesh = PeerMesh(PeerId("b", "1"), "127.0.0.1", port, fleet.keys, SystemClock())
+        with pytest.raises(PeerError):
+            await mesh.run()
+
+    async def _flood(self, sock: zmq.Socket, mesh: PeerMesh) -> None:
+        for _ in range(10):
+            with suppress(zmq.Again):
+                sock.send(b"not an envelope", zmq.NOBLOCK)
+            await asyncio.sleep(0.02)
+
+
+def _dealer(address: str, server: str | None, keys: FleetKeys | None) -> zmq.Socket:
+    sock = zmq.Context().socket(zmq.DEALER)
+    if server is not None and keys is not None:
+        sock.curve_serverkey = server.encode()
+        sock.curve_publickey = keys.public.encode()
+        sock.curve_secretkey = keys.secret.encode()
+    sock.connect(f"tcp://{address}")
+    return sock
+
+
+class TestRingSubset:
+    """Links of large fleets."""
+
+    @pytest.mark.parametrize("size", [1, 2, 3, 8, 390])
+    def test_choice_is_symmetric_and_small(self, size: int) -> None:
+        fleet = [
+            InstanceRecord(f"e{i:03}", "dc", "", 0, i, "live") for i in range(size)
+        ]
+        chosen = {
+            r.name: {t.name for t in RingSubset().choose(r.name, fleet)} for r in fleet
+        }
+        for name, targets in chosen.items():
+            assert name not in targets
+            assert len(targets) <= 2 * size.bit_length()
+            assert all(name in chosen[target] for target in targets)
