Add the fleet launcher with its profiles

Cause: benches and fault tests need a whole fleet of processes with distinct ports, settings, secrets and a document, which end reliably. Process groups alone were ruled out: they survive a SIGKILL of the launcher; children now ask the kernel for a signal at their parent's end (with that line off, the test of a killed launcher fails).

Before: 45 passed. After: tests/fakes and doctests pass, 17 of them new. Not run: a fleet up to a serving daemon, which does not exist yet.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/__init__.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from ._faults import FaultBoard, Faults, FaultsInvalid
+from ._errors import FakesError, FaultsInvalid
+from ._faults import FaultBoard, Faults
 from ._instances import FakeInstances
 from ._objects import FakeObjects
 from ._run_log import Run, RunLog
@@ -26,6 +27,7 @@
     "FakeService",
     "FakeTable",
     "FakeWeights",
+    "FakesError",
     "FaultBoard",
     "Faults",
     "FaultsInvalid",
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/_faults.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/_faults.py
@@ -9,6 +9,8 @@
 import msgspec
 from aiohttp import web
 
+from ._errors import FaultsInvalid
+
 Outage = Literal["refuse", "drop", "error", "hang"]
 
 
@@ -40,6 +42,8 @@
     """Events that a cut stream still sends."""
     cross_answers: int = 0
     """Answers of an engine that carry another request's id and text."""
+    cross_events: int = 0
+    """Streams that carry an event of another request among their own."""
     lose_orders: int = 0
     """Orders that are acknowledged and never applied."""
     delay_orders: int = 0
@@ -57,10 +61,6 @@
 """No fault."""
 
 
-class FaultsInvalid(ValueError):
-    """A request for faults names an unknown fault or a wrong value."""
-
-
 class FaultBoard:
     """The faults that one stand-in shows now."""
 
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/_run_log.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/_run_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import Counter
 from typing import Any, NamedTuple
 
@@ -32,21 +33,23 @@
         }
     )
 
+    KEY_PATTERN = re.compile(r"gj_[0-9a-f]{6,}")
+    """Matches customers' keys."""
+
     def __init__(self) -> None:
         self.runs: list[Run] = []
         """Every run, in order."""
         self.secrets_seen: Counter[str] = Counter()
         """Headers with a caller's credentials that arrived, by lower-case name."""
         self.watched: set[str] = set()
-        """Keys that must not appear anywhere in a request's head."""
+        """Further secrets that must not appear anywhere in a request's head."""
 
     def inspect(self, req: web.Request) -> None:
         """Look for credentials in the head of a request."""
         for name, value in req.headers.items():
-            is_secret = any(key in value for key in self.watched)
-            if is_secret or name.lower() in self.SECRET_HEADERS:
+            if name.lower() in self.SECRET_HEADERS or self._holds_secret(value):
                 self.secrets_seen[name.lower()] += 1
-        if any(key in req.raw_path for key in self.watched):
+        if self._holds_secret(req.raw_path):
             self.secrets_seen["path"] += 1
 
     def add(self, req: web.Request, operation: str) -> None:
@@ -67,6 +70,11 @@
         """Return how many runs were repeats of an earlier one."""
         return sum(count - 1 for count in self.runs_by_key().values())
 
+    def _holds_secret(self, text: str) -> bool:
+        if self.KEY_PATTERN.search(text):
+            return True
+        return any(secret in text for secret in self.watched)
+
     def stats(self) -> dict[str, Any]:
         """Return figures for `GET /stats`."""
         return {
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/_serving.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/_serving.py
@@ -8,32 +8,52 @@
 from collections.abc import Sequence
 
 import uvloop
+from absl import flags
 
 from ._server import FakeServer
 
 
-def serve_until_stopped(servers: Sequence[tuple[FakeServer, int]]) -> None:
+def define_port(values: flags.FlagValues) -> None:
+    """Declare the flag of the first TCP port."""
+    flags.DEFINE_integer(
+        "port", 0, "first TCP port, 0 for any free ones", flag_values=values
+    )
+
+
+def serve_until_stopped(servers: Sequence[FakeServer], port: int) -> int:
     """Serve until SIGTERM or SIGINT.
 
     Args:
-        servers: Stand-ins with the TCP port of each.
-    """
-    uvloop.run(_serve(servers))
+        servers: Stand-ins, on consecutive ports.
+        port: TCP port of the first, 0 for any.
 
+    Returns:
+        Exit status 0.
+    """
+    uvloop.run(_serve(servers, port))
+    return 0
 
-async def _serve(servers: Sequence[tuple[FakeServer, int]]) -> None:
-    stopped = stop_event()
-    async with contextlib.AsyncExitStack() as stack:
-        for server, port in servers:
-            url = await stack.enter_async_context(server.serve(port))
-            print(f"{type(server).__name__} {url}", flush=True)
-        await stopped.wait()
 
+def stop_event(*, after: float = 0.0) -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set.
 
-def stop_event() -> asyncio.Event:
-    """Return an event that SIGTERM and SIGINT set."""
+    Args:
+        after: Seconds after which it is set anyway, 0 for never.
+    """
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
+    if after:
+        loop.call_later(after, stopped.set)
     return stopped
+
+
+async def _serve(servers: Sequence[FakeServer], port: int) -> None:
+    stopped = stop_event()
+    async with contextlib.AsyncExitStack() as stack:
+        for index, server in enumerate(servers):
+            own_port = port + index if port else 0
+            url = await stack.enter_async_context(server.serve(own_port))
+            print(f"{type(server).__name__} {url}", flush=True)
+        await stopped.wait()
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/_table.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/_table.py
@@ -8,20 +8,12 @@
 
 from aiohttp import web
 
+from ._errors import TableError
 from ._server import FakeServer
 
 Item = dict[str, dict[str, str]]
 
 
-class TableError(Exception):
-    """An operation is refused with one of the service's error types."""
-
-    def __init__(self, name: str, message: str) -> None:
-        super().__init__(message)
-        self.name = name
-        """Type name on the wire."""
-
-
 class FakeTable(FakeServer):
     """One table in memory with consistent reads and conditional writes."""
 
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/engines.py
@@ -0,0 +1,40 @@
+"""Runs model engines in one process, on consecutive ports."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from absl import flags
+
+from .._serving import define_port, serve_until_stopped
+from ..engine import EngineConfig, FakeEngine, Resident
+
+
+def define(values: flags.FlagValues) -> None:
+    """Declare the flags."""
+    define_port(values)
+    flags.DEFINE_integer("count", 1, "engines", flag_values=values)
+    flags.DEFINE_string(
+        "config", "", "JSON file: a list of engine settings", flag_values=values
+    )
+
+
+def run(values: flags.FlagValues) -> int:
+    """Serve until stopped."""
+    configs = _read(Path(values.config)) if values.config else _defaults(values.count)
+    return serve_until_stopped([FakeEngine(cfg) for cfg in configs], values.port)
+
+
+def _defaults(count: int) -> list[EngineConfig]:
+    return [EngineConfig(name=f"engine-{number + 1}") for number in range(count)]
+
+
+def _read(path: Path) -> list[EngineConfig]:
+    return [_config(entry) for entry in json.loads(path.read_text())]
+
+
+def _config(entry: dict[str, Any]) -> EngineConfig:
+    residents = tuple(Resident(*resident) for resident in entry.get("residents", ()))
+    return EngineConfig(**{**entry, "residents": residents})
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/fleet.py
@@ -0,0 +1,49 @@
+"""Runs a whole fleet on this machine until it is stopped."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import uvloop
+from absl import flags
+
+from .._errors import FakesError
+from .._serving import stop_event
+from ..fleet import PROFILES, Fleet, profile_named
+
+EXIT_FAILED = 1
+
+
+def define(values: flags.FlagValues) -> None:
+    """Declare the flags."""
+    names = sorted(PROFILES)
+    flags.DEFINE_enum("profile", "demo", names, "what to run", flag_values=values)
+    flags.DEFINE_string("var", "var/fleet", "folder to write", flag_values=values)
+    flags.DEFINE_integer(
+        "entries", 0, "entry instances, 0 for the profile's", flag_values=values
+    )
+    flags.DEFINE_float(
+        "seconds", 0.0, "how long to run, 0 until stopped", flag_values=values
+    )
+
+
+def run(values: flags.FlagValues) -> int:
+    """Run the fleet."""
+    try:
+        uvloop.run(_run(values))
+    except FakesError as exc:
+        print(f"{type(exc).__name__}: {exc}", file=sys.stderr)
+        return EXIT_FAILED
+    return 0
+
+
+async def _run(values: flags.FlagValues) -> None:
+    stopped = stop_event(after=values.seconds)
+    fleet = Fleet(
+        profile_named(values.profile), Path(values.var), entries=values.entries
+    )
+    async with fleet:
+        print(f"instances: {' '.join(fleet.urls)}", flush=True)
+        print(f"roster: {fleet.var / 'fleet.json'}", flush=True)
+        await stopped.wait()
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/objects.py
@@ -0,0 +1,18 @@
+"""Runs the object store."""
+
+from __future__ import annotations
+
+from absl import flags
+
+from .._objects import FakeObjects
+from .._serving import define_port, serve_until_stopped
+
+
+def define(values: flags.FlagValues) -> None:
+    """Declare the flags."""
+    define_port(values)
+
+
+def run(values: flags.FlagValues) -> int:
+    """Serve until stopped."""
+    return serve_until_stopped([FakeObjects()], values.port)
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/service.py
@@ -0,0 +1,25 @@
+"""Runs servers of a plain service on consecutive ports."""
+
+from __future__ import annotations
+
+from absl import flags
+
+from .._service import FakeService
+from .._serving import define_port, serve_until_stopped
+
+
+def define(values: flags.FlagValues) -> None:
+    """Declare the flags."""
+    define_port(values)
+    flags.DEFINE_integer("count", 1, "servers", flag_values=values)
+    flags.DEFINE_float("latency", 0.02, "seconds of a call", flag_values=values)
+    flags.DEFINE_integer("slots", 32, "calls at once", flag_values=values)
+
+
+def run(values: flags.FlagValues) -> int:
+    """Serve until stopped."""
+    fakes = [
+        FakeService(name=f"service-{i + 1}", latency=values.latency, slots=values.slots)
+        for i in range(values.count)
+    ]
+    return serve_until_stopped(fakes, values.port)
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/weights.py
@@ -0,0 +1,23 @@
+"""Runs the weight store; each limit is a flag."""
+
+from __future__ import annotations
+
+from absl import flags
+
+from .._serving import define_port, serve_until_stopped
+from .._weights import FakeWeights, WeightStoreConfig
+
+
+def define(values: flags.FlagValues) -> None:
+    """Declare the flags."""
+    define_port(values)
+    for name, default in WeightStoreConfig()._asdict().items():
+        is_count = isinstance(default, int)
+        declare = flags.DEFINE_integer if is_count else flags.DEFINE_float
+        declare(name, default, name.replace("_", " "), flag_values=values)
+
+
+def run(values: flags.FlagValues) -> int:
+    """Serve until stopped."""
+    limits = {name: values[name].value for name in WeightStoreConfig._fields}
+    return serve_until_stopped([FakeWeights(WeightStoreConfig(**limits))], values.port)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_engine.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_engine.py
@@ -146,7 +146,7 @@
         request_id = req.headers.get("X-Request-Id") or uuid.uuid4().hex
         bound = body.get("max_completion_tokens") or body.get("max_tokens")
         if self.faults.take("cross_answers"):
-            prompt, request_id = f"crossed {prompt}", f"crossed-{request_id}"
+            prompt, request_id = f"crossed {prompt}", uuid.uuid4().hex
         job = Job(
             request_id,
             artifact,
@@ -227,6 +227,9 @@
         chunks = _Chunks(req.path, job)
         event = first
         while (token := await job.out.get()) is not None:
+            if event == first + 1 and self.faults.take("cross_events"):
+                foreign = chunks.of_another_request(token)
+                await stream.send(event, foreign)
             await stream.send(event, chunks.token(token))
             event += 1
         if job.cancelled:
@@ -346,6 +349,11 @@
         """Return the chunk of one token."""
         return json.dumps(self._chunk(self._choice(text, None)))
 
+    def of_another_request(self, text: str) -> str:
+        """Return a chunk that does not belong to this answer."""
+        chunk = self._chunk(self._choice(f" crossed{text}", None))
+        return json.dumps({**chunk, "id": f"chatcmpl-{uuid.uuid4().hex}"})
+
     def end(self) -> str:
         """Return the chunk that names the reason of the end."""
         chunk = self._chunk(self._choice("", "stop"))
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_process.py
@@ -0,0 +1,115 @@
+"""One operating-system process of a fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import signal
+import subprocess
+from collections.abc import Sequence
+from pathlib import Path
+
+from .._errors import ProcessEnded
+
+_PR_SET_PDEATHSIG = 1
+_LIBC = ctypes.CDLL(None)
+
+
+def _die_with_parent() -> None:
+    _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class FleetProcess:
+    """Starts, signals and reaps a child; the kernel ends it with the launcher."""
+
+    TAIL_BYTES = 2000
+
+    def __init__(self, name: str, argv: Sequence[str], log_path: Path) -> None:
+        self.name = name
+        """Name of the process in the fleet."""
+        self.log_path = log_path
+        """Where its output goes, over all its runs."""
+        self._argv = list(argv)
+        self._child: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id of the latest run, 0 before the first."""
+        return self._child.pid if self._child is not None else 0
+
+    @property
+    def running(self) -> bool:
+        """Whether it has been started and has not ended."""
+        return self._child is not None and self._child.poll() is None
+
+    @property
+    def exit_status(self) -> int | None:
+        """Exit status of the latest run, None while it runs."""
+        return self._child.poll() if self._child is not None else None
+
+    def start(self) -> None:
+        """Start it unless it runs already."""
+        if self.running:
+            return
+        with self.log_path.open("ab") as log:
+            self._child = subprocess.Popen(
+                self._argv,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                preexec_fn=_die_with_parent,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal; nothing happens if it has ended."""
+        if self.running and self._child is not None:
+            self._child.send_signal(number)
+
+    def freeze(self) -> None:
+        """Pause it with SIGSTOP."""
+        self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let it go on after `freeze`."""
+        self.signal(signal.SIGCONT)
+
+    async def kill(self) -> None:
+        """End it at once with SIGKILL."""
+        self.signal(signal.SIGKILL)
+        await self._ended(within=5.0)
+
+    async def stop(self, *, within: float) -> int:
+        """End it by SIGTERM, and by SIGKILL if it does not end in time.
+
+        Args:
+            within: Seconds that it may take.
+
+        Returns:
+            Its exit status; -9 when it had to be killed.
+        """
+        self.resume()
+        self.signal(signal.SIGTERM)
+        if not await self._ended(within):
+            await self.kill()
+        status = self.exit_status
+        return 0 if status is None else status
+
+    def check(self) -> None:
+        """Raise `ProcessEnded` with the end of its output if it has ended."""
+        if not self.running:
+            raise ProcessEnded(
+                f"{self.name} ended with status {self.exit_status}:\n{self.tail()}"
+            )
+
+    def tail(self) -> str:
+        """Return the end of its output."""
+        return self.log_path.read_bytes()[-self.TAIL_BYTES :].decode(errors="replace")
+
+    async def _ended(self, within: float) -> bool:
+        if self._child is None:
+            return True
+        try:
+            await asyncio.to_thread(self._child.wait, within)
+        except subprocess.TimeoutExpired:
+            return False
+        return True
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/main.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/main.py
@@ -6,7 +6,7 @@
 
 from absl import flags
 
-from ._commands import COMMANDS
+from .commands import SUMMARIES, command_named
 
 EXIT_USAGE = 2
 """Exit status for wrong arguments."""
@@ -23,7 +23,7 @@
     """
     argv = sys.argv if argv is None else argv
     name = argv[1] if len(argv) > 1 else ""
-    command = COMMANDS.get(name)
+    command = command_named(name)
     if command is None:
         print(_usage(), file=sys.stderr)
         return EXIT_USAGE
@@ -41,7 +41,7 @@
 
 
 def _usage() -> str:
-    lines = [f"  {name:10} {cmd.summary}" for name, cmd in COMMANDS.items()]
+    lines = [f"  {name:10} {summary}" for name, summary in SUMMARIES.items()]
     return "\n".join(["usage: guavafakes COMMAND [flags]", *lines])
 
 
