Add the daemon: HTTP front, wiring of the aggregates, planned stop

Cause: the aggregates need one process that a request walks through. Change: front with typed refusals, incarnation that joins, serves, drains and hands over, DaemonService on aiomisc. A call that may not be repeated is not cancelled when its caller leaves, since its outcome would then be unknown for no reason. Ruled out: absl's app.run, which exits with status 1 on a wrong flag where 2 is documented; an incarnation that goes on after it was revoked.

--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
@@ -0,0 +1,244 @@
+"""Builds the aggregates of one incarnation and connects them."""
+
+from __future__ import annotations
+
+import random
+import secrets
+from contextlib import AsyncExitStack
+
+import aiohttp
+
+from guavajunction.backends import HttpBackendClient, Inventory, Retirement
+from guavajunction.clock import Clock
+from guavajunction.configuration import (
+    Configuration,
+    ConfigurationEditor,
+    ConfigurationKeeper,
+    ConfigurationStore,
+)
+from guavajunction.customers import KeyRing, RateLimits
+from guavajunction.directory import Directory
+from guavajunction.membership import Lease, Membership
+from guavajunction.metrics import MetricsRegistry
+from guavajunction.once import OnceRegister
+from guavajunction.peers import FleetKeys, PeerId, PeerMesh
+from guavajunction.placement import PlacementService
+from guavajunction.platform import (
+    InstanceListClient,
+    InstanceRecord,
+    ObjectClient,
+    TableClient,
+)
+from guavajunction.routing import (
+    AffinitySelector,
+    ContentionShare,
+    DecisionLog,
+    DemandMeter,
+    Dispatcher,
+    InferenceRouter,
+    LoadBook,
+    RetryBudget,
+    ServiceRouter,
+    single_send_session,
+)
+from guavajunction.settings import Settings
+
+INCARNATION_BYTES = 8
+ENGINE_CONNECTIONS = 2_048
+
+
+class Aggregates:
+    """Everything that one incarnation works with.
+
+    A new incarnation is built from nothing; the settings alone outlive it.
+    """
+
+    def __init__(self, settings: Settings, stack: AsyncExitStack, clock: Clock) -> None:
+        """Build the aggregates; nothing is started.
+
+        Args:
+            settings: The instance's settings.
+            stack: Owns the sessions that are opened.
+            clock: Source of time.
+        """
+        self._settings = settings
+        self._stack = stack
+        self._clock = clock
+        self._rng = random.Random(secrets.randbits(64))
+        self.metrics = MetricsRegistry()
+        self.decisions = DecisionLog()
+        self.draining = False
+        """Whether a planned stop has begun."""
+        self._build_platform()
+        self._build_fleet()
+        self._build_configuration()
+        self._build_customers()
+        self._build_backends()
+        self._build_routing()
+        self._build_directory()
+
+    @property
+    def own_record(self) -> InstanceRecord:
+        """Return this instance as the directory shows it."""
+        own = self._settings.instance
+        return InstanceRecord(
+            own.name, own.data_centre, own.address, own.http_port, own.peer_port, "live"
+        )
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.keeper.current
+
+    def ready(self) -> bool:
+        """Return whether callers may be sent to this instance."""
+        return not self.draining and self.may_serve()
+
+    def may_serve(self) -> bool:
+        """Return whether requests that need a key may run here."""
+        return self.keeper.ready.is_set() and self.membership.standing()
+
+    def _build_platform(self) -> None:
+        cfg = self._settings.platform
+        session = self._session(aiohttp.TCPConnector(limit=0))
+        self.table = TableClient(
+            session, cfg.table_url, cfg.table_name, timeout=cfg.timeout
+        )
+        self.objects = ObjectClient(
+            session, cfg.object_url, cfg.bucket, timeout=cfg.timeout
+        )
+        self.instance_list = InstanceListClient(
+            session, cfg.instances_url, timeout=cfg.timeout
+        )
+
+    def _build_fleet(self) -> None:
+        own = self._settings.instance
+        keys = (key.decode() for key in self._settings.secrets.peer_keys_file)
+        me = PeerId(own.name, secrets.token_hex(INCARNATION_BYTES))
+        self.mesh = PeerMesh(
+            me,
+            own.address,
+            own.peer_port,
+            FleetKeys(*keys),
+            self._clock,
+            heartbeat_seconds=self._settings.timing.heartbeat,
+        )
+        self.membership = Membership(
+            self.table, self.instance_list, self.mesh, self._clock, self._settings
+        )
+
+    def _build_configuration(self) -> None:
+        self.store = ConfigurationStore(self.table, self.objects, self._clock)
+        self.keeper = ConfigurationKeeper(
+            self.store, self.mesh, self.membership, self._clock
+        )
+        self.editor = ConfigurationEditor(self.store, self.keeper, self.membership)
+
+    def _build_customers(self) -> None:
+        pepper = self._settings.secrets.pepper_file
+        self.key_ring = KeyRing(self._current, pepper)
+        self.limits = RateLimits(
+            self._current, self.mesh, self.table, self.membership, self._clock
+        )
+        self.once = OnceRegister(
+            self.table, self.objects, self.mesh.me, self._clock, self.membership
+        )
+
+    def _build_backends(self) -> None:
+        self.book = LoadBook(self._clock)
+        self._backend_client = HttpBackendClient(self._session())
+        self._retirement = Retirement(self.mesh, self.book.in_flight, self._clock)
+        self.inventory = Inventory(
+            self._backend_client,
+            self.mesh,
+            self.membership,
+            self._current,
+            self._retirement,
+            self._clock,
+            poll=self._settings.timing.load_poll,
+        )
+
+    def _build_routing(self) -> None:
+        self.demand = DemandMeter(self._clock)
+        self.dispatcher = Dispatcher(
+            self.inventory,
+            AffinitySelector(self.inventory, self.book, self._rng),
+            self.book,
+            self.demand,
+            self.decisions,
+            self._clock,
+            max_queue=self._settings.serving.max_queue,
+        )
+        self.placement = PlacementService(
+            self.inventory,
+            self._retirement,
+            self._backend_client,
+            self.table,
+            self.mesh,
+            self.membership,
+            self._lease,
+            self._current,
+            self.dispatcher,
+            self._settings.placement,
+            self._clock,
+        )
+        contention = ContentionShare(self.mesh, self._clock, self.dispatcher.activity)
+        self.dispatcher.connect(contention.fraction, self.placement.request_artifact)
+        self._build_routers(RetryBudget(self._rng))
+
+    def _build_routers(self, budget: RetryBudget) -> None:
+        self.inference = InferenceRouter(
+            self._session(aiohttp.TCPConnector(limit=ENGINE_CONNECTIONS)),
+            self.dispatcher,
+            self.inventory,
+            budget,
+            self.decisions,
+            self._current,
+            self._clock,
+        )
+        single_send = single_send_session()
+        self._stack.push_async_callback(single_send.close)
+        self.services = ServiceRouter(
+            single_send,
+            self.inventory,
+            budget,
+            self.decisions,
+            self._clock,
+            self._rng,
+            self._current,
+            timeout=self._settings.serving.service_timeout,
+        )
+
+    def _build_directory(self) -> None:
+        self.directory = Directory(
+            self.mesh,
+            self._clock,
+            self.own_record,
+            self.membership.records,
+            self.ready,
+            lambda: self.book.total + self.dispatcher.waiting,
+        )
+
+    def _session(
+        self, connector: aiohttp.TCPConnector | None = None
+    ) -> aiohttp.ClientSession:
+        """Open a session that keeps no cookies and is closed with the stack."""
+        session = aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        )
+        self._stack.push_async_callback(session.close)
+        return session
+
+    def _current(self) -> Configuration:
+        return self.keeper.current
+
+    def _lease(self, name: str) -> Lease:
+        timing = self._settings.timing
+        return Lease(
+            self.table,
+            name,
+            self.mesh.me,
+            self._clock,
+            duration=timing.lease,
+            drift_margin=timing.drift_margin,
+        )
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_daemon_service.py
@@ -0,0 +1,61 @@
+"""The daemon as a service of aiomisc."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import aiomisc
+
+from guavajunction.errors import GuavaError
+from guavajunction.settings import Settings
+
+from . import _events as events
+from ._incarnation import Ending, Incarnation
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+class DaemonService(aiomisc.Service):
+    """Runs incarnations until a signal asks for a planned stop."""
+
+    STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._stop_asked = asyncio.Event()
+        self._running: asyncio.Task[int] | None = None
+
+    async def start(self) -> None:
+        """Install the signal handlers and start the first incarnation."""
+        loop = asyncio.get_running_loop()
+        for number in self.STOP_SIGNALS:
+            loop.add_signal_handler(number, self._on_stop_signal)
+        self._running = loop.create_task(self._run())
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Wait for the planned stop to end."""
+        self._stop_asked.set()
+        await self.finished()
+
+    async def finished(self) -> int:
+        """Wait for the daemon to end and return its exit status."""
+        assert self._running is not None
+        return await self._running
+
+    async def _run(self) -> int:
+        ending = Ending.REVOKED
+        try:
+            while ending is Ending.REVOKED:
+                ending = await Incarnation(self._settings, self._stop_asked).run()
+        except* (GuavaError, OSError) as group:
+            for exc in group.exceptions:
+                events.FAILED.log(failure=type(exc).__name__, message=str(exc))
+        return EXIT_OK if ending is Ending.STOPPED else EXIT_FAILED
+
+    def _on_stop_signal(self) -> None:
+        if self._stop_asked.is_set():
+            events.SECOND_SIGNAL.log()
+        self._stop_asked.set()
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_incarnation.py
@@ -0,0 +1,166 @@
+"""One run of the daemon, from joining the fleet to leaving it."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from enum import Enum
+
+from aiohttp import web
+
+from guavajunction.clock import Clock, SystemClock
+from guavajunction.configuration import OperatorParts, operator_routes
+from guavajunction.customers import IssuedKey, issue
+from guavajunction.settings import Settings
+
+from . import _events as events
+from ._aggregates import Aggregates
+from .front import Front, FrontParts
+
+
+class Ending(Enum):
+    """Why an incarnation ended."""
+
+    STOPPED = "stopped"
+    """A planned stop."""
+    REVOKED = "revoked"
+    """The fleet revoked it, as after a long pause; a new one may take its place."""
+
+
+class Incarnation:
+    """Starts the aggregates, serves, and stops without cutting a request."""
+
+    def __init__(self, settings: Settings, stop: asyncio.Event) -> None:
+        """Create an incarnation.
+
+        Args:
+            settings: The instance's settings.
+            stop: Set when a planned stop is asked for.
+        """
+        self._settings = settings
+        self._stop = stop
+        self._clock: Clock = SystemClock()
+
+    async def run(self) -> Ending:
+        """Serve until a planned stop or until the fleet has revoked this run.
+
+        Returns:
+            Why it ended.
+        """
+        async with AsyncExitStack() as stack:
+            parts = Aggregates(self._settings, stack, self._clock)
+            tasks = await stack.enter_async_context(asyncio.TaskGroup())
+            running = [
+                tasks.create_task(loop.run())
+                for loop in (
+                    parts.mesh,
+                    parts.membership,
+                    parts.keeper,
+                    parts.limits,
+                    parts.once,
+                    parts.inventory,
+                    parts.placement,
+                )
+            ]
+            running.append(tasks.create_task(self._pump(parts)))
+            parts.keeper.on_change(lambda cfg: tasks.create_task(self._refresh(parts)))
+            try:
+                return await self._serve(parts, stack)
+            finally:
+                for task in running:
+                    task.cancel()
+
+    async def _serve(self, parts: Aggregates, stack: AsyncExitStack) -> Ending:
+        await parts.mesh.ready()
+        runner = web.AppRunner(
+            self._front(parts).app(),
+            handler_cancellation=True,
+            shutdown_timeout=self._settings.timing.drain,
+            access_log=None,
+        )
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        own = self._settings.instance
+        await web.TCPSite(runner, own.address, own.http_port, reuse_port=False).start()
+        events.STARTED.log(
+            instance=own.name,
+            incarnation=parts.mesh.me.incarnation,
+            data_centre=own.data_centre,
+        )
+        ending = await self._wait_for_end(parts)
+        await self._drain(parts, runner, ending)
+        return ending
+
+    async def _wait_for_end(self, parts: Aggregates) -> Ending:
+        waits = {
+            asyncio.ensure_future(self._stop.wait()): Ending.STOPPED,
+            asyncio.ensure_future(parts.membership.lost.wait()): Ending.REVOKED,
+        }
+        try:
+            done, _ = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+        return waits[next(iter(done))]
+
+    async def _drain(
+        self, parts: Aggregates, runner: web.AppRunner, ending: Ending
+    ) -> None:
+        """Leave the directory, finish what runs, and hand over."""
+        events.STOPPING.log(ending=ending.value, in_flight=parts.book.total)
+        parts.draining = True
+        timing = self._settings.timing
+        if ending is Ending.STOPPED:
+            await parts.membership.announce_leaving()
+            await self._clock.sleep(timing.directory_ttl + 2 * timing.heartbeat)
+        await runner.cleanup()
+        if ending is Ending.STOPPED:
+            await parts.limits.hand_over()
+            await parts.placement.release()
+            await parts.membership.leave()
+        events.STOPPED.log(ending=ending.value)
+
+    async def _pump(self, parts: Aggregates) -> None:
+        """Serve waiting requests when a report shows room or a new replica."""
+        while True:
+            await self._clock.sleep(self._settings.timing.load_poll / 2)
+            parts.dispatcher.pump()
+
+    async def _refresh(self, parts: Aggregates) -> None:
+        await parts.limits.refresh()
+
+    def _front(self, parts: Aggregates) -> Front:
+        operator_parts = OperatorParts(
+            store=parts.store,
+            keeper=parts.keeper,
+            editor=parts.editor,
+            explainer=parts.decisions,
+            instances=parts.membership.records,
+            drain_instance=self._stop.set,
+            issue=self._issue,
+        )
+        token = self._settings.secrets.operator_token_file.decode()
+        front_parts = FrontParts(
+            configuration=lambda: parts.configuration,
+            key_ring=parts.key_ring,
+            limits=parts.limits,
+            once=parts.once,
+            inventory=parts.inventory,
+            inference=parts.inference,
+            services=parts.services,
+            directory=parts.directory,
+            decisions=parts.decisions,
+            demand=parts.demand,
+            metrics=parts.metrics,
+            clock=self._clock,
+            standing=lambda: (
+                parts.keeper.ready.is_set() and parts.membership.standing()
+            ),
+            draining=lambda: parts.draining,
+            serving=self._settings.serving,
+            timing=self._settings.timing,
+        )
+        return Front(front_parts, operator_routes(operator_parts, token=token))
+
+    def _issue(self, customer: str) -> IssuedKey:
+        return issue(customer, self._settings.secrets.pepper_file)
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/__init__.py
@@ -0,0 +1,8 @@
+"""The HTTP front: what callers and operators connect to."""
+
+from __future__ import annotations
+
+from ._app import Front
+from ._parts import FrontParts
+
+__all__ = ["Front", "FrontParts"]
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_app.py
@@ -0,0 +1,58 @@
+"""Builds the HTTP application of an instance."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from aiohttp import web
+
+from ._admission import Admission
+from ._body import BodyReader
+from ._errors import ErrorMiddleware
+from ._inference_handler import InferenceHandler
+from ._info_handler import InfoHandler
+from ._parts import FrontParts
+from ._service_handler import PATH_PREFIX, ServiceHandler
+
+MAX_HEADER_LINE_BYTES = 16_384
+
+
+class Front:
+    """The routes for callers, and those for operators that are handed in."""
+
+    def __init__(
+        self, parts: FrontParts, operator_routes: Iterable[web.AbstractRouteDef]
+    ) -> None:
+        self._parts = parts
+        self._operator_routes = list(operator_routes)
+
+    def app(self) -> web.Application:
+        """Return the application, ready to be served."""
+        app = web.Application(
+            middlewares=[
+                ErrorMiddleware(self._parts.metrics, self._parts.draining).middleware()
+            ],
+            client_max_size=self._parts.serving.max_body_bytes,
+        )
+        app.add_routes(self._caller_routes())
+        app.add_routes(self._operator_routes)
+        return app
+
+    def _caller_routes(self) -> list[web.RouteDef]:
+        admission = Admission(self._parts)
+        reader = BodyReader(
+            self._parts.serving.max_body_bytes, self._parts.serving.body_timeout
+        )
+        inference = InferenceHandler(self._parts, admission, reader)
+        services = ServiceHandler(self._parts, admission, reader)
+        info = InfoHandler(self._parts, admission)
+        return [
+            web.post("/v1/chat/completions", inference.on_inference),
+            web.post("/v1/completions", inference.on_inference),
+            web.get("/v1/models", inference.on_models),
+            web.get("/v1/instances", info.on_instances),
+            web.get("/healthz", info.on_health),
+            web.get("/metrics", info.on_metrics),
+            web.route("*", PATH_PREFIX + "{service}", services.on_call),
+            web.route("*", PATH_PREFIX + "{service}/{path:.*}", services.on_call),
+        ]
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_errors.py
@@ -0,0 +1,119 @@
+"""Turns every failure into an HTTP answer with a typed body."""
+
+from __future__ import annotations
+
+import math
+import secrets
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+
+from guavajunction.errors import (
+    BadRequest,
+    InternalFault,
+    MethodNotAllowed,
+    RequestError,
+    RequestTooLarge,
+    UnknownRoute,
+)
+from guavajunction.metrics import MetricsRegistry
+
+from .. import _events as events
+
+REQUEST_ID_HEADER = "X-Request-Id"
+REQUEST_ID = web.RequestKey("request_id", str)
+"""Where a request's identity is kept while it is served."""
+
+MAX_REQUEST_ID_CHARACTERS = 64
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def request_id_of(req: web.Request) -> str:
+    """Return the identity that was drawn for a request."""
+    return req[REQUEST_ID]
+
+
+def error_body(exc: RequestError, request_id: str) -> bytes:
+    """Return the JSON body that tells a caller of a failure."""
+    return msgspec.json.encode(
+        {
+            "error": {
+                "type": exc.TYPE,
+                "message": exc.message,
+                "request_id": request_id,
+                "not_run": exc.not_run,
+                "retry_after": exc.retry_after,
+            }
+        }
+    )
+
+
+def error_response(exc: RequestError, request_id: str) -> web.Response:
+    """Return the HTTP answer that tells a caller of a failure."""
+    headers = {REQUEST_ID_HEADER: request_id}
+    if exc.retry_after is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(exc.retry_after)))
+    return web.Response(
+        status=exc.STATUS,
+        body=error_body(exc, request_id),
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+class ErrorMiddleware:
+    """Draws a request id, and answers each failure by its type."""
+
+    def __init__(self, metrics: MetricsRegistry, draining: Callable[[], bool]) -> None:
+        self._metrics = metrics
+        self._draining = draining
+
+    def middleware(self) -> Callable[..., Awaitable[web.StreamResponse]]:
+        """Return the function that aiohttp calls around each handler."""
+
+        @web.middleware
+        async def around(req: web.Request, handler: Handler) -> web.StreamResponse:
+            response = await self._around(req, handler)
+            if self._draining():
+                response.force_close()
+            return response
+
+        return around
+
+    async def _around(self, req: web.Request, handler: Handler) -> web.StreamResponse:
+        request_id = secrets.token_hex(12)
+        req[REQUEST_ID] = request_id
+        try:
+            response = await handler(req)
+        except RequestError as exc:
+            return self._refuse(exc, request_id)
+        except web.HTTPException as exc:
+            return self._refuse(_typed(exc), request_id)
+        except ConnectionError:
+            raise
+        except Exception as exc:
+            events.INTERNAL_FAULT.log(
+                request_id=request_id, path=req.path, fault=type(exc).__name__
+            )
+            events.log_traceback()
+            return self._refuse(InternalFault("a fault of the instance"), request_id)
+        if not response.prepared:
+            response.headers.setdefault(REQUEST_ID_HEADER, request_id)
+        return response
+
+    def _refuse(self, exc: RequestError, request_id: str) -> web.Response:
+        self._metrics.count("refusals_total", type=exc.TYPE)
+        return error_response(exc, request_id)
+
+
+def _typed(exc: web.HTTPException) -> RequestError:
+    """Return the typed failure for one that aiohttp raised."""
+    if isinstance(exc, web.HTTPNotFound):
+        return UnknownRoute("no such path")
+    if isinstance(exc, web.HTTPMethodNotAllowed):
+        return MethodNotAllowed(f"the path does not take {exc.method}")
+    if isinstance(exc, web.HTTPRequestEntityTooLarge):
+        return RequestTooLarge("the body is too large")
+    return BadRequest(exc.reason)
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_inference_handler.py
@@ -0,0 +1,194 @@
+"""Serves chats and completions."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+from aiohttp import web
+
+from guavajunction.configuration import Customer, Objective
+from guavajunction.customers import Reservation
+from guavajunction.errors import RequestError, UnknownModel
+from guavajunction.metrics import TokenTimes
+from guavajunction.routing import (
+    BATCH,
+    LIVE,
+    AnswerSummary,
+    EngineRequest,
+    RoutedRequest,
+)
+
+from .. import _events as events
+from ._admission import Admission
+from ._body import BodyReader, InferenceBody
+from ._errors import request_id_of
+from ._parts import FrontParts
+from ._sink import ResponseSink
+
+BATCH_TIER = "flex"
+"""The `service_tier` that marks a request as batch work."""
+
+BYTES_PER_TOKEN = 4
+"""Bytes of prompt that count as one token when a request is admitted."""
+
+PREFIX_BYTES = 256
+"""Bytes of the prompt that identify its prefix."""
+
+DEFAULT_OBJECTIVES = {
+    LIVE: Objective(LIVE, first_token=1.0, between_tokens=0.1, max_wait=2.0),
+    BATCH: Objective(BATCH, first_token=60.0, between_tokens=1.0, max_wait=60.0),
+}
+"""Used for a class that the configuration does not name."""
+
+
+class _Admitted(NamedTuple):
+    """A request that passed key and limit."""
+
+    customer: Customer
+    out: EngineRequest
+    reservation: Reservation
+
+
+class InferenceHandler:
+    """Takes a request for a model from its key to its whole answer."""
+
+    def __init__(
+        self, parts: FrontParts, admission: Admission, reader: BodyReader
+    ) -> None:
+        self._parts = parts
+        self._admission = admission
+        self._reader = reader
+
+    async def on_inference(self, req: web.Request) -> web.StreamResponse:
+        """Answer `POST /v1/chat/completions` and `POST /v1/completions`."""
+        admitted = await self._admit(req)
+        sink = ResponseSink(
+            req, request_id_of(req), last_of_connection=self._parts.draining()
+        )
+        used = 0.0
+        try:
+            summary = await self._parts.inference.route(
+                admitted.out,
+                sink,
+                self._times(admitted),
+                self._admission.recheck(req),
+            )
+            used = self._used(admitted, summary)
+            return await sink.finish()
+        except RequestError as exc:
+            used = admitted.out.req.cost if sink.started else 0.0
+            return await self._on_failure(exc, sink, admitted)
+        except ConnectionError:
+            used = admitted.out.req.cost
+            raise
+        finally:
+            admitted.reservation.settle(used)
+
+    async def on_models(self, req: web.Request) -> web.Response:
+        """Answer `GET /v1/models` with what the customer may use."""
+        customer = self._admission.customer_of(req)
+        cfg = self._parts.configuration()
+        names = sorted({*cfg.models, *cfg.adapters})
+        allowed = [n for n in names if not customer.models or n in customer.models]
+        models = [
+            {"id": name, "object": "model", "owned_by": "guavajunction"}
+            for name in allowed
+        ]
+        return web.json_response({"object": "list", "data": models})
+
+    async def _admit(self, req: web.Request) -> _Admitted:
+        arrived = self._parts.clock.monotonic()
+        customer = self._admission.customer_of(req)
+        raw, body = await self._reader.read_inference(req)
+        self._admission.check_model(customer, body.model)
+        artifact = self._artifact(body.model)
+        routed = self._routed(req, customer, artifact, body, arrived)
+        self._parts.demand.arrived(artifact, routed.cost)
+        self._admission.recheck(req)()
+        reservation = await self._parts.limits.admit(customer, routed.cost)
+        events.ACCEPTED.log(
+            request_id=routed.request_id,
+            customer=customer.name,
+            artifact=artifact,
+            objective=routed.objective.name,
+            cost=routed.cost,
+        )
+        outgoing = _outgoing_body(raw, artifact, self._max_tokens(body))
+        out = EngineRequest(routed, req.path, outgoing, body.stream)
+        return _Admitted(customer, out, reservation)
+
+    def _artifact(self, name: str) -> str:
+        artifact = self._parts.inventory.serving(name)
+        if artifact is None:
+            raise UnknownModel(f"no model or adapter is named {name!r}")
+        return artifact
+
+    def _routed(
+        self,
+        req: web.Request,
+        customer: Customer,
+        artifact: str,
+        body: InferenceBody,
+        arrived: float,
+    ) -> RoutedRequest:
+        prompt_bytes = len(body.prompt_text.encode())
+        prefix = body.prefix_text.encode()[:PREFIX_BYTES]
+        return RoutedRequest(
+            request_id=request_id_of(req),
+            customer=customer,
+            artifact=artifact,
+            objective=self._objective(body),
+            prefix=xxhash.xxh3_64_hexdigest(prefix),
+            cost=float(-(-prompt_bytes // BYTES_PER_TOKEN) + self._max_tokens(body)),
+            arrived=arrived,
+        )
+
+    def _objective(self, body: InferenceBody) -> Objective:
+        name = BATCH if body.service_tier == BATCH_TIER else LIVE
+        configured = self._parts.configuration().objectives
+        return configured.get(name) or DEFAULT_OBJECTIVES[name]
+
+    def _max_tokens(self, body: InferenceBody) -> int:
+        asked = body.max_completion_tokens or body.max_tokens
+        return asked or self._parts.serving.default_max_tokens
+
+    def _times(self, admitted: _Admitted) -> TokenTimes:
+        req = admitted.out.req
+        return TokenTimes(
+            self._parts.metrics,
+            self._parts.clock,
+            req.arrived,
+            objective=req.objective.name,
+            customer=req.customer.name,
+            artifact=req.artifact,
+        )
+
+    def _used(self, admitted: _Admitted, summary: AnswerSummary) -> float:
+        """Return the tokens of a whole answer, at most those that were reserved."""
+        req = admitted.out.req
+        self._parts.metrics.count("answers_total", objective=req.objective.name)
+        counted = summary.output_tokens + (summary.prompt_tokens or 0.0)
+        return min(req.cost, counted) if summary.prompt_tokens else req.cost
+
+    async def _on_failure(
+        self, exc: RequestError, sink: ResponseSink, admitted: _Admitted
+    ) -> web.StreamResponse:
+        if not sink.started:
+            raise exc
+        self._parts.metrics.count("refusals_total", type=exc.TYPE)
+        events.REFUSED_IN_STREAM.log(
+            request_id=admitted.out.req.request_id, type=exc.TYPE
+        )
+        return await sink.fail(exc)
+
+
+def _outgoing_body(raw: bytes, artifact: str, max_tokens: int) -> bytes:
+    """Return the body for an engine: the artifact named, the output bounded."""
+    fields = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
+    fields["model"] = msgspec.Raw(msgspec.json.encode(artifact))
+    fields["max_tokens"] = msgspec.Raw(msgspec.json.encode(max_tokens))
+    fields.pop("max_completion_tokens", None)
+    fields.pop("service_tier", None)
+    return msgspec.json.encode(fields)
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_info_handler.py
@@ -0,0 +1,57 @@
+"""Serves the directory, health and metrics."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from guavajunction.errors import KeyMissing, KeyRefused
+
+from ._admission import Admission
+from ._parts import FrontParts
+
+
+class InfoHandler:
+    """Answers questions about the fleet and this instance."""
+
+    def __init__(self, parts: FrontParts, admission: Admission) -> None:
+        self._parts = parts
+        self._admission = admission
+
+    async def on_instances(self, req: web.Request) -> web.Response:
+        """Answer `GET /v1/instances`: which instances the caller should use.
+
+        With a key, the ranking is the one for the key's customer.
+        """
+        entries = self._parts.directory.ranked(
+            self._customer_name(req), req.query.get("data_centre")
+        )
+        return web.json_response(
+            {
+                "instances": [entry._asdict() for entry in entries],
+                "ttl_seconds": self._parts.timing.directory_ttl,
+            }
+        )
+
+    async def on_health(self, req: web.Request) -> web.Response:
+        """Answer `GET /healthz`: 200 while the instance serves, else 503."""
+        standing = self._parts.standing()
+        return web.json_response(
+            {
+                "status": "serving" if standing else "not serving",
+                "configuration_version": self._parts.configuration().version,
+            },
+            status=200 if standing else 503,
+        )
+
+    async def on_metrics(self, req: web.Request) -> web.Response:
+        """Answer `GET /metrics` in Prometheus' text format."""
+        return web.Response(
+            text=self._parts.metrics.exposition(), content_type="text/plain"
+        )
+
+    def _customer_name(self, req: web.Request) -> str:
+        authorization = req.headers.get("Authorization")
+        try:
+            return self._parts.key_ring.authenticate(authorization).name
+        except (KeyMissing, KeyRefused):
+            return ""
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_service_handler.py
@@ -0,0 +1,198 @@
+"""Serves calls of plain services."""
+
+from __future__ import annotations
+
+from urllib.parse import urlencode
+
+import xxhash
+from aiohttp import web
+
+from guavajunction.configuration import Customer, Route
+from guavajunction.customers import strip_credentials
+from guavajunction.errors import (
+    BadRequest,
+    MethodNotAllowed,
+    RequestError,
+    UnknownRoute,
+)
+from guavajunction.once import Claim, RecordedAnswer
+from guavajunction.routing import ServiceAnswer, ServiceRequest
+
+from .. import _events as events
+from ._admission import Admission
+from ._body import BodyReader
+from ._errors import request_id_of
+from ._parts import FrontParts
+from ._unbroken_tasks import UnbrokenTasks
+
+PATH_PREFIX = "/services/"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+REPLAYED_HEADER = "Idempotent-Replayed"
+MAX_KEY_CHARACTERS = 255
+
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-request-id",
+    }
+)
+"""Headers of the caller's connection, which are not passed on."""
+
+
+class ServiceHandler:
+    """Takes a call of a plain service from its key to its answer."""
+
+    def __init__(
+        self, parts: FrontParts, admission: Admission, reader: BodyReader
+    ) -> None:
+        self._parts = parts
+        self._admission = admission
+        self._reader = reader
+        self._unbroken = UnbrokenTasks()
+
+    async def on_call(self, req: web.Request) -> web.StreamResponse:
+        """Answer any method on `/services/NAME/...`."""
+        route = self._route(req)
+        customer = None if route.open_to_all else self._admission.customer_of(req)
+        out = await self._outgoing(req)
+        if customer is not None:
+            self._admission.recheck(req)()
+            reservation = await self._parts.limits.admit(customer, route.cost)
+            reservation.settle(route.cost)
+        events.ACCEPTED.log(
+            request_id=out.request_id,
+            customer=customer.name if customer else None,
+            service=route.service,
+            cost=route.cost,
+        )
+        if route.idempotent:
+            return _response(await self._call(req, route, out))
+        return await self._unbroken.run(self._send_once(req, route, out, customer))
+
+    async def _call(
+        self, req: web.Request, route: Route, out: ServiceRequest
+    ) -> ServiceAnswer:
+        check = self._admission.recheck(req)
+        if route.open_to_all:
+            check = self._admission.check_standing
+        return await self._parts.services.call(route, out, check)
+
+    async def _send_once(
+        self,
+        req: web.Request,
+        route: Route,
+        out: ServiceRequest,
+        customer: Customer | None,
+    ) -> web.StreamResponse:
+        """Answer a call that may not be repeated."""
+        idempotency_key = self._idempotency_key(req)
+        if customer is None or not idempotency_key:
+            return _response(await self._call(req, route, out))
+        claim = await self._parts.once.claim(
+            customer.name, idempotency_key, _fingerprint(out)
+        )
+        if isinstance(claim, RecordedAnswer):
+            answer = ServiceAnswer(claim.status, dict(claim.headers), claim.body)
+            return _response(answer, replayed=True)
+        return _response(await self._call_claimed(req, route, out, claim))
+
+    async def _call_claimed(
+        self, req: web.Request, route: Route, out: ServiceRequest, claim: Claim
+    ) -> ServiceAnswer:
+        """Send a claimed call and record what is known of its outcome."""
+        allowed = self._admission.recheck(req)
+
+        def check() -> None:
+            allowed()
+            claim.check()
+
+        async with claim:
+            try:
+                answer = await self._parts.services.call(route, out, check)
+            except RequestError as exc:
+                await self._record_failure(claim, exc)
+                raise
+            await claim.done(answer.status, answer.headers.items(), answer.body)
+        return answer
+
+    async def _record_failure(self, claim: Claim, exc: RequestError) -> None:
+        if exc.not_run == "true":
+            await claim.not_run()
+        else:
+            await claim.unknown()
+
+    async def _outgoing(self, req: web.Request) -> ServiceRequest:
+        body = await self._reader.read(req)
+        key = _bearer(req)
+        headers = strip_credentials(req.headers.items(), key)
+        query = strip_credentials(req.query.items(), key)
+        path = _path_below_service(req)
+        return ServiceRequest(
+            request_id=request_id_of(req),
+            method=req.method,
+            path=f"{path}?{urlencode(query)}" if query else path,
+            headers={n: v for n, v in headers if n.lower() not in HOP_BY_HOP_HEADERS},
+            body=body,
+        )
+
+    def _route(self, req: web.Request) -> Route:
+        name = req.match_info["service"]
+        service = self._parts.configuration().services.get(name)
+        if service is None:
+            raise UnknownRoute(f"no service is named {name!r}")
+        route = match_route(service.routes, _path_below_service(req))
+        if route is None:
+            raise UnknownRoute(f"service {name!r} has no route for this path")
+        if req.method not in route.methods:
+            raise MethodNotAllowed(f"the route does not take {req.method}")
+        return route
+
+    def _idempotency_key(self, req: web.Request) -> str:
+        key = req.headers.get(IDEMPOTENCY_HEADER, "")
+        if len(key) > MAX_KEY_CHARACTERS:
+            raise BadRequest(
+                f"an idempotency key may have {MAX_KEY_CHARACTERS} characters"
+            )
+        return key
+
+
+def match_route(routes: tuple[Route, ...], path: str) -> Route | None:
+    """Return the route with the longest prefix that a path falls under.
+
+    A prefix matches whole path segments: `/bookings` covers `/bookings/7` but not
+    `/bookingsold`.
+    """
+    fitting = [
+        route
+        for route in routes
+        if path == route.prefix or path.startswith(route.prefix.rstrip("/") + "/")
+    ]
+    return max(fitting, key=lambda route: len(route.prefix), default=None)
+
+
+def _path_below_service(req: web.Request) -> str:
+    service = req.match_info["service"]
+    return req.rel_url.raw_path.removeprefix(f"{PATH_PREFIX}{service}") or "/"
+
+
+def _bearer(req: web.Request) -> str:
+    return req.headers.get("Authorization", "").partition(" ")[2].strip()
+
+
+def _fingerprint(out: ServiceRequest) -> str:
+    head = f"{out.method} {out.path}\n".encode()
+    return xxhash.xxh3_128_hexdigest(head + out.body)
+
+
+def _response(answer: ServiceAnswer, *, replayed: bool = False) -> web.Response:
+    headers = dict(answer.headers)
+    if replayed:
+        headers[REPLAYED_HEADER] = "true"
+    return web.Response(status=answer.status, headers=headers, body=answer.body)
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_sink.py
@@ -0,0 +1,68 @@
+"""The caller's side of an answer that is relayed."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from guavajunction.errors import RequestError
+
+from ._errors import REQUEST_ID_HEADER, error_body
+
+
+class ResponseSink:
+    """Sends an answer's parts to the caller as they come."""
+
+    def __init__(
+        self, req: web.Request, request_id: str, *, last_of_connection: bool
+    ) -> None:
+        """Create the caller's side.
+
+        Args:
+            req: The caller's request.
+            request_id: Identity that the answer carries.
+            last_of_connection: Whether the connection is closed after the answer.
+        """
+        self._req = req
+        self._request_id = request_id
+        self._last_of_connection = last_of_connection
+        self._response: web.StreamResponse | None = None
+
+    @property
+    def started(self) -> bool:
+        """Return whether the status line has been sent."""
+        return self._response is not None
+
+    async def start(self, status: int, content_type: str) -> None:
+        """Send the status line and headers."""
+        headers = {
+            "Content-Type": content_type,
+            REQUEST_ID_HEADER: self._request_id,
+            "Cache-Control": "no-store",
+        }
+        response = web.StreamResponse(status=status, headers=headers)
+        if self._last_of_connection:
+            response.force_close()
+        self._response = response
+        await response.prepare(self._req)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        assert self._response is not None
+        await self._response.write(chunk)
+
+    async def finish(self) -> web.StreamResponse:
+        """End a whole answer."""
+        assert self._response is not None
+        await self._response.write_eof()
+        return self._response
+
+    async def fail(self, exc: RequestError) -> web.StreamResponse:
+        """End a stream that can't be completed by a typed error event.
+
+        The end mark is left out, so that no client takes the answer for whole.
+        """
+        assert self._response is not None
+        body = error_body(exc, self._request_id)
+        await self._response.write(b"event: error\ndata: " + body + b"\n\n")
+        await self._response.write_eof()
+        return self._response
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/main.py
@@ -0,0 +1,67 @@
+"""The `guavajunction` command: runs the daemon of one entry instance."""
+
+from __future__ import annotations
+
+import sys
+
+import aiomisc
+from absl import flags
+
+from guavajunction import __version__
+from guavajunction.errors import SettingsInvalid
+from guavajunction.settings import Settings, read_settings
+
+from ._daemon_service import DaemonService
+from ._log_output import open_log
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+_SETTINGS = flags.DEFINE_string("settings", None, "Settings file (INI).")
+_CHECK = flags.DEFINE_bool("check", False, "Check the settings, start nothing.")
+_VERSION = flags.DEFINE_bool("version", False, "Print the version.")
+
+
+def main(argv: list[str]) -> int:
+    """Run the command.
+
+    Args:
+        argv: The program's name and what is left after the flags.
+
+    Returns:
+        Exit status: 0 after a planned stop, 1 if the daemon failed, 2 if a flag or
+        a setting is wrong.
+    """
+    if _VERSION.value:
+        print(__version__)
+        return EXIT_OK
+    if len(argv) > 1 or not _SETTINGS.value:
+        print("usage: guavajunction --settings FILE [--check]", file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        settings = read_settings(_SETTINGS.value)
+    except SettingsInvalid as exc:
+        print(exc.message, file=sys.stderr)
+        return EXIT_USAGE
+    if _CHECK.value:
+        print(f"{_SETTINGS.value}: settings are valid")
+        return EXIT_OK
+    return _serve(settings)
+
+
+def _serve(settings: Settings) -> int:
+    with open_log(settings.logging.destination):
+        service = DaemonService(settings)
+        with aiomisc.entrypoint(service, catch_signals=(), log_config=False) as loop:
+            return loop.run_until_complete(service.finished())
+
+
+def run() -> None:
+    """Entry point of the installed command."""
+    try:
+        argv = flags.FLAGS(sys.argv)
+    except flags.Error as exc:
+        print(f"guavajunction: {exc}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    sys.exit(main(argv))
--- a/packages/guavajunction/src/guavajunction/routing/_dispatcher.py
+++ b/packages/guavajunction/src/guavajunction/routing/_dispatcher.py
@@ -43,9 +43,18 @@
         clock: Clock,
         *,
         max_queue: int,
-        share: Callable[[], float] = lambda: 1.0,
-        request_artifact: Callable[[str], None] = lambda artifact: None,
     ) -> None:
+        """Create a dispatcher; `connect` completes it.
+
+        Args:
+            replicas: The backend servers.
+            selector: The routing policy.
+            book: Estimates of load.
+            meter: Demand and hold times.
+            decisions: Where choices are logged.
+            clock: Source of time.
+            max_queue: Requests that may wait.
+        """
         self._replicas = replicas
         self._selector = selector
         self._book = book
@@ -53,11 +62,23 @@
         self._decisions = decisions
         self._clock = clock
         self._max_queue = max_queue
-        self._share = share
-        self._request_artifact = request_artifact
+        self._share: Callable[[], float] = lambda: 1.0
+        self._request_artifact: Callable[[str], None] = lambda artifact: None
         self._queue = FairQueue()
         self._active: dict[str, tuple[float, int]] = {}
 
+    def connect(
+        self, share: Callable[[], float], request_artifact: Callable[[str], None]
+    ) -> None:
+        """Set the collaborators that themselves need this dispatcher.
+
+        Args:
+            share: Returns this instance's part of a contended backend server.
+            request_artifact: Asks for an artifact that no replica has ready.
+        """
+        self._share = share
+        self._request_artifact = request_artifact
+
     @property
     def waiting(self) -> int:
         """Return the number of requests in the queue."""
--- a/packages/guavajunction/src/guavajunction/settings/_faults.py
+++ b/packages/guavajunction/src/guavajunction/settings/_faults.py
@@ -16,8 +16,11 @@
     expected: str
 
     def __str__(self) -> str:
-        where = f"[{self.section}] {self.key}".rstrip()
-        return f"{self.path}: {where}: found {self.found}, expected {self.expected}"
+        parts = [self.path]
+        if self.section:
+            parts.append(f"[{self.section}] {self.key}".rstrip())
+        parts.append(f"found {self.found}, expected {self.expected}")
+        return ": ".join(parts)
 
 
 class ValueFault(Exception):
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -24,7 +24,7 @@
     clock = clock or ManualClock()
     book = LoadBook(clock)
     selector = AffinitySelector(replicas, book, random.Random(seed))
-    return Dispatcher(
+    dispatcher = Dispatcher(
         replicas,
         selector,
         book,
@@ -32,8 +32,9 @@
         DecisionLog(),
         clock,
         max_queue=max_queue,
-        share=share,
     )
+    dispatcher.connect(share, lambda artifact: None)
+    return dispatcher
 
 
 async def settle():
