--- a/packages/guavajunction/src/guavajunction/backends/_client.py
+++ b/packages/guavajunction/src/guavajunction/backends/_client.py
@@ -18,7 +18,7 @@
 from ._model import CacheEvent, CacheEvents, LoadReport, Order, Resident
 
 ACCEPTED = 202
-STALE_FENCE = 409
+CONFLICT = 409
 LACKS_MEMORY = 507
 
 
@@ -60,6 +60,7 @@
 
 
 class _RefusalBody(TypedDict, total=False):
+    error: str
     last_fence: int
 
 
@@ -121,8 +122,9 @@
 def _check_order_answer(address: str, status: int, body: bytes) -> None:
     if status == ACCEPTED:
         return
-    if status == STALE_FENCE:
-        raise OrderStale(f"{address}: stale fence", _last_fence(body))
+    refusal = _refusal(body)
+    if status == CONFLICT and refusal.get("error") == "stale_fence":
+        raise OrderStale(f"{address}: stale fence", refusal.get("last_fence", 0))
     if status == LACKS_MEMORY:
         raise OrderLacksMemory(f"{address}: no memory")
     if status >= 500:
@@ -130,11 +132,11 @@
     raise OrderRefused(f"{address}: status {status}")
 
 
-def _last_fence(body: bytes) -> int:
+def _refusal(body: bytes) -> _RefusalBody:
     try:
-        return msgspec.json.decode(body, type=_RefusalBody).get("last_fence", 0)
+        return msgspec.json.decode(body, type=_RefusalBody)
     except msgspec.DecodeError:
-        return 0
+        return {}
 
 
 def _decode(body: bytes, body_type: Any) -> Any:
--- a/packages/guavajunction/src/guavajunction/backends/_ledger.py
+++ b/packages/guavajunction/src/guavajunction/backends/_ledger.py
@@ -58,6 +58,7 @@
     """What this author knows about an open intent beyond the row."""
 
     def __init__(self, since: float, unanswered: int) -> None:
+        self.opened = since
         self.since = since
         """Local monotonic time in seconds of the last copy that may be on its way."""
         self.unanswered = unanswered
@@ -81,6 +82,8 @@
 
     ARRIVAL_BOUND_SECONDS = 120.0
     """Longest time after which an order that was sent may still arrive."""
+    REPEAT_SECONDS = 3.0
+    """Time after which an accepted order that does not show is sent again."""
     RESTART_SECONDS = 5.0
     """Lower report numbers for this long mean that the engine was restarted."""
 
@@ -155,11 +158,20 @@
         found = (i for i in self._intents.values() if i.artifact == artifact)
         return next(found, None)
 
-    def unresolved(self, intent: Intent) -> bool:
-        """Return whether another copy of an open order would help to settle it."""
+    def needs_copy(self, intent: Intent, now: float) -> bool:
+        """Return whether another copy of an open order would help to settle it.
+
+        An order that was accepted may still have been lost; a repeat of one that
+        was not has no effect.
+        """
         progress = self._progress[intent.order_id]
-        answered = progress.accepted or progress.refused
-        return not answered and progress.applied_seq is None
+        if progress.refused or progress.applied_seq is not None:
+            return False
+        return not progress.accepted or now - progress.since >= self.REPEAT_SECONDS
+
+    def age(self, intent: Intent, now: float) -> float:
+        """Return for how many seconds an order has been open in this ledger."""
+        return now - self._progress[intent.order_id].opened
 
     def open_load(
         self, order_id: str, artifact: str, mib: int, base: str | None, now: float
--- a/packages/guavajunction/src/guavajunction/backends/_order_desk.py
+++ b/packages/guavajunction/src/guavajunction/backends/_order_desk.py
@@ -199,7 +199,7 @@
             try:
                 await self._observe(name, entry)
                 await self._repeat_loads(name, entry)
-            except (BackendUnreachable, OrderRefused, LeaseLost):
+            except (BackendUnreachable, LedgerUnsettled, OrderRefused, LeaseLost):
                 return
 
     async def _repeat_loads(self, name: str, entry: _Entry) -> None:
@@ -208,9 +208,11 @@
         Unloads are repeated only through `unload`, whose caller knows whether the
         replica may still go.
         """
-        for intent in entry.ledger.intents:
-            own = intent.order_id not in entry.ledger.inherited
-            if own and intent.action == "load" and entry.ledger.unresolved(intent):
+        ledger = entry.ledger
+        for intent in ledger.intents:
+            own = intent.order_id not in ledger.inherited
+            load = own and intent.action == "load"
+            if load and ledger.needs_copy(intent, self._clock.monotonic()):
                 await self._send(name, entry, intent)
 
     def _entry(self, name: str) -> _Entry:
@@ -285,7 +287,7 @@
         if not allowed():
             entry.ledger.withdraw(intent)
             return False
-        if entry.ledger.unresolved(intent):
+        if entry.ledger.needs_copy(intent, self._clock.monotonic()):
             await self._send(name, entry, intent)
         return True
 
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/placement/_planner.py
@@ -0,0 +1,379 @@
+"""Decides which artifacts to load and unload in a pool of engines."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from ._draft import Draft
+from ._model import (
+    Candidate,
+    Deployment,
+    Load,
+    Plan,
+    PoolView,
+    Shortage,
+    Unload,
+)
+
+
+class PlannerLimits(NamedTuple):
+    """When a move is worth its cost."""
+
+    target_utilisation: float = 0.8
+    """Part of an engine's slots that demand may fill."""
+    gain_slots: float = 0.5
+    """Least busy slots that a new replica must serve in free memory."""
+    move_cost_slots: float = 1.5
+    """What a replica must gain above what the replicas it displaces lose."""
+    min_stay_seconds: float = 60.0
+    """Time for which a new replica is not displaced for gain."""
+    growth_per_round: int = 16
+    """Names that are considered for more replicas in one round."""
+    servers_per_name: int = 24
+    """Engines that are weighed for one displacement."""
+    max_going: int = 8
+    """Replicas that may be on their way out at a time, for gain."""
+
+
+class _Room(NamedTuple):
+    """A way to make room on an engine."""
+
+    cost: float
+    server: str
+    removals: tuple[str, ...]
+    """Artifacts that may go now."""
+    relocations: tuple[str, ...]
+    """Artifacts that must first be loaded elsewhere."""
+
+
+class Planner:
+    """Plans one pool; a pure function of the view.
+
+    In this order: models that no engine can answer for, models below their least
+    replicas, new versions, adapters that no engine can answer for, what is no longer
+    deployed, and then replicas where they gain most slots for the demand. The last
+    replica of a deployed model or adapter is never removed: what must move is loaded
+    elsewhere first and goes in a later round.
+    """
+
+    RELOCATION_COST = 4.0
+    """Cost in slots of a move that only makes room."""
+
+    def __init__(self, limits: PlannerLimits = PlannerLimits()) -> None:  # noqa: B008
+        self.limits = limits
+
+    def plan(self, view: PoolView) -> Plan:
+        """Return the moves of one round."""
+        return _Round(view, self.limits, self.RELOCATION_COST).plan()
+
+
+class _Round:
+    """One planning round."""
+
+    def __init__(
+        self, view: PoolView, limits: PlannerLimits, relocation_cost: float
+    ) -> None:
+        self._view = view
+        self._limits = limits
+        self._relocation_cost = relocation_cost
+        self._draft = Draft(view, limits.target_utilisation)
+        self._base_budget = view.budget.base
+        self._adapter_budget = view.budget.adapter
+        self._loads: list[Load] = []
+        self._unloads: list[Unload] = []
+        self._shortages: list[Shortage] = []
+
+    def plan(self) -> Plan:
+        bases = [d for d in self._view.deployments.values() if d.base is None]
+        adapters = [d for d in self._view.deployments.values() if d.base is not None]
+        self._replenish(bases)
+        self._follow_versions(bases)
+        self._replenish(adapters)
+        self._clear_obsolete()
+        self._grow()
+        return Plan(tuple(self._loads), tuple(self._unloads), tuple(self._shortages))
+
+    # Least replicas.
+
+    def _replenish(self, deployments: list[Deployment]) -> None:
+        lacking = [d for d in deployments if self._deficit(d) > 0]
+        for deployment in sorted(lacking, key=self._urgency):
+            for _ in range(self._deficit(deployment)):
+                if not self._place(deployment, self._reason(deployment)):
+                    break
+
+    def _deficit(self, deployment: Deployment) -> int:
+        draft = self._draft
+        artifact = deployment.artifact
+        return max(1, deployment.min_replicas) - len(draft.present(artifact))
+
+    def _urgency(self, deployment: Deployment) -> tuple[int, int, float, str]:
+        ready = len(self._draft.answering(deployment.artifact))
+        older = len(self._draft.older_ready(deployment))
+        wanted = deployment.artifact in self._view.urgent
+        need = self._view.need.get(deployment.name, 0.0)
+        rank = 0 if ready + older == 0 else 1
+        return rank, 0 if wanted else 1, -need, deployment.artifact
+
+    def _reason(self, deployment: Deployment) -> str:
+        if self._draft.answering(deployment.artifact):
+            return "below_min_replicas"
+        if self._draft.older_ready(deployment):
+            return "new_version"
+        return "no_replica"
+
+    def _place(self, deployment: Deployment, reason: str) -> bool:
+        """Load a replica, or begin to make room for one.
+
+        Returns:
+            Whether a load was decided.
+        """
+        candidates = self._draft.candidates(deployment)
+        fitting = [c for c in candidates if c.free_mib >= deployment.mib]
+        if fitting:
+            return self._load(deployment, fitting, reason, 0.0)
+        self._await_room(deployment, candidates, reason)
+        return False
+
+    def _load(
+        self,
+        deployment: Deployment,
+        fitting: list[Candidate],
+        reason: str,
+        gain: float,
+    ) -> bool:
+        if not self._spend(deployment):
+            self._shortages.append(Shortage(deployment.artifact, "load_budget", ""))
+            return False
+        server = fitting[0].server
+        self._draft.add(server, deployment)
+        self._loads.append(
+            Load(
+                server,
+                deployment.artifact,
+                deployment.mib,
+                deployment.base,
+                reason,
+                gain,
+                tuple(fitting[:4]),
+            )
+        )
+        return True
+
+    def _spend(self, deployment: Deployment) -> bool:
+        if deployment.base is None:
+            self._base_budget -= 1
+            return self._base_budget >= 0
+        self._adapter_budget -= 1
+        return self._adapter_budget >= 0
+
+    # Making room.
+
+    def _await_room(
+        self, deployment: Deployment, candidates: list[Candidate], reason: str
+    ) -> None:
+        draft = self._draft
+        for c in candidates:
+            if c.free_mib + draft.promised[c.server] >= deployment.mib:
+                draft.reserve(c.server, deployment.mib)
+                self._short(deployment, "memory_being_freed", c.server)
+                return
+        rooms = [r for c in candidates if (r := self._room(deployment, c.server))]
+        if not rooms:
+            self._short(deployment, "no_room", "")
+            return
+        room = min(rooms)
+        self._make_room(deployment, room, reason)
+        self._short(deployment, "memory_being_freed", room.server)
+
+    def _short(self, deployment: Deployment, reason: str, server: str) -> None:
+        self._shortages.append(Shortage(deployment.artifact, reason, server))
+
+    def _room(self, deployment: Deployment, server: str) -> _Room | None:
+        """Return the cheapest way to make room on an engine, None without one."""
+        draft = self._draft
+        lacking = deployment.mib - draft.free[server] - draft.promised[server]
+        options = [
+            option
+            for artifact, holding in self._view.servers[server].holdings.items()
+            if server in draft.ready[artifact]
+            if artifact != deployment.base and holding.mib > 0
+            if artifact not in self._view.urgent
+            if (option := self._option(server, artifact, deployment)) is not None
+        ]
+        options.sort()
+        chosen: list[str] = []
+        cost = 0.0
+        gone: set[str] = set()
+        for _, option_cost, artifact in options:
+            if lacking <= 0:
+                break
+            freed = {artifact, *draft.dependents(server, artifact)} - gone
+            gone |= freed
+            lacking -= sum(draft.holding(server, a).mib for a in freed)
+            cost += option_cost
+            chosen.append(artifact)
+        if lacking > 0:
+            return None
+        now = tuple(a for a in chosen if draft.may_remove(server, a))
+        later = tuple(a for a in chosen if a not in now)
+        return _Room(cost, server, now, later)
+
+    def _option(
+        self, server: str, artifact: str, favoured: Deployment
+    ) -> tuple[float, float, str] | None:
+        """Return cost for each MiB, cost, and artifact of giving up a replica."""
+        draft = self._draft
+        holding = draft.holding(server, artifact)
+        loss = draft.spread.loss(artifact.partition("@")[0], server)
+        if favoured.base is not None and holding.base is None:
+            loss += self._relocation_cost
+        if draft.may_remove(server, artifact):
+            return (loss / holding.mib, loss, artifact)
+        if favoured.base is not None or not self._relocatable(server, artifact):
+            return None
+        if not draft.coming[artifact]:
+            loss += self._relocation_cost
+        return (loss / holding.mib, loss, artifact)
+
+    def _relocatable(self, server: str, artifact: str) -> bool:
+        first = self._to_relocate(server, artifact)
+        return bool(first) and all(
+            d is not None and (self._draft.coming[d.artifact] or self._elsewhere(d))
+            for d in first
+        )
+
+    def _to_relocate(self, server: str, artifact: str) -> list[Deployment | None]:
+        """Return what must be loaded elsewhere next before an artifact can go.
+
+        A base model comes first, the adapters that depend on it follow.
+        """
+        draft = self._draft
+        deployed = self._view.deployments
+        if not draft.enough_without(server, artifact):
+            return [deployed.get(artifact)]
+        return [
+            deployed.get(adapter)
+            for adapter in draft.dependents(server, artifact)
+            if not draft.enough_without(server, adapter)
+        ]
+
+    def _elsewhere(self, deployment: Deployment) -> list[Candidate]:
+        """Return the engines with room for another replica."""
+        candidates = self._draft.candidates(deployment)
+        return [c for c in candidates if c.free_mib >= deployment.mib]
+
+    def _make_room(self, deployment: Deployment, room: _Room, reason: str) -> None:
+        for artifact in room.removals:
+            self._unload(room.server, artifact, reason, deployment.artifact)
+        for artifact in room.relocations:
+            for moved in self._to_relocate(room.server, artifact):
+                self._relocate(moved)
+        self._draft.reserve(room.server, deployment.mib)
+
+    def _relocate(self, moved: Deployment | None) -> None:
+        if moved is None or self._draft.coming[moved.artifact]:
+            return
+        fitting = self._elsewhere(moved)
+        if fitting:
+            self._load(moved, fitting, "relocation", 0.0)
+
+    def _unload(
+        self, server: str, artifact: str, reason: str, in_favour_of: str
+    ) -> None:
+        """Decide a removal, the adapters that depend on it included."""
+        draft = self._draft
+        for gone in (*draft.dependents(server, artifact), artifact):
+            if server not in draft.ready[gone] or not draft.may_remove(server, gone):
+                continue
+            loss = draft.spread.loss(gone.partition("@")[0], server)
+            draft.remove(server, gone)
+            self._unloads.append(Unload(server, gone, reason, loss, in_favour_of))
+
+    # Versions.
+
+    def _follow_versions(self, bases: list[Deployment]) -> None:
+        """Give a new version as many replicas as the older one has, where they fit."""
+        for deployment in bases:
+            older = self._draft.older_ready(deployment)
+            most = max((len(servers) for servers in older.values()), default=0)
+            artifact = deployment.artifact
+            for _ in range(most - len(self._draft.present(artifact))):
+                if not self._load_if_fits(deployment, "new_version"):
+                    break
+
+    def _load_if_fits(self, deployment: Deployment, reason: str) -> bool:
+        fitting = self._elsewhere(deployment)
+        return bool(fitting) and self._load(deployment, fitting, reason, 0.0)
+
+    def _clear_obsolete(self) -> None:
+        draft = self._draft
+        deployed = self._view.deployments
+        obsolete = [
+            (server, artifact)
+            for artifact, servers in list(draft.ready.items())
+            if artifact not in deployed
+            for server in sorted(servers)
+        ]
+        for server, artifact in obsolete:
+            deployment = draft.current.get(artifact.partition("@")[0])
+            if deployment is not None and not draft.switched(deployment):
+                continue
+            if draft.may_remove(server, artifact):
+                self._unload(server, artifact, "not_deployed", "")
+
+    # Growth by demand.
+
+    def _grow(self) -> None:
+        draft = self._draft
+        unmet = [
+            (draft.spread.unmet(name), name)
+            for name in self._view.need
+            if name in draft.current
+        ]
+        short = sorted((u for u in unmet if u[0] > 0), reverse=True)
+        for _, name in short[: self._limits.growth_per_round]:
+            self._grow_one(draft.current[name])
+
+    def _grow_one(self, deployment: Deployment) -> None:
+        if not self._draft.answering(deployment.artifact):
+            return
+        while fitting := self._elsewhere(deployment):
+            gain = self._draft.spread.gain(deployment.name, fitting[0].server)
+            if gain < self._limits.gain_slots:
+                return
+            if not self._load(deployment, fitting, "demand", gain):
+                return
+        candidates = self._draft.candidates(deployment)
+        self._displace(deployment, candidates[: self._limits.servers_per_name])
+
+    def _displace(self, deployment: Deployment, candidates: list[Candidate]) -> None:
+        best: tuple[float, _Room] | None = None
+        for c in candidates:
+            gain = self._draft.spread.gain(deployment.name, c.server)
+            if gain < self._limits.move_cost_slots:
+                continue
+            if c.free_mib + self._draft.promised[c.server] >= deployment.mib:
+                self._draft.reserve(c.server, deployment.mib)
+                return
+            room = self._room(deployment, c.server)
+            if room is None or room.relocations or not self._settled(room):
+                continue
+            net = gain - room.cost
+            if net >= self._limits.move_cost_slots and (not best or net > best[0]):
+                best = (net, room)
+        if best is not None and self._going() < self._limits.max_going:
+            self._make_room(deployment, best[1], "demand")
+
+    def _settled(self, room: _Room) -> bool:
+        stay = self._limits.min_stay_seconds
+        holding = self._draft.holding
+        return all(holding(room.server, a).age >= stay for a in room.removals)
+
+    def _going(self) -> int:
+        already = sum(
+            holding.state == "going"
+            for server in self._view.servers.values()
+            for holding in server.holdings.values()
+        )
+        return already + len(self._unloads)
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/placement/_pool_survey.py
@@ -0,0 +1,166 @@
+"""Draws up the planner's view of a pool."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from ..backends import LOADING, READY, BackendState, Inventory, Ledger, OrderDesk
+from ..clock import Clock
+from ..configuration import BackendServer, Configuration
+from ._model import Budget, Deployment, Holding, PoolView, ServerView, name_of
+
+
+class PoolSurvey:
+    """Joins reports, ledgers and drains into one view of a pool."""
+
+    PATIENCE_SECONDS = 15.0
+    """Age from which an order is no longer expected to succeed."""
+
+    def __init__(
+        self,
+        pool: str,
+        inventory: Inventory,
+        desk: OrderDesk,
+        draining: Callable[[str, str], bool],
+        configuration: Callable[[], Configuration],
+        clock: Clock,
+    ) -> None:
+        """Start without any history.
+
+        Args:
+            pool: The pool's name.
+            inventory: States of the engines.
+            desk: Their ledgers.
+            draining: Returns whether an artifact is being drained on an engine.
+            configuration: Returns the configuration in force.
+            clock: Time source.
+        """
+        self._pool = pool
+        self._inventory = inventory
+        self._desk = desk
+        self._draining = draining
+        self._configuration = configuration
+        self._clock = clock
+        self._ready_since: dict[tuple[str, str], float] = {}
+
+    def servers(self) -> list[BackendServer]:
+        """Return the engines of the pool."""
+        engines = self._configuration().engines
+        return [server for server in engines if server.pool == self._pool]
+
+    def deployments(self) -> dict[str, Deployment]:
+        """Return what the configuration deploys in the pool, by artifact."""
+        cfg = self._configuration()
+        models = {m.name: m for m in cfg.models.values() if m.pool == self._pool}
+        found = [
+            Deployment(m.artifact, m.memory_mib, m.min_replicas)
+            for m in models.values()
+        ]
+        found += [
+            Deployment(a.artifact, a.memory_mib, base=models[a.model].artifact)
+            for a in cfg.adapters.values()
+            if a.model in models
+        ]
+        return {deployment.artifact: deployment for deployment in found}
+
+    def view(
+        self, need: Mapping[str, float], urgent: frozenset[str], budget: Budget
+    ) -> PoolView:
+        """Return the pool as it is now.
+
+        Args:
+            need: Busy slots, by name.
+            urgent: Artifacts that requests are waiting for.
+            budget: Loads that may be started.
+        """
+        servers = {server.name: self._server(server) for server in self.servers()}
+        return PoolView(self.deployments(), servers, dict(need), urgent, budget)
+
+    def view_around(self, artifact: str) -> PoolView:
+        """Return the part of the pool that decides whether a replica may go.
+
+        Those are the engines with any version of the artifact, of its base model or
+        of adapters on it.
+        """
+        adapters = self._configuration().adapters
+        name = name_of(artifact)
+        names = {name} | {a.name for a in adapters.values() if a.model == name}
+        if name in adapters:
+            names.add(adapters[name].model)
+        servers = {
+            server.name: self._server(server)
+            for server in self.servers()
+            if (state := self._inventory.state(server.name)) is not None
+            if any(name_of(r.artifact) in names for r in state.resident)
+        }
+        return PoolView(
+            self.deployments(), servers, {}, frozenset(), Budget(base=0, adapter=0)
+        )
+
+    def _server(self, server: BackendServer) -> ServerView:
+        state = self._inventory.state(server.name)
+        ledger = self._desk.ledger(server.name)
+        if state is None or ledger is None:
+            return ServerView(server.name, server.slots, 0, 0, False, {})
+        holdings = self._holdings(state, ledger)
+        taken = sum(holding.mib for holding in holdings.values())
+        blocked = self._overdue(ledger)
+        for artifact in blocked:
+            if holdings[artifact].state == LOADING:
+                del holdings[artifact]
+        return ServerView(
+            server.name,
+            state.slots or server.slots,
+            server.weights_mib,
+            server.weights_mib - taken,
+            state.healthy and not state.leaving,
+            holdings,
+            blocked,
+        )
+
+    def _holdings(self, state: BackendState, ledger: Ledger) -> dict[str, Holding]:
+        adapters = self._configuration().adapters
+        now = self._clock.monotonic()
+        holdings = {}
+        for resident in state.resident:
+            artifact = resident.artifact
+            kept = self._state(state, ledger, artifact, resident.state)
+            since = self._ready_since.setdefault((state.name, artifact), now)
+            adapter = adapters.get(name_of(artifact))
+            base = adapter.model if adapter else None
+            holdings[artifact] = Holding(kept, resident.mib, now - since, base)
+        for intent in ledger.intents:
+            if intent.action == "load" and intent.artifact not in holdings:
+                base = name_of(intent.base) if intent.base else None
+                holdings[intent.artifact] = Holding(LOADING, intent.mib, 0.0, base)
+        return holdings
+
+    def _state(
+        self, state: BackendState, ledger: Ledger, artifact: str, reported: str
+    ) -> str:
+        pending = ledger.pending(artifact)
+        going = pending is not None and pending.action == "unload"
+        if going or self._draining(state.name, artifact):
+            return "going"
+        return reported if reported in (READY, LOADING) else "going"
+
+    def _overdue(self, ledger: Ledger) -> frozenset[str]:
+        now = self._clock.monotonic()
+        return frozenset(
+            intent.artifact
+            for intent in ledger.intents
+            if intent.action == "load"
+            if ledger.age(intent, now) >= self.PATIENCE_SECONDS
+        )
+
+    def forget_gone(self) -> None:
+        """Drop the history of replicas that no longer exist."""
+        present = {
+            (state.name, resident.artifact)
+            for server in self.servers()
+            if (state := self._inventory.state(server.name)) is not None
+            for resident in state.resident
+        }
+        self._ready_since = {
+            key: at for key, at in self._ready_since.items() if key in present
+        }
--- /dev/null
+++ b/tests/specs/ledger_spec.py
@@ -0,0 +1,216 @@
+"""Specification of the memory ledger of one engine.
+
+Two authors follow each other and want two artifacts that do not fit together. The
+engine ignores fencing numbers and carries out each order id once. The network loses,
+delays and doubles orders; what is sent may arrive at any time until its bound has
+passed, and an author that lost its lease may still send what it had written down.
+
+Each artifact has one load order id per author and one unload id per author. A report
+shows the memory of its moment and may be taken in later than a newer order was sent.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+ARTIFACTS = ("x", "y")
+CAPACITY = 1
+"""Each artifact takes one unit of memory."""
+
+Order = tuple[str, str, int]
+"""Action, artifact and author; also the order's id."""
+
+
+class State(NamedTuple):
+    """The engine, the network, the ledger row and the author at work."""
+
+    memory: frozenset[Order]
+    """Loads whose artifact is in memory."""
+    known: frozenset[Order]
+    """Orders that the engine carried out."""
+    transit: frozenset[Order]
+    """Orders of which a copy may still arrive."""
+    row: frozenset[Order]
+    """Intents in the ledger row."""
+    row_seen: frozenset[Order]
+    """Residents in the ledger row."""
+    author: int
+    intents: frozenset[Order]
+    """Intents as the author at work knows them."""
+    seen: frozenset[Order]
+    """Residents as the author at work knows them."""
+    unsent: frozenset[Order]
+    """Intents that were written but not sent yet, by either author."""
+    report: tuple[frozenset[Order], frozenset[Order]] | None
+    """A report on its way: memory and known orders of an earlier moment."""
+
+
+class Rules(NamedTuple):
+    """What the ledger does; the defaults are the product's rules."""
+
+    free_on_unload: bool = False
+    """Frees memory as soon as an unload is ordered."""
+    forget_on_takeover: bool = False
+    """Starts a term without the intents of the earlier author."""
+    drop_unanswered: bool = False
+    """Stops counting a load that was not answered."""
+    write_after_send: bool = False
+    """Sends an order before its intent is in the row."""
+
+
+PRODUCT = Rules()
+
+
+def ledger_spec(rules: Rules = PRODUCT) -> Protocol:
+    """Return the model with the given rules."""
+    return Protocol(
+        name="ledger",
+        candidate=False,
+        fields=State._fields,
+        initial=_initial(),
+        transitions=lambda state: _steps(state, rules),
+        invariants={
+            "memory_within_capacity": lambda d: len(d["memory"]) <= CAPACITY,
+            "never_swapped": lambda d: d["memory"] != {("load", "y", 2)},
+        },
+    )
+
+
+def _initial() -> State:
+    none: frozenset[Order] = frozenset()
+    return State(none, none, none, none, none, 1, none, none, none, None)
+
+
+def _steps(s: State, rules: Rules) -> list[tuple[str, State]]:
+    if len(s.memory) > CAPACITY:
+        return []
+    return [
+        *_loads(s, rules),
+        *_unloads(s),
+        *_sends(s, rules),
+        *_arrivals(s),
+        *_bounds(s),
+        *_reports(s),
+        *_takeover(s, rules),
+    ]
+
+
+def _committed(s: State, rules: Rules) -> int:
+    loads = {order for order in s.intents if order[0] == "load"}
+    taken = s.seen | loads
+    if rules.free_on_unload:
+        going = {artifact for action, artifact, _ in s.intents if action == "unload"}
+        taken = {order for order in taken if order[1] not in going}
+    return len(taken)
+
+
+def _pending(s: State, artifact: str) -> bool:
+    return any(order[1] == artifact for order in s.intents)
+
+
+def _loads(s: State, rules: Rules) -> list[tuple[str, State]]:
+    found = []
+    for artifact in ARTIFACTS:
+        order = ("load", artifact, s.author)
+        resident = any(held[1] == artifact for held in s.seen)
+        fits = _committed(s, rules) < CAPACITY
+        used = order in s.known | s.transit | s.row | s.unsent
+        if fits and not resident and not used and not _pending(s, artifact):
+            found.append((f"intend load {artifact}", _write(s, order, rules)))
+    return found
+
+
+def _unloads(s: State) -> list[tuple[str, State]]:
+    found = []
+    for _, artifact, _ in s.seen:
+        order = ("unload", artifact, s.author)
+        used = order in s.known | s.transit | s.row | s.unsent
+        if not used and not _pending(s, artifact):
+            found.append((f"intend unload {artifact}", _write(s, order, PRODUCT)))
+    return found
+
+
+def _write(s: State, order: Order, rules: Rules) -> State:
+    intents = s.intents | {order}
+    after = s._replace(intents=intents, unsent=s.unsent | {order})
+    if rules.write_after_send:
+        return after
+    return after._replace(row=intents, row_seen=s.seen)
+
+
+def _sends(s: State, rules: Rules) -> list[tuple[str, State]]:
+    """Send what was written; an author that is paused sends after its term."""
+    found = []
+    for order in s.unsent:
+        sent = s._replace(unsent=s.unsent - {order}, transit=s.transit | {order})
+        if rules.drop_unanswered and order[2] == s.author:
+            sent = sent._replace(intents=s.intents - {order}, row=s.row - {order})
+        found.append((f"send {order}", sent))
+    return found
+
+
+def _arrivals(s: State) -> list[tuple[str, State]]:
+    """Let a copy arrive; the doubled copy stays on its way."""
+    found = []
+    for order in s.transit:
+        memory = s.memory
+        if order not in s.known:
+            present = any(held[1] == order[1] for held in memory)
+            if order[0] == "unload":
+                memory = frozenset(h for h in memory if h[1] != order[1])
+            elif not present:
+                memory = memory | {order}
+        arrived = s._replace(memory=memory, known=s.known | {order})
+        found.append((f"arrive {order}, doubled", arrived))
+        last = arrived._replace(transit=s.transit - {order})
+        found.append((f"arrive {order}", last))
+    return found
+
+
+def _bounds(s: State) -> list[tuple[str, State]]:
+    """Pass an order's arrival bound: copies on the way are lost by then.
+
+    The author closes the intent only with a report from after the bound, which the
+    model takes at the same moment. An order that is not sent by the end of its
+    bound is not sent any more, since its lease has lapsed.
+    """
+    found = []
+    for order in s.intents:
+        gone = s._replace(
+            transit=s.transit - {order},
+            unsent=s.unsent - {order},
+            intents=s.intents - {order},
+            seen=s.memory,
+            report=None,
+        )
+        found.append((f"bound of {order}", gone))
+    return found
+
+
+def _reports(s: State) -> list[tuple[str, State]]:
+    if s.report is None:
+        if s.memory == s.seen and not s.intents & s.known:
+            return []
+        return [("engine reports", s._replace(report=(s.memory, s.known)))]
+    memory, known = s.report
+    open_intents = frozenset(
+        order
+        for order in s.intents
+        if order not in known or (order[0] == "unload" and _shows(memory, order[1]))
+    )
+    taken = s._replace(seen=memory, intents=open_intents, report=None)
+    return [("author takes report", taken)]
+
+
+def _shows(memory: frozenset[Order], artifact: str) -> bool:
+    return any(held[1] == artifact for held in memory)
+
+
+def _takeover(s: State, rules: Rules) -> list[tuple[str, State]]:
+    if s.author == 2:
+        return []
+    intents = frozenset() if rules.forget_on_takeover else s.row
+    after = s._replace(author=2, intents=intents, seen=s.row_seen, report=None)
+    return [("second author takes over", after)]
--- /dev/null
+++ b/tests/specs/test_ledger_spec.py
@@ -0,0 +1,41 @@
+"""Checks the ledger's specification, and that each rule of it is needed."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import pytest
+from minicheck import check_safety
+
+from specs.ledger_spec import PRODUCT, Rules, ledger_spec
+
+PROPERTY = "memory_within_capacity"
+WITNESS_STATES = 4_000
+"""States among which each counterexample is found, breadth first."""
+
+
+def check(rules: Rules, max_states: int = 200_000) -> dict[str, Any]:
+    return check_safety(ledger_spec(rules), max_states=max_states)
+
+
+class TestLedgerSpec:
+    """The product's rules, over every order of events."""
+
+    def test_memory_stays_within_capacity(self, capsys: pytest.CaptureFixture[str]):
+        started = time.perf_counter()
+        result = check(PRODUCT)
+        seconds = time.perf_counter() - started
+        with capsys.disabled():
+            print(f"ledger: {result['reachable_states']} states, {seconds:.2f} s")
+        assert result["exhaustive"]
+        assert result["properties"][PROPERTY]["holds"] is True
+        # Not idle: the second author does replace the first one's artifact.
+        assert result["properties"]["never_swapped"]["holds"] is False
+
+    @pytest.mark.parametrize("rule", Rules._fields)
+    def test_each_rule_is_needed(self, rule: str):
+        result = check(PRODUCT._replace(**{rule: True}), WITNESS_STATES)
+        verdict = result["properties"][PROPERTY]
+        assert verdict["holds"] is False
+        assert len(verdict["counterexample"][-1]["state"]["memory"]) == 2
