Add leases, member rows, the outage rule and pending changes

Cause: an instance must know whether it may trust its keys and spend its shares, through outages of the store, cuts and pauses. Ruled out: majorities over "the members last read", which differ between instances; counting a revoked member as stopped at once, though a confirmation may still carry it; counting silence across an outage of the store, which revoked everybody at its end. Change: Lease; Membership with a view row that fixes the voters, notes that exclude each other, a wait after revocation, and standing computed at each call. NoMajority and PendingExpired join the exception tree.

--- a/packages/guavajunction/src/guavajunction/errors.py
+++ b/packages/guavajunction/src/guavajunction/errors.py
@@ -246,6 +246,14 @@
     """No link to the peer exists."""
 
 
+class NoMajority(PeerError):
+    """Too few members acknowledged a pending change; it was not attempted."""
+
+
+class PendingExpired(PeerError):
+    """The members' acknowledgement of a pending change is too old to act on."""
+
+
 class LeaseLost(GuavaError):
     """The holder of a lease can no longer prove that it holds it."""
 
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/membership/_events.py
@@ -0,0 +1,42 @@
+"""Log events of membership and leases."""
+
+from __future__ import annotations
+
+from guavajunction.events import LogEvent
+
+REGISTERED = LogEvent(
+    300, "membership:registered", "This incarnation's member row was written."
+)
+LOST = LogEvent(
+    301, "membership:lost", "This incarnation was revoked and must start anew."
+)
+STANDING_CHANGED = LogEvent(
+    302, "membership:standing_changed", "This instance may, or may no longer, serve."
+)
+STORE_POLL_FAILED = LogEvent(
+    303, "membership:store_poll_failed", "The members could not be read."
+)
+MEMBERS_CHANGED = LogEvent(
+    304, "membership:members_changed", "The set of live members has changed."
+)
+MEMBER_REVOKED = LogEvent(
+    305, "membership:member_revoked", "A silent member's row was marked as revoked."
+)
+VIEW_CHANGED = LogEvent(
+    306, "membership:view_changed", "The voters were changed by this instance."
+)
+VIEW_NOT_CHANGED = LogEvent(
+    307, "membership:view_not_changed", "Changing the voters failed."
+)
+NOTE_HELD = LogEvent(
+    308, "membership:note_held", "A peer's pending change was acknowledged."
+)
+NOTE_CLEARED = LogEvent(
+    309, "membership:note_cleared", "The outcome of a pending change became known."
+)
+CALLBACK_FAILED = LogEvent(
+    310, "membership:callback_failed", "A callback on changed members raised an error."
+)
+LEASE_TAKEN = LogEvent(320, "lease:taken", "This instance took a lease.")
+LEASE_LOST = LogEvent(321, "lease:lost", "This instance lost a lease.")
+LEASE_RELEASED = LogEvent(322, "lease:released", "This instance released a lease.")
--- a/tests/fakes_links.py
+++ b/tests/fakes_links.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from guavajunction.clock import Clock, SystemClock
 from guavajunction.errors import PeerTimeout, PeerUnknown
 from guavajunction.peers import Handler, PeerId
 from guavajunction.platform import InstanceRecord
@@ -26,7 +27,9 @@
     `settle()` to wait until all have been handled. Heartbeats leave on `beat()`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
+        self.clock: Clock = clock or SystemClock()
+        """Source of the times at which beats are sent."""
         self.nodes: dict[PeerId, FakeLinks] = {}
         self.cuts: set[tuple[PeerId, PeerId]] = set()
         """Directions, sender and receiver, in which nothing gets through."""
@@ -129,6 +132,8 @@
         self.told: list[tuple[PeerId, Any]] = []
         """Every message that this node sent, with its receiver."""
         self.targets: list[InstanceRecord] = []
+        self._arrived: dict[PeerId, float] = {}
+        self._echoes: dict[PeerId, float] = {}
 
     @property
     def me(self) -> PeerId:
@@ -146,6 +151,13 @@
         """Return the nodes that reach this one, whatever the bound."""
         return set(self.peers())
 
+    def echoed_at(self, peer: PeerId) -> float | None:
+        """Return when the beat left that the peer's latest beat confirms."""
+        return self._echoes.get(peer)
+
+    async def ready(self) -> None:
+        """Return at once; nothing listens."""
+
     def mutual(self, within: float) -> set[PeerId]:
         """Return the nodes that reach this one and are reached by it."""
         return {p for p in self.peers() if self._network.reaches(self._me, p)}
@@ -201,9 +213,20 @@
         for peer, links in list(self._network.nodes.items()):
             if peer == self._me or not self._network.reaches(self._me, peer):
                 continue
+            links.take_beat(self._me, self._network.clock.monotonic())
+            if peer in self._arrived:
+                links.take_echo(self._me, self._arrived[peer])
             for name, value in values.items():
                 links.accept(self._me, name, msgspec.msgpack.encode(value))
 
+    def take_beat(self, sender: PeerId, sent_at: float) -> None:
+        """Note when the latest beat that came was sent."""
+        self._arrived[sender] = sent_at
+
+    def take_echo(self, sender: PeerId, sent_at: float) -> None:
+        """Note which beat of this node the sender has heard."""
+        self._echoes[sender] = sent_at
+
     def accept(self, sender: PeerId, topic: str, body: bytes) -> None:
         """Take one value of a heartbeat that came."""
         known = self.topics.get(topic)
--- /dev/null
+++ b/tests/membership/test_lease.py
@@ -0,0 +1,145 @@
+"""Leases under pauses, lost answers and contenders."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from fakes_platform import FakeTable
+from guavajunction.clock import ManualClock
+from guavajunction.errors import LeaseLost, StoreAnswerLost
+from guavajunction.membership import Lease
+from guavajunction.peers import PeerId
+
+DURATION = 6.0
+MARGIN = 1.0
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock()
+
+
+@pytest.fixture
+def table() -> FakeTable:
+    return FakeTable()
+
+
+def lease(table: FakeTable, name: str, clock: ManualClock) -> Lease:
+    return Lease(
+        table.client(),
+        "placement/p",
+        PeerId(name, f"{name}-1"),
+        clock,
+        duration=DURATION,
+        drift_margin=MARGIN,
+    )
+
+
+class TestTakeover:
+    """When another may take the lease."""
+
+    async def test_contender_waits_out_duration_and_margin(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a, b = lease(table, "a", clock), lease(table, "b", clock)
+        assert await a.try_acquire()
+        assert not await b.try_acquire()
+        clock.advance(DURATION)
+        assert not await b.try_acquire()
+        with pytest.raises(LeaseLost):
+            a.check()
+        clock.advance(MARGIN)
+        assert await b.try_acquire()
+        assert b.check() == 2
+        with pytest.raises(LeaseLost):
+            await a.renew()
+
+    async def test_renewal_restarts_the_wait(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a, b = lease(table, "a", clock), lease(table, "b", clock)
+        await a.try_acquire()
+        await b.try_acquire()
+        clock.advance(DURATION - 1)
+        await a.renew()
+        clock.advance(MARGIN + 1)
+        assert not await b.try_acquire()
+        assert a.check() == 1
+
+    async def test_two_contenders_never_both_win(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        contenders = [lease(table, name, clock) for name in "abc"]
+        won = await asyncio.gather(*(c.try_acquire() for c in contenders))
+        assert sorted(won) == [False, False, True]
+
+    async def test_released_lease_is_free_at_once(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a, b = lease(table, "a", clock), lease(table, "b", clock)
+        await a.acquire()
+        await a.release()
+        with pytest.raises(LeaseLost):
+            a.check()
+        assert await b.try_acquire()
+        assert b.fence == 2
+
+
+class TestHolder:
+    """What the holder may believe."""
+
+    async def test_time_counts_from_before_the_write_was_sent(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a = lease(table, "a", clock)
+        a._table.after_effect = gate = asyncio.Event()
+        gate.set()
+        taking = asyncio.create_task(a.try_acquire())
+        await asyncio.sleep(0)
+        gate.clear()
+        await taking
+        assert a.held(clock.monotonic())
+        renewing = asyncio.create_task(a.renew())
+        await asyncio.sleep(0)
+        clock.advance(DURATION - 1)
+        gate.set()
+        await renewing
+        clock.advance(1)
+        assert not a.held(clock.monotonic())
+
+    async def test_lost_answer_of_the_take_is_not_a_lease(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a = lease(table, "a", clock)
+        a._table.lose_answers = 1
+        with pytest.raises(StoreAnswerLost):
+            await a.try_acquire()
+        assert not a.held(clock.monotonic())
+        assert await a.try_acquire()
+        assert a.check() == 2
+
+    async def test_renewals_survive_lost_answers_and_a_short_outage(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a = lease(table, "a", clock)
+        await a.acquire()
+        a._table.lose_answers = 1
+        for step in range(40):
+            a._table.down = step in (20, 21)
+            clock.advance(0.5)
+            for _ in range(4):
+                await asyncio.sleep(0)
+            assert a.check() == 1
+        await a.release()
+
+    async def test_paused_holder_finds_it_lost_before_it_acts(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a = lease(table, "a", clock)
+        await a.acquire()
+        clock.advance(DURATION)
+        with pytest.raises(LeaseLost):
+            a.check()
+        await a.release()
--- /dev/null
+++ b/tests/membership/test_membership.py
@@ -0,0 +1,430 @@
+"""Members in outages, cuts, pauses and races, on a clock moved by hand."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from fakes_links import FakeNetwork
+from fakes_platform import FakeInstanceList, FakeTable
+from guavajunction.clock import ManualClock
+from guavajunction.errors import (
+    AcceptanceUnknown,
+    ConditionFailed,
+    NoMajority,
+    PendingExpired,
+    PlatformError,
+)
+from guavajunction.membership import Membership, MembershipConfig
+from guavajunction.peers import PeerId
+from guavajunction.platform import InstanceRecord
+
+CFG = MembershipConfig(patience=0.0, ask_timeout=0.05)
+
+
+class Node:
+    """One instance: its view of the store, its links and its membership."""
+
+    def __init__(self, fleet: Fleet, name: str, incarnation: str, port: int) -> None:
+        self.table = fleet.table.client()
+        self.links = fleet.network.join(name, incarnation)
+        self.version = 1
+        self.membership = Membership(
+            self.table,
+            FakeInstanceList(),
+            self.links,
+            fleet.clock,
+            CFG,
+            InstanceRecord(name, "dc", "10.0.0.1", 80, port, "live"),
+            version=lambda: self.version,
+        )
+
+    @property
+    def me(self) -> PeerId:
+        return self.links.me
+
+    @property
+    def standing(self) -> bool:
+        return self.membership.standing()
+
+    async def step(self) -> None:
+        """Renew, poll and keep order, as the loops do when the store answers."""
+        for job in (self.membership.renew, self.read, self.membership.upkeep):
+            try:
+                await job()
+            except PlatformError:
+                continue
+
+    async def read(self) -> None:
+        started = self.membership._clock.monotonic()
+        await self.membership.poll()
+        self.membership.on_store_read(started)
+
+
+class Fleet:
+    """Several nodes before one table service."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.network = FakeNetwork(self.clock)
+        self.table = FakeTable()
+        self.nodes: list[Node] = []
+
+    async def start(self, *names: str) -> list[Node]:
+        for name in names:
+            port = len(self.nodes) + 1
+            self.nodes.append(Node(self, name, f"{name}-1", port))
+        await self.run(12)
+        return self.nodes
+
+    async def run(self, seconds: float, *, without: tuple[Node, ...] = ()) -> None:
+        """Let time pass; nodes in `without` are paused and their links silent."""
+        for _ in range(int(seconds / 0.5)):
+            self.clock.advance(0.5)
+            for node in self.nodes:
+                if node not in without:
+                    await node.step()
+            await self.beat(without)
+
+    async def beat(self, without: tuple[Node, ...] = ()) -> None:
+        for node in self.nodes:
+            if node not in without and node.me in self.network.nodes:
+                node.links.beat()
+        await self.network.settle()
+
+    def crash(self, node: Node) -> None:
+        self.network.leave(node.me)
+        self.nodes.remove(node)
+
+    @property
+    def voters(self) -> set[str]:
+        view = self.nodes[0].membership._observer.view
+        return {peer.name for peer in view.voters}
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    return Fleet()
+
+
+async def lose_change(node: Node, fleet: Fleet) -> None:
+    """Announce a change whose answer is lost as the store goes down for all."""
+    async with node.membership.pending("configuration"):
+        fleet.table.down = True
+        raise AcceptanceUnknown("no answer")
+
+
+async def change_late(node: Node, fleet: Fleet) -> None:
+    """Announce a change and dawdle until it may not be sent any more."""
+    async with node.membership.pending("configuration") as announcement:
+        announcement.check()
+        fleet.clock.advance(CFG.pending_validity)
+        announcement.check()
+
+
+class TestStanding:
+    """The outage rule: a plain outage serves on, a cut does not."""
+
+    async def test_nobody_stands_before_it_is_registered(self, fleet: Fleet) -> None:
+        node = Node(fleet, "a", "a-1", 1)
+        assert not node.standing
+        fleet.table.down = True
+        await node.step()
+        assert not node.standing
+
+    async def test_plain_outage_keeps_everybody_serving(self, fleet: Fleet) -> None:
+        nodes = await fleet.start("a", "b", "c")
+        fleet.table.down = True
+        for _ in range(30):
+            await fleet.run(1)
+            assert [node.standing for node in nodes] == [True] * 3
+
+    async def test_outage_beyond_the_limit_ends_standing(self, fleet: Fleet) -> None:
+        nodes = await fleet.start("a", "b", "c")
+        fleet.table.down = True
+        fleet.clock.advance(CFG.outage_limit)
+        await fleet.run(2)
+        assert [node.standing for node in nodes] == [False] * 3
+
+    async def test_minority_cut_from_store_and_peers_stops(self, fleet: Fleet) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        c.table.down = True
+        fleet.network.isolate(c.me)
+        await fleet.run(CFG.staleness + 0.5)
+        assert [n.standing for n in (a, b, c)] == [True, True, False]
+
+    async def test_one_way_hearing_is_no_majority(self, fleet: Fleet) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        fleet.table.down = True
+        for peer in (a, b):
+            fleet.network.cut(c.me, peer.me, both=False)
+        await fleet.run(CFG.heard + 0.5)
+        assert [n.standing for n in (a, b, c)] == [True, True, False]
+
+    async def test_relayed_confirmation_needs_no_older_configuration(
+        self, fleet: Fleet
+    ) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        c.table.down = True
+        await fleet.run(5)
+        assert c.standing
+        a.version = b.version = 2
+        await fleet.run(CFG.staleness + 0.5)
+        assert not c.standing
+        c.version = 2
+        assert c.standing
+
+    async def test_paused_member_wakes_without_standing(self, fleet: Fleet) -> None:
+        _a, _b, c = await fleet.start("a", "b", "c")
+        await fleet.run(CFG.staleness, without=(c,))
+        assert not c.standing
+        await fleet.run(1)
+        assert c.standing
+
+    async def test_delayed_heartbeat_does_not_look_young(self, fleet: Fleet) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        c.table.down = True
+        fleet.network.cut(c.me, a.me, both=False)
+        fleet.network.cut(c.me, b.me, both=False)
+        # Heartbeats of `a` and `b` still arrive, but no longer echo new ones of `c`,
+        # as if they had been on their way since the cut.
+        await fleet.run(CFG.staleness + 0.5)
+        assert not c.standing
+
+
+class TestPending:
+    """A change waits for a majority, and blocks rule 2 until it is known."""
+
+    async def test_minority_cannot_accept(self, fleet: Fleet) -> None:
+        a, _b, _c = await fleet.start("a", "b", "c")
+        fleet.network.isolate(a.me)
+        with pytest.raises(NoMajority):
+            async with a.membership.pending("configuration"):
+                pytest.fail("a minority was admitted")
+        assert not a.membership._notes.blocked
+
+    async def test_holder_of_a_note_blocks_the_others_in_an_outage(
+        self, fleet: Fleet
+    ) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        fleet.network.cut(a.me, c.me)
+        with pytest.raises(AcceptanceUnknown):
+            await lose_change(a, fleet)
+        await fleet.run(CFG.staleness + 0.5)
+        assert [n.standing for n in (a, b, c)] == [False] * 3
+        fleet.table.down = False
+        await fleet.run(CFG.settle_bound + 1)
+        fleet.table.down = True
+        await fleet.run(CFG.staleness + 0.5)
+        assert b.standing
+
+    async def test_refused_change_releases_the_note_at_once(self, fleet: Fleet) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        with pytest.raises(ConditionFailed):
+            async with a.membership.pending("configuration"):
+                raise ConditionFailed("another version")
+        await fleet.network.settle()
+        fleet.table.down = True
+        await fleet.run(CFG.staleness + 0.5)
+        assert [n.standing for n in (a, b, c)] == [True] * 3
+
+    async def test_accepted_change_is_cleared_by_reading_it(self, fleet: Fleet) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        async with a.membership.pending("configuration"):
+            holders = [n for n in (a, b, c) if n.membership._notes.blocked]
+            assert len(holders) >= 2
+        for node in (a, b):
+            node.version = 2
+        await fleet.network.settle()
+        await fleet.run(1)
+        fleet.table.down = True
+        await fleet.run(CFG.staleness + 0.5)
+        # `c` never installed version 2, so it may not count those that did.
+        assert [n.standing for n in (a, b, c)] == [True, True, False]
+
+    async def test_two_announcements_exclude_each_other(self, fleet: Fleet) -> None:
+        a, _b, c = await fleet.start("a", "b", "c")
+        async with a.membership.pending("configuration"):
+            with pytest.raises(NoMajority):
+                async with c.membership.pending("configuration"):
+                    pytest.fail("both were admitted")
+
+    async def test_change_announced_too_long_ago_is_refused(self, fleet: Fleet) -> None:
+        a, *_ = await fleet.start("a", "b", "c")
+        with pytest.raises(PendingExpired):
+            await change_late(a, fleet)
+        assert a.membership._notes.blocked
+
+    async def test_voter_with_another_view_does_not_acknowledge(
+        self, fleet: Fleet
+    ) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        b.table.down = c.table.down = True
+        fleet.nodes.append(Node(fleet, "d", "d-1", 9))
+        await fleet.nodes[-1].step()
+        await a.read()
+        await a.membership._upkeep.keep_view()
+        await a.read()
+        assert fleet.voters == {"a", "b", "c", "d"}
+        with pytest.raises(NoMajority):
+            async with a.membership.pending("configuration"):
+                pytest.fail("voters of an older view were counted")
+
+
+class TestRevocation:
+    """Members that fall silent, and what is still theirs."""
+
+    async def test_crashed_member_is_revoked_and_freed_after_the_wait(
+        self, fleet: Fleet
+    ) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        fleet.crash(c)
+        await fleet.run(CFG.lease + CFG.drift_margin + 2)
+        assert fleet.voters == {"a", "b"}
+        assert a.membership.revoked("c-1")
+        assert c.me in await a.membership.unrevoked_members()
+        await fleet.run(CFG.reclaim_wait + 1)
+        assert await a.membership.unrevoked_members() == [a.me, b.me]
+
+    async def test_minority_with_the_store_revokes_nobody(self, fleet: Fleet) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        fleet.network.isolate(a.me)
+        b.table.down = c.table.down = True
+        await fleet.run(40)
+        assert fleet.voters == {"a", "b", "c"}
+        assert not a.membership.revoked("b-1")
+        assert [n.standing for n in (a, b, c)] == [True] * 3
+
+    async def test_revoked_member_that_wakes_is_lost(self, fleet: Fleet) -> None:
+        a, _b, c = await fleet.start("a", "b", "c")
+        await fleet.run(CFG.lease + CFG.drift_margin + 2, without=(c,))
+        assert a.membership.revoked("c-1")
+        assert not c.standing
+        await fleet.run(1)
+        assert c.membership.lost.is_set()
+        assert not c.standing
+
+    async def test_revoked_member_cut_from_the_store_heeds_its_peers(
+        self, fleet: Fleet
+    ) -> None:
+        a, _b, c = await fleet.start("a", "b", "c")
+        c.table.down = True
+        await fleet.run(CFG.lease + CFG.drift_margin + 2)
+        assert a.membership.revoked("c-1")
+        await fleet.run(CFG.staleness)
+        assert not c.standing
+
+    async def test_end_of_an_outage_revokes_nobody(self, fleet: Fleet) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        fleet.table.down = True
+        await fleet.run(60)
+        fleet.table.down = False
+        b.table.down = c.table.down = True
+        await fleet.run(CFG.lease / 2)
+        b.table.down = c.table.down = False
+        await fleet.run(10)
+        assert fleet.voters == {"a", "b", "c"}
+        assert not any(n.membership.lost.is_set() for n in (a, b, c))
+
+    async def test_restart_at_the_same_address_frees_the_predecessor(
+        self, fleet: Fleet
+    ) -> None:
+        a, _b, c = await fleet.start("a", "b", "c")
+        fleet.crash(c)
+        fleet.nodes.append(Node(fleet, "c", "c-2", 3))
+        await fleet.run(1)
+        assert c.me not in await a.membership.unrevoked_members()
+
+    async def test_crash_of_the_majority_heals_once_restarted(
+        self, fleet: Fleet
+    ) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        fleet.crash(b)
+        fleet.crash(c)
+        fleet.nodes.append(Node(fleet, "b", "b-2", 2))
+        fleet.nodes.append(Node(fleet, "c", "c-2", 3))
+        await fleet.run(CFG.settle_bound / 2)
+        with pytest.raises(NoMajority):
+            async with a.membership.pending("configuration"):
+                pytest.fail("one of three voters sufficed too early")
+        await fleet.run(CFG.settle_bound)
+        async with a.membership.pending("configuration"):
+            pass
+        view = a.membership._observer.view
+        assert {p.incarnation for p in view.voters} == {"a-1", "b-2", "c-2"}
+
+
+class TestRegistration:
+    """The own row."""
+
+    async def test_lost_answer_of_a_renewal_is_found_again(self, fleet: Fleet) -> None:
+        a, *_ = await fleet.start("a", "b", "c")
+        a.table.lose_answers = 1
+        await fleet.run(CFG.lease + 2)
+        assert a.standing
+        assert not a.membership.lost.is_set()
+
+    async def test_graceful_leave_frees_the_member_at_once(self, fleet: Fleet) -> None:
+        a, _b, c = await fleet.start("a", "b", "c")
+        await c.membership.leave()
+        await fleet.run(1)
+        assert c.standing
+        assert c.me not in a.membership.live_members()
+        await c.membership.deregister()
+        assert not c.standing
+        assert c.me not in await a.membership.unrevoked_members()
+
+    async def test_steady_state_stays_within_the_store_budget(
+        self, fleet: Fleet
+    ) -> None:
+        nodes = await fleet.start("a", "b", "c")
+        for node in nodes:
+            node.table.counts.clear()
+        await fleet.run(10)
+        for node in nodes:
+            assert set(node.table.counts) == {"put", "query", "get"}
+            # One renewal and one poll in each of the 20 steps, nothing else.
+            assert node.table.counts == {"put": 20, "query": 20, "get": 20}
+
+
+class TestLoops:
+    """The loops that the daemon runs."""
+
+    async def test_loops_survive_an_outage_and_can_be_cancelled(
+        self, fleet: Fleet
+    ) -> None:
+        node = Node(fleet, "a", "a-1", 1)
+        changes: list[int] = []
+        node.membership.on_change(lambda: changes.append(1))
+        fleet.table.down = True
+        task = asyncio.create_task(node.membership.run())
+        for number in range(60):
+            fleet.table.down = number < 10
+            fleet.clock.advance(0.5)
+            node.membership.on_store_read(fleet.clock.monotonic())
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        assert node.standing
+        assert fleet.table.rows["member", "a-1"].version > 3
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+
+class TestAuthor:
+    """Rendezvous hashing over live members."""
+
+    async def test_all_agree_and_one_loss_moves_only_its_keys(
+        self, fleet: Fleet
+    ) -> None:
+        a, b, c = await fleet.start("a", "b", "c")
+        keys = [f"customer/{number}" for number in range(60)]
+        before = {key: a.membership.author(key) for key in keys}
+        assert before == {key: b.membership.author(key) for key in keys}
+        fleet.crash(c)
+        await fleet.run(CFG.lease + CFG.drift_margin + 1)
+        for key in keys:
+            if before[key] != c.me:
+                assert a.membership.author(key) == before[key]
+            assert a.membership.author(key) != c.me
