Check acceptance and installation by model; look for forgotten attempts

Cause: an attempt that the head row no longer remembers looked like a conflict to a repeat through another instance.

--- a/packages/guavajunction/src/guavajunction/configuration/_store.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_store.py
@@ -27,7 +27,6 @@
     HISTORY_PARTITION,
     NO_HEAD,
     PARTITION,
-    RECENT_ATTEMPTS,
     SORT,
     Head,
     decode_head,
@@ -42,6 +41,9 @@
 ACCEPT_ATTEMPTS = 8
 """Writes of the head row before an acceptance is given up."""
 
+SEARCHED_VERSIONS = 256
+"""Past versions in which a forgotten attempt is looked for."""
+
 _FIRST_PAUSE_SECONDS = 0.05
 _LONGEST_PAUSE_SECONDS = 0.5
 
@@ -188,9 +190,10 @@
         head = await self.read_head()
         pending.settle(head)
         version = head.accepted_version(change.attempt_id)
+        if version is None and (section := _changed_meanwhile(change, head)):
+            version = await self._search_history(change, section, head)
         if version is not None:
             return Accepted(version, head)
-        _refuse_conflicts(change, head)
         check_sections({**await self.load_sections(head), **change.sections})
         await self._record_history(head)
         digests = {name: digest_of(body) for name, body in bodies.items()}
@@ -202,6 +205,25 @@
             self.bodies.learn(name, digests[name], body)
         return Accepted(following.version, following)
 
+    async def _search_history(self, change: Change, section: str, head: Head) -> int:
+        """Return the version that an attempt made which the head row has forgotten.
+
+        The search ends where the section has the version that the change was made
+        from, as an acceptance would have raised it.
+
+        Raises:
+            SectionConflict: The attempt was not accepted; others changed the section.
+        """
+        based_on = change.based_on.get(section, 0)
+        oldest = max(0, head.version - SEARCHED_VERSIONS)
+        for version in range(head.version - 1, oldest, -1):
+            past = await self.past(version)
+            if past.accepted_version(change.attempt_id) == version:
+                return version
+            if past.section_version(section) <= based_on:
+                break
+        raise SectionConflict(_conflict(section, based_on, head))
+
     async def _write_head(self, following: Head, pending: _PendingWrite) -> None:
         expected = following.version - 1
         try:
@@ -249,22 +271,17 @@
         self._expected = expected
 
     def settle(self, head: Head) -> None:
-        """Note a read: once another version stands, a write has no future.
-
-        Past the attempts that the row remembers, the write's fate stays unknown.
-        """
-        if self._expected is None:
-            return
-        if 0 < head.version - self._expected <= RECENT_ATTEMPTS:
+        """Note a read: once another version stands, a write has no future."""
+        if self._expected is not None and head.version > self._expected:
             self._expected = None
 
 
-def _refuse_conflicts(change: Change, head: Head) -> None:
+def _changed_meanwhile(change: Change, head: Head) -> str | None:
+    """Return a section of a change whose version is not the one it was made from."""
     for name in change.sections:
-        based_on = change.based_on.get(name, 0)
-        if based_on == head.section_version(name):
-            continue
-        raise SectionConflict(_conflict(name, based_on, head))
+        if change.based_on.get(name, 0) != head.section_version(name):
+            return name
+    return None
 
 
 def _conflict(section: str, based_on: int, head: Head) -> str:
--- a/tests/configuration/test_document.py
+++ b/tests/configuration/test_document.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from fakes_configuration import EXAMPLE, example_sections
@@ -85,6 +85,7 @@
         (fault,) = faults(text="[customers")
         assert fault.startswith("document: found")
 
+    @settings(max_examples=40, deadline=None)
     @given(st.recursive(st.none() | st.integers() | st.text() | st.floats(), st.lists))
     def test_any_value_is_refused_or_built(self, value):
         sections = example_sections()
--- /dev/null
+++ b/tests/specs/acceptance_spec.py
@@ -0,0 +1,206 @@
+"""Specification of how changes of the configuration are accepted.
+
+Three operators start from the same document: two change section `x`, one changes
+section `y`. The first sends its change through two instances at once. Each instance
+reads the head row and writes its successor by compare-and-set. A write may arrive at
+any later time or never, and its answer may be lost. The row remembers only the last
+attempt; older ones are in the history.
+"""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from typing import Any, Literal, NamedTuple
+
+from minicheck import Protocol
+
+MAX_VERSION = 4
+"""Versions after which nothing more is sent, to keep a wrong rule finite."""
+
+
+class Sender(NamedTuple):
+    """An instance that works on an operator's change."""
+
+    attempt: str
+    section: str
+
+
+SENDERS = (Sender("a", "x"), Sender("a", "x"), Sender("b", "x"), Sender("c", "y"))
+
+Phase = Literal["reads", "sent", "accepted", "refused", "unknown"]
+
+
+class Accepted(NamedTuple):
+    """One version of the head row."""
+
+    attempt: str
+    section: str
+    x: str
+    """Attempt that wrote section `x` last."""
+    y: str
+    """Attempt that wrote section `y` last."""
+    x_version: int
+    y_version: int
+
+
+START = Accepted("", "", "", "", 0, 0)
+
+
+class Work(NamedTuple):
+    """What one sender does."""
+
+    phase: Phase = "reads"
+    expected: int = 0
+    """Version that its last write was based on."""
+
+
+class State(NamedTuple):
+    """The head row with its past, writes on their way and the senders."""
+
+    log: tuple[Accepted, ...]
+    """Every accepted version; the last one stands in the row."""
+    transit: frozenset[tuple[int, int]]
+    """Sender and expected version of writes that may still arrive."""
+    work: tuple[Work, ...]
+
+
+class Rules(NamedTuple):
+    """How a change is accepted; the defaults are the product's rules."""
+
+    attempt_ids: bool = True
+    """Recognises one's own write by its attempt id."""
+    history: bool = True
+    """Looks for attempts that the row has forgotten in the history."""
+    section_versions: bool = True
+    """Refuses a change of a section that was changed meanwhile."""
+    compare_and_set: bool = True
+    """Writes the row only if it has the expected version."""
+    reads_after_loss: bool = True
+    """Reads the row before it reports a write that was not answered."""
+
+
+PRODUCT = Rules()
+Step = tuple[str, State]
+
+
+def acceptance_spec(rules: Rules = PRODUCT) -> Protocol:
+    """Return the model with the given rules."""
+    initial = State((START,), frozenset(), (Work(),) * len(SENDERS))
+    return Protocol(
+        name="acceptance",
+        candidate=False,
+        fields=State._fields,
+        initial=tuple(initial),
+        transitions=lambda state: [
+            (label, tuple(after)) for label, after in _steps(State(*state), rules)
+        ],
+        invariants={
+            "accepted_once": _accepted_once,
+            "no_section_lost": _no_section_lost,
+            "reports_are_true": _reports_are_true,
+        },
+    )
+
+
+def _steps(s: State, rules: Rules) -> list[Step]:
+    found: list[Step] = []
+    for index, work in enumerate(s.work):
+        if work.phase == "reads":
+            found.append((f"{_name(index)} reads", _read(s, index, rules)))
+        if work.phase == "sent":
+            found += _losses(s, index, rules)
+    for index, expected in sorted(s.transit):
+        found += _arrivals(s, index, expected, rules)
+    return found
+
+
+def _name(index: int) -> str:
+    return f"sender {index} of {SENDERS[index].attempt}"
+
+
+def _turn(s: State, index: int, work: Work) -> State:
+    changed = (*s.work[:index], work, *s.work[index + 1 :])
+    return s._replace(work=changed)
+
+
+def _read(s: State, index: int, rules: Rules) -> State:
+    sender, version = SENDERS[index], len(s.log) - 1
+    if _recognises(s, sender, rules):
+        return _turn(s, index, Work("accepted"))
+    conflict = _section_version(s.log[-1], sender.section) != 0
+    if (conflict and rules.section_versions) or version >= MAX_VERSION:
+        return _turn(s, index, Work("refused"))
+    sent = _turn(s, index, Work("sent", version))
+    return sent._replace(transit=s.transit | {(index, version)})
+
+
+def _recognises(s: State, sender: Sender, rules: Rules) -> bool:
+    if not rules.attempt_ids:
+        return False
+    known = s.log if rules.history else s.log[-1:]
+    return any(accepted.attempt == sender.attempt for accepted in known)
+
+
+def _section_version(accepted: Accepted, section: str) -> int:
+    return accepted.x_version if section == "x" else accepted.y_version
+
+
+def _losses(s: State, index: int, rules: Rules) -> list[Step]:
+    """Stop waiting for an answer: read again, or give up."""
+    if not rules.reads_after_loss:
+        refused = _turn(s, index, Work("refused"))
+        return [(f"{_name(index)} gets no answer", refused)]
+    again = _turn(s, index, Work("reads"))
+    unknown = _turn(s, index, Work("unknown"))
+    return [
+        (f"{_name(index)} gets no answer", again),
+        (f"{_name(index)} gives up", unknown),
+    ]
+
+
+def _arrivals(s: State, index: int, expected: int, rules: Rules) -> list[Step]:
+    """Apply a write that arrives; its answer may be lost later."""
+    rest = s._replace(transit=s.transit - {(index, expected)})
+    waits = s.work[index] == Work("sent", expected)
+    if rules.compare_and_set and expected != len(s.log) - 1:
+        refused = _turn(rest, index, Work("reads")) if waits else rest
+        return [(f"write of {_name(index)} is refused", refused)]
+    written = rest._replace(log=(*s.log, _successor(s.log[expected], SENDERS[index])))
+    found = [(f"write of {_name(index)} takes effect unanswered", written)]
+    if waits:
+        answered = _turn(written, index, Work("accepted"))
+        found.append((f"write of {_name(index)} takes effect", answered))
+    return found
+
+
+def _successor(base: Accepted, sender: Sender) -> Accepted:
+    following = base._replace(attempt=sender.attempt, section=sender.section)
+    if sender.section == "x":
+        return following._replace(x=sender.attempt, x_version=base.x_version + 1)
+    return following._replace(y=sender.attempt, y_version=base.y_version + 1)
+
+
+def _accepted_once(d: dict[str, Any]) -> bool:
+    attempts = [accepted.attempt for accepted in d["log"][1:]]
+    return len(attempts) == len(set(attempts))
+
+
+def _no_section_lost(d: dict[str, Any]) -> bool:
+    """Each version changes its own section alone, from the version it started at."""
+    log = d["log"]
+    for before, after in pairwise(log):
+        kept = before.y == after.y if after.section == "x" else before.x == after.x
+        if not kept or _section_version(before, after.section) != 0:
+            return False
+    return True
+
+
+def _reports_are_true(d: dict[str, Any]) -> bool:
+    """What an operator is told holds, and keeps holding as writes arrive."""
+    attempts = {accepted.attempt for accepted in d["log"]}
+    for sender, work in zip(SENDERS, d["work"], strict=True):
+        if work.phase == "accepted" and sender.attempt not in attempts:
+            return False
+        if work.phase == "refused" and sender.attempt in attempts:
+            return False
+    return True
--- /dev/null
+++ b/tests/specs/installation_spec.py
@@ -0,0 +1,136 @@
+"""Specification of how instances put accepted versions in force.
+
+Two versions are accepted one after the other. Each of two instances reads the head
+row, then the body, which may be stale; takes a version from the other instance; may
+be paused between any two steps; and may be restarted, when it forgets everything.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from minicheck import Protocol
+
+LAST_VERSION = 2
+
+
+class Instance(NamedTuple):
+    """One instance; a restarted one begins anew but for what callers saw of it."""
+
+    serves: bool = False
+    version: int = 0
+    """Version in force."""
+    body: int = 0
+    """Version whose content is in force."""
+    loading: frozenset[int] = frozenset()
+    """Versions that it has read of and whose bodies it loads."""
+    handed: tuple[int, int] | None = None
+    """Version and content that the other instance handed over."""
+    seen: int = 0
+    """Highest version that it served, before restarts too."""
+    reverted: bool = False
+    """Whether it served a lower version than before."""
+
+
+class State(NamedTuple):
+    """The accepted version and the instances."""
+
+    accepted: int
+    instances: tuple[Instance, Instance]
+
+
+class Rules(NamedTuple):
+    """How versions are put in force; the defaults are the product's rules."""
+
+    only_higher: bool = True
+    """Installs only a version that is higher than the one in force."""
+    checks_hash: bool = True
+    """Refuses a body that does not have the hash in the row."""
+    reads_before_serving: bool = True
+    """Serves only after a read of the row whose version is in force."""
+
+
+PRODUCT = Rules()
+Step = tuple[str, State]
+
+
+def installation_spec(rules: Rules = PRODUCT) -> Protocol:
+    """Return the model with the given rules."""
+    return Protocol(
+        name="installation",
+        candidate=False,
+        fields=State._fields,
+        initial=tuple(State(1, (Instance(), Instance()))),
+        transitions=lambda state: [
+            (label, tuple(after)) for label, after in _steps(State(*state), rules)
+        ],
+        invariants={
+            "never_reverts": lambda d: not any(i.reverted for i in d["instances"]),
+            "serves_what_was_accepted": _serves_what_was_accepted,
+        },
+    )
+
+
+def _steps(s: State, rules: Rules) -> list[Step]:
+    found: list[Step] = []
+    if s.accepted < LAST_VERSION:
+        accepted = s._replace(accepted=s.accepted + 1)
+        found.append((f"version {accepted.accepted} is accepted", accepted))
+    for index in range(len(s.instances)):
+        found += _instance_steps(s, index, rules)
+    return found
+
+
+def _instance_steps(s: State, index: int, rules: Rules) -> list[Step]:
+    own, other = s.instances[index], s.instances[1 - index]
+    reading = own._replace(loading=own.loading | {s.accepted})
+    restarted = Instance(seen=own.seen, reverted=own.reverted)
+    found = [("reads the row", reading), ("restarts", restarted)]
+    for version in sorted(own.loading):
+        found += _loads(own, version, rules)
+    if other.version > own.version:
+        handed = own._replace(handed=(other.version, other.body))
+        found.append(("is handed a version", handed))
+    if own.handed is not None:
+        version, body = own.handed
+        taken = _install(own._replace(handed=None), version, body, rules)
+        found.append((f"installs version {version} of its peer", taken))
+    if not rules.reads_before_serving and not own.serves:
+        found.append(("serves at once", _serve(own)))
+    return [
+        (f"instance {index} {label}", _replace(s, index, after))
+        for label, after in found
+    ]
+
+
+def _replace(s: State, index: int, instance: Instance) -> State:
+    pair = (instance, s.instances[1]) if index == 0 else (s.instances[0], instance)
+    return s._replace(instances=pair)
+
+
+def _loads(own: Instance, version: int, rules: Rules) -> list[tuple[str, Instance]]:
+    """Finish a load with the right body, or with a stale one."""
+    rest = own._replace(loading=own.loading - {version})
+    whole = _serve(_install(rest, version, version, rules))
+    found = [(f"loads version {version}", whole)]
+    if not rules.checks_hash:
+        stale = _serve(_install(rest, version, version - 1, rules))
+        found.append((f"loads a stale body of version {version}", stale))
+    return found
+
+
+def _install(own: Instance, version: int, body: int, rules: Rules) -> Instance:
+    if rules.only_higher and version <= own.version:
+        return own
+    installed = own._replace(version=version, body=body)
+    return _serve(installed) if own.serves else installed
+
+
+def _serve(own: Instance) -> Instance:
+    reverted = own.reverted or own.version < own.seen
+    seen = max(own.seen, own.version)
+    return own._replace(serves=True, seen=seen, reverted=reverted)
+
+
+def _serves_what_was_accepted(d: dict[str, Any]) -> bool:
+    return all(i.body == i.version <= d["accepted"] for i in d["instances"] if i.serves)
