Add the load tool: open-loop callers that check every answer

Cause: attainment, wrongful refusals and the promises to callers can only be measured from the callers' side. Closed-loop load was ruled out, since it hides waits that callers would have had.

Change: seeded bursty arrivals with shifting popular models, the caller protocol with the directory's answer kept for its time, verdicts against the expected answer, the caller's own account of each customer's rate (wrongful refusals, proved overspending), runs of the backend servers against what callers were told, and `guavafakes load`.

After: tests/fakes/test_load.py 17 passed against an entry that cuts, crosses, doubles and lies on purpose. Not run yet: load on a fleet with the daemon.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/__init__.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 from ._fleet import Fleet
-from ._profiles import PROFILES, CustomerPlan, FleetProfile, ModelPlan, profile_named
+from ._profiles import (
+    PROFILES,
+    CustomerPlan,
+    FleetProfile,
+    ModelPlan,
+    ObjectivePlan,
+    profile_named,
+)
 from ._roster import CustomerAccess, Roster, read_roster
 
 __all__ = [
@@ -13,6 +20,7 @@
     "Fleet",
     "FleetProfile",
     "ModelPlan",
+    "ObjectivePlan",
     "Roster",
     "profile_named",
     "read_roster",
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/__init__.py
@@ -0,0 +1,20 @@
+"""Callers of a fleet: traffic, checks of every answer, and figures."""
+
+from __future__ import annotations
+
+from ._arrivals import Arrival, LoadPlan, arrivals
+from ._bucket import RateWitness
+from ._outcome import Outcome, Verdict
+from ._report import LoadReport
+from ._runner import run_load
+
+__all__ = [
+    "Arrival",
+    "LoadPlan",
+    "LoadReport",
+    "Outcome",
+    "RateWitness",
+    "Verdict",
+    "arrivals",
+    "run_load",
+]
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_arrivals.py
@@ -0,0 +1,189 @@
+"""When which customer asks for what; the same for the same seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from typing import Literal, NamedTuple
+
+from ..engine import prompt_of
+from ..fleet import CustomerAccess, Roster
+
+Kind = Literal["live", "batch", "call"]
+
+BYTES_PER_TOKEN = 4
+
+
+class LoadPlan(NamedTuple):
+    """How much is asked, and how unevenly."""
+
+    seconds: float = 10.0
+    """How long requests arrive."""
+    seed: int = 1
+    scale: float = 1.0
+    """Multiplies the rate of all customers."""
+    over: dict[str, float] = {}
+    """Multiplies the rate of some customers further."""
+    burst_factor: float = 3.0
+    """Rate within a burst over the mean rate."""
+    burst_seconds: float = 1.5
+    """Mean length of a burst."""
+    shift_seconds: float = 10.0
+    """After so long other models are the popular ones."""
+    skew: float = 1.0
+    """Exponent of the Zipf distribution over models; 0 for even."""
+    sessions: int = 4
+    """Prompt prefixes per customer and model."""
+    max_tokens: int = 64
+    prompt_bytes: int = 400
+    """Mean length of a prompt."""
+    retries: int = 2
+    """Repeats of a request that was refused and may be repeated."""
+    settle_seconds: float = 0.3
+    """Time for late runs to reach the backend servers before they are counted."""
+
+
+class Arrival(NamedTuple):
+    """One request of one customer."""
+
+    at: float
+    """Seconds after the start."""
+    customer: str
+    kind: Kind
+    model: str
+    """Empty for calls of the plain service."""
+    system: str
+    prompt: str
+    """Message of the user, or body of the call."""
+    max_tokens: int
+    number: int
+
+    @property
+    def messages(self) -> list[dict[str, str]]:
+        """Return the messages of the chat."""
+        return [
+            {"role": "system", "content": self.system},
+            {"role": "user", "content": self.prompt},
+        ]
+
+    @property
+    def prompt_text(self) -> str:
+        """Return the text that the answer depends on."""
+        return prompt_of({"messages": self.messages})
+
+    @property
+    def cost(self) -> float:
+        """Return the tokens that are reserved: prompt and longest answer."""
+        prompt = -(-len(self.prompt_text.encode()) // BYTES_PER_TOKEN)
+        return float(prompt + self.max_tokens)
+
+
+CALL_COST = 10.0
+"""Tokens charged for a call of the plain service, as the profiles' routes say."""
+
+
+def arrivals(roster: Roster, plan: LoadPlan) -> list[Arrival]:
+    """Return every request of a run, by time."""
+    drawn = [
+        arrival
+        for customer in roster.customers
+        for arrival in _Customer(customer, roster, plan).arrivals()
+    ]
+    ordered = sorted(drawn, key=lambda arrival: (arrival.at, arrival.customer))
+    return [arrival._replace(number=n) for n, arrival in enumerate(ordered)]
+
+
+class _Customer:
+    """Draws the requests of one customer."""
+
+    def __init__(self, access: CustomerAccess, roster: Roster, plan: LoadPlan) -> None:
+        self._access = access
+        self._roster = roster
+        self._plan = plan
+        self._random = random.Random(f"{plan.seed}/{access.plan.name}")
+        self._order = list(roster.models)
+        self._weights = [
+            1.0 / rank**plan.skew for rank in range(1, len(self._order) + 1)
+        ]
+
+    def arrivals(self) -> Iterator[Arrival]:
+        customer, plan = self._access.plan, self._plan
+        factor = plan.scale * plan.over.get(customer.name, 1.0)
+        mean_cost = plan.prompt_bytes / BYTES_PER_TOKEN + plan.max_tokens
+        live = customer.live_share * customer.rate / mean_cost
+        batch = customer.batch_share * customer.rate / mean_cost
+        for at in self._times(live * factor):
+            yield self._chat(at, "live")
+        for at in self._times(batch * factor):
+            yield self._chat(at, "batch")
+        for at in self._times(customer.calls_per_second * factor):
+            yield self._call(at)
+
+    def _times(self, rate: float) -> Iterator[float]:
+        """Yield a Poisson process that is modulated by bursts."""
+        at = 0.0
+        for is_burst, length in self._phases():
+            phase_rate = rate * self._phase_factor(is_burst)
+            end = at + length
+            while phase_rate > 0:
+                at += self._random.expovariate(phase_rate)
+                if at >= end:
+                    break
+                if at >= self._plan.seconds:
+                    return
+                yield at
+            at = end
+            if at >= self._plan.seconds:
+                return
+
+    def _phases(self) -> Iterator[tuple[bool, float]]:
+        """Yield bursts and quiet phases in turn with their lengths in seconds."""
+        mean_burst = self._plan.burst_seconds
+        mean_quiet = mean_burst * (self._plan.burst_factor - 1)
+        is_burst = self._random.random() * self._plan.burst_factor < 1.0
+        while True:
+            mean = mean_burst if is_burst else mean_quiet
+            yield is_burst, self._random.expovariate(1 / mean) if mean else 0.0
+            is_burst = not is_burst
+
+    def _phase_factor(self, is_burst: bool) -> float:
+        """Return the rate within a phase over the mean rate.
+
+        Bursts fill 1/F of the time at F/2 + 1/2 times the mean; the quiet phases
+        bring the mean back to 1.
+        """
+        factor = self._plan.burst_factor
+        if factor <= 1.0:
+            return 1.0
+        high = (factor + 1) / 2
+        return high if is_burst else (1 - high / factor) / (1 - 1 / factor)
+
+    def _chat(self, at: float, kind: Kind) -> Arrival:
+        rng, plan = self._random, self._plan
+        model = self._model(at)
+        session = rng.randrange(plan.sessions)
+        system = f"{self._access.plan.name} {model} session {session}. ".ljust(160, "s")
+        length = max(8, int(rng.gauss(plan.prompt_bytes - len(system), 60)))
+        prompt = f"{rng.getrandbits(64):016x}".ljust(length, "p")
+        return Arrival(
+            at,
+            self._access.plan.name,
+            kind,
+            model,
+            system,
+            prompt,
+            plan.max_tokens,
+            0,
+        )
+
+    def _model(self, at: float) -> str:
+        """Return a model; which ones are popular changes from time to time."""
+        phase = int(at / self._plan.shift_seconds)
+        order = list(self._order)
+        random.Random(f"{self._plan.seed}/{phase}").shuffle(order)
+        return self._random.choices(order, self._weights)[0]
+
+    def _call(self, at: float) -> Arrival:
+        body = f"{self._random.getrandbits(64):016x}"
+        name = self._access.plan.name
+        return Arrival(at, name, "call", "", "", body, 0, 0)
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_backend_view.py
@@ -0,0 +1,80 @@
+"""What the backend servers say that they ran, against what callers were told."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from ..fleet import Roster
+from ._outcome import Outcome, Verdict
+
+
+class BackendView(NamedTuple):
+    """Runs and figures of all backend servers, at one moment."""
+
+    engine_runs: Counter[str]
+    """Runs of engines by request id."""
+    call_runs: Counter[str]
+    """Runs of the plain service by idempotency key."""
+    stats: dict[str, dict[str, Any]]
+    """`GET /stats` of each stand-in by URL."""
+
+    def total(self, name: str) -> float:
+        """Return the sum of a figure over all stand-ins."""
+        return sum(stats.get(name, 0) for stats in self.stats.values())
+
+    def doubled_calls(self) -> int:
+        """Return runs of calls beyond the first."""
+        return sum(count - 1 for count in self.call_runs.values())
+
+    def secrets_seen(self) -> int:
+        """Return credentials that reached a backend server."""
+        seen = (stats.get("secrets_seen", {}) for stats in self.stats.values())
+        return sum(sum(by_header.values()) for by_header in seen)
+
+
+async def read_backends(session: aiohttp.ClientSession, roster: Roster) -> BackendView:
+    """Ask every stand-in what it did."""
+    backends = [*roster.engines, *roster.services]
+    urls = [*backends, *roster.platform.values()]
+    stats = await asyncio.gather(*(_get(session, f"{url}/stats") for url in urls))
+    engine_runs = await _runs(session, roster.engines, "request_id")
+    call_runs = await _runs(session, roster.services, "idempotency_key")
+    return BackendView(engine_runs, call_runs, dict(zip(urls, stats, strict=True)))
+
+
+def false_not_run(outcomes: list[Outcome], view: BackendView) -> int:
+    """Return the refusals that said "not run" of something that had run."""
+    count = 0
+    for outcome in outcomes:
+        claims = [r for r in outcome.refusals if r.not_run == "true"]
+        if outcome.arrival.kind != "call":
+            count += sum(view.engine_runs[r.request_id] > 0 for r in claims)
+        elif outcome.verdict is Verdict.REFUSED and claims:
+            count += view.call_runs[outcome.idempotency_key] > 0
+    return count
+
+
+def answered_without_run(outcomes: list[Outcome], view: BackendView) -> int:
+    """Return the calls that were answered as done and that no server ran."""
+    return sum(
+        view.call_runs[outcome.idempotency_key] == 0
+        for outcome in outcomes
+        if outcome.arrival.kind == "call" and outcome.verdict is Verdict.WHOLE
+    )
+
+
+async def _runs(
+    session: aiohttp.ClientSession, urls: list[str], field: str
+) -> Counter[str]:
+    bodies = await asyncio.gather(*(_get(session, f"{url}/runs") for url in urls))
+    return Counter(run[field] for body in bodies for run in body["runs"] if run[field])
+
+
+async def _get(session: aiohttp.ClientSession, url: str) -> dict[str, Any]:
+    async with session.get(url) as resp:
+        resp.raise_for_status()
+        return await resp.json()
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_caller.py
@@ -0,0 +1,267 @@
+"""One customer's callers: send, read, judge, and repeat what may be repeated."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import itertools
+import json
+import time
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from .._errors import NoInstance
+from ..engine import expected_answer
+from ..fleet import CustomerAccess, Roster
+from ._arrivals import CALL_COST, Arrival, LoadPlan
+from ._bucket import RateWitness
+from ._chat_stream import ChatStream
+from ._directory import DirectoryCache
+from ._outcome import Outcome, Refusal, Verdict
+
+
+class _Try(NamedTuple):
+    """What one send came to."""
+
+    verdict: Verdict
+    sent: float
+    times: list[float]
+    """Times of tokens or of the answer."""
+    used: float = 0.0
+    refusal: Refusal | None = None
+
+
+class Caller:
+    """Calls as one customer, from one data centre."""
+
+    ANSWER_TIMEOUT_SECONDS = 120.0
+    MAX_RETRY_AFTER_SECONDS = 5.0
+    UNREACHABLE_PAUSE_SECONDS = 0.2
+    MOVE_ON = frozenset({"instance_not_ready", "store_unavailable"})
+    """Refusals after which another instance is used."""
+    REPEATABLE_UNKNOWN = frozenset({"in_progress", "outcome_unknown"})
+    """Refusals of a call after which its key may be asked again."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        access: CustomerAccess,
+        roster: Roster,
+        plan: LoadPlan,
+        data_centre: str,
+        run_id: str,
+    ) -> None:
+        """Create a caller.
+
+        Args:
+            session: Owner of the connections.
+            access: The customer and its key.
+            roster: The fleet.
+            plan: How requests are repeated.
+            data_centre: Where the caller is.
+            run_id: Prefix of idempotency keys, another one for each run.
+        """
+        self._session = session
+        self._roster = roster
+        self._plan = plan
+        self._run_id = run_id
+        self._name = access.plan.name
+        self._headers = {"Authorization": f"Bearer {access.key}"}
+        self.directory = DirectoryCache(
+            session,
+            roster.entries,
+            access.key,
+            data_centre,
+            f"{plan.seed}/{self._name}",
+        )
+        """Where it connects."""
+        self._witness = RateWitness(
+            access.plan.rate, access.plan.burst, time.monotonic()
+        )
+
+    async def ask(self, arrival: Arrival, arrived: float) -> Outcome:
+        """Take a request to its end, repeats included.
+
+        Args:
+            arrival: What is asked.
+            arrived: Monotonic time at which it should be sent, in seconds.
+        """
+        refusals: list[Refusal] = []
+        inside_at_arrival = False
+        for attempt in range(self._plan.retries + 1):
+            cost = CALL_COST if arrival.kind == "call" else arrival.cost
+            inside = self._witness.charge(cost, time.monotonic())
+            inside_at_arrival = inside_at_arrival or (attempt == 0 and inside)
+            result = await self._send(arrival, inside)
+            self._witness.refund(cost - _spent(result, cost), time.monotonic())
+            if result.refusal is not None:
+                refusals.append(result.refusal)
+            if not self._may_repeat(arrival, result):
+                break
+            if attempt < self._plan.retries:
+                await asyncio.sleep(self._pause(result))
+        return self._outcome(arrival, arrived, result, refusals, inside_at_arrival)
+
+    async def _send(self, arrival: Arrival, inside: bool) -> _Try:
+        sent = time.monotonic()
+        try:
+            url = await self.directory.best()
+        except NoInstance:
+            return _Try(Verdict.UNREACHABLE, sent, [])
+        sent = time.monotonic()
+        send = self._call if arrival.kind == "call" else self._chat
+        try:
+            result = await send(url, arrival, sent, inside)
+        except aiohttp.ClientConnectorError:
+            self.directory.failed(url)
+            return _Try(Verdict.UNREACHABLE, sent, [])
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
+            self.directory.failed(url)
+            return _Try(Verdict.CUT, sent, [])
+        if result.refusal is not None and result.refusal.type in self.MOVE_ON:
+            self.directory.failed(url)
+        return result
+
+    async def _chat(
+        self, url: str, arrival: Arrival, sent: float, inside: bool
+    ) -> _Try:
+        body = {
+            "model": arrival.model,
+            "messages": arrival.messages,
+            "max_tokens": arrival.max_tokens,
+            "stream": True,
+        }
+        if arrival.kind == "batch":
+            body["service_tier"] = "flex"
+        stream = ChatStream()
+        async with self._session.post(
+            f"{url}/v1/chat/completions",
+            json=body,
+            headers=self._headers,
+            timeout=self._timeout(),
+        ) as resp:
+            if resp.status != 200:
+                return _refused(sent, await resp.json(), inside)
+            try:
+                await stream.read(resp)
+            except aiohttp.ClientError:
+                return _Try(Verdict.CUT, sent, stream.times)
+        if stream.error is not None:
+            refused = _refused(sent, {"error": stream.error}, inside)
+            return refused._replace(
+                verdict=Verdict.CUT if stream.times else Verdict.REFUSED
+            )
+        return self._judge_stream(arrival, stream, sent)
+
+    def _judge_stream(self, arrival: Arrival, stream: ChatStream, sent: float) -> _Try:
+        expected = expected_answer(
+            arrival.model, arrival.prompt_text, arrival.max_tokens
+        )
+        if not stream.ended:
+            verdict = Verdict.CUT
+        elif stream.text == expected:
+            verdict = Verdict.WHOLE
+        elif expected.startswith(stream.text):
+            verdict = Verdict.CUT_AS_WHOLE
+        else:
+            verdict = Verdict.WRONG
+        return _Try(verdict, sent, stream.times, stream.used or arrival.cost)
+
+    async def _call(
+        self, url: str, arrival: Arrival, sent: float, inside: bool
+    ) -> _Try:
+        service = self._roster.service
+        path = service.change_prefix
+        if service.change_method == "PUT":
+            path = f"{path}/{self._idempotency_key(arrival)}"
+        headers = {
+            **self._headers,
+            "Idempotency-Key": self._idempotency_key(arrival),
+            "Content-Type": "application/json",
+        }
+        payload = json.dumps({"order": arrival.prompt}).encode()
+        async with self._session.request(
+            service.change_method,
+            f"{url}/services/{service.name}{path}",
+            data=payload,
+            headers=headers,
+            timeout=self._timeout(),
+        ) as resp:
+            body = await resp.json()
+            answered = time.monotonic()
+        if "error" in body:
+            return _refused(sent, body, inside)
+        own = body.get("body_sha256") == hashlib.sha256(payload).hexdigest()
+        verdict = Verdict.WHOLE if own and resp.status == 201 else Verdict.WRONG
+        return _Try(verdict, sent, [answered], CALL_COST)
+
+    def _may_repeat(self, arrival: Arrival, result: _Try) -> bool:
+        if result.verdict is Verdict.UNREACHABLE:
+            return True
+        if arrival.kind == "call" and result.verdict in (Verdict.CUT, Verdict.UNKNOWN):
+            return True
+        refusal = result.refusal
+        if refusal is None or result.verdict is not Verdict.REFUSED:
+            return False
+        return refusal.not_run == "true" and refusal.retry_after is not None
+
+    def _pause(self, result: _Try) -> float:
+        if result.refusal is None or result.refusal.retry_after is None:
+            return self.UNREACHABLE_PAUSE_SECONDS
+        return min(result.refusal.retry_after, self.MAX_RETRY_AFTER_SECONDS)
+
+    def _idempotency_key(self, arrival: Arrival) -> str:
+        return f"{self._run_id}-{self._name}-{arrival.number}"
+
+    def _timeout(self) -> aiohttp.ClientTimeout:
+        return aiohttp.ClientTimeout(total=self.ANSWER_TIMEOUT_SECONDS)
+
+    def _outcome(
+        self,
+        arrival: Arrival,
+        arrived: float,
+        result: _Try,
+        refusals: list[Refusal],
+        inside: bool,
+    ) -> Outcome:
+        start = arrived - arrival.at
+        times = result.times
+        began = times[0] if times else time.monotonic()
+        return Outcome(
+            arrival=arrival,
+            verdict=result.verdict,
+            first_token=began - arrived,
+            gaps=[later - earlier for earlier, later in itertools.pairwise(times)],
+            refusals=refusals,
+            sent=result.sent - start,
+            began=began - start,
+            used=result.used,
+            inside_rate=inside,
+            idempotency_key=(
+                self._idempotency_key(arrival) if arrival.kind == "call" else ""
+            ),
+        )
+
+
+def _spent(result: _Try, cost: float) -> float:
+    """Return the tokens that a send may have used, the most where it is not known."""
+    if result.verdict is Verdict.UNREACHABLE:
+        return 0.0
+    if result.refusal is not None and result.refusal.not_run == "true":
+        return 0.0
+    return result.used or cost
+
+
+def _refused(sent: float, body: dict[str, Any], inside: bool) -> _Try:
+    error = body["error"]
+    refusal = Refusal(
+        type=str(error["type"]),
+        not_run=str(error.get("not_run", "")),
+        request_id=str(error.get("request_id", "")),
+        retry_after=error.get("retry_after"),
+        inside_rate=inside,
+    )
+    unknown = refusal.type in Caller.REPEATABLE_UNKNOWN
+    verdict = Verdict.UNKNOWN if unknown else Verdict.REFUSED
+    return _Try(verdict, sent, [], refusal=refusal)
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_report.py
@@ -0,0 +1,225 @@
+"""Figures of a run."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+from ..fleet import ObjectivePlan, Roster
+from ._arrivals import LoadPlan
+from ._backend_view import BackendView, answered_without_run, false_not_run
+from ._bucket import overspend
+from ._histogram import TimeHistogram
+from ._outcome import Outcome, Verdict
+
+CHATS = ("live", "batch")
+
+
+class LoadReport(NamedTuple):
+    """Everything that callers and stand-ins saw of a run."""
+
+    roster: Roster
+    plan: LoadPlan
+    outcomes: list[Outcome]
+    before: BackendView
+    after: BackendView
+
+    def attainment(self, pick: Callable[[Outcome], bool]) -> float | None:
+        """Return the share of requests that got what their class is owed.
+
+        Args:
+            pick: Which requests count. Of these, requests outside their customer's
+                rate that were refused don't.
+
+        Returns:
+            The share that was whole, correct and met the objectives of its class for
+            the first token and, on average, between tokens; None if none counts.
+        """
+        counted = [o for o in self.outcomes if pick(o) and _counts(o)]
+        if not counted:
+            return None
+        return sum(self._attains(outcome) for outcome in counted) / len(counted)
+
+    def as_dict(self) -> dict[str, Any]:
+        """Return all figures, ready for JSON."""
+        return {
+            "profile": self.roster.profile,
+            "plan": self.plan._asdict(),
+            "requests": len(self.outcomes),
+            "attainment": _rounded(self.attainment(_is_chat)),
+            "attained_per_accelerator_second": self._goodput(),
+            "classes": {kind: self._class(kind) for kind in (*CHATS, "call")},
+            "customers": self._customers(),
+            "worst_customer_attainment": self._worst_customer(),
+            "refused": dict(Counter(r.type for r in self._refusals())),
+            "wrongful_refusals": self._wrongful(),
+            "promises": self._promises(),
+            "moves": self._difference("loads") + self._difference("unloads"),
+            "store": self._store(),
+        }
+
+    def table(self) -> str:
+        """Return the main figures as text."""
+        figures = self.as_dict()
+        lines = [
+            f"{self.roster.profile}: {figures['requests']} requests in"
+            f" {self.plan.seconds:g} s, seed {self.plan.seed}",
+            f"attainment {_percent(figures['attainment'])},"
+            f" worst customer {_percent(figures['worst_customer_attainment'])},"
+            f" {figures['attained_per_accelerator_second']} a second per accelerator,"
+            f" {figures['moves']} moves",
+            f"{'class':8}{'sent':>7}{'whole':>7}{'attained':>10}"
+            f"{'first p50':>11}{'p95':>9}{'between p50':>13}{'p95 (ms)':>10}",
+            *(_class_line(name, row) for name, row in figures["classes"].items()),
+            f"{'customer':16}{'sent':>7}{'whole':>7}{'attained':>10}"
+            f"{'wrongful':>10}{'overspent':>11}",
+            *(_customer_line(n, row) for n, row in figures["customers"].items()),
+            "refused: " + _listed(figures["refused"]),
+            "refused inside the rate: " + _listed(figures["wrongful_refusals"]),
+            "promises broken: " + _listed(figures["promises"]),
+            "store: " + _listed(figures["store"]),
+        ]
+        return "\n".join(lines)
+
+    def _attains(self, outcome: Outcome) -> bool:
+        if outcome.verdict is not Verdict.WHOLE:
+            return False
+        owed = self._objective(outcome)
+        on_time = outcome.first_token <= owed.first_token
+        return on_time and outcome.mean_gap <= owed.between_tokens
+
+    def _objective(self, outcome: Outcome) -> ObjectivePlan:
+        is_batch = outcome.arrival.kind == "batch"
+        return self.roster.batch if is_batch else self.roster.live
+
+    def _goodput(self) -> float:
+        attained = sum(_is_chat(o) and self._attains(o) for o in self.outcomes)
+        return round(attained / self.plan.seconds / self.roster.accelerators, 3)
+
+    def _class(self, kind: str) -> dict[str, Any]:
+        def is_kind(outcome: Outcome) -> bool:
+            return outcome.arrival.kind == kind
+
+        chosen = [outcome for outcome in self.outcomes if is_kind(outcome)]
+        whole = [outcome for outcome in chosen if outcome.verdict is Verdict.WHOLE]
+        return {
+            "sent": len(chosen),
+            **_verdicts(chosen),
+            "attainment": _rounded(self.attainment(is_kind)),
+            "first_token_ms": TimeHistogram(
+                o.first_token for o in whole
+            ).milliseconds(),
+            "between_tokens_ms": TimeHistogram(
+                gap for outcome in whole for gap in outcome.gaps
+            ).milliseconds(),
+        }
+
+    def _customers(self) -> dict[str, dict[str, Any]]:
+        names = [access.plan.name for access in self.roster.customers]
+        return {name: self._customer(name) for name in names}
+
+    def _customer(self, name: str) -> dict[str, Any]:
+        chosen = [o for o in self.outcomes if o.arrival.customer == name]
+        wrongful = sum(len(o.wrongful_refusals) for o in chosen)
+        return {
+            "sent": len(chosen),
+            **_verdicts(chosen),
+            "attainment": _rounded(
+                self.attainment(lambda o: _is_chat(o) and o.arrival.customer == name)
+            ),
+            "wrongful_refusals": wrongful,
+            "overspent_tokens": self._overspent(name),
+        }
+
+    def _overspent(self, name: str) -> float:
+        plan = next(a.plan for a in self.roster.customers if a.plan.name == name)
+        uses = [
+            (o.sent, o.began, o.used)
+            for o in self.outcomes
+            if o.arrival.customer == name and o.verdict is Verdict.WHOLE
+        ]
+        return round(overspend(uses, plan.rate, plan.burst), 1)
+
+    def _worst_customer(self) -> float | None:
+        shares = [row["attainment"] for row in self._customers().values()]
+        return min((share for share in shares if share is not None), default=None)
+
+    def _refusals(self) -> Iterable[Any]:
+        return (refusal for o in self.outcomes for refusal in o.refusals)
+
+    def _wrongful(self) -> dict[str, int]:
+        wrongful = (r for o in self.outcomes for r in o.wrongful_refusals)
+        return dict(Counter(refusal.type for refusal in wrongful))
+
+    def _promises(self) -> dict[str, float]:
+        """Return how often each promise was broken; all should be 0."""
+        verdicts = Counter(outcome.verdict for outcome in self.outcomes)
+        return {
+            "cut_given_as_whole": verdicts[Verdict.CUT_AS_WHOLE],
+            "wrong": verdicts[Verdict.WRONG],
+            "doubled_calls": self.after.doubled_calls() - self.before.doubled_calls(),
+            "answered_without_run": answered_without_run(self.outcomes, self.after),
+            "false_not_run": false_not_run(self.outcomes, self.after),
+            "overcommits": self._difference("overcommits"),
+            "keys_seen": self.after.secrets_seen() - self.before.secrets_seen(),
+            "overspent_customers": sum(
+                row["overspent_tokens"] > 0 for row in self._customers().values()
+            ),
+        }
+
+    def _store(self) -> dict[str, float]:
+        seconds = self.plan.seconds
+        return {
+            "reads_per_second": round(self._difference("reads") / seconds, 1),
+            "writes_per_second": round(self._difference("writes") / seconds, 1),
+        }
+
+    def _difference(self, name: str) -> int:
+        return int(self.after.total(name) - self.before.total(name))
+
+
+def _is_chat(outcome: Outcome) -> bool:
+    return outcome.arrival.kind in CHATS
+
+
+def _counts(outcome: Outcome) -> bool:
+    return outcome.inside_rate or outcome.verdict is not Verdict.REFUSED
+
+
+def _verdicts(outcomes: list[Outcome]) -> dict[str, int]:
+    counts = Counter(outcome.verdict for outcome in outcomes)
+    return {
+        verdict.name.lower(): counts[verdict] for verdict in Verdict if counts[verdict]
+    }
+
+
+def _rounded(share: float | None) -> float | None:
+    return None if share is None else round(share, 4)
+
+
+def _percent(share: float | None) -> str:
+    return "-" if share is None else f"{share:.1%}"
+
+
+def _listed(figures: dict[str, Any]) -> str:
+    shown = [f"{name} {value}" for name, value in figures.items() if value]
+    return ", ".join(shown) or "none"
+
+
+def _class_line(name: str, row: dict[str, Any]) -> str:
+    first, between = row["first_token_ms"], row["between_tokens_ms"]
+    return (
+        f"{name:8}{row['sent']:>7}{row.get('whole', 0):>7}"
+        f"{_percent(row['attainment']):>10}"
+        f"{first.get('p50', '-'):>11}{first.get('p95', '-'):>9}"
+        f"{between.get('p50', '-'):>13}{between.get('p95', '-'):>10}"
+    )
+
+
+def _customer_line(name: str, row: dict[str, Any]) -> str:
+    return (
+        f"{name:16}{row['sent']:>7}{row.get('whole', 0):>7}"
+        f"{_percent(row['attainment']):>10}"
+        f"{row['wrongful_refusals']:>10}{row['overspent_tokens']:>11}"
+    )
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_runner.py
@@ -0,0 +1,67 @@
+"""Sends the planned requests at their times, whatever becomes of earlier ones."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+import uuid
+
+import aiohttp
+
+from ..fleet import Roster
+from ._arrivals import LoadPlan, arrivals
+from ._backend_view import read_backends
+from ._caller import Caller
+from ._outcome import Outcome
+from ._report import LoadReport
+
+
+async def run_load(roster: Roster, plan: LoadPlan) -> LoadReport:
+    """Call a fleet as the plan says.
+
+    Args:
+        roster: The running fleet.
+        plan: How much is asked.
+
+    Returns:
+        The figures, once every request has ended.
+    """
+    run_id = uuid.uuid4().hex
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(_session())
+        before = await read_backends(session, roster)
+        callers = {
+            access.plan.name: Caller(
+                await stack.enter_async_context(_session()),
+                access,
+                roster,
+                plan,
+                roster.data_centres[index % len(roster.data_centres)],
+                run_id,
+            )
+            for index, access in enumerate(roster.customers)
+        }
+        outcomes = await _send_all(callers, roster, plan)
+        await asyncio.sleep(plan.settle_seconds)
+        after = await read_backends(session, roster)
+    return LoadReport(roster, plan, outcomes, before, after)
+
+
+async def _send_all(
+    callers: dict[str, Caller], roster: Roster, plan: LoadPlan
+) -> list[Outcome]:
+    planned = arrivals(roster, plan)
+    start = time.monotonic()
+    async with asyncio.TaskGroup() as group:
+        tasks = []
+        for arrival in planned:
+            due = start + arrival.at
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            caller = callers[arrival.customer]
+            tasks.append(group.create_task(caller.ask(arrival, due)))
+    return [task.result() for task in tasks]
+
+
+def _session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
--- /dev/null
+++ b/tests/fakes/test_load.py
@@ -0,0 +1,269 @@
+"""The load tool: its schedule, its judgement of answers and its accounts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import json
+
+import pytest
+from aiohttp import web
+
+from guavajunction_fakes import FakeServer, FakeService, expected_answer
+from guavajunction_fakes.engine import prompt_of
+from guavajunction_fakes.fleet import PROFILES, CustomerAccess, Roster
+from guavajunction_fakes.load import (
+    LoadPlan,
+    RateWitness,
+    Verdict,
+    arrivals,
+    run_load,
+)
+from guavajunction_fakes.load._bucket import overspend
+
+DEMO = PROFILES["demo"]
+PLAN = LoadPlan(seconds=0.4, scale=2.0, burst_factor=1.0, retries=1, settle_seconds=0.0)
+
+
+class Entry(FakeServer):
+    """An entry instance that answers as a test tells it to."""
+
+    def __init__(self, service):
+        super().__init__()
+        self.service = service
+        self.answer = "whole"
+        self.calls = "once"
+        self.urls = []
+        self.tiers = set()
+        self.refusals_left = 0
+        self.retried_after = []
+        self._refused_at = {}
+
+    def routes(self):
+        return [
+            web.get("/v1/instances", self.on_instances),
+            web.post("/v1/chat/completions", self.on_chat),
+            web.post("/services/booking/bookings", self.on_call),
+        ]
+
+    async def on_instances(self, req):
+        ports = [int(url.rpartition(":")[2]) for url in self.urls]
+        entries = [{"address": "127.0.0.1", "port": port} for port in ports]
+        return web.json_response({"instances": entries, "ttl_seconds": 0.2})
+
+    async def on_chat(self, req):
+        body = await req.json()
+        self.tiers.add(body.get("service_tier"))
+        prompt = prompt_of(body)
+        now = asyncio.get_running_loop().time()
+        if prompt in self._refused_at:
+            self.retried_after.append(now - self._refused_at.pop(prompt))
+        elif self.refusals_left:
+            self.refusals_left -= 1
+            self._refused_at[prompt] = now
+            return refusal("rate_limited", 429, retry_after=0.1)
+        return await self.stream(req, body, prompt)
+
+    async def stream(self, req, body, prompt):
+        text = expected_answer(body["model"], prompt, body["max_tokens"])
+        resp = web.StreamResponse()
+        await resp.prepare(req)
+        shown = {"cut as whole": text[:-5], "wrong": " other"}.get(self.answer, text)
+        await resp.write(event({"choices": [{"delta": {"content": shown}}]}))
+        if self.answer == "error":
+            failure = json.dumps({"error": {"type": "answer_cut", "not_run": "false"}})
+            await resp.write(f"event: error\ndata: {failure}\n\n".encode())
+        elif self.answer != "cut":
+            await resp.write(b"data: [DONE]\n\n")
+        return resp
+
+    async def on_call(self, req):
+        key = req.headers["Idempotency-Key"]
+        if self.calls != "without a run":
+            self.service.log.add(req, "call")
+        if self.calls == "twice":
+            self.service.log.add(req, "call")
+        if self.calls == "lying":
+            return refusal("overloaded", 503, retry_after=None)
+        return web.json_response(
+            {"body_sha256": hash_of(await req.read()), "key": key}, status=201
+        )
+
+
+def hash_of(body):
+    return hashlib.sha256(body).hexdigest()
+
+
+def event(body):
+    return f"data: {json.dumps(body)}\n\n".encode()
+
+
+def refusal(kind, status, retry_after):
+    error = {"type": kind, "not_run": "true", "request_id": "r"}
+    return web.json_response(
+        {"error": {**error, "retry_after": retry_after}}, status=status
+    )
+
+
+@pytest.fixture
+async def fleet():
+    """Two entries before one plain service; yields them with their roster."""
+    async with contextlib.AsyncExitStack() as stack:
+        service = FakeService()
+        service_url = await stack.enter_async_context(service.serve())
+        entries = [Entry(service) for _ in range(2)]
+        urls = [await stack.enter_async_context(e.serve()) for e in entries]
+        for entry in entries:
+            entry.urls = urls
+        roster = Roster(
+            profile="demo",
+            entries=urls,
+            engines=[service_url],
+            services=[service_url],
+            platform={},
+            data_centres=["north"],
+            models=DEMO.names_of_models,
+            service=DEMO.service,
+            live=DEMO.live,
+            batch=DEMO.batch,
+            customers=[
+                CustomerAccess(plan._replace(calls_per_second=10.0), "key")
+                for plan in DEMO.customers
+            ],
+            operator_token="",
+        )
+        yield entries, roster
+
+
+async def load(fleet, **changes):
+    entries, roster = fleet
+    for entry in entries:
+        for name, value in changes.items():
+            setattr(entry, name, value)
+    return await run_load(roster, PLAN)
+
+
+def verdicts(report, kind="chat"):
+    return {
+        outcome.verdict
+        for outcome in report.outcomes
+        if (outcome.arrival.kind == "call") == (kind == "call")
+    }
+
+
+class TestSchedule:
+    """Arrivals are seeded, bursty and of the planned rate."""
+
+    async def test_a_seed_repeats_itself(self, fleet):
+        _, roster = fleet
+        plan = LoadPlan(seconds=5)
+        assert arrivals(roster, plan) == arrivals(roster, plan)
+        assert arrivals(roster, plan) != arrivals(roster, plan._replace(seed=2))
+
+    async def test_the_mean_rate_holds_and_bursts_stand_out(self, fleet):
+        _, roster = fleet
+        plan = LoadPlan(seconds=600)
+        drawn = [a for a in arrivals(roster, plan) if a.kind == "live"]
+        rates = [access.plan.rate for access in roster.customers]
+        mean = sum(rates) * 0.35 / (plan.prompt_bytes / 4 + plan.max_tokens)
+        assert len(drawn) == pytest.approx(mean * plan.seconds, rel=0.1)
+        per_second = [0] * 600
+        for arrival in drawn:
+            per_second[int(arrival.at)] += 1
+        variance = sum((n - mean) ** 2 for n in per_second) / 600
+        assert variance > 1.3 * mean
+
+    async def test_other_models_become_popular(self, fleet):
+        _, roster = fleet
+        plan = LoadPlan(seconds=100, shift_seconds=50, scale=5, skew=2.0)
+        drawn = [a for a in arrivals(roster, plan) if a.model]
+
+        def favourite(part):
+            models = [a.model for a in part]
+            return max(set(models), key=models.count)
+
+        early = favourite(a for a in drawn if a.at < 50)
+        assert early != favourite(a for a in drawn if a.at >= 50)
+
+
+class TestJudgement:
+    """Every way in which an answer can be wrong is told apart."""
+
+    async def test_whole_answers(self, fleet):
+        report = await load(fleet)
+        figures = report.as_dict()
+        assert verdicts(report) == {Verdict.WHOLE}
+        assert figures["attainment"] == 1.0
+        assert not any(figures["promises"].values())
+        assert "attainment 100.0%" in report.table()
+        assert {tier for entry in fleet[0] for tier in entry.tiers} == {None, "flex"}
+
+    @pytest.mark.parametrize(
+        ("answer", "verdict"),
+        [
+            ("cut as whole", Verdict.CUT_AS_WHOLE),
+            ("wrong", Verdict.WRONG),
+            ("cut", Verdict.CUT),
+            ("error", Verdict.CUT),
+        ],
+    )
+    async def test_bad_answers(self, fleet, answer, verdict):
+        report = await load(fleet, answer=answer)
+        assert verdicts(report) == {verdict}
+        assert report.as_dict()["attainment"] == 0.0
+        broken = verdict in (Verdict.CUT_AS_WHOLE, Verdict.WRONG)
+        assert any(report.as_dict()["promises"].values()) is broken
+
+    @pytest.mark.parametrize(
+        ("calls", "promise"),
+        [
+            ("twice", "doubled_calls"),
+            ("lying", "false_not_run"),
+            ("without a run", "answered_without_run"),
+        ],
+    )
+    async def test_broken_promises_of_calls(self, fleet, calls, promise):
+        report = await load(fleet, calls=calls)
+        sent = [o for o in report.outcomes if o.arrival.kind == "call"]
+        broken = report.as_dict()["promises"]
+        assert broken.pop(promise) == len(sent) > 0
+        assert not any(broken.values())
+
+    async def test_a_refusal_is_repeated_after_its_time(self, fleet):
+        report = await load(fleet, refusals_left=2)
+        waits = [wait for entry in fleet[0] for wait in entry.retried_after]
+        assert len(waits) == 2
+        assert min(waits) >= 0.1
+        assert verdicts(report) == {Verdict.WHOLE}
+        assert report.as_dict()["wrongful_refusals"] == {"rate_limited": 2}
+
+    async def test_an_instance_that_is_down_is_passed_over(self, fleet):
+        entries, _ = fleet
+        entries[0].faults.set(outage="refuse", outage_seconds=30)
+        await asyncio.sleep(0.05)
+        report = await load(fleet)
+        assert verdicts(report) == {Verdict.WHOLE}
+
+
+class TestAccounts:
+    """Rate and burst, as the caller can prove them."""
+
+    def test_a_witness_knows_what_was_inside(self):
+        witness = RateWitness(rate=10.0, burst=100.0, now=0.0)
+        assert witness.charge(100.0, now=0.0)
+        assert not witness.charge(10.0, now=0.5)
+        witness.refund(10.0, now=0.5)
+        assert witness.charge(10.0, now=1.0)
+
+    def test_an_overspent_burst_is_proved(self):
+        uses = [(0.0, 0.0, 60.0), (0.0, 0.0, 60.0)]
+        assert overspend(uses, rate=10.0, burst=100.0) == pytest.approx(20.0)
+
+    def test_a_request_that_waited_may_have_been_admitted_early(self):
+        uses = [(0.0, 5.0, 60.0), (0.0, 5.0, 60.0)]
+        assert overspend(uses, rate=10.0, burst=100.0) == 0.0
+
+    def test_the_rate_alone_is_no_overspending(self):
+        uses = [(float(n), float(n), 10.0) for n in range(100)]
+        assert overspend(uses, rate=10.0, burst=10.0) == 0.0
