--- /dev/null
+++ b/tests/customers/test_keys.py
@@ -0,0 +1,76 @@
+"""Tests of customer keys."""
+
+from __future__ import annotations
+
+import pytest
+
+from guavajunction.configuration import EMPTY, Configuration, Customer
+from guavajunction.customers import KeyRing, issue, strip_credentials
+from guavajunction.errors import KeyMissing, KeyRefused
+
+PEPPER = b"pepper"
+
+
+def configuration(*records) -> Configuration:
+    return EMPTY._replace(
+        customers={"a": Customer("a", 1.0, 1.0)},
+        keys={record.digest: record for record in records},
+    )
+
+
+class TestKeyRing:
+    """Authentication of requests."""
+
+    def test_a_withdrawn_key_is_refused_on_the_next_request(self):
+        issued = issue("a", PEPPER)
+        in_force = [configuration(issued.record)]
+        ring = KeyRing(lambda: in_force[0], PEPPER)
+        assert ring.authenticate(f"Bearer {issued.key}").name == "a"
+        in_force[0] = configuration()
+        with pytest.raises(KeyRefused):
+            ring.authenticate(f"Bearer {issued.key}")
+
+    @pytest.mark.parametrize("header", [None, "", "Bearer", "Bearer  ", "Basic eDp5"])
+    def test_a_request_without_a_key_is_told_so(self, header):
+        with pytest.raises(KeyMissing):
+            KeyRing(configuration, PEPPER).authenticate(header)
+
+    def test_keys_of_another_fleet_or_customer_are_refused(self):
+        foreign = issue("a", b"other pepper")
+        orphan = issue("gone", PEPPER)
+        ring = KeyRing(lambda: configuration(foreign.record, orphan.record), PEPPER)
+        for key in (foreign.key, orphan.key, orphan.key[:-1], "gj_1_2"):
+            with pytest.raises(KeyRefused) as failure:
+                ring.authenticate(f"Bearer {key}")
+            assert key not in failure.value.message
+
+    def test_the_record_does_not_hold_the_key(self):
+        issued = issue("a", PEPPER)
+        secret = issued.key.rpartition("_")[2]
+        assert secret not in repr(issued.record)
+
+
+class TestStripCredentials:
+    """Nothing of a key reaches a backend server."""
+
+    def test_no_header_or_parameter_carries_a_key_on(self):
+        key, other = issue("a", PEPPER).key, issue("b", PEPPER).key
+        sent = [
+            ("Authorization", f"Bearer {key}"),
+            ("PROXY-Authorization", "x"),
+            ("cookie", "session=1"),
+            ("X-Api-Key", "x"),
+            ("api-key", "x"),
+            ("X-Custom", f"token={key}"),
+            ("X-Other", other),
+            (key, "name"),
+            ("Accept", "*/*"),
+            ("Idempotency-Key", "filing-7"),
+        ]
+        kept = strip_credentials(sent, key)
+        assert kept == [("Accept", "*/*"), ("Idempotency-Key", "filing-7")]
+
+    def test_a_refused_key_of_another_format_is_removed_too(self):
+        assert strip_credentials([("q", "old-style"), ("d", "1")], "old-style") == [
+            ("d", "1")
+        ]
