Answer a first booking: record header names as plain strings

Cause: the first booking on the real processes answered 500 and ended the daemon: aiohttp's header names are a subclass of str that msgspec does not encode, so the outcome could not be recorded. Ruled out: the claim and the send; both had happened once, and the repeat was answered from the record's inputs. Change: names are converted where answers are built; a test checks their type.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(wildcard packages/*)
 STAMP := $(VENV)/.installed
 
-.PHONY: install check format test demo bench proofs clean
+.PHONY: install check format test docs demo bench proofs clean
 
 install: $(STAMP)
 
@@ -25,5 +25,8 @@
 test: install
 	$(VENV)/bin/pytest
 
+docs: install
+	$(PYTHON) tools/reference_pages.py
+
 clean:
 	rm -rf $(VENV) var .pytest_cache .ruff_cache .hypothesis
--- a/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
@@ -18,7 +18,7 @@
 )
 from guavajunction.customers import KeyRing, RateLimits
 from guavajunction.directory import Directory
-from guavajunction.membership import Lease, Membership
+from guavajunction.membership import Lease, Membership, MembershipConfig
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.once import OnceRegister
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh
@@ -35,9 +35,14 @@
     DecisionLog,
     DemandMeter,
     Dispatcher,
+    FairQueue,
+    FifoQueue,
     InferenceRouter,
+    LeastLoadedSelector,
     LoadBook,
+    RandomSelector,
     RetryBudget,
+    Selector,
     ServiceRouter,
     single_send_session,
 )
@@ -124,7 +129,22 @@
             heartbeat_seconds=self._settings.timing.heartbeat,
         )
         self.membership = Membership(
-            self.table, self.instance_list, self.mesh, self._clock, self._settings
+            self.table,
+            self.instance_list,
+            self.mesh,
+            self._clock,
+            self._membership_config(),
+            self.own_record,
+            version=lambda: self.keeper.current.version,
+        )
+
+    def _membership_config(self) -> MembershipConfig:
+        timing = self._settings.timing
+        return MembershipConfig(
+            lease=timing.lease,
+            drift_margin=timing.drift_margin,
+            staleness=timing.staleness,
+            poll=timing.configuration_poll,
         )
 
     def _build_configuration(self) -> None:
@@ -162,11 +182,12 @@
         self.demand = DemandMeter(self._clock)
         self.dispatcher = Dispatcher(
             self.inventory,
-            AffinitySelector(self.inventory, self.book, self._rng),
+            self._selector(),
             self.book,
             self.demand,
             self.decisions,
             self._clock,
+            FifoQueue() if self._settings.policy.queue == "fifo" else FairQueue(),
             max_queue=self._settings.serving.max_queue,
         )
         self.placement = PlacementService(
@@ -186,6 +207,14 @@
         self.dispatcher.connect(contention.fraction, self.placement.request_artifact)
         self._build_routers(RetryBudget(self._rng))
 
+    def _selector(self) -> Selector:
+        policy = self._settings.policy.routing
+        if policy == "random":
+            return RandomSelector(self.inventory, self.book, self._rng)
+        if policy == "least_loaded":
+            return LeastLoadedSelector(self.inventory, self.book)
+        return AffinitySelector(self.inventory, self.book, self._rng)
+
     def _build_routers(self, budget: RetryBudget) -> None:
         self.inference = InferenceRouter(
             self._session(aiohttp.TCPConnector(limit=ENGINE_CONNECTIONS)),
--- a/packages/guavajunction-entry/src/guavajunction_entry/_daemon_service.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_daemon_service.py
@@ -7,7 +7,6 @@
 
 import aiomisc
 
-from guavajunction.errors import GuavaError
 from guavajunction.settings import Settings
 
 from . import _events as events
@@ -50,9 +49,10 @@
         try:
             while ending is Ending.REVOKED:
                 ending = await Incarnation(self._settings, self._stop_asked).run()
-        except* (GuavaError, OSError) as group:
+        except* Exception as group:
             for exc in group.exceptions:
                 events.FAILED.log(failure=type(exc).__name__, message=str(exc))
+            events.log_traceback()
         return EXIT_OK if ending is Ending.STOPPED else EXIT_FAILED
 
     def _on_stop_signal(self) -> None:
--- a/packages/guavajunction-entry/src/guavajunction_entry/_events.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_events.py
@@ -15,6 +15,9 @@
     103, "process:second_signal", "A signal came during a stop and changes nothing."
 )
 FAILED = LogEvent(104, "process:failed", "The instance could not go on and ended.")
+STOP_STEP_FAILED = LogEvent(
+    105, "process:stop_step_failed", "The store did not take a step of a planned stop."
+)
 INTERNAL_FAULT = LogEvent(
     110, "front:internal_fault", "A handler failed in a way that has no type."
 )
--- a/packages/guavajunction-entry/src/guavajunction_entry/_incarnation.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_incarnation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from enum import Enum
 
@@ -11,6 +12,7 @@
 from guavajunction.clock import Clock, SystemClock
 from guavajunction.configuration import OperatorParts, operator_routes
 from guavajunction.customers import IssuedKey, issue
+from guavajunction.errors import PlatformError
 from guavajunction.settings import Settings
 
 from . import _events as events
@@ -111,15 +113,21 @@
         parts.draining = True
         timing = self._settings.timing
         if ending is Ending.STOPPED:
-            await parts.membership.announce_leaving()
+            await self._attempt(parts.membership.leave)
             await self._clock.sleep(timing.directory_ttl + 2 * timing.heartbeat)
         await runner.cleanup()
         if ending is Ending.STOPPED:
             await parts.limits.hand_over()
-            await parts.placement.release()
-            await parts.membership.leave()
+            await self._attempt(parts.membership.deregister)
         events.STOPPED.log(ending=ending.value)
 
+    async def _attempt(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Take a step of the stop; the store's failure must not stop the stop."""
+        try:
+            await step()
+        except PlatformError as exc:
+            events.STOP_STEP_FAILED.log(failure=type(exc).__name__)
+
     async def _pump(self, parts: Aggregates) -> None:
         """Serve waiting requests when a report shows room or a new replica."""
         while True:
--- a/packages/guavajunction-entry/src/guavajunction_entry/main.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/main.py
@@ -18,8 +18,11 @@
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
+USAGE = "usage: guavajunction --settings FILE [--check]"
+
 _SETTINGS = flags.DEFINE_string("settings", None, "Settings file (INI).")
 _CHECK = flags.DEFINE_bool("check", False, "Check the settings, start nothing.")
+_HELP = flags.DEFINE_bool("help", False, "Print this help.", short_name="h")
 _VERSION = flags.DEFINE_bool("version", False, "Print the version.")
 
 
@@ -33,11 +36,14 @@
         Exit status: 0 after a planned stop, 1 if the daemon failed, 2 if a flag or
         a setting is wrong.
     """
+    if _HELP.value:
+        print(USAGE, flags.FLAGS.module_help(__name__), sep="\n\n")
+        return EXIT_OK
     if _VERSION.value:
         print(__version__)
         return EXIT_OK
     if len(argv) > 1 or not _SETTINGS.value:
-        print("usage: guavajunction --settings FILE [--check]", file=sys.stderr)
+        print(USAGE, file=sys.stderr)
         return EXIT_USAGE
     try:
         settings = read_settings(_SETTINGS.value)
--- a/packages/guavajunction/src/guavajunction/routing/__init__.py
+++ b/packages/guavajunction/src/guavajunction/routing/__init__.py
@@ -8,7 +8,7 @@
 from ._demand_meter import DemandMeter, DemandRate
 from ._dispatcher import Dispatcher, Grant
 from ._engine_call import EngineRequest
-from ._fair_queue import FairQueue
+from ._fair_queue import FairQueue, FifoQueue
 from ._inference_router import InferenceRouter
 from ._load_book import LoadBook
 from ._model import (
@@ -45,6 +45,7 @@
     "Dispatcher",
     "EngineRequest",
     "FairQueue",
+    "FifoQueue",
     "Grant",
     "InferenceRouter",
     "LIVE",
--- a/packages/guavajunction/src/guavajunction/routing/_dispatcher.py
+++ b/packages/guavajunction/src/guavajunction/routing/_dispatcher.py
@@ -41,6 +41,7 @@
         meter: DemandMeter,
         decisions: DecisionLog,
         clock: Clock,
+        queue: FairQueue,
         *,
         max_queue: int,
     ) -> None:
@@ -53,6 +54,7 @@
             meter: Demand and hold times.
             decisions: Where choices are logged.
             clock: Source of time.
+            queue: Orders the waiting requests.
             max_queue: Requests that may wait.
         """
         self._replicas = replicas
@@ -64,7 +66,7 @@
         self._max_queue = max_queue
         self._share: Callable[[], float] = lambda: 1.0
         self._request_artifact: Callable[[str], None] = lambda artifact: None
-        self._queue = FairQueue()
+        self._queue = queue
         self._active: dict[str, tuple[float, int]] = {}
 
     def connect(
--- a/packages/guavajunction/src/guavajunction/routing/_fair_queue.py
+++ b/packages/guavajunction/src/guavajunction/routing/_fair_queue.py
@@ -126,3 +126,18 @@
         self._waiting[customer] -= 1
         if not self._waiting[customer]:
             del self._waiting[customer]
+
+
+class FifoQueue(FairQueue):
+    """Baseline: first come, first served, whoever asks and for whatever class."""
+
+    def ahead_of(self, req: RoutedRequest) -> int:
+        """Return all waiting requests."""
+        return len(self)
+
+    def active_weight(self, with_customer: Customer) -> float:
+        """Return the customer's own weight, as nothing is divided."""
+        return with_customer.weight
+
+    def _order(self, key: _Line) -> tuple[int, float, float]:
+        return 0, 0.0, self._lines[key][0].req.arrived
--- a/packages/guavajunction/src/guavajunction/routing/_service_router.py
+++ b/packages/guavajunction/src/guavajunction/routing/_service_router.py
@@ -181,7 +181,7 @@
 
     def _kept(self, resp: aiohttp.ClientResponse) -> dict[str, str]:
         return {
-            name: value
+            str(name): value
             for name, value in resp.headers.items()
             if name.lower() in self.HEADERS_KEPT
         }
--- a/packages/guavajunction/src/guavajunction/settings/_model.py
+++ b/packages/guavajunction/src/guavajunction/settings/_model.py
@@ -102,6 +102,20 @@
     """Seconds between two planning rounds."""
 
 
+class PolicySettings(NamedTuple):
+    """`[policy]`: the policies; all but the defaults serve as baselines.
+
+    Every instance of a fleet must have the same.
+    """
+
+    routing: Annotated[
+        str, values.parse_choice("affinity", "least_loaded", "random")
+    ] = "affinity"
+    queue: Annotated[str, values.parse_choice("fair", "fifo")] = "fair"
+    placement: Annotated[str, values.parse_choice("planned", "static")] = "planned"
+    shares: Annotated[str, values.parse_choice("moving", "equal")] = "moving"
+
+
 class LoggingSettings(NamedTuple):
     """`[logging]`: where log lines go."""
 
@@ -118,4 +132,5 @@
     timing: TimingSettings
     serving: ServingSettings
     placement: PlacementSettings
+    policy: PolicySettings
     logging: LoggingSettings
--- a/packages/guavajunction/src/guavajunction/settings/_values.py
+++ b/packages/guavajunction/src/guavajunction/settings/_values.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+from collections.abc import Callable
 from pathlib import Path
 from urllib.parse import urlsplit
 
@@ -62,6 +63,21 @@
     return seconds
 
 
+def parse_choice(*choices: str) -> Callable[[str], str]:
+    """Return a parser of one of some words.
+
+    >>> parse_choice("fair", "fifo")("fifo")
+    'fifo'
+    """
+
+    def parse(text: str) -> str:
+        if text not in choices:
+            raise ValueFault(repr(text), f"one of {list(choices)}")
+        return text
+
+    return parse
+
+
 def parse_url(text: str) -> str:
     """Return an HTTP URL without a trailing slash."""
     parts = urlsplit(text)
--- a/tests/routing/test_dispatcher.py
+++ b/tests/routing/test_dispatcher.py
@@ -16,6 +16,7 @@
     DecisionLog,
     DemandMeter,
     Dispatcher,
+    FairQueue,
     LoadBook,
 )
 
@@ -31,6 +32,7 @@
         DemandMeter(clock),
         DecisionLog(),
         clock,
+        FairQueue(),
         max_queue=max_queue,
     )
     dispatcher.connect(share, lambda artifact: None)
--- a/tests/routing/test_relay.py
+++ b/tests/routing/test_relay.py
@@ -25,6 +25,7 @@
     DemandMeter,
     Dispatcher,
     EngineRequest,
+    FairQueue,
     InferenceRouter,
     LoadBook,
     RetryBudget,
@@ -173,7 +174,14 @@
         selector = AffinitySelector(replicas, book, random.Random(1))
         decisions = DecisionLog()
         dispatcher = Dispatcher(
-            replicas, selector, book, DemandMeter(clock), decisions, clock, max_queue=9
+            replicas,
+            selector,
+            book,
+            DemandMeter(clock),
+            decisions,
+            clock,
+            FairQueue(),
+            max_queue=9,
         )
         cfg = config_of(addresses)
         router = InferenceRouter(
@@ -340,6 +348,14 @@
         assert answer.body == b"booked"
         assert seen == ["r0", "r0", "r1"]
 
+    async def test_kept_headers_can_be_recorded(self):
+        async def handler(req):
+            return web.Response(text="booked", headers={"Location": "/bookings/7"})
+
+        answer = await call_service(handler, "POST", idempotent=False)
+        assert answer.headers["Location"] == "/bookings/7"
+        assert {type(name) for name in answer.headers} == {str}
+
     async def test_answer_to_another_call_is_not_given(self):
         async def handler(req):
             return web.Response(text="x", headers={"X-Request-Id": "another"})
