Specify leases and the outage rule, and keep defects off the links

Cause: the lease and the outage rule rest on arguments about late writes, lost answers and delayed heartbeats that tests of single runs cannot settle. Ruled out: modelling an outage as a mode; every read and message may fail instead. A lease model whose clock budget was renewed at each send gave two misses in one duration, which is faster than the margin allows: the model was wrong, not the rule. Change: lease_spec and outage_spec, the latter run on the product's StandingRule; each rule taken away gives a counterexample. A handler or topic that raises no longer ends its peer's task or the heartbeats.

--- a/packages/guavajunction/src/guavajunction/peers/_events.py
+++ b/packages/guavajunction/src/guavajunction/peers/_events.py
@@ -16,6 +16,9 @@
 MESSAGE_MALFORMED = LogEvent(
     353, "peers:message_malformed", "A message could not be decoded and was dropped."
 )
+TOPIC_FAILED = LogEvent(
+    355, "peers:topic_failed", "Giving or taking a heartbeat's value raised an error."
+)
 HANDLER_FAILED = LogEvent(
     354, "peers:handler_failed", "Handling a peer's message raised an error."
 )
--- a/packages/guavajunction/src/guavajunction/peers/_mesh.py
+++ b/packages/guavajunction/src/guavajunction/peers/_mesh.py
@@ -13,7 +13,7 @@
 import zmq.asyncio
 
 from guavajunction.clock import Clock
-from guavajunction.errors import GuavaError, PeerError, PeerTimeout, PeerUnknown
+from guavajunction.errors import PeerError, PeerTimeout, PeerUnknown
 from guavajunction.platform import InstanceRecord
 
 from . import _events as events
@@ -283,7 +283,7 @@
 
     def _send_beats(self) -> None:
         self._sequence += 1
-        topics = {name: self._provide(topic) for name, topic in self._topics.items()}
+        topics = self._provide_all()
         self._sent.append(_Sent(self._sequence, self._clock.monotonic()))
         fresh = self.heard(self.HEARD_SECONDS)
         unheard = set(self._links)
@@ -294,8 +294,16 @@
         for address in unheard:
             self._send_beat(address, "", 0, topics)
 
-    def _provide(self, topic: _Topic) -> msgspec.Raw:
-        return msgspec.Raw(self._encoder.encode(topic.provide()))
+    def _provide_all(self) -> dict[str, msgspec.Raw]:
+        values: dict[str, msgspec.Raw] = {}
+        for name, topic in self._topics.items():
+            try:
+                values[name] = msgspec.Raw(self._encoder.encode(topic.provide()))
+            except Exception as exc:
+                # A defect in one topic must not end the heartbeats.
+                self.counts["topic_failed"] += 1
+                events.TOPIC_FAILED.log(peer=self._me.name, topic=name, error=repr(exc))
+        return values
 
     def _send_beat(
         self, address: str, to: str, echo: int, topics: dict[str, msgspec.Raw]
@@ -393,7 +401,17 @@
         for name, raw in beat.topics.items():
             topic = self._topics.get(name)
             if topic is not None:
-                topic.accept(peer.peer_id, topic.decoder.decode(raw))
+                self._accept(peer.peer_id, name, topic, raw)
+
+    def _accept(
+        self, sender: PeerId, name: str, topic: _Topic, raw: msgspec.Raw
+    ) -> None:
+        try:
+            topic.accept(sender, topic.decoder.decode(raw))
+        except Exception as exc:
+            # A defect in one topic must not end the heartbeats.
+            self.counts["topic_failed"] += 1
+            events.TOPIC_FAILED.log(peer=sender.name, topic=name, error=repr(exc))
 
     def _sent_at(self, sequence: int) -> float:
         if not self._sent or sequence < self._sent[0].sequence:
@@ -416,11 +434,13 @@
         decoder, handler = known
         try:
             answer = await handler(envelope.sender, decoder.decode(envelope.body))
-        except (GuavaError, msgspec.DecodeError) as exc:
+        except Exception as exc:
+            # A defect in one handler must not end the link to the peer.
+            self.counts["handler_failed"] += 1
             events.HANDLER_FAILED.log(
                 peer=envelope.sender.name,
                 message=envelope.name,
-                error=type(exc).__name__,
+                error=repr(exc),
             )
             return
         if envelope.kind is Kind.ASK:
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -191,6 +191,32 @@
         assert a.traffic()[b.address].dropped > 0
 
 
+class TestDefects:
+    """A defect in one handler or topic leaves the link as it is."""
+
+    async def test_failing_handler_and_topic_do_not_end_the_link(
+        self, fleet: Fleet
+    ) -> None:
+        a, b = await fleet.pair()
+        seen: list[str] = []
+
+        async def fail_once(_: PeerId, note: Note) -> None:
+            seen.append(note.text)
+            raise KeyError(note.text)
+
+        def fail(*_: object) -> int:
+            raise KeyError("topic")
+
+        b.handle(Note, fail_once)
+        b.share("broken", lambda: 1, fail, int)
+        a.share("broken", fail, lambda *_: None, int)
+        a.tell(b.me, Note("1"))
+        a.tell(b.me, Note("2"))
+        await until(lambda: seen == ["1", "2"] and a.counts["topic_failed"] > 1)
+        assert b.counts["handler_failed"] == 2
+        assert a.mutual(1) == {b.me}
+
+
 class TestAuthentication:
     """Only holders of the fleet's key get through."""
 
--- /dev/null
+++ b/tests/specs/lease_spec.py
@@ -0,0 +1,208 @@
+"""Specification of a lease with two contenders.
+
+Describes `guavajunction.membership._lease.Lease`: `try_acquire`, `renew`, `held`.
+
+Answers may be lost after the write took effect, and a write whose answer was lost
+may land at any later time. A contender may be paused at any point: nothing forces
+it to take its next step before time passes. A contender's clock may miss one tick
+in any stretch of a duration and a margin. Row versions appear only as "is still the
+one that was read", since a conditional write asks for nothing else.
+"""
+
+from __future__ import annotations
+
+from typing import Literal, NamedTuple
+
+from minicheck import Protocol
+
+NAMES = ("a", "b")
+
+
+class Rules(NamedTuple):
+    """The design, each part of which a test can take away."""
+
+    duration: int = 2
+    margin: int = 1
+    """Ticks that an observer waits longer than the duration."""
+    counts_from_send: bool = True
+    """Whether the holder's time counts from before its write was sent."""
+    conditional: bool = True
+    """Whether a write asks for the version that was read."""
+    own_row_is_proof: bool = False
+    """Whether reading one's own name in the row counts as holding the lease."""
+
+
+DESIGN = Rules()
+
+
+class Write(NamedTuple):
+    """A write on its way."""
+
+    left: int
+    """Ticks that the lease lasts if the write takes effect."""
+    current: bool
+    """Whether the row still has the version that the write asks for."""
+    outcome: Literal["open", "done", "refused"]
+
+
+class Contender(NamedTuple):
+    """One incarnation."""
+
+    held: int = 0
+    """Ticks for which it believes to hold the lease."""
+    knows: bool = False
+    """Whether it knows the row's version as its own."""
+    write: Write | None = None
+    late: bool = False
+    """Whether a write with a lost answer may still land."""
+    seen: bool = False
+    """Whether it has seen the row as it is now."""
+    waited: int = 0
+    """Ticks since it saw the row first as it is now."""
+    steady: int = 0
+    """Ticks for which its clock will not miss another one."""
+
+
+class State(NamedTuple):
+    """One state."""
+
+    holder: str
+    """Name in the row, empty if there is none."""
+    a: Contender
+    b: Contender
+
+
+def lease_model(rules: Rules = DESIGN) -> Protocol:
+    """Return the model under the given rules."""
+    return Protocol(
+        name="lease",
+        candidate=False,
+        fields=State._fields,
+        initial=State("", Contender(), Contender()),
+        transitions=lambda state: _transitions(State(*state), rules),
+        invariants={
+            "at most one holder": lambda state: (
+                not (state["a"].held > 0 and state["b"].held > 0)
+            )
+        },
+    )
+
+
+def _transitions(s: State, rules: Rules) -> list[tuple[str, State]]:
+    steps = []
+    for name in NAMES:
+        steps += _client_steps(s, name, rules) + _store_steps(s, name, rules)
+    return steps + _ticks(s, rules)
+
+
+def _client_steps(s: State, name: str, rules: Rules) -> list[tuple[str, State]]:
+    me: Contender = getattr(s, name)
+    if me.write is not None:
+        return _answers(s, name, me, me.write, rules)
+    if me.held > 0:
+        return [_renew(s, name, me, rules)]
+    return [_look(s, name, me, rules)]
+
+
+def _renew(s: State, name: str, me: Contender, rules: Rules) -> tuple[str, State]:
+    if me.knows:
+        return f"{name} renews", _send(s, name, me, rules)
+    # The condition failed: `_look_up` tells an own write from a takeover.
+    if s.holder == name:
+        return f"{name} finds its own write", _set(s, name, me._replace(knows=True))
+    return f"{name} finds another", _set(s, name, me._replace(held=0))
+
+
+def _look(s: State, name: str, me: Contender, rules: Rules) -> tuple[str, State]:
+    if s.holder == name and rules.own_row_is_proof:
+        return f"{name} trusts the row", _set(s, name, me._replace(held=rules.duration))
+    waited = me.seen and me.waited >= rules.duration + rules.margin
+    if s.holder in ("", name) or waited:
+        return f"{name} tries to take", _send(s, name, me, rules)
+    if me.seen:
+        return f"{name} waits", s
+    return f"{name} sees the row", _set(s, name, me._replace(seen=True, waited=0))
+
+
+def _send(s: State, name: str, me: Contender, rules: Rules) -> State:
+    write = Write(rules.duration, True, "open")
+    return _set(s, name, me._replace(write=write))
+
+
+def _answers(
+    s: State, name: str, me: Contender, write: Write, rules: Rules
+) -> list[tuple[str, State]]:
+    may_land = write.outcome == "open" and (write.current or not rules.conditional)
+    late = me.late or may_land
+    lost = me._replace(write=None, knows=False, late=late)
+    steps = [(f"answer to {name} is lost", _set(s, name, lost))]
+    if write.outcome == "done":
+        left = write.left if rules.counts_from_send else rules.duration
+        held = me._replace(write=None, held=max(me.held, left), knows=write.current)
+        steps.append((f"{name} learns that it holds", _set(s, name, held)))
+    if write.outcome == "refused":
+        refused = me._replace(write=None, knows=False)
+        steps.append((f"{name} learns of the refusal", _set(s, name, refused)))
+    return steps
+
+
+def _store_steps(s: State, name: str, rules: Rules) -> list[tuple[str, State]]:
+    me: Contender = getattr(s, name)
+    steps = []
+    if me.write is not None and me.write.outcome == "open":
+        if me.write.current or not rules.conditional:
+            done = me._replace(write=Write(me.write.left, True, "done"))
+            steps.append((f"write of {name} lands", _written(s, name, done)))
+        else:
+            refused = me._replace(write=me.write._replace(outcome="refused"))
+            steps.append((f"write of {name} is refused", _set(s, name, refused)))
+    if me.late:
+        landed = _written(s, name, me._replace(late=False))
+        steps.append((f"late write of {name} lands", landed))
+    return steps
+
+
+def _written(s: State, name: str, me: Contender) -> State:
+    """Return the state after a write, in which no older version is current."""
+    other: Contender = getattr(s, _other(name))
+    write = other.write._replace(current=False) if other.write else None
+    other = other._replace(write=write, late=False, knows=False, seen=False, waited=0)
+    late = me._replace(late=False, seen=False, waited=0)
+    if me.write is not None and me.write.outcome == "open":
+        late = late._replace(write=me.write._replace(current=False))
+    return _set(_set(s, name, late), _other(name), other)._replace(holder=name)
+
+
+def _ticks(s: State, rules: Rules) -> list[tuple[str, State]]:
+    steps = [("tick", State(s.holder, _older(s.a, rules), _older(s.b, rules)))]
+    for name in NAMES:
+        me: Contender = getattr(s, name)
+        other: Contender = getattr(s, _other(name))
+        if me.steady == 0:
+            steady = rules.duration + rules.margin
+            late = _set(s, name, me._replace(steady=steady))
+            late = _set(late, _other(name), _older(other, rules))
+            steps.append((f"tick that the clock of {name} misses", late))
+    return steps
+
+
+def _older(me: Contender, rules: Rules) -> Contender:
+    write = me.write
+    if write is not None:
+        write = write._replace(left=max(write.left - 1, 0))
+    limit = rules.duration + rules.margin
+    waited = min(me.waited + 1, limit) if me.seen else 0
+    return me._replace(
+        held=max(me.held - 1, 0),
+        write=write,
+        waited=waited,
+        steady=max(me.steady - 1, 0),
+    )
+
+
+def _set(s: State, name: str, me: Contender) -> State:
+    return s._replace(**{name: me})
+
+
+def _other(name: str) -> str:
+    return "b" if name == "a" else "a"
--- /dev/null
+++ b/tests/specs/outage_spec.py
@@ -0,0 +1,233 @@
+"""Specification of the outage rule: a plain outage against a cut.
+
+Describes `guavajunction.membership`: `_standing.StandingRule` (run here as it is),
+`_note_book.NoteBook` and `_announcer.Announcer` (restated as transitions).
+
+Three voters: `y` announces one change, a new configuration or a revocation, and
+writes it; `x` may be the one that must stop; `z` hears both. Every read, message and
+answer may fail to happen, so each state covers outages, cuts of one instance, and
+both together. A write may land late, within its bound on arrival. Time passes in
+ticks and no clock goes faster than another by more than the drift margin.
+"""
+
+from __future__ import annotations
+
+from functools import cache
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from guavajunction.membership._config import MembershipConfig
+from guavajunction.membership._messages import Status
+from guavajunction.membership._model import View
+from guavajunction.membership._standing import StandingRule
+from guavajunction.peers import PeerId
+
+X, Y, Z = (PeerId(name, f"{name}-1") for name in "xyz")
+
+NONE = -1
+"""No note is held."""
+
+
+class Rules(NamedTuple):
+    """The design, each part of which a test can take away."""
+
+    staleness: int = 2
+    heard: int = 2
+    validity: int = 1
+    """Ticks after its announcement in which a change may be sent."""
+    arrival: int = 1
+    """Ticks after sending in which a write may land."""
+    drift: int = 1
+    acks_needed: int = 1
+    """Acknowledgements beside the announcer's own."""
+    clears_early: bool = False
+    """Whether any read ends a note."""
+    echoes: bool = True
+    """Whether a heartbeat's age counts from its sending, not its arrival."""
+    compares_versions: bool = True
+    """Whether a peer with a newer configuration is not counted."""
+
+    @property
+    def known_after(self) -> int:
+        """Age at which a note's change has landed or never will."""
+        return self.validity + self.arrival + self.drift
+
+    @property
+    def bound(self) -> int:
+        """Ticks after its effect in which a change is in force everywhere."""
+        return max(self.staleness, self.heard)
+
+
+DESIGN = Rules()
+
+
+class Node(NamedTuple):
+    """`x` or `z`."""
+
+    version: int
+    confirmed: int
+    """Ticks since its latest read of the store began."""
+    note: int
+    """Ticks since it holds the note, `NONE`, or past all ages once settled."""
+
+
+class Beat(NamedTuple):
+    """A heartbeat of `z`, on its way or heard."""
+
+    eligible: bool
+    version: int
+    confirmed: int
+    sent: int
+    """Ticks since it was sent."""
+
+
+class State(NamedTuple):
+    """One state; `phase` is that of the announcer."""
+
+    head: int
+    phase: str
+    age: int
+    """Ticks since the announcement, then since the write was sent."""
+    since: int
+    """Ticks since the change took effect."""
+    acks: int
+    x: Node
+    z: Node
+    heard: Beat | None
+    flying: Beat | None
+
+
+START = State(0, "idle", 0, 0, 0, Node(0, 0, NONE), Node(0, 0, NONE), None, None)
+
+
+def outage_model(rules: Rules = DESIGN) -> Protocol:
+    """Return the model under the given rules."""
+    return Protocol(
+        name="outage rule",
+        candidate=False,
+        fields=State._fields,
+        initial=START,
+        transitions=lambda state: _transitions(State(*state), rules),
+        invariants={
+            "old configuration is not trusted beyond the bound": lambda state: (
+                not (
+                    state["head"] == 1
+                    and state["since"] >= rules.bound
+                    and state["x"].version == 0
+                    and _stands(state["x"], state["heard"], rules)
+                )
+            )
+        },
+    )
+
+
+def stands(state: State, rules: Rules = DESIGN) -> bool:
+    """Return whether `x` is in standing."""
+    return _stands(state.x, state.heard, rules)
+
+
+@cache
+def _stands(x: Node, heard: Beat | None, rules: Rules) -> bool:
+    """Ask the product's own rule."""
+    cfg = MembershipConfig(staleness=rules.staleness, heard=rules.heard)
+    version = x.version if rules.compares_versions else 1
+    rule = StandingRule(X, lambda: version, cfg)
+    rule.view = View(1, (X, Y, Z))
+    rule.confirmed_at = -float(x.confirmed)
+    rule.renewed_at = 0.0
+    if heard is not None:
+        age = float(heard.confirmed - heard.sent)
+        status = Status(age, heard.version, 1, heard.eligible, ())
+        rule.on_status(Z, status, -float(heard.sent))
+    blocked = x.note != NONE
+    return rule.confirmed(0.0) or rule.majority(0.0, blocked=blocked)
+
+
+def _transitions(s: State, rules: Rules) -> list[tuple[str, State]]:
+    steps = _announcer_steps(s, rules) + _tick(s, rules)
+    for name in ("x", "z"):
+        steps += _node_steps(s, name, rules)
+    beat = Beat(s.z.note == NONE, s.z.version, s.z.confirmed, 0)
+    steps.append(("z sends a heartbeat", s._replace(flying=beat)))
+    if s.flying is not None:
+        beat = s.flying
+        if not rules.echoes:
+            beat = beat._replace(confirmed=beat.confirmed - beat.sent, sent=0)
+        steps.append(("heartbeat arrives", s._replace(heard=beat, flying=None)))
+    return steps
+
+
+def _announcer_steps(s: State, rules: Rules) -> list[tuple[str, State]]:
+    if s.phase == "idle":
+        return [("announce", s._replace(phase="announced"))]
+    if s.phase == "announced":
+        steps = [("give up", s._replace(phase="cancelled", acks=0))]
+        if s.acks >= rules.acks_needed and s.age < rules.validity:
+            steps.append(("send", s._replace(phase="sent", age=0, acks=0)))
+        return steps
+    if s.phase == "sent":
+        return [
+            ("write lands", s._replace(head=1, phase="landed", age=0)),
+            ("write is dropped", s._replace(phase="lost", age=0)),
+        ]
+    if s.phase == "landed":
+        return [("answer arrives", s._replace(phase="settled"))]
+    if s.phase == "lost":
+        return [("refusal arrives", s._replace(phase="cancelled"))]
+    return []
+
+
+def _node_steps(s: State, name: str, rules: Rules) -> list[tuple[str, State]]:
+    node: Node = getattr(s, name)
+    settled = rules.known_after + 1
+    steps = []
+    if s.phase == "announced" and node.note == NONE and s.acks < 2:
+        held = s._replace(**{name: node._replace(note=0)}, acks=s.acks + 1)
+        steps.append((f"{name} acknowledges", held))
+    if s.phase == "settled" and 0 <= node.note < settled:
+        known = s._replace(**{name: node._replace(note=settled)})
+        steps.append((f"{name} learns of the effect", known))
+    if s.phase == "cancelled" and node.note != NONE:
+        free = s._replace(**{name: node._replace(note=NONE)})
+        steps.append((f"{name} learns that nothing took effect", free))
+    clears = rules.clears_early or node.note >= rules.known_after
+    note = NONE if clears else node.note
+    read = s._replace(**{name: Node(s.head, 0, note)})
+    steps.append((f"{name} reads the store", read))
+    return steps
+
+
+def _tick(s: State, rules: Rules) -> list[tuple[str, State]]:
+    if s.phase == "sent" and s.age >= rules.arrival:
+        return []
+    older = State(
+        s.head,
+        s.phase,
+        min(s.age + 1, rules.validity) if s.phase in ("announced", "sent") else 0,
+        min(s.since + s.head, rules.bound),
+        s.acks,
+        _older_node(s.x, rules),
+        _older_node(s.z, rules),
+        _older_beat(s.heard, rules),
+        _older_beat(s.flying, rules),
+    )
+    return [("tick", older)]
+
+
+def _older_node(node: Node, rules: Rules) -> Node:
+    note = node.note
+    if 0 <= note < rules.known_after:
+        note += 1
+    return Node(node.version, min(node.confirmed + 1, rules.staleness), note)
+
+
+def _older_beat(beat: Beat | None, rules: Rules) -> Beat | None:
+    if beat is None:
+        return None
+    older = beat._replace(
+        confirmed=min(beat.confirmed + 1, rules.bound),
+        sent=min(beat.sent + 1, rules.bound),
+    )
+    useless = older.sent >= rules.heard and older.confirmed >= rules.staleness
+    return None if useless and rules.echoes else older
--- /dev/null
+++ b/tests/specs/test_lease_spec.py
@@ -0,0 +1,52 @@
+"""The lease holds under its rules and breaks without any one of them."""
+
+from __future__ import annotations
+
+import pytest
+from minicheck import check_safety
+
+from specs.lease_spec import DESIGN, Rules, lease_model
+
+PROPERTY = "at most one holder"
+WITNESS_STATES = 16_000
+"""States among which each counterexample is found, breadth first."""
+
+
+class TestLeaseSpec:
+    """Checks of `guavajunction.membership._lease`."""
+
+    def test_never_two_holders(self, record_property) -> None:
+        result = check_safety(lease_model())
+        record_property("states", result["reachable_states"])
+        assert result["properties"][PROPERTY]["holds"] is True
+        assert result["reachable_states"] > 5_000
+
+    def test_waiting_ends_in_a_takeover(self) -> None:
+        limit = DESIGN.duration + DESIGN.margin
+        model = lease_model()
+        model.invariants = {
+            "nobody takes over": lambda state: (
+                not (
+                    state["holder"] == "a"
+                    and state["b"].write is not None
+                    and state["b"].waited >= limit
+                )
+            )
+        }
+        result = check_safety(model, max_states=WITNESS_STATES)
+        assert result["properties"]["nobody takes over"]["holds"] is False
+
+    @pytest.mark.parametrize(
+        "rules",
+        [
+            Rules(margin=0),
+            Rules(counts_from_send=False),
+            Rules(conditional=False),
+            Rules(own_row_is_proof=True),
+        ],
+        ids=["no margin", "from the answer", "unconditional write", "own row"],
+    )
+    def test_each_rule_is_needed(self, rules: Rules) -> None:
+        result = check_safety(lease_model(rules), max_states=WITNESS_STATES)
+        assert result["properties"][PROPERTY]["holds"] is False
+        assert result["properties"][PROPERTY]["counterexample"]
--- /dev/null
+++ b/tests/specs/test_outage_spec.py
@@ -0,0 +1,63 @@
+"""The outage rule holds under its rules and breaks without any one of them."""
+
+from __future__ import annotations
+
+import pytest
+from minicheck import check_safety
+
+from specs.outage_spec import Rules, State, outage_model, stands
+
+PROPERTY = "old configuration is not trusted beyond the bound"
+
+
+class TestOutageSpec:
+    """Checks of `guavajunction.membership`, standing and pending changes."""
+
+    @pytest.mark.parametrize(("staleness", "heard"), [(2, 1), (1, 2)])
+    def test_change_is_in_force_everywhere_within_the_bound(
+        self, staleness: int, heard: int, record_property
+    ) -> None:
+        result = check_safety(outage_model(Rules(staleness, heard)))
+        record_property("states", result["reachable_states"])
+        assert result["properties"][PROPERTY]["holds"] is True
+        assert result["reachable_states"] > 20_000
+
+    def test_plain_outage_leaves_standing(self) -> None:
+        rules = Rules(staleness=1, heard=1)
+        model = outage_model(rules)
+        model.invariants = {
+            "no standing without the store": lambda state: (
+                not (
+                    state["head"] == 0
+                    and state["x"].confirmed == rules.staleness
+                    and state["z"].confirmed == rules.staleness
+                    and stands(State(**state), rules)
+                )
+            )
+        }
+        result = check_safety(model)
+        held = result["properties"]["no standing without the store"]["holds"]
+        assert held is False
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"acks_needed": 0},
+            {"clears_early": True},
+            {"drift": -1},
+            {"echoes": False},
+            {"compares_versions": False},
+        ],
+        ids=[
+            "no majority holds the note",
+            "any read ends a note",
+            "note ends before a late write lands",
+            "age counts from arrival",
+            "newer peers are counted",
+        ],
+    )
+    def test_each_rule_is_needed(self, change: dict) -> None:
+        rules = Rules(staleness=1, heard=1, **change)
+        result = check_safety(outage_model(rules))
+        assert result["properties"][PROPERTY]["holds"] is False
+        assert result["properties"][PROPERTY]["counterexample"]
