--- a/packages/guavajunction-entry/src/guavajunction_entry/_incarnation.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_incarnation.py
@@ -19,6 +19,9 @@
 from ._aggregates import Aggregates
 from .front import Front, FrontParts
 
+LINGERING_SECONDS = 1.0
+"""How long the rest of a refused body is read so that the caller sees the refusal."""
+
 
 class Ending(Enum):
     """Why an incarnation ended."""
@@ -78,6 +81,7 @@
             self._front(parts).app(),
             handler_cancellation=True,
             shutdown_timeout=self._settings.timing.drain,
+            lingering_time=LINGERING_SECONDS,
             access_log=None,
         )
         await runner.setup()
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_errors.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_errors.py
@@ -14,6 +14,7 @@
     InternalFault,
     MethodNotAllowed,
     RequestError,
+    RequestTimeout,
     RequestTooLarge,
     UnknownRoute,
 )
@@ -25,7 +26,8 @@
 REQUEST_ID = web.RequestKey("request_id", str)
 """Where a request's identity is kept while it is served."""
 
-MAX_REQUEST_ID_CHARACTERS = 64
+UNREAD_BODY_ERRORS = (RequestTimeout, RequestTooLarge)
+"""Failures after which the rest of the body makes the connection useless."""
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -105,7 +107,10 @@
 
     def _refuse(self, exc: RequestError, request_id: str) -> web.Response:
         self._metrics.count("refusals_total", type=exc.TYPE)
-        return error_response(exc, request_id)
+        response = error_response(exc, request_id)
+        if isinstance(exc, UNREAD_BODY_ERRORS):
+            response.force_close()
+        return response
 
 
 def _typed(exc: web.HTTPException) -> RequestError:
--- a/packages/guavajunction/src/guavajunction/routing/_dispatcher.py
+++ b/packages/guavajunction/src/guavajunction/routing/_dispatcher.py
@@ -120,6 +120,16 @@
                 return self._grant(req, choice)
         return await self._wait(req, excluded)
 
+    def hold_again(self, grant: Grant) -> Grant:
+        """Take the slot of a released grant again, to resume its stream.
+
+        The backend server still keeps the stream, so no room is asked for.
+        """
+        self._book.add(grant.backend, grant.req)
+        self._queue.charge(grant.req.customer, grant.req.cost)
+        self._activate(grant.req)
+        return grant._replace(granted=self._clock.monotonic())
+
     def release(self, grant: Grant, used_tokens: float) -> None:
         """Give a slot back and serve those that wait.
 
--- a/packages/guavajunction/src/guavajunction/routing/_engine_call.py
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -34,6 +34,10 @@
     """The engine has certainly not begun the request."""
 
 
+class EngineRefused(NotBegun):
+    """The engine is healthy but does not take the request now."""
+
+
 class StreamCut(GuavaError):
     """The answer ended before its end mark."""
 
@@ -129,7 +133,7 @@
             return
         await resp.read()
         if resp.status in NOT_RUN_STATUSES:
-            raise NotBegun(f"the engine answered {resp.status}")
+            raise EngineRefused(f"the engine answered {resp.status}")
         raise BackendFailed(
             f"the engine refused the request with status {resp.status}",
             not_run="true" if resp.status < 500 else "unknown",
--- a/packages/guavajunction/src/guavajunction/routing/_inference_router.py
+++ b/packages/guavajunction/src/guavajunction/routing/_inference_router.py
@@ -14,7 +14,13 @@
 from ._answer import AnswerSink, AnswerSummary, AnswerTimes
 from ._decision_log import DecisionLog
 from ._dispatcher import Dispatcher, Grant
-from ._engine_call import EngineCall, EngineRequest, NotBegun, StreamCut
+from ._engine_call import (
+    EngineCall,
+    EngineRefused,
+    EngineRequest,
+    NotBegun,
+    StreamCut,
+)
 from ._model import Replicas
 from ._retry_budget import RetryBudget
 
@@ -73,37 +79,45 @@
         call = EngineCall(self._session, out, sink, times, self._decisions)
         failures: Counter[str] = Counter()
         failure: GuavaError = NoReplica("no attempt was made")
+        last: Grant | None = None
         for _ in range(self.MAX_ATTEMPTS):
             try:
-                grant = await self._acquire(out, call, failures)
+                last = await self._next_grant(out, call, last, failures)
+                return await self._attempt(call, last, check_allowed)
             except (Overloaded, NoReplica) as exc:
                 raise self._final(exc, failure, call) from exc
-            try:
-                return await self._attempt(call, grant, check_allowed)
             except (NotBegun, StreamCut) as exc:
                 failure = exc
-                failures[grant.backend] += 1
-                self._replicas.note_failure(grant.backend)
-                self._note_retry(out, grant, exc, call)
+                failures[last.backend] += 1
+                if not isinstance(exc, EngineRefused):
+                    self._replicas.note_failure(last.backend)
+                self._note_retry(out, last, exc, call)
+            except BackendFailed as exc:
+                raise self._final(None, exc, call) from exc
             if not call.has_begun and not self._budget.spend():
                 self._decisions.note(events.NO_RETRY_LEFT, out.req.request_id)
                 break
             await self._clock.sleep(self._budget.backoff())
         raise self._final(None, failure, call)
 
-    async def _acquire(
-        self, out: EngineRequest, call: EngineCall, failures: Counter[str]
+    async def _next_grant(
+        self,
+        out: EngineRequest,
+        call: EngineCall,
+        last: Grant | None,
+        failures: Counter[str],
     ) -> Grant:
-        """Wait for a slot on a backend server that has not failed the request.
+        """Return the slot for the next connection.
 
-        A stream that has begun may be resumed once on the backend server that cut it,
-        and waits as long as a new request may.
+        A stream that has begun goes on where it is kept, on the same backend server.
+        Otherwise backend servers that failed are passed over while there are others.
         """
-        if not call.has_begun:
+        if last is not None and call.has_begun:
+            return self._dispatcher.hold_again(last)
+        ready = {state.name for state in self._replicas.ready(out.req.artifact)}
+        if ready - failures.keys():
             return await self._dispatcher.acquire(out.req, frozenset(failures))
-        excluded = frozenset(name for name, count in failures.items() if count > 1)
-        req = out.req._replace(arrived=self._clock.monotonic())
-        return await self._dispatcher.acquire(req, excluded)
+        return await self._dispatcher.acquire(out.req)
 
     async def _attempt(
         self, call: EngineCall, grant: Grant, check_allowed: Callable[[], None]
@@ -141,6 +155,8 @@
         """Return what the caller is told, true to what has run."""
         if call.has_begun:
             return AnswerCut(f"the answer was cut: {failure.message}")
+        if isinstance(failure, BackendFailed):
+            return failure
         if isinstance(failure, StreamCut):
             return BackendFailed(failure.message, retry_after=1.0)
         if refusal is not None:
--- /dev/null
+++ b/tests/system/__init__.py
@@ -0,0 +1,1 @@
+"""Tests on a fleet of real processes."""
