--- a/packages/guavajunction/src/guavajunction/backends/_inventory.py
+++ b/packages/guavajunction/src/guavajunction/backends/_inventory.py
@@ -90,6 +90,7 @@
         self._holders_version = -1
         self._reading: dict[str, asyncio.Task[None]] = {}
         self._known_peers: set[PeerId] = set()
+        self._mine: frozenset[str] = frozenset()
         self._started = clock.monotonic()
         links.handle(StateDigest, self._on_state)
         links.handle(LoadDigest, self._on_load)
@@ -172,6 +173,7 @@
         """Start a query of each backend server that this instance should read."""
         if self._passive.expire():
             self._holders = None
+        self._mine = self._to_read()
         self._greet_new_peers()
         for name, server in self._configuration().backends.items():
             if name not in self._reading and self._should_read(name):
@@ -191,7 +193,13 @@
 
     def is_reader(self, name: str) -> bool:
         """Return whether this instance reads a backend server for the others."""
-        return self._members.author(f"backend/{name}") == self._links.me
+        return name in self._mine
+
+    def _to_read(self) -> frozenset[str]:
+        me = self._links.me
+        names = self._configuration().backends
+        author = self._members.author
+        return frozenset(n for n in names if author(f"backend/{n}") == me)
 
     def _should_read(self, name: str) -> bool:
         if self.is_reader(name) or name not in self._states:
--- a/packages/guavajunction/src/guavajunction/backends/_ledger.py
+++ b/packages/guavajunction/src/guavajunction/backends/_ledger.py
@@ -129,14 +129,19 @@
 
     def record(self, attempt: str) -> LedgerRecord:
         """Return the content for the row."""
-        residents = tuple(self._residents.values())
+        coming = {intent.artifact for intent in self._intents.values()}
+        bases = [
+            (adapter, base)
+            for adapter, base in self._bases.items()
+            if adapter in coming or adapter in self._residents
+        ]
         return LedgerRecord(
             attempt,
             self.fence,
             tuple(self._intents.values()),
-            residents,
+            tuple(self._residents.values()),
             self.seq,
-            tuple(self._bases.items()),
+            tuple(bases),
         )
 
     def committed_mib(self) -> int:
@@ -222,6 +227,10 @@
         present = coming | set(self._residents)
         return sorted(a for a in present if self._bases.get(a) == base)
 
+    def base_of(self, artifact: str) -> str | None:
+        """Return the base model that an adapter was loaded on, None if unknown."""
+        return self._bases.get(artifact)
+
     def withdraw(self, intent: Intent) -> None:
         """Drop an intent if no copy of it was ever sent."""
         if self._progress[intent.order_id].sent == 0:
--- a/packages/guavajunction/src/guavajunction/placement/_draft.py
+++ b/packages/guavajunction/src/guavajunction/placement/_draft.py
@@ -128,11 +128,11 @@
 
     def dependents(self, server: str, artifact: str) -> list[str]:
         """Return the adapters on an engine that use an artifact as their base."""
-        name = name_of(artifact)
+        bases = (artifact, name_of(artifact))
         return [
             held
             for held, holding in self.view.servers[server].holdings.items()
-            if holding.base == name and holding.state != "going"
+            if holding.base in bases and holding.state != "going"
             if server in self.ready.get(held, ()) or server in self.coming.get(held, ())
         ]
 
@@ -160,17 +160,13 @@
         """Apply a decided load; the replica counts for the load at once."""
         self.free[server] -= deployment.mib
         self.coming[deployment.artifact].add(server)
-        name = deployment.name
-        holders = set(self.spread.share.get(name, {})) | {server}
-        self.spread.pour(name, holders)
+        self.spread.add(deployment.name, server)
 
     def remove(self, server: str, artifact: str) -> None:
         """Apply a decided removal; its memory is free only once it is gone."""
         self.ready[artifact].discard(server)
         self.promised[server] += self.holding(server, artifact).mib
-        name = name_of(artifact)
-        holders = set(self.spread.share.get(name, {})) - {server}
-        self.spread.pour(name, holders)
+        self.spread.remove(name_of(artifact), server)
 
     def reserve(self, server: str, mib: int) -> None:
         """Set memory aside that is being freed for a replica."""
--- a/packages/guavajunction/src/guavajunction/placement/_model.py
+++ b/packages/guavajunction/src/guavajunction/placement/_model.py
@@ -16,7 +16,8 @@
     age: float = 0.0
     """Seconds for which it has been ready."""
     base: str | None = None
-    """Name of the base model, for adapters."""
+    """Artifact of the base model that an adapter was loaded on, or just the name of
+    that model if the version is not known."""
 
 
 class ServerView(NamedTuple):
--- a/packages/guavajunction/src/guavajunction/placement/_planner.py
+++ b/packages/guavajunction/src/guavajunction/placement/_planner.py
@@ -13,6 +13,7 @@
     PoolView,
     Shortage,
     Unload,
+    name_of,
 )
 
 
@@ -225,7 +226,7 @@
         """Return cost for each MiB, cost, and artifact of giving up a replica."""
         draft = self._draft
         holding = draft.holding(server, artifact)
-        loss = draft.spread.loss(artifact.partition("@")[0], server)
+        loss = draft.spread.loss(name_of(artifact), server)
         if favoured.base is not None and holding.base is None:
             loss += self._relocation_cost
         if draft.may_remove(server, artifact):
@@ -286,7 +287,7 @@
         for gone in (*draft.dependents(server, artifact), artifact):
             if server not in draft.ready[gone] or not draft.may_remove(server, gone):
                 continue
-            loss = draft.spread.loss(gone.partition("@")[0], server)
+            loss = draft.spread.loss(name_of(gone), server)
             draft.remove(server, gone)
             self._unloads.append(Unload(server, gone, reason, loss, in_favour_of))
 
@@ -316,11 +317,14 @@
             for server in sorted(servers)
         ]
         for server, artifact in obsolete:
-            deployment = draft.current.get(artifact.partition("@")[0])
+            deployment = draft.current.get(name_of(artifact))
             if deployment is not None and not draft.switched(deployment):
                 continue
             if draft.may_remove(server, artifact):
                 self._unload(server, artifact, "not_deployed", "")
+                continue
+            for adapter in self._to_relocate(server, artifact):
+                self._relocate(adapter)
 
     # Growth by demand.
 
@@ -339,31 +343,38 @@
         if not self._draft.answering(deployment.artifact):
             return
         while fitting := self._elsewhere(deployment):
-            gain = self._draft.spread.gain(deployment.name, fitting[0].server)
+            gain = self._draft.spread.benefit(deployment.name, fitting[0].server)
             if gain < self._limits.gain_slots:
-                return
+                break
             if not self._load(deployment, fitting, "demand", gain):
                 return
         candidates = self._draft.candidates(deployment)
         self._displace(deployment, candidates[: self._limits.servers_per_name])
 
     def _displace(self, deployment: Deployment, candidates: list[Candidate]) -> None:
-        best: tuple[float, _Room] | None = None
+        """Make room for one more replica where that gains clearly more than it costs.
+
+        Nothing is begun while memory is being freed for it already.
+        """
+        draft = self._draft
         for c in candidates:
-            gain = self._draft.spread.gain(deployment.name, c.server)
-            if gain < self._limits.move_cost_slots:
-                continue
-            if c.free_mib + self._draft.promised[c.server] >= deployment.mib:
-                self._draft.reserve(c.server, deployment.mib)
+            if c.free_mib + draft.promised[c.server] >= deployment.mib:
+                draft.reserve(c.server, deployment.mib)
                 return
-            room = self._room(deployment, c.server)
-            if room is None or room.relocations or not self._settled(room):
-                continue
-            net = gain - room.cost
-            if net >= self._limits.move_cost_slots and (not best or net > best[0]):
-                best = (net, room)
-        if best is not None and self._going() < self._limits.max_going:
-            self._make_room(deployment, best[1], "demand")
+        if self._going() >= self._limits.max_going:
+            return
+        rooms = [r for c in candidates if (r := self._room(deployment, c.server))]
+        settled = [r for r in rooms if not r.relocations and self._settled(r)]
+        net, room = max(
+            ((self._net_gain(deployment, r), r) for r in settled),
+            default=(0.0, None),
+        )
+        if room is not None and net >= self._limits.move_cost_slots:
+            self._make_room(deployment, room, "demand")
+
+    def _net_gain(self, deployment: Deployment, room: _Room) -> float:
+        displaced = [name_of(artifact) for artifact in room.removals]
+        return self._draft.spread.benefit(deployment.name, room.server, displaced)
 
     def _settled(self, room: _Room) -> bool:
         stay = self._limits.min_stay_seconds
--- a/packages/guavajunction/src/guavajunction/placement/_pool_survey.py
+++ b/packages/guavajunction/src/guavajunction/placement/_pool_survey.py
@@ -126,13 +126,14 @@
             artifact = resident.artifact
             kept = self._state(state, ledger, artifact, resident.state)
             since = self._ready_since.setdefault((state.name, artifact), now)
-            adapter = adapters.get(name_of(artifact))
-            base = adapter.model if adapter else None
+            base = ledger.base_of(artifact)
+            if base is None and name_of(artifact) in adapters:
+                base = adapters[name_of(artifact)].model
             holdings[artifact] = Holding(kept, resident.mib, now - since, base)
         for intent in ledger.intents:
             if intent.action == "load" and intent.artifact not in holdings:
-                base = name_of(intent.base) if intent.base else None
-                holdings[intent.artifact] = Holding(LOADING, intent.mib, 0.0, base)
+                holding = Holding(LOADING, intent.mib, 0.0, intent.base)
+                holdings[intent.artifact] = holding
         return holdings
 
     def _state(
--- a/packages/guavajunction/src/guavajunction/placement/_spread.py
+++ b/packages/guavajunction/src/guavajunction/placement/_spread.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 
 class Spread:
@@ -17,39 +17,36 @@
     def __init__(
         self,
         need: Mapping[str, float],
-        holders: Mapping[str, set[str]],
+        holders: Mapping[str, Iterable[str]],
         slots: Mapping[str, float],
     ) -> None:
         """Spread the need.
 
         Args:
             need: Busy slots, by name.
-            holders: Engines with a ready replica, by name.
-            slots: Slots that may be filled, by engine.
+            holders: Engines with a replica, by name.
+            slots: Slots that may be filled, above 0, by engine.
         """
         self._slots = slots
-        self.need = dict(need)
-        """Busy slots by name."""
+        self._need = need
+        self._holders = {name: set(held) for name, held in holders.items()}
+        self._share: dict[str, dict[str, float]] = {}
         self.load = dict.fromkeys(slots, 0.0)
         """Estimated busy slots by engine."""
-        self.share: dict[str, dict[str, float]] = {}
-        """Busy slots by name and engine."""
-        self._on: dict[str, set[str]] = {server: set() for server in slots}
-        by_choice = sorted(need, key=lambda n: (len(holders.get(n, ())), n))
+        narrow_first = sorted(need, key=lambda n: (len(self._held_by(n)), n))
         for _ in range(self.PASSES):
-            for name in by_choice:
-                self.pour(name, holders.get(name, ()))
+            for name in narrow_first:
+                self._pour(name)
 
-    def pour(self, name: str, holders: Iterable[str]) -> None:
-        """Spread one name's need anew over its holders."""
-        for server, amount in self.share.pop(name, {}).items():
-            self.load[server] -= amount
-            self._on[server].discard(name)
-        amounts = self._fill(self.need.get(name, 0.0), list(holders))
-        for server, amount in amounts.items():
-            self.load[server] += amount
-            self._on[server].add(name)
-        self.share[name] = amounts
+    def add(self, name: str, server: str) -> None:
+        """Let an engine take up a name."""
+        self._holders.setdefault(name, set()).add(server)
+        self._pour(name)
+
+    def remove(self, name: str, server: str) -> None:
+        """Let an engine give up a name."""
+        self._held_by(name).discard(server)
+        self._pour(name)
 
     def spare(self, server: str) -> float:
         """Return the slots that are left on an engine, not below 0."""
@@ -57,64 +54,77 @@
 
     def unmet(self, name: str) -> float:
         """Return the part of a name's need that finds no free slot."""
-        need = self.need.get(name, 0.0)
-        shares = self.share.get(name)
+        shares = self._share.get(name)
         if not shares:
-            return need
+            return self._need.get(name, 0.0)
         return sum(amount * self._overload(s) for s, amount in shares.items())
 
     def loss(self, name: str, server: str) -> float:
         """Return the need that goes unmet if an engine gives up a name."""
-        shares = self.share.get(name, {})
-        moved = shares.get(server, 0.0)
-        room = sum(self.spare(other) for other in shares if other != server)
-        return max(0.0, moved - room)
-
-    def gain(self, name: str, server: str) -> float:
-        """Return the need that is met if an engine takes up a name."""
-        return min(self.unmet(name) + self._relief(name), self.spare(server))
+        return max(0.0, -self.benefit(None, server, [name]))
 
-    def _relief(self, name: str) -> float:
-        """Return the other names' unmet need on this name's engines.
+    def benefit(
+        self, name: str | None, server: str, displaced: Collection[str] = ()
+    ) -> float:
+        """Return the need that is met in addition if an engine changes names.
 
-        A new replica takes load off engines that others compete for.
+        Args:
+            name: What it takes up, None for nothing.
+            server: The engine.
+            displaced: What it gives up.
         """
-        return sum(
-            min(amount, self._others_unmet(name, server))
-            for server, amount in self.share.get(name, {}).items()
-        )
-
-    def _others_unmet(self, name: str, server: str) -> float:
-        over = max(0.0, self.load[server] - self._slots[server])
-        own = self.share[name][server]
-        return over * (1.0 - own / self.load[server]) if over else 0.0
+        touched = [*displaced] if name is None else [*displaced, name]
+        saved = [(n, set(self._held_by(n)), self._share.get(n, {})) for n in touched]
+        affected = {server}.union(*(holders for _, holders, _ in saved))
+        load = {s: self.load[s] for s in affected}
+        before = self._excess(affected, touched)
+        for other in displaced:
+            self.remove(other, server)
+        if name is not None:
+            self.add(name, server)
+        after = self._excess(affected, touched)
+        for touched_name, holders, share in saved:
+            self._holders[touched_name] = holders
+            self._share[touched_name] = share
+        self.load.update(load)
+        return before - after
+
+    def _held_by(self, name: str) -> set[str]:
+        return self._holders.setdefault(name, set())
+
+    def _excess(self, servers: Iterable[str], names: Iterable[str]) -> float:
+        over = sum(max(0.0, self.load[s] - self._slots[s]) for s in servers)
+        homeless = (n for n in names if not self._held_by(n))
+        return over + sum(self._need.get(n, 0.0) for n in homeless)
+
+    def _pour(self, name: str) -> None:
+        """Spread one name's need anew over its holders."""
+        for server, amount in self._share.get(name, {}).items():
+            self.load[server] -= amount
+        self._share[name] = self._fill(self._need.get(name, 0.0), self._held_by(name))
+        for server, amount in self._share[name].items():
+            self.load[server] += amount
 
     def _overload(self, server: str) -> float:
         load = self.load[server]
         over = load - self._slots[server]
         return over / load if over > 0 else 0.0
 
-    def _fill(self, need: float, holders: list[str]) -> dict[str, float]:
+    def _fill(self, need: float, holders: Collection[str]) -> dict[str, float]:
         if not holders or need <= 0:
             return {}
         level = self._level(need, holders)
-        amounts = {s: max(0.0, level * self._slots[s] - self.load[s]) for s in holders}
-        poured = sum(amounts.values())
-        if poured <= 0:
-            return {s: need / len(holders) for s in holders}
-        return {s: a * need / poured for s, a in amounts.items() if a > 0}
+        amounts = {s: level * self._slots[s] - self.load[s] for s in holders}
+        return {s: amount for s, amount in amounts.items() if amount > 0}
 
-    def _level(self, need: float, holders: list[str]) -> float:
+    def _level(self, need: float, holders: Collection[str]) -> float:
         """Return the utilisation at which the holders have taken up the need."""
-        by_level = sorted(holders, key=lambda s: self.load[s] / self._slots[s])
-        load = slots = 0.0
-        level = 0.0
-        for i, server in enumerate(by_level):
+        filled = sorted((self.load[s] / self._slots[s], s) for s in holders)
+        load = slots = level = 0.0
+        for i, (_, server) in enumerate(filled):
             load += self.load[server]
             slots += self._slots[server]
             level = (need + load) / slots
-            if i + 1 < len(by_level):
-                following = by_level[i + 1]
-                if level <= self.load[following] / self._slots[following]:
-                    break
+            if i + 1 < len(filled) and level <= filled[i + 1][0]:
+                break
         return level
--- /dev/null
+++ b/tests/backends/test_inventory.py
@@ -0,0 +1,250 @@
+"""What instances know of backend servers while readers, links and servers fail."""
+
+from __future__ import annotations
+
+from fakes_backends import FakeBackends, FakeEngine, FakeMembers, fleet
+from fakes_links import FakeNetwork
+from guavajunction.backends import CacheEvent, CacheEvents, Inventory, Retirement
+from guavajunction.clock import ManualClock
+from guavajunction.configuration import Adapter, BackendServer, Model
+
+
+class Fleet:
+    """Two instances before two engines; the first one is the reader."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.network = FakeNetwork()
+        self.engines = {"e1": FakeEngine(100), "e2": FakeEngine(100)}
+        self.client = FakeBackends(self.engines)
+        models = [Model("m", "1", "pool", 40), Model("n", "2", "pool", 40, 2)]
+        self.cfg = fleet(self.engines, models, [Adapter("x", "1", "m", 5)])
+        self.links = [self.network.join(name) for name in ("i1", "i2")]
+        self.members = FakeMembers(self.links[0].me)
+        self.in_flight = 0
+        self.clients = [self.client, FakeBackends(self.engines)]
+        self.inventories = []
+        self.retirements = []
+        for links, client in zip(self.links, self.clients, strict=True):
+            retirement = Retirement(links, lambda *_: self.in_flight, self.clock)
+            inventory = Inventory(
+                client, links, self.members, lambda: self.cfg, retirement, self.clock
+            )
+            self.inventories.append(inventory)
+            self.retirements.append(retirement)
+
+    async def tick(self, seconds: float = 0.5) -> None:
+        self.clock.advance(seconds)
+        for inventory in self.inventories:
+            inventory.start_reads()
+            await inventory.finish_reads()
+        await self.network.settle()
+
+    def names(self, artifact: str) -> list[list[str]]:
+        found = [inventory.ready(artifact) for inventory in self.inventories]
+        return [[state.name for state in states] for states in found]
+
+
+class TestDigests:
+    """The reader's reports at its peers."""
+
+    async def test_peer_learns_without_reading(self):
+        world = Fleet()
+        await world.tick()
+        world.clients[1].reads.clear()
+        world.engines["e1"].hold("m@1", 40)
+        await world.tick()
+        assert world.names("m@1") == [["e1"], ["e1"]]
+        assert not world.clients[1].reads
+
+    async def test_lost_state_is_asked_for_again(self):
+        world = Fleet()
+        await world.tick()
+        world.network.drop = lambda *_: True
+        world.engines["e1"].hold("m@1", 40)
+        await world.tick()
+        world.network.drop = lambda *_: False
+        world.engines["e1"].running = 5
+        await world.tick()
+        assert world.names("m@1")[1] == ["e1"]
+
+    async def test_unchanged_load_is_not_told_each_time(self):
+        world = Fleet()
+        await world.tick()
+        told = len(world.links[0].told)
+        for _ in range(3):
+            await world.tick(0.3)
+        assert len(world.links[0].told) == told
+
+    async def test_silent_reader_is_replaced_by_own_reads(self):
+        world = Fleet()
+        await world.tick()
+        world.network.leave(world.links[0].me)
+        world.engines["e1"].hold("m@1", 40)
+        await world.tick(Inventory.SILENCE_SECONDS)
+        assert world.inventories[1].state("e1").holds("m@1")
+
+    async def test_late_digest_does_not_undo_a_newer_one(self):
+        world = Fleet()
+        await world.tick()
+        world.network.hold()
+        world.engines["e1"].hold("n@1", 40)
+        await world.tick()
+        world.engines["e1"].hold("m@1", 40)
+        await world.tick()
+        world.network.release(reverse=True)
+        await world.network.settle()
+        assert world.names("m@1")[1] == ["e1"]
+
+
+class TestHealth:
+    """Servers that fail or leave."""
+
+    async def test_dead_server_is_left_out_everywhere(self):
+        world = Fleet()
+        world.engines["e1"].hold("m@1", 40)
+        await world.tick()
+        for client in world.clients:
+            client.down.add("e1")
+        for _ in range(3):
+            await world.tick()
+        assert world.names("m@1") == [[], []]
+        for client in world.clients:
+            client.down.clear()
+        await world.tick()
+        assert world.names("m@1") == [["e1"], ["e1"]]
+
+    async def test_reader_that_is_cut_off_misleads_nobody_for_long(self):
+        world = Fleet()
+        world.engines["e1"].hold("m@1", 40)
+        await world.tick()
+        world.client.down.add("e1")
+        for _ in range(8):
+            await world.tick()
+        assert world.names("m@1") == [[], ["e1"]]
+
+    async def test_failed_requests_leave_a_server_out_for_a_while(self):
+        world = Fleet()
+        world.engines["e1"].hold("m@1", 40)
+        await world.tick()
+        for _ in range(3):
+            world.inventories[0].note_failure("e1")
+        assert world.names("m@1") == [[], ["e1"]]
+        await world.tick(2.0)
+        assert world.names("m@1") == [["e1"], ["e1"]]
+
+    async def test_leaving_by_report_and_by_configuration(self):
+        world = Fleet()
+        world.engines["e1"].hold("m@1", 40)
+        world.engines["e2"].hold("m@1", 40)
+        await world.tick()
+        world.engines["e1"].leaving = True
+        await world.tick()
+        assert world.names("m@1") == [["e2"], ["e2"]]
+        servers = world.cfg.backends
+        gone = {"e2": servers["e2"]._replace(leaving=True)}
+        world.cfg = world.cfg._replace(version=2, backends=servers | gone)
+        assert world.names("m@1") == [[], []]
+
+    async def test_services_go_by_health(self):
+        world = Fleet()
+        server = BackendServer("e2", "service", "e2", "dc", "booking")
+        world.cfg = world.cfg._replace(
+            version=2, backends=world.cfg.backends | {"e2": server}
+        )
+        await world.tick()
+        inventory = world.inventories[1]
+        assert [s.name for s in inventory.ready_in_pool("booking")] == ["e2"]
+        world.clients[0].down.add("e2")
+        world.clients[1].down.add("e2")
+        for _ in range(3):
+            await world.tick()
+        assert inventory.ready_in_pool("booking") == []
+
+
+class TestArtifacts:
+    """Which artifact answers for a name, and where."""
+
+    async def test_adapter_needs_its_base(self):
+        world = Fleet()
+        world.engines["e1"].hold("x@1", 5)
+        world.engines["e2"].hold("x@1", 5)
+        world.engines["e2"].hold("m@1", 40)
+        await world.tick()
+        assert world.names("x@1") == [["e2"], ["e2"]]
+
+    async def test_old_version_serves_until_enough_replicas_are_ready(self):
+        world = Fleet()
+        world.engines["e1"].hold("n@1", 40)
+        world.engines["e1"].hold("n@2", 40)
+        await world.tick()
+        assert world.inventories[1].serving("n") == "n@1"
+        world.engines["e2"].hold("n@2", 40)
+        await world.tick()
+        assert world.inventories[1].serving("n") == "n@2"
+        assert world.inventories[1].serving("unknown") is None
+
+    async def test_retired_artifact_gets_no_work_and_is_watched(self):
+        world = Fleet()
+        world.engines["e1"].hold("m@1", 40)
+        await world.tick()
+        world.in_flight = 1
+        assert not await world.retirements[0].drained("e1", "m@1")
+        assert world.names("m@1") == [[], []]
+        world.in_flight = 0
+        assert await world.retirements[0].drained("e1", "m@1")
+        world.network.cut(world.links[0].me, world.links[1].me, both=False)
+        assert not await world.retirements[0].drained("e1", "m@1")
+        world.clock.advance(Retirement.MARK_SECONDS)
+        assert world.names("m@1") == [["e1"], ["e1"]]
+
+
+class TestPrefixes:
+    """The index of cached prefixes under late events and gaps."""
+
+    def events(self, *pairs: tuple[int, str, str], last: int) -> CacheEvents:
+        events = tuple(CacheEvent(seq, kind, "m@1", p) for seq, kind, p in pairs)
+        return CacheEvents(events, events[0].seq if events else last + 1, last)
+
+    async def test_events_reach_the_peers(self):
+        world = Fleet()
+        world.client.events["e1"] = self.events((1, "stored", "aa"), last=1)
+        await world.tick()
+        assert [i.cached("e1", "aa") for i in world.inventories] == [True, True]
+        world.client.events["e1"] = self.events(
+            (1, "stored", "aa"), (2, "removed", "aa"), last=2
+        )
+        await world.tick()
+        assert [i.cached("e1", "aa") for i in world.inventories] == [False, False]
+
+    async def test_gap_voids_what_was_known(self):
+        world = Fleet()
+        world.client.events["e1"] = self.events((1, "stored", "aa"), last=1)
+        await world.tick()
+        world.client.events["e1"] = self.events((5, "stored", "bb"), last=5)
+        await world.tick()
+        for inventory in world.inventories:
+            assert not inventory.cached("e1", "aa")
+            assert inventory.cached("e1", "bb")
+
+    async def test_restarted_numbers_void_what_was_known(self):
+        world = Fleet()
+        world.client.events["e1"] = self.events((7, "stored", "aa"), last=7)
+        await world.tick()
+        world.client.events["e1"] = self.events((1, "stored", "bb"), last=1)
+        await world.tick()
+        assert not world.inventories[0].cached("e1", "aa")
+
+    async def test_news_that_was_lost_voids_the_peer_s_index(self):
+        world = Fleet()
+        stored = [(1, "stored", "aa"), (2, "removed", "aa"), (3, "stored", "cc")]
+        world.client.events["e1"] = self.events(*stored[:1], last=1)
+        await world.tick()
+        world.network.drop = lambda *_: True
+        world.client.events["e1"] = self.events(*stored[:2], last=2)
+        await world.tick()
+        world.network.drop = lambda *_: False
+        world.client.events["e1"] = self.events(*stored, last=3)
+        await world.tick()
+        assert not world.inventories[1].cached("e1", "aa")
+        assert world.inventories[1].cached("e1", "cc")
