Check large documents off the event loop and send only under a valid note

Change: checks run in a thread; unchanged sections are not built again; adapters of a model may be packed with one replica; a model with its adapters is compared with its largest engines; the head row is written only after the note was checked, and an expired note counts as an unknown outcome; operators have their own body limit.

--- a/packages/guavajunction/src/guavajunction/configuration/_build.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_build.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Container
 from typing import Any
 
 from ._model import (
+    EMPTY,
     Adapter,
     BackendServer,
     Configuration,
@@ -15,50 +17,77 @@
     Route,
     Service,
 )
-from ._tables import Section, Sections
+from ._tables import SECTION_NAMES, Section, Sections
 
 
-def build(version: int, sections: Sections) -> Configuration:
+def build(
+    version: int,
+    sections: Sections,
+    *,
+    previous: Configuration = EMPTY,
+    changed: Container[str] = SECTION_NAMES,
+) -> Configuration:
     """Build a configuration from sections that were checked.
 
     Args:
         version: Version at which the sections were accepted.
         sections: The whole document in its wire form.
+        previous: Configuration whose entries are kept for unchanged sections.
+        changed: Names of the sections to build anew.
 
     Returns:
         The configuration with each entry by its name, keys by digest.
     """
-    models = sections["models"]
-    return Configuration(
-        version,
-        {name: _customer(name, t) for name, t in sections["customers"].items()},
-        {t["digest"]: KeyRecord(key_id, **t) for key_id, t in sections["keys"].items()},
-        {name: _model(name, table) for name, table in models.items()},
-        _adapters(models),
-        {name: BackendServer(name, **t) for name, t in sections["backends"].items()},
-        {name: _service(name, t) for name, t in sections["services"].items()},
-        {name: Objective(name, **t) for name, t in sections["objectives"].items()},
-    )
+    built = {
+        field: make(sections[section])
+        for field, section, make in _BUILDERS
+        if section in changed
+    }
+    return previous._replace(version=version, **built)
 
 
-def _customer(name: str, table: dict[str, Any]) -> Customer:
-    customer = Customer(name, **table)
-    return customer._replace(models=tuple(customer.models))
+def _customers(section: Section) -> dict[str, Customer]:
+    return {name: _customer(name, table) for name, table in section.items()}
 
 
-def _model(name: str, table: dict[str, Any]) -> Model:
-    own = {key: value for key, value in table.items() if key != "adapters"}
-    return Model(name, **own)
+def _keys(section: Section) -> dict[str, KeyRecord]:
+    return {t["digest"]: KeyRecord(key_id, **t) for key_id, t in section.items()}
 
 
-def _adapters(models: Section) -> dict[str, Adapter]:
+def _models(section: Section) -> dict[str, Model]:
+    return {name: _model(name, table) for name, table in section.items()}
+
+
+def _adapters(section: Section) -> dict[str, Adapter]:
     return {
         name: Adapter(name, model=model, **adapter)
-        for model, table in models.items()
+        for model, table in section.items()
         for name, adapter in table.get("adapters", {}).items()
     }
 
 
+def _backends(section: Section) -> dict[str, BackendServer]:
+    return {name: BackendServer(name, **table) for name, table in section.items()}
+
+
+def _services(section: Section) -> dict[str, Service]:
+    return {name: _service(name, table) for name, table in section.items()}
+
+
+def _objectives(section: Section) -> dict[str, Objective]:
+    return {name: Objective(name, **table) for name, table in section.items()}
+
+
+def _customer(name: str, table: dict[str, Any]) -> Customer:
+    customer = Customer(name, **table)
+    return customer._replace(models=tuple(customer.models))
+
+
+def _model(name: str, table: dict[str, Any]) -> Model:
+    own = {key: value for key, value in table.items() if key != "adapters"}
+    return Model(name, **own)
+
+
 def _service(name: str, table: dict[str, Any]) -> Service:
     routes = tuple(_route(name, route) for route in table["routes"])
     return Service(name, table["pool"], routes)
@@ -67,3 +96,15 @@
 def _route(service: str, table: dict[str, Any]) -> Route:
     route = Route(service, **table)
     return route._replace(methods=tuple(route.methods))
+
+
+_BUILDERS: list[tuple[str, str, Callable[[Section], Any]]] = [
+    ("customers", "customers", _customers),
+    ("keys", "keys", _keys),
+    ("models", "models", _models),
+    ("adapters", "models", _adapters),
+    ("backends", "backends", _backends),
+    ("services", "services", _services),
+    ("objectives", "objectives", _objectives),
+]
+"""Field of the configuration, section that it comes from and its builder."""
--- a/packages/guavajunction/src/guavajunction/configuration/_capacity.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_capacity.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from itertools import product
 from typing import NamedTuple
 
 from ._fault import Fault
@@ -68,11 +69,16 @@
         path = f"models.{needs[0].model}.pool"
         yield Fault(path, f"`{pool}`", "a pool with an engine that is not leaving")
         return
-    faults = [fault for need in needs for fault in _single_faults(need, engines)]
+    faults = [fault for need in needs for fault in _need_faults(need, engines)]
     faults = faults or list(_total_faults(pool, needs, engines))
     yield from faults or _packing_faults(pool, needs, engines)
 
 
+def _need_faults(need: _Need, engines: dict[str, int]) -> list[Fault]:
+    single = list(_single_faults(need, engines))
+    return single or list(_together_faults(need, engines))
+
+
 def _single_faults(need: _Need, engines: dict[str, int]) -> Iterator[Fault]:
     path = f"models.{need.model}"
     largest = max(engines.values())
@@ -89,6 +95,15 @@
             yield Fault(f"{path}.adapters.{adapter}.memory_mib", found, expected)
 
 
+def _together_faults(need: _Need, engines: dict[str, int]) -> Iterator[Fault]:
+    """Yield a fault if a model and its adapters exceed its largest engines."""
+    room = sum(sorted(engines.values())[-need.replicas :])
+    if need.total_mib > room:
+        expected = f"at most {room}, on the {need.replicas} largest engines"
+        found = f"{_term(need)} = {need.total_mib} MiB"
+        yield Fault(f"models.{need.model}", found, expected)
+
+
 def _total_faults(
     pool: str, needs: list[_Need], engines: dict[str, int]
 ) -> Iterator[Fault]:
@@ -120,7 +135,8 @@
 def _packing_faults(
     pool: str, needs: list[_Need], engines: dict[str, int]
 ) -> Iterator[Fault]:
-    if any(_packs(needs, engines, roomiest) for roomiest in (False, True)):
+    ways = product((True, False), repeat=2)
+    if any(_packs(needs, engines, *way) for way in ways):
         return
     needed = sum(need.total_mib for need in needs)
     found = f"no placement of {needed} MiB by first-fit-decreasing"
@@ -128,28 +144,49 @@
     yield Fault(f"models, pool `{pool}`", found, expected)
 
 
-def _packs(needs: list[_Need], engines: dict[str, int], roomiest: bool) -> bool:
+class _Item(NamedTuple):
+    """Memory to be placed at once: a replica, with or without adapters."""
+
+    memory_mib: int
+    need: _Need
+
+
+def _packs(
+    needs: list[_Need], engines: dict[str, int], bundled: bool, roomiest: bool
+) -> bool:
     """Tell whether first-fit-decreasing places every replica and adapter.
 
     Args:
         needs: What must be resident.
         engines: MiB for weights of each engine.
+        bundled: Whether the adapters of a model stay with one replica.
         roomiest: Whether to try the engine with most room first.
     """
     free = dict(engines)
     hosts: dict[str, list[str]] = {need.model: [] for need in needs}
-    for need in sorted(needs, key=lambda n: n.memory_mib, reverse=True):
-        for _ in range(need.replicas):
-            rest = [name for name in free if name not in hosts[need.model]]
-            host = _fit(free, rest, need.memory_mib, roomiest)
-            if host is None:
-                return False
-            hosts[need.model].append(host)
-    adapters = [(mib, n.model) for n in needs for mib in n.adapters.values()]
-    for mib, model in sorted(adapters, reverse=True):
-        if _fit(free, hosts[model], mib, roomiest) is None:
+    items = [item for need in needs for item in _items(need, bundled)]
+    for item in sorted(items, key=lambda item: item.memory_mib, reverse=True):
+        taken = hosts[item.need.model]
+        rest = [name for name in free if name not in taken]
+        host = _fit(free, rest, item.memory_mib, roomiest)
+        if host is None:
             return False
-    return True
+        taken.append(host)
+    if bundled:
+        return True
+    adapters = [(mib, n.model) for n in needs for mib in n.adapters.values()]
+    return all(
+        _fit(free, hosts[model], mib, roomiest) is not None
+        for mib, model in sorted(adapters, reverse=True)
+    )
+
+
+def _items(need: _Need, bundled: bool) -> list[_Item]:
+    items = [_Item(need.memory_mib, need)] * need.replicas
+    if bundled:
+        first = need.memory_mib + sum(need.adapters.values())
+        items[0] = _Item(first, need)
+    return items
 
 
 def _fit(
--- a/packages/guavajunction/src/guavajunction/configuration/_document_routes.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_document_routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from aiohttp import web
@@ -61,7 +62,7 @@
         """Compare a document with the accepted one."""
         body = await read_body(req, DocumentRequest)
         head, base, doc = await self._parse(body["document"])
-        changes = differences(base, doc.over(base))
+        changes = await asyncio.to_thread(differences, base, doc.over(base))
         versions = {name: head.section_version(name) for name in doc.given}
         return web.json_response(
             {
@@ -103,7 +104,8 @@
     async def _parse(self, text: str) -> tuple[Head, Sections, Document]:
         head = await self._store.read_head()
         base = await self._store.load_sections(head)
-        return head, base, parse_document(text, base)
+        doc = await asyncio.to_thread(parse_document, text, base)
+        return head, base, doc
 
 
 def accepted_response(accepted: Accepted) -> web.Response:
--- a/packages/guavajunction/src/guavajunction/configuration/_editor.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_editor.py
@@ -9,6 +9,7 @@
     AcceptanceUnknown,
     EntryUnknown,
     GuavaError,
+    PendingExpired,
     SectionConflict,
 )
 
@@ -120,12 +121,12 @@
 
     async def _accept(self, change: Change) -> Accepted:
         try:
-            async with self._notes.pending(PENDING_KIND):
-                accepted = await self._store.accept(change)
-        except AcceptanceUnknown:
+            async with self._notes.pending(PENDING_KIND) as note:
+                accepted = await self._store.accept(change, check=note.check)
+        except (AcceptanceUnknown, PendingExpired) as exc:
             ACCEPTANCE_UNKNOWN.log(attempt=change.attempt_id, author=change.author)
             self._keeper.wake()
-            raise
+            raise AcceptanceUnknown(exc.message) from exc
         except GuavaError as exc:
             _log_refusal(change, exc)
             raise
--- a/packages/guavajunction/src/guavajunction/configuration/_head.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_head.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from guavajunction.errors import ObjectCorrupt
 from guavajunction.platform import Row
 
 PARTITION = "configuration"
@@ -117,8 +118,15 @@
 
 
 def head_from(version: int, content: bytes) -> Head:
-    """Decode a head whose version came beside its content."""
-    return Head(version, *msgspec.msgpack.decode(content, type=_Content))
+    """Decode a head whose version came beside its content.
+
+    Raises:
+        ObjectCorrupt: The content is not that of a head.
+    """
+    try:
+        return Head(version, *msgspec.msgpack.decode(content, type=_Content))
+    except msgspec.DecodeError as exc:
+        raise ObjectCorrupt(f"head row of version {version}: {exc}") from exc
 
 
 def history_sort(version: int) -> str:
--- a/packages/guavajunction/src/guavajunction/configuration/_keeper.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_keeper.py
@@ -193,7 +193,10 @@
         # Another install may have gone further while the bodies were read.
         if head.version <= self.current.version:
             return
-        self.current = build(head.version, sections)
+        changed = _changed_sections(self.head, head)
+        self.current = build(
+            head.version, sections, previous=self.current, changed=changed
+        )
         self.head = head
         self.sections = sections
         INSTALLED.log(version=head.version, changed=list(head.changed))
@@ -276,8 +279,9 @@
         if answer.version <= self.current.version:
             return
         head = head_from(answer.version, answer.content)
-        for name, body in answer.bodies.items():
-            self._store.bodies.learn(name, head.sections[name].digest, body)
+        for name, ref in head.sections.items():
+            if name in answer.bodies:
+                self._store.bodies.learn(name, ref.digest, answer.bodies[name])
         await self._install(head)
         FETCHED_FROM_PEER.log(peer=peer.name, version=head.version)
 
@@ -300,3 +304,9 @@
         finally:
             sleeping.cancel()
             waking.cancel()
+
+
+def _changed_sections(before: Head, after: Head) -> set[str]:
+    """Return the sections whose content differs between two heads."""
+    digests = {name: ref.digest for name, ref in before.sections.items()}
+    return {n for n, ref in after.sections.items() if digests.get(n) != ref.digest}
--- a/packages/guavajunction/src/guavajunction/configuration/_operator_guard.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_operator_guard.py
@@ -26,6 +26,9 @@
 Handler = Callable[[web.Request], Awaitable[web.Response]]
 T = TypeVar("T")
 
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Largest body of an operator's request."""
+
 _SCHEME = "Bearer "
 _STATUS_AND_TYPE: dict[type[GuavaError], tuple[int, str]] = {
     DocumentInvalid: (422, "document_invalid"),
@@ -71,12 +74,23 @@
     Raises:
         OperatorRequestInvalid: The body is not of the type.
     """
+    body = await _read_limited(req)
     try:
-        return msgspec.json.decode(await req.read(), type=kind)
+        return msgspec.json.decode(body, type=kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise OperatorRequestInvalid(f"The body is malformed: {exc}") from exc
 
 
+async def _read_limited(req: web.Request) -> bytes:
+    """Read a body up to the operators' own limit, above that of callers."""
+    body = bytearray()
+    async for chunk in req.content.iter_any():
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            raise OperatorRequestInvalid(f"The body exceeds {MAX_BODY_BYTES} bytes.")
+    return bytes(body)
+
+
 def _failure(exc: GuavaError) -> web.Response:
     status, kind = _classify(exc)
     error: dict[str, Any] = {"type": kind, "message": exc.message}
--- a/packages/guavajunction/src/guavajunction/configuration/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_protocols.py
@@ -18,10 +18,22 @@
         ...
 
 
+class Announcement(Protocol):
+    """A note that a majority of members holds for a while."""
+
+    def check(self) -> None:
+        """Make sure that the note still holds.
+
+        Raises:
+            PendingExpired: It no longer does; the change must not be sent.
+        """
+        ...
+
+
 class PendingNotes(Protocol):
     """Warns the members of a change before it may take effect."""
 
-    def pending(self, kind: str) -> AbstractAsyncContextManager[None]:
+    def pending(self, kind: str) -> AbstractAsyncContextManager[Announcement]:
         """Keep a majority of members warned while the context is open.
 
         The context is entered once a majority has acknowledged the note. If it is
@@ -32,7 +44,8 @@
             kind: What is pending, such as `configuration`.
 
         Raises:
-            GuavaError: No majority acknowledged in time.
+            NoMajority: Too few members acknowledged in time.
+            PendingExpired: The context stayed open for too long.
         """
         ...
 
--- a/packages/guavajunction/src/guavajunction/configuration/_reference.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_reference.py
@@ -52,7 +52,7 @@
 - The least that must be resident fits each pool: `min_replicas` of each model, on as
   many engines, and each adapter once beside its model, in `memory_mib` less
   `kv_reserve_mib` of the engines that are not leaving. The refusal gives the sums.
-  A document is also refused when no sum rules it out, but neither of two
+  A document is also refused when no sum rules it out, but none of four
   first-fit-decreasing placements holds it.
 """
 
--- a/packages/guavajunction/src/guavajunction/configuration/_store.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 from collections.abc import Callable
@@ -12,8 +13,8 @@
 from guavajunction.errors import (
     AcceptanceUnknown,
     ConditionFailed,
-    DocumentInvalid,
     EntryUnknown,
+    GuavaError,
     PlatformError,
     SectionConflict,
     StoreAnswerLost,
@@ -116,7 +117,9 @@
         """
         return await self.bodies.read_all(head.sections)
 
-    async def accept(self, change: Change) -> Accepted:
+    async def accept(
+        self, change: Change, *, check: Callable[[], None] = lambda: None
+    ) -> Accepted:
         """Make a change the accepted configuration, unless it conflicts.
 
         Sections that others changed meanwhile are kept as they are. Repeating a
@@ -124,6 +127,8 @@
 
         Args:
             change: The sections to replace.
+            check: Called right before each write of the head row; it raises if
+                the row must not be written any more.
 
         Returns:
             The version that the change made.
@@ -131,7 +136,7 @@
         Raises:
             SectionConflict: Somebody else changed one of the sections meanwhile.
             DocumentInvalid: The change does not fit the other sections.
-            PlatformError: The change is not accepted, as the store failed.
+            GuavaError: The change is not accepted, as the store or the check failed.
             AcceptanceUnknown: It may or may not have been accepted.
         """
         bodies = await self._write_bodies(change.sections)
@@ -139,10 +144,10 @@
         for attempt in range(ACCEPT_ATTEMPTS):
             await self._pause(attempt)
             try:
-                return await self._accept_once(change, bodies, pending)
+                return await self._accept_once(change, bodies, pending, check)
             except PlatformError as exc:
                 failure = exc
-            except (SectionConflict, DocumentInvalid) as exc:
+            except GuavaError as exc:
                 if pending.open:
                     raise AcceptanceUnknown(_unknown(change)) from exc
                 raise
@@ -185,7 +190,11 @@
         return bodies
 
     async def _accept_once(
-        self, change: Change, bodies: dict[str, bytes], pending: _PendingWrite
+        self,
+        change: Change,
+        bodies: dict[str, bytes],
+        pending: _PendingWrite,
+        check: Callable[[], None],
     ) -> Accepted:
         head = await self.read_head()
         pending.settle(head)
@@ -194,12 +203,15 @@
             version = await self._search_history(change, section, head)
         if version is not None:
             return Accepted(version, head)
-        check_sections({**await self.load_sections(head), **change.sections})
+        merged = {**await self.load_sections(head), **change.sections}
+        # A large document takes long enough to check to delay requests.
+        await asyncio.to_thread(check_sections, merged)
         await self._record_history(head)
         digests = {name: digest_of(body) for name, body in bodies.items()}
         following = head.successor(
             digests, change.author, self._now(), change.attempt_id
         )
+        check()
         await self._write_head(following, pending)
         for name, body in bodies.items():
             self.bodies.learn(name, digests[name], body)
--- a/tests/configuration/test_document.py
+++ b/tests/configuration/test_document.py
@@ -163,6 +163,19 @@
         (fault,) = self.pool({"m": (95, 1, 6)}, [100, 50])
         assert "found 95 + 6 = 101, expected at most 100" in fault
 
+    def test_adapters_do_not_fit_beside_their_model(self):
+        adapter = {"version": "1", "memory_mib": 25}
+        sections = example_sections()
+        sections["models"]["drafts"] |= {
+            "memory_mib": 23960,
+            "adapters": {"a": adapter, "b": adapter},
+        }
+        with pytest.raises(DocumentInvalid, match=r"adapters 50 = 24010 MiB, expected"):
+            check_sections(sections)
+
+    def test_adapters_stay_with_the_only_replica(self):
+        assert self.pool({"m": (60, 1, 20), "n": (20, 1, 15)}, [80, 35]) == []
+
     def test_no_engine_holds_two_of_the_large_ones(self):
         (fault,) = self.pool({"m": (51, 2, 1), "n": (52, 1, 1)}, [100, 100, 40])
         assert "3 replicas of more than 50 MiB" in fault
--- a/tests/configuration/test_editor.py
+++ b/tests/configuration/test_editor.py
@@ -33,6 +33,13 @@
             await node.editor.apply(rate_change(7, "c"))
         assert (await node.store.read_head()).version == 1
 
+    async def test_nothing_is_written_under_an_expired_note(self, fleet):
+        node = fleet.nodes[0]
+        node.notes.expired = True
+        with pytest.raises(AcceptanceUnknown):
+            await node.editor.apply(rate_change(7, "c"))
+        assert (await node.store.read_head()).version == 1
+
     async def test_note_outlives_an_unknown_outcome(self, fleet):
         node = fleet.nodes[0]
         lose_head_writes(node)
--- a/tests/fakes_configuration.py
+++ b/tests/fakes_configuration.py
@@ -20,7 +20,12 @@
     ConfigurationStore,
     Sections,
 )
-from guavajunction.errors import AcceptanceUnknown, PeerTimeout, StoreAnswerLost
+from guavajunction.errors import (
+    AcceptanceUnknown,
+    PeerTimeout,
+    PendingExpired,
+    StoreAnswerLost,
+)
 from guavajunction.platform import Row
 
 EXAMPLE = (
@@ -48,18 +53,20 @@
     def __init__(self) -> None:
         self.majority = True
         """Whether a majority acknowledges."""
+        self.expired = False
+        """Whether notes no longer hold when the change is to be sent."""
         self.open = 0
         """Notes that block the outage rule now."""
         self.confirmed: list[float] = []
 
     @contextlib.asynccontextmanager
-    async def pending(self, kind: str) -> AsyncIterator[None]:
+    async def pending(self, kind: str) -> AsyncIterator[FakeNotes]:
         """Keep a note open, also after an unknown outcome."""
         if not self.majority:
             raise PeerTimeout("no majority acknowledged")
         self.open += 1
         try:
-            yield
+            yield self
         except AcceptanceUnknown:
             raise
         except BaseException:
@@ -67,6 +74,11 @@
             raise
         self.open -= 1
 
+    def check(self) -> None:
+        """Raise if the note has expired."""
+        if self.expired:
+            raise PendingExpired("the note has expired")
+
     def on_store_read(self, started_at: float) -> None:
         """Note a confirmation."""
         self.confirmed.append(started_at)
