--- a/packages/guavajunction-fakes/src/guavajunction_fakes/_serving.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/_serving.py
@@ -34,18 +34,12 @@
     return 0
 
 
-def stop_event(*, after: float = 0.0) -> asyncio.Event:
-    """Return an event that SIGTERM and SIGINT set.
-
-    Args:
-        after: Seconds after which it is set anyway, 0 for never.
-    """
+def stop_event() -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    if after:
-        loop.call_later(after, stopped.set)
     return stopped
 
 
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/commands/fleet.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import sys
 from pathlib import Path
 
@@ -23,6 +25,12 @@
     flags.DEFINE_integer(
         "entries", 0, "entry instances, 0 for the profile's", flag_values=values
     )
+    flags.DEFINE_float(
+        "ready_within",
+        0.0,
+        "seconds in which all models must be ready, 0 for no wait",
+        flag_values=values,
+    )
     flags.DEFINE_float(
         "seconds", 0.0, "how long to run, 0 until stopped", flag_values=values
     )
@@ -39,11 +47,15 @@
 
 
 async def _run(values: flags.FlagValues) -> None:
-    stopped = stop_event(after=values.seconds)
+    stopped = stop_event()
     fleet = Fleet(
         profile_named(values.profile), Path(values.var), entries=values.entries
     )
     async with fleet:
         print(f"instances: {' '.join(fleet.urls)}", flush=True)
         print(f"roster: {fleet.var / 'fleet.json'}", flush=True)
-        await stopped.wait()
+        if values.ready_within:
+            seconds = await fleet.wait_until_ready(within=values.ready_within)
+            print(f"all models ready after {seconds:.1f} s", flush=True)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(stopped.wait(), values.seconds or None)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ._fleet import Fleet
+from ._process import FleetProcess, Usage
 from ._profiles import (
     PROFILES,
     CustomerPlan,
@@ -18,10 +19,12 @@
     "CustomerAccess",
     "CustomerPlan",
     "Fleet",
+    "FleetProcess",
     "FleetProfile",
     "ModelPlan",
     "ObjectivePlan",
     "Roster",
+    "Usage",
     "profile_named",
     "read_roster",
 ]
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_fleet.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_fleet.py
@@ -194,20 +194,24 @@
             operator_token=self.operator_token,
         )
 
-    async def wait_until_ready(self, *, within: float) -> None:
+    async def wait_until_ready(self, *, within: float) -> float:
         """Wait until every model and adapter is ready on some engine.
 
+        Returns:
+            Seconds that it took.
+
         Raises:
             StartTimeout: Some are not ready in time.
         """
         wanted = set(self.profile.names_of_models)
-        deadline = time.monotonic() + within
+        began = time.monotonic()
         missing = wanted
         while missing:
             missing = wanted - await self._ready_names()
-            if missing and time.monotonic() > deadline:
+            if missing and time.monotonic() > began + within:
                 raise StartTimeout(f"not ready: {sorted(missing)}")
             await asyncio.sleep(self.READY_POLL_SECONDS)
+        return time.monotonic() - began
 
     async def _ready_names(self) -> set[str]:
         loads = [f"{url}/admin/load" for url in self.engine_urls]
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_process.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_process.py
@@ -8,6 +8,9 @@
 import subprocess
 from collections.abc import Sequence
 from pathlib import Path
+from typing import NamedTuple
+
+import psutil
 
 from .._errors import ProcessEnded
 
@@ -19,6 +22,15 @@
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+class Usage(NamedTuple):
+    """What a process has used."""
+
+    cpu_seconds: float
+    """Processor time of user and system since its start."""
+    resident_mib: float
+    """Memory now."""
+
+
 class FleetProcess:
     """Starts, signals and reaps a child; the kernel ends it with the launcher."""
 
@@ -28,7 +40,7 @@
         self.name = name
         """Name of the process in the fleet."""
         self.log_path = log_path
-        """Where its output goes, over all its runs."""
+        """Where its output goes; all runs of this object share it."""
         self._argv = list(argv)
         self._child: subprocess.Popen[bytes] | None = None
 
@@ -51,7 +63,8 @@
         """Start it unless it runs already."""
         if self.running:
             return
-        with self.log_path.open("ab") as log:
+        mode = "wb" if self._child is None else "ab"
+        with self.log_path.open(mode) as log:
             self._child = subprocess.Popen(
                 self._argv,
                 stdin=subprocess.DEVNULL,
@@ -101,6 +114,12 @@
                 f"{self.name} ended with status {self.exit_status}:\n{self.tail()}"
             )
 
+    def usage(self) -> Usage:
+        """Return what it has used; it must be running."""
+        process = psutil.Process(self.pid)
+        times = process.cpu_times()
+        return Usage(times.user + times.system, process.memory_info().rss / 2**20)
+
     def tail(self) -> str:
         """Return the end of its output."""
         return self.log_path.read_bytes()[-self.TAIL_BYTES :].decode(errors="replace")
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_caller.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_caller.py
@@ -87,6 +87,7 @@
             arrival: What is asked.
             arrived: Monotonic time at which it should be sent, in seconds.
         """
+        send_delay = time.monotonic() - arrived
         refusals: list[Refusal] = []
         inside_at_arrival = False
         for attempt in range(self._plan.retries + 1):
@@ -101,7 +102,8 @@
                 break
             if attempt < self._plan.retries:
                 await asyncio.sleep(self._pause(result))
-        return self._outcome(arrival, arrived, result, refusals, inside_at_arrival)
+        outcome = self._outcome(arrival, arrived, result, refusals, inside_at_arrival)
+        return outcome._replace(send_delay=send_delay)
 
     async def _send(self, arrival: Arrival, inside: bool) -> _Try:
         sent = time.monotonic()
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_outcome.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_outcome.py
@@ -58,6 +58,8 @@
     """Tokens that it used of the customer's rate."""
     inside_rate: bool
     """Whether the customer had the tokens for it when it arrived."""
+    send_delay: float = 0.0
+    """Seconds that the load tool itself was late with its first send."""
     idempotency_key: str = ""
 
     @property
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_report.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_report.py
@@ -57,6 +57,8 @@
             "promises": self._promises(),
             "moves": self._difference("loads") + self._difference("unloads"),
             "store": self._store(),
+            "engines_busy_share": self._engines_busy(),
+            "bench": self._bench(),
         }
 
     def table(self) -> str:
@@ -75,10 +77,13 @@
             f"{'customer':16}{'sent':>7}{'whole':>7}{'attained':>10}"
             f"{'wrongful':>10}{'overspent':>11}",
             *(_customer_line(n, row) for n, row in figures["customers"].items()),
+            "answers: " + _listed(_verdicts(self.outcomes)),
             "refused: " + _listed(figures["refused"]),
             "refused inside the rate: " + _listed(figures["wrongful_refusals"]),
             "promises broken: " + _listed(figures["promises"]),
             "store: " + _listed(figures["store"]),
+            f"engines busy {_percent(figures['engines_busy_share'])}; the bench's own"
+            f" delays (ms): " + _listed(figures["bench"]),
         ]
         return "\n".join(lines)
 
@@ -175,8 +180,25 @@
             "writes_per_second": round(self._difference("writes") / seconds, 1),
         }
 
-    def _difference(self, name: str) -> int:
-        return int(self.after.total(name) - self.before.total(name))
+    def _engines_busy(self) -> float:
+        """Return the share of the time in which engines had work, on average."""
+        busy = self._difference("busy_seconds")
+        return round(busy / self.plan.seconds / self.roster.accelerators, 3)
+
+    def _bench(self) -> dict[str, float]:
+        """Return how late the bench itself was, in milliseconds.
+
+        Times are not to be trusted where these come near to them.
+        """
+        held = [s.get("loop_held_seconds", 0.0) for s in self.after.stats.values()]
+        sent = TimeHistogram(o.send_delay for o in self.outcomes).milliseconds()
+        return {
+            "send_delay_p99": sent.get("p99", 0.0),
+            "fakes_held_max": round(max(held, default=0.0) * 1000, 1),
+        }
+
+    def _difference(self, name: str) -> float:
+        return self.after.total(name) - self.before.total(name)
 
 
 def _is_chat(outcome: Outcome) -> bool:
