Measure what control costs, and decode rows with msgspec

Cause: the budget of a node's control at 390 nodes needs slopes that were measured. Ruled out: json plus base64 by hand; a scan of all voters for each member, which grew with the square of the fleet. Change: bench/control_cost.py; typed decoding of the table service's answers; one log line for each outage instead of one for each attempt.

--- /dev/null
+++ b/bench/control_cost.py
@@ -0,0 +1,299 @@
+"""Measures what control costs an instance: heartbeats, questions and store polls.
+
+Prints processor time and bytes for each unit of work, from which the cost of a fleet
+of any size follows. Heartbeats and questions are measured with their sending and
+receiving sides in one process, with CURVE, over the loopback interface. Polls are
+measured against a server in a process of its own that answers from memory.
+
+    python bench/control_cost.py
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import resource
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from typing import NamedTuple
+
+import aiohttp
+import aiohttp.web
+import uvloop
+import zmq
+
+from guavajunction.clock import SystemClock
+from guavajunction.membership import MembershipConfig
+from guavajunction.membership._member_table import MemberTable
+from guavajunction.membership._messages import Status
+from guavajunction.membership._model import MemberRow, encode
+from guavajunction.membership._observer import MemberObserver
+from guavajunction.peers import FleetKeys, PeerId, PeerMesh, RingSubset
+from guavajunction.platform import InstanceRecord, TableClient
+
+MEASURE_SECONDS = 3.0
+BEAT_SECONDS = 0.01
+ASKS = 3000
+POLLS = 200
+FLEET_SIZES = (8, 64, 390)
+BIG_FLEET = 390
+
+
+class Note(NamedTuple):
+    """A short question or answer."""
+
+    text: str
+
+
+class Counted(NamedTuple):
+    """Cost of one unit of work."""
+
+    cpu_us: float
+    octets: float
+
+
+class Relay:
+    """Forwards TCP connections to a port and counts the bytes that go there."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self.octets = 0
+
+    async def handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self._port)
+        await asyncio.gather(
+            self._copy(reader, up_writer, count=True),
+            self._copy(up_reader, writer, count=False),
+        )
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, count: bool
+    ) -> None:
+        while data := await reader.read(65536):
+            self.octets += len(data) if count else 0
+            writer.write(data)
+
+
+def record(mesh: PeerMesh) -> InstanceRecord:
+    """Return where a mesh listens."""
+    port = int(mesh.address.rpartition(":")[2])
+    return InstanceRecord(mesh.me.name, "dc", "127.0.0.1", 0, port, "live")
+
+
+async def start_mesh(
+    stack: AsyncExitStack, name: str, keys: FleetKeys, beat: float
+) -> PeerMesh:
+    """Start a mesh with the membership's topic and a handler for notes."""
+    me = PeerId(name, f"{name}-incarn")
+    mesh = PeerMesh(me, "127.0.0.1", 0, keys, SystemClock(), heartbeat_seconds=beat)
+    mesh.share(
+        "membership", lambda: Status(0.4, 7, 3, True, ()), lambda *_: None, Status
+    )
+
+    async def answer(_: PeerId, note: Note) -> Note:
+        return note
+
+    mesh.handle(Note, answer)
+    task = asyncio.create_task(mesh.run())
+    stack.push_async_callback(asyncio.wait, [task])
+    stack.callback(task.cancel)
+    await mesh.ready()
+    return mesh
+
+
+def fleet_keys() -> FleetKeys:
+    """Draw a key pair."""
+    public, secret = zmq.curve_keypair()
+    return FleetKeys(public.decode(), secret.decode())
+
+
+async def measure_heartbeats(size: int) -> Counted:
+    """Return the cost of a heartbeat, its sending and receiving together."""
+    async with AsyncExitStack() as stack:
+        keys = fleet_keys()
+        meshes = [
+            await start_mesh(stack, f"e{i}", keys, BEAT_SECONDS) for i in range(size)
+        ]
+        for mesh in meshes:
+            mesh.set_targets([record(m) for m in meshes])
+        await asyncio.sleep(1)
+        before, cpu = count_received(meshes), time.process_time()
+        await asyncio.sleep(MEASURE_SECONDS)
+        cpu = time.process_time() - cpu
+        messages, octets = (
+            b - a for a, b in zip(before, count_received(meshes), strict=True)
+        )
+        return Counted(cpu / messages * 1e6, octets / messages)
+
+
+def count_received(meshes: list[PeerMesh]) -> tuple[int, int]:
+    """Return messages and bytes that arrived at all meshes."""
+    links = [link for mesh in meshes for link in mesh.traffic().values()]
+    return (
+        sum(link.received_messages for link in links),
+        sum(link.received_bytes for link in links),
+    )
+
+
+async def measure_wire_heartbeat() -> float:
+    """Return a heartbeat's bytes in the TCP stream, CURVE included."""
+    async with AsyncExitStack() as stack:
+        keys = fleet_keys()
+        a = await start_mesh(stack, "a", keys, BEAT_SECONDS)
+        b = await start_mesh(stack, "b", keys, BEAT_SECONDS)
+        relay = Relay(record(b).peer_port)
+        server = await asyncio.start_server(relay.handle, "127.0.0.1", 0)
+        stack.callback(server.close)
+        port = server.sockets[0].getsockname()[1]
+        a.set_targets([record(b)._replace(peer_port=port)])
+        await asyncio.sleep(1)
+        octets, sent = relay.octets, a.traffic()[f"127.0.0.1:{port}"].sent_messages
+        await asyncio.sleep(MEASURE_SECONDS)
+        sent = a.traffic()[f"127.0.0.1:{port}"].sent_messages - sent
+        return (relay.octets - octets) / sent
+
+
+async def measure_asks() -> Counted:
+    """Return the cost of a question and its answer, both sides together."""
+    async with AsyncExitStack() as stack:
+        keys = fleet_keys()
+        a = await start_mesh(stack, "a", keys, 0.5)
+        b = await start_mesh(stack, "b", keys, 0.5)
+        a.set_targets([record(b)])
+        await asyncio.sleep(2)
+        before, cpu = count_received([a, b]), time.process_time()
+        for _ in range(ASKS):
+            await a.ask(b.me, Note("x" * 64), Note, timeout=2)
+        cpu = time.process_time() - cpu
+        octets = count_received([a, b])[1] - before[1]
+        return Counted(cpu / ASKS * 1e6, octets / ASKS)
+
+
+def member_rows(size: int) -> bytes:
+    """Return the answer to a query of the members of a fleet."""
+    items = []
+    for number in range(size):
+        name = f"entry-{number:04}"
+        where = InstanceRecord(name, "region-dc-1", "10.20.30.40", 8080, 9090, "live")
+        body = encode(MemberRow(where, 12345, "live"))
+        items.append(
+            {
+                "pk": {"S": "member"},
+                "sk": {"S": f"{number:016x}"},
+                "ver": {"N": "12345"},
+                "body": {"B": base64.b64encode(body).decode()},
+            }
+        )
+    return json.dumps({"Items": items}).encode()
+
+
+async def serve_store() -> None:
+    """Answer the table protocol; the URL's path names the size of the fleet."""
+
+    async def handle(req: aiohttp.web.Request) -> aiohttp.web.Response:
+        await req.read()
+        if not req.headers["X-Amz-Target"].endswith("Query"):
+            return aiohttp.web.Response(body=b"{}")
+        return aiohttp.web.Response(body=member_rows(int(req.path.strip("/"))))
+
+    app = aiohttp.web.Application()
+    app.router.add_route("POST", "/{size}/", handle)
+    runner = aiohttp.web.AppRunner(app)
+    await runner.setup()
+    await aiohttp.web.TCPSite(runner, "127.0.0.1", 0).start()
+    print(runner.addresses[0][1], flush=True)
+    await asyncio.Event().wait()
+
+
+async def measure_poll(port: int, size: int) -> Counted:
+    """Return the cost of one read of the members and the view."""
+    async with AsyncExitStack() as stack:
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        url = f"http://127.0.0.1:{port}/{size}"
+        client = TableClient(session, url, "t", timeout=5)
+        clock = SystemClock()
+        observer = MemberObserver(MembershipConfig().lease)
+        table = MemberTable(client, clock, observer)
+        await table.read()
+        cpu = time.process_time()
+        for _ in range(POLLS):
+            await table.read()
+        cpu = time.process_time() - cpu
+        return Counted(cpu / POLLS * 1e6, float(len(member_rows(size))))
+
+
+def print_row(name: str, cost: Counted) -> None:
+    """Print one line of the table."""
+    print(f"{name:<44}{cost.cpu_us:>12.1f}{cost.octets:>12.0f}")
+
+
+def print_fleet(beat: Counted, wire: float, polls: dict[int, Counted]) -> None:
+    """Print what a big fleet costs each of its instances."""
+    cfg = MembershipConfig()
+    fleet = [
+        InstanceRecord(f"e{i:04}", "dc", "", 0, i, "live") for i in range(BIG_FLEET)
+    ]
+    ring = len(RingSubset().choose("e0000", fleet))
+    poll = polls[BIG_FLEET]
+    for name, links, every in (
+        ("full mesh, 0.5 s", BIG_FLEET - 1, 0.5),
+        ("ring subset, 0.5 s", ring, 0.5),
+        ("ring subset, 2 s", ring, 2.0),
+    ):
+        core = links / every * beat.cpu_us / 1e6
+        print(
+            f"{name:<28}{links:>6} links{core:>9.2%} of a core"
+            f"{links / every * wire / 1024:>9.1f} KiB/s sent"
+        )
+    print(
+        f"{'polls of all rows':<28}{cfg.poll:>5.1f} s    "
+        f"{poll.cpu_us / 1e6 / cfg.poll:>9.2%} of a core"
+        f"{poll.octets / cfg.poll / 1024:>9.1f} KiB/s read"
+    )
+
+
+async def measure(port: int) -> None:
+    """Measure everything and print it."""
+    print(f"{'unit of work':<44}{'CPU us':>12}{'bytes':>12}")
+    beat = Counted(0, 0)
+    for size in (2, 4, 8):
+        beat = await measure_heartbeats(size)
+        print_row(f"heartbeat, sent and received, {size} instances", beat)
+    wire = await measure_wire_heartbeat()
+    print_row("heartbeat in the TCP stream", Counted(beat.cpu_us, wire))
+    print_row("question and answer, 64 bytes", await measure_asks())
+    polls = {size: await measure_poll(port, size) for size in FLEET_SIZES}
+    for size, cost in polls.items():
+        print_row(f"store poll, {size} members (body)", cost)
+    slope = (polls[390].cpu_us - polls[8].cpu_us) / (390 - 8)
+    print(f"slope of the poll: {slope:.2f} us for each member")
+    print(f"\nEach instance of {BIG_FLEET}:")
+    print_fleet(beat, wire, polls)
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    print(f"peak resident memory of this script: {peak:.0f} MiB")
+
+
+def main() -> None:
+    """Run the server or the measurement."""
+    run: Callable[..., None] = uvloop.run
+    if sys.argv[1:] == ["--serve"]:
+        run(serve_store())
+        return
+    command = [sys.executable, __file__, "--serve"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as server:
+        try:
+            assert server.stdout is not None
+            run(measure(int(server.stdout.readline())))
+        finally:
+            server.terminate()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/guavajunction/src/guavajunction/membership/_events.py
+++ b/packages/guavajunction/src/guavajunction/membership/_events.py
@@ -13,8 +13,10 @@
 STANDING_CHANGED = LogEvent(
     302, "membership:standing_changed", "This instance may, or may no longer, serve."
 )
-STORE_POLL_FAILED = LogEvent(
-    303, "membership:store_poll_failed", "The members could not be read."
+STORE_JOB_FAILED = LogEvent(
+    303,
+    "membership:store_job_failed",
+    "Reading the members or writing the own row began to fail.",
 )
 MEMBERS_CHANGED = LogEvent(
     304, "membership:members_changed", "The set of live members has changed."
--- a/packages/guavajunction/src/guavajunction/membership/_membership.py
+++ b/packages/guavajunction/src/guavajunction/membership/_membership.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
+from typing import Protocol
 
 from guavajunction.clock import Clock
 from guavajunction.errors import GuavaError, PlatformError
@@ -31,6 +32,16 @@
 OnChange = Callable[[], None]
 
 
+class Job(Protocol):
+    """A step that the loops repeat."""
+
+    __name__: str
+
+    async def __call__(self) -> None:
+        """Take the step once."""
+        ...
+
+
 def _no_configuration() -> int:
     return 0
 
@@ -83,6 +94,7 @@
         self._callbacks: list[OnChange] = []
         self._live: list[PeerId] = [mesh.me]
         self._was_standing = False
+        self._failing: set[str] = set()
         self._renewing_since: float | None = None
         self._wake = asyncio.Event()
         self._notes = NoteBook(cfg)
@@ -309,16 +321,22 @@
                 pause.cancel()
                 wake.cancel()
 
-    async def _forever(self, job: Callable[[], Awaitable[None]], every: float) -> None:
+    async def _forever(self, job: Job, every: float) -> None:
         while True:
             await self._attempt(job)
             await self._pause(every)
 
-    async def _attempt(self, job: Callable[[], Awaitable[None]]) -> None:
+    async def _attempt(self, job: Job) -> None:
+        name = job.__name__
         try:
             await job()
         except PlatformError as exc:
-            events.STORE_POLL_FAILED.log(error=type(exc).__name__, reason=exc.message)
+            # One line for each outage and job, not for each attempt.
+            if name not in self._failing:
+                events.STORE_JOB_FAILED.log(job=name, error=type(exc).__name__)
+            self._failing.add(name)
+        else:
+            self._failing.discard(name)
 
     async def _pause(self, seconds: float) -> None:
         # Instances that started together must not reach the store together for ever.
--- a/packages/guavajunction/src/guavajunction/membership/_observer.py
+++ b/packages/guavajunction/src/guavajunction/membership/_observer.py
@@ -62,7 +62,8 @@
         self.read_at = started
         self.view = view
         self.members = {member.peer: member for member in members}
-        self._seen = {member.peer: self._see(member, ended) for member in members}
+        voters = frozenset(view.voters)
+        self._seen = {m.peer: self._see(m, m.peer in voters, ended) for m in members}
 
     def silent_for(self, peer: PeerId) -> float:
         """Return for how many seconds the member has not renewed its row."""
@@ -83,9 +84,8 @@
             return 0.0
         return self.read_at - seen.outside_since
 
-    def _see(self, member: Member, ended: float) -> _Seen:
+    def _see(self, member: Member, voter: bool, ended: float) -> _Seen:
         old = self._seen.get(member.peer)
-        voter = member.peer in self.view.voters
         same_version = old is not None and old.version == member.version
         same_state = old is not None and old.state == member.row.state
         stays_outside = old is not None and not old.voter and not voter
--- a/packages/guavajunction/src/guavajunction/membership/_upkeep.py
+++ b/packages/guavajunction/src/guavajunction/membership/_upkeep.py
@@ -91,8 +91,9 @@
     async def revoke_silent(self) -> None:
         """Mark silent members outside the view as revoked."""
         for member in list(self._observer.members.values()):
-            outside = member.peer not in self._observer.view.voters
-            if outside and member.active and self.silent(member):
+            if not member.active or not self.silent(member):
+                continue
+            if member.peer not in self._observer.view.voters:
                 await self._try_mark(member, "revoked")
 
     async def delete_old(self) -> None:
--- a/packages/guavajunction/src/guavajunction/platform/_table.py
+++ b/packages/guavajunction/src/guavajunction/platform/_table.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import base64
-import json
 from collections import Counter
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
+import msgspec
 
 from guavajunction.errors import ConditionFailed, StoreAnswerLost, StoreUnavailable
 
@@ -18,6 +18,45 @@
 _THROTTLED = ("ThrottlingException", "ProvisionedThroughputExceededException")
 
 
+class _Text(msgspec.Struct):
+    S: str
+
+
+class _Number(msgspec.Struct):
+    N: str
+
+
+class _Binary(msgspec.Struct):
+    B: bytes
+
+
+class _Item(msgspec.Struct):
+    pk: _Text
+    sk: _Text
+    ver: _Number
+    body: _Binary
+
+
+class _GetAnswer(msgspec.Struct):
+    Item: _Item | None = None
+
+
+class _QueryAnswer(msgspec.Struct):
+    Items: list[_Item] = []
+    LastEvaluatedKey: dict[str, Any] | None = None
+
+
+class _ErrorAnswer(msgspec.Struct):
+    kind: str = msgspec.field(name="__type")
+
+
+_get_answers = msgspec.json.Decoder(_GetAnswer)
+_query_answers = msgspec.json.Decoder(_QueryAnswer)
+_error_answers = msgspec.json.Decoder(_ErrorAnswer)
+
+A = TypeVar("A")
+
+
 class TableClient:
     """Speaks to one table; implements `TableService`.
 
@@ -58,8 +97,8 @@
         """Read one row consistently, or None if it does not exist."""
         self.counts["get"] += 1
         request = {"Key": _key(partition, sort), "ConsistentRead": True}
-        answer = await self._read("GetItem", request)
-        return _decode(answer["Item"]) if answer.get("Item") else None
+        answer = await self._read("GetItem", request, _get_answers)
+        return _decode(answer.Item) if answer.Item else None
 
     async def query(self, partition: str) -> list[Row]:
         """Read every row of a partition, by sort key, page after page."""
@@ -71,11 +110,11 @@
         rows: list[Row] = []
         while True:
             self.counts["query"] += 1
-            answer = await self._read("Query", request)
-            rows.extend(_decode(item) for item in answer.get("Items", []))
-            if not answer.get("LastEvaluatedKey"):
+            answer = await self._read("Query", request, _query_answers)
+            rows.extend(_decode(item) for item in answer.Items)
+            if not answer.LastEvaluatedKey:
                 return rows
-            request["ExclusiveStartKey"] = answer["LastEvaluatedKey"]
+            request["ExclusiveStartKey"] = answer.LastEvaluatedKey
 
     async def put(
         self, partition: str, sort: str, body: bytes, *, expected: int
@@ -106,7 +145,12 @@
         request = {"Key": _key(partition, sort), **_condition(expected)}
         await self._write("DeleteItem", request)
 
-    async def _read(self, operation: str, request: dict[str, Any]) -> dict[str, Any]:
+    async def _read(
+        self,
+        operation: str,
+        request: dict[str, Any],
+        decoder: msgspec.json.Decoder[A],
+    ) -> A:
         try:
             status, body = await self._call(operation, request)
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
@@ -114,12 +158,9 @@
         if status != 200:
             raise StoreUnavailable(f"{operation}: {status} {_error_type(body)}")
         try:
-            answer = json.loads(body)
-        except ValueError as exc:
-            raise StoreUnavailable(f"{operation}: the answer is not JSON") from exc
-        if not isinstance(answer, dict):
-            raise StoreUnavailable(f"{operation}: the answer is not an object")
-        return answer
+            return decoder.decode(body)
+        except msgspec.DecodeError as exc:
+            raise StoreUnavailable(f"{operation}: the answer is malformed") from exc
 
     async def _write(self, operation: str, request: dict[str, Any]) -> None:
         try:
@@ -144,7 +185,7 @@
             "X-Amz-Target": _TARGET + operation,
             "Content-Type": _CONTENT_TYPE,
         }
-        body = json.dumps({"TableName": self._table_name, **request}).encode()
+        body = msgspec.json.encode({"TableName": self._table_name, **request})
         async with self._session.post(
             self._url,
             data=body,
@@ -174,21 +215,17 @@
     return {**_key(row.partition, row.sort), "ver": version, "body": {"B": body}}
 
 
-def _decode(item: dict[str, Any]) -> Row:
+def _decode(item: _Item) -> Row:
     try:
-        return Row(
-            item["pk"]["S"],
-            item["sk"]["S"],
-            int(item["ver"]["N"]),
-            base64.b64decode(item["body"]["B"], validate=True),
-        )
-    except (KeyError, TypeError, ValueError) as exc:
-        raise StoreUnavailable("a row in the answer is malformed") from exc
+        version = int(item.ver.N)
+    except ValueError as exc:
+        raise StoreUnavailable("a row in the answer has no version") from exc
+    return Row(item.pk.S, item.sk.S, version, item.body.B)
 
 
 def _error_type(body: bytes) -> str:
     try:
-        name = json.loads(body)["__type"]
-    except (ValueError, KeyError, TypeError):
+        name = _error_answers.decode(body).kind
+    except msgspec.DecodeError:
         return "unnamed error"
-    return str(name).rpartition("#")[2]
+    return name.rpartition("#")[2]
