--- a/packages/guavajunction-fakes/src/guavajunction_fakes/_errors.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/_errors.py
@@ -40,5 +40,9 @@
     """No profile has the name."""
 
 
+class FleetUnreachable(FakesError):
+    """A stand-in of the fleet does not answer a question for figures."""
+
+
 class NoInstance(FakesError):
     """No entry instance answered where to go."""
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/commands/load.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/load.py
@@ -9,10 +9,13 @@
 import uvloop
 from absl import flags
 
+from .._errors import FakesError
 from ..fleet import read_roster
 from ..load import LoadPlan, run_load
 
 EXIT_PROMISE_BROKEN = 1
+EXIT_USAGE = 2
+EXIT_FAILED = 3
 
 
 def define(values: flags.FlagValues) -> None:
@@ -33,15 +36,24 @@
 
 
 def run(values: flags.FlagValues) -> int:
-    """Send the load; the exit status is 1 if a promise was broken."""
+    """Send the load and print the figures.
+
+    Returns:
+        Exit status: 1 if a promise was broken, 2 for a wrong flag, 3 if the fleet
+        could not be asked.
+    """
     try:
         over = dict(_factor(text) for text in values.over)
     except ValueError as exc:
         print(f"--over: {exc}", file=sys.stderr)
-        return 2
+        return EXIT_USAGE
     fields = {n: values[n].value for n in LoadPlan._fields if n != "over"}
     plan = LoadPlan(**fields, over=over)
-    report = uvloop.run(run_load(read_roster(Path(values.roster)), plan))
+    try:
+        report = uvloop.run(run_load(read_roster(Path(values.roster)), plan))
+    except (FakesError, OSError) as exc:
+        print(f"{type(exc).__name__}: {exc}", file=sys.stderr)
+        return EXIT_FAILED
     print(json.dumps(report.as_dict()) if values.json else report.table())
     broken = any(report.as_dict()["promises"].values())
     return EXIT_PROMISE_BROKEN if broken else 0
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_backend_view.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_backend_view.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from .._errors import FleetUnreachable
 from ..fleet import Roster
 from ._outcome import Outcome, Verdict
 
@@ -37,7 +38,11 @@
 
 
 async def read_backends(session: aiohttp.ClientSession, roster: Roster) -> BackendView:
-    """Ask every stand-in what it did."""
+    """Ask every stand-in what it did.
+
+    Raises:
+        FleetUnreachable: One does not answer.
+    """
     backends = [*roster.engines, *roster.services]
     urls = [*backends, *roster.platform.values()]
     stats = await asyncio.gather(*(_get(session, f"{url}/stats") for url in urls))
@@ -75,6 +80,9 @@
 
 
 async def _get(session: aiohttp.ClientSession, url: str) -> dict[str, Any]:
-    async with session.get(url) as resp:
-        resp.raise_for_status()
-        return await resp.json()
+    try:
+        async with session.get(url) as resp:
+            resp.raise_for_status()
+            return await resp.json()
+    except (aiohttp.ClientError, TimeoutError) as exc:
+        raise FleetUnreachable(f"{url}: {exc}") from exc
--- a/tests/fakes/test_engine.py
+++ b/tests/fakes/test_engine.py
@@ -177,7 +177,7 @@
     """Time, priority and the prefix cache."""
 
     async def test_a_live_request_preempts_a_batch_one(self, session):
-        engine = FakeEngine(CFG._replace(slots=1, step_seconds=0.01))
+        engine = FakeEngine(CFG._replace(slots=1, step_seconds=0.004))
         async with engine.serve() as url:
             ended = []
 
@@ -351,16 +351,16 @@
                 assert resp.status == 404
 
     async def test_the_load_report_lags(self, session):
-        cfg = CFG._replace(load_report_every=0.02, load_report_lag=0.2)
+        cfg = CFG._replace(load_report_every=0.01, load_report_lag=0.1)
         async with FakeEngine(cfg).serve() as url:
-            await asyncio.sleep(0.25)
+            await asyncio.sleep(0.12)
             await order(session, url, "1", "load", "a@1")
             async with session.get(f"{url}/admin/load") as resp:
                 early = await resp.json()
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(0.15)
             async with session.get(f"{url}/admin/load") as resp:
                 late = await resp.json()
         assert early["applied_orders"] == []
-        assert early["age_seconds"] >= 0.2
+        assert early["age_seconds"] >= 0.1
         assert late["applied_orders"] == ["1"]
         assert late["seq"] > early["seq"]
--- a/tests/fakes/test_load.py
+++ b/tests/fakes/test_load.py
@@ -23,7 +23,7 @@
 from guavajunction_fakes.load._bucket import overspend
 
 DEMO = PROFILES["demo"]
-PLAN = LoadPlan(seconds=0.4, scale=2.0, burst_factor=1.0, retries=1, settle_seconds=0.0)
+PLAN = LoadPlan(seconds=0.2, scale=6.0, burst_factor=1.0, retries=1, settle_seconds=0.0)
 
 
 class Entry(FakeServer):
