Test the rate limits under faults and model-check the shares

Cause: nothing had shown yet that shares are never spent twice. A trial of the model refuted giving without standing: a revoked author could count itself and give units that had been granted anew; the rule stays and has its mutation. Ruled out: refusing while units are unaccounted for (a heartbeat late is a wrongful refusal) in favour of asking the peers that may hold them, each at most four times a second. Change: asks reach leaving peers too; a count that found nothing lost is not repeated for a minute.

--- a/packages/guavajunction/src/guavajunction/customers/_borrower.py
+++ b/packages/guavajunction/src/guavajunction/customers/_borrower.py
@@ -8,7 +8,6 @@
 from guavajunction.customers import _events
 from guavajunction.customers._bucket import MICRO, Charge
 from guavajunction.customers._holding import TOTAL_UNITS, Holding
-from guavajunction.customers._members import Members
 from guavajunction.customers._messages import UnitsAsk, UnitsReply
 from guavajunction.customers._peer_shares import PeerShares, Portion
 from guavajunction.customers._share_book import ShareBook, acknowledgement
@@ -29,6 +28,9 @@
 
     ASK_TIMEOUT_SECONDS = 0.1
 
+    UNKNOWN_WAIT_SECONDS = 1.0
+    """When to come back if no instance that is heard from has any units."""
+
     ROUNDS = 2
     """Asks for one request: a second if the first found less than was expected."""
 
@@ -37,13 +39,11 @@
         book: ShareBook,
         peers: PeerShares,
         links: Links,
-        members: Members,
         clock: Clock,
     ) -> None:
         self._book = book
         self._peers = peers
         self._links = links
-        self._members = members
         self._clock = clock
         links.handle(UnitsAsk, self._on_ask)
 
@@ -61,10 +61,12 @@
         """Return how long until this instance and its peers have a cost together."""
         now = self._clock.monotonic()
         customer = holding.customer
-        shares = self._peers.of(customer.name, self._others()).values()
+        shares = self._peers.of(customer.name, set(self._links.peers())).values()
         units = holding.units + sum(s.units for s in shares)
         level = holding.level(now) + sum(s.level_at(customer, now) for s in shares)
-        rate = customer.rate * MICRO * max(1, units) / TOTAL_UNITS
+        if not units:
+            return self.UNKNOWN_WAIT_SECONDS
+        rate = customer.rate * MICRO * units / TOTAL_UNITS
         return max(0.0, cost - level) / rate
 
     async def _fetch_and_charge(self, holding: Holding, cost: int) -> Charge | None:
@@ -81,10 +83,9 @@
     def _plan(self, holding: Holding, cost: int) -> list[Portion]:
         now = self._clock.monotonic()
         needed = cost - holding.level(now)
-        return self._peers.plan(holding.customer, needed, self._others(), now)
-
-    def _others(self) -> set[PeerId]:
-        return set(self._members.live_members()) - {self._links.me}
+        return self._peers.plan(
+            holding.customer, needed, holding.units, set(self._links.peers()), now
+        )
 
     async def _ask(self, holding: Holding, portion: Portion) -> None:
         now = self._clock.monotonic()
@@ -119,7 +120,8 @@
             _events.UNITS_MOVED.log(
                 customer=ask.customer, to=sender.name, units=units, why="asked"
             )
-        return UnitsReply(holding.epoch, transfer, holding.units, holding.level(now))
+        left = holding.level(now) if self._book.may_give(holding) else 0
+        return UnitsReply(holding.epoch, transfer, holding.units, left)
 
     def _units_for(self, holding: Holding, ask: UnitsAsk, now: float) -> int:
         level = holding.level(now)
--- a/packages/guavajunction/src/guavajunction/customers/_peer_shares.py
+++ b/packages/guavajunction/src/guavajunction/customers/_peer_shares.py
@@ -42,8 +42,13 @@
 class PeerShares:
     """Keeps the last digest of each peer and picks whom to ask."""
 
+    ASK_AGAIN_SECONDS = 0.25
+    """How long a peer that had nothing is not asked for unaccounted units."""
+
     def __init__(self) -> None:
         self._shares: dict[PeerId, dict[str, PeerShare]] = {}
+        self._answered_at: dict[tuple[PeerId, str], float] = {}
+        """When a peer last answered an ask, by peer and customer."""
 
     def accept(self, sender: PeerId, digests: list[ShareDigest], now: float) -> None:
         """Replace what is known of a peer by its newest heartbeat."""
@@ -55,43 +60,60 @@
     def update(
         self, peer: PeerId, customer: str, units: int, level: int, now: float
     ) -> None:
-        """Correct one share by what the peer has just answered."""
+        """Correct one share by the peer's answer to an ask, or the lack of one."""
         known = self._shares.setdefault(peer, {}).get(customer)
         if known is None:
             known = PeerShare(0, 0, 0, 0, 0.0, now)
         share = known._replace(units=units, level=level, heard_at=now)
         self._shares[peer][customer] = share
-
-    def keep_only(self, live: set[PeerId]) -> None:
-        """Forget the peers that are no longer live."""
-        for peer in self._shares.keys() - live:
+        self._answered_at[peer, customer] = now
+
+    def add(self, peer: PeerId, customer: str, units: int) -> None:
+        """Count units that were sent, until the peer's next heartbeat tells."""
+        known = self._shares.get(peer, {}).get(customer)
+        if known is not None:
+            share = known._replace(units=known.units + units)
+            self._shares[peer][customer] = share
+
+    def keep_only(self, heard: set[PeerId]) -> None:
+        """Forget the peers that are no longer heard from."""
+        for peer in self._shares.keys() - heard:
             del self._shares[peer]
+        for asked in [a for a in self._answered_at if a[0] not in heard]:
+            del self._answered_at[asked]
 
-    def of(self, customer: str, live: set[PeerId]) -> dict[PeerId, PeerShare]:
-        """Return the shares of the live peers that have one."""
+    def of(self, customer: str, heard: set[PeerId]) -> dict[PeerId, PeerShare]:
+        """Return the shares of those peers that have one."""
         return {
             peer: shares[customer]
             for peer, shares in self._shares.items()
-            if peer in live and customer in shares
+            if peer in heard and customer in shares
         }
 
     def plan(
-        self, customer: Customer, needed: int, live: set[PeerId], now: float
+        self,
+        customer: Customer,
+        needed: int,
+        own_units: int,
+        heard: set[PeerId],
+        now: float,
     ) -> list[Portion]:
         """Return whom to ask for how much, the fewest peers first.
 
         Args:
             customer: Whose rate it is.
             needed: Microtokens that are lacking.
-            live: Peers that may be asked.
+            own_units: Units that this instance has itself.
+            heard: Peers that may be asked.
             now: Monotonic time in seconds.
 
         Returns:
-            Portions that add up to what is needed; empty if the peers lack it.
+            Portions that may add up to what is needed; empty if the peers lack it.
         """
+        shares = self.of(customer.name, heard)
         levels = [
             Portion(peer, share.level_at(customer, now))
-            for peer, share in self.of(customer.name, live).items()
+            for peer, share in shares.items()
         ]
         portions = []
         for peer, level in sorted(levels, key=lambda p: p.level, reverse=True):
@@ -99,4 +121,28 @@
                 break
             portions.append(Portion(peer, min(level, needed)))
             needed -= level
-        return portions if needed <= 0 else []
+        if needed <= 0:
+            return portions
+        if own_units + sum(share.units for share in shares.values()) >= TOTAL_UNITS:
+            return []
+        return self._anyone(customer.name, needed, portions, heard, now)
+
+    def _anyone(
+        self,
+        customer: str,
+        needed: int,
+        portions: list[Portion],
+        heard: set[PeerId],
+        now: float,
+    ) -> list[Portion]:
+        """Add the peers that may hold the units nobody is known to have."""
+        known = {portion.peer for portion in portions}
+        long_ago = now - self.ASK_AGAIN_SECONDS
+        unknown = [
+            peer
+            for peer in sorted(heard - known)
+            if self._answered_at.get((peer, customer), float("-inf")) <= long_ago
+        ]
+        if not unknown:
+            return []
+        return portions + [Portion(peer, needed) for peer in unknown]
--- a/packages/guavajunction/src/guavajunction/customers/_rate_limits.py
+++ b/packages/guavajunction/src/guavajunction/customers/_rate_limits.py
@@ -59,7 +59,7 @@
         self._clock = clock
         self._book = ShareBook(configuration, links, table, members, clock)
         self._peers = PeerShares()
-        self._borrower = Borrower(self._book, self._peers, links, members, clock)
+        self._borrower = Borrower(self._book, self._peers, links, clock)
         self._rebalancer = Rebalancer(self._book, self._peers, links, clock)
         self._recovery = Recovery(self._book, self._peers, links, table, members, clock)
         links.share(SHARES_TOPIC, self._digests, self._accept, list[ShareDigest])
@@ -105,10 +105,10 @@
     async def step(self) -> None:
         """Resend, rebalance and recover units once."""
         await self._book.prepare()
-        live = self._others()
-        self._peers.keep_only(live)
+        heard = set(self._links.peers())
+        self._peers.keep_only(heard)
         await self._book.resend()
-        await self._rebalancer.step(live)
+        await self._rebalancer.step(heard)
         await self._recovery.step()
 
     async def hand_over(self) -> None:
@@ -163,30 +163,28 @@
         )
 
     async def _give_all(self, holding: Holding) -> None:
-        shares = self._peers.of(holding.customer.name, self._others())
-        others = sorted(self._others())
+        # Peers that are leaving themselves are heard from but no longer live.
+        others = set(self._members.live_members()) - {self._links.me}
+        shares = self._peers.of(holding.customer.name, others)
         if not others or not self._book.may_give(holding):
             return
-        to = max(others, key=lambda p: shares[p].demand if p in shares else 0.0)
+        to = max(sorted(others), key=lambda p: shares[p].demand if p in shares else 0.0)
         await self._book.move(holding, to, holding.units)
 
-    def _others(self) -> set[PeerId]:
-        return set(self._members.live_members()) - {self._links.me}
-
     def _digests(self) -> list[ShareDigest]:
-        if self._book.stopping:
+        if self._book.stopping or not self._members.standing():
             return []
         now = self._clock.monotonic()
-        live = self._others()
-        digests = [self._digest(holding, live, now) for holding in self._book.all()]
+        heard = set(self._links.peers())
+        digests = [self._digest(holding, heard, now) for holding in self._book.all()]
         return [d for d in digests if d.units or d.in_flight or d.demand]
 
-    def _digest(self, holding: Holding, live: set[PeerId], now: float) -> ShareDigest:
+    def _digest(self, holding: Holding, heard: set[PeerId], now: float) -> ShareDigest:
         return ShareDigest(
             holding.customer.name,
             holding.epoch,
             holding.units,
-            holding.in_flight(live),
+            holding.in_flight(heard),
             holding.level(now),
             holding.demand.rate(now),
         )
--- a/packages/guavajunction/src/guavajunction/customers/_rebalancer.py
+++ b/packages/guavajunction/src/guavajunction/customers/_rebalancer.py
@@ -33,15 +33,15 @@
         self._links = links
         self._clock = clock
 
-    async def step(self, live: set[PeerId]) -> None:
+    async def step(self, heard: set[PeerId]) -> None:
         """Compare every share with its demand once, and move what is too much."""
         holdings = self._book.all()
-        await asyncio.gather(*(self._balance(holding, live) for holding in holdings))
+        await asyncio.gather(*(self._balance(holding, heard) for holding in holdings))
 
-    async def _balance(self, holding: Holding, live: set[PeerId]) -> None:
-        if not self._book.may_give(holding) or holding.in_flight(live):
+    async def _balance(self, holding: Holding, heard: set[PeerId]) -> None:
+        if not self._book.may_give(holding) or holding.in_flight(heard):
             return
-        demands, units = self._known(holding, live)
+        demands, units = self._known(holding, heard)
         total_demand = sum(demands.values())
         if total_demand <= 0:
             return
@@ -58,14 +58,15 @@
         amount = min(surplus, lacking[neediest], holding.units)
         if amount > 0:
             await self._book.move(holding, neediest, amount)
+            self._peers.add(neediest, holding.customer.name, amount)
 
     def _known(
-        self, holding: Holding, live: set[PeerId]
+        self, holding: Holding, heard: set[PeerId]
     ) -> tuple[dict[PeerId, float], dict[PeerId, int]]:
         me = self._links.me
         demands = {me: holding.demand.rate(self._clock.monotonic())}
         units = {me: holding.units}
-        for peer, share in self._peers.of(holding.customer.name, live).items():
+        for peer, share in self._peers.of(holding.customer.name, heard).items():
             if share.epoch == holding.epoch:
                 demands[peer] = share.demand
                 units[peer] = share.units
--- a/packages/guavajunction/src/guavajunction/customers/_recovery.py
+++ b/packages/guavajunction/src/guavajunction/customers/_recovery.py
@@ -34,6 +34,8 @@
         self.told: set[PeerId] = set()
         """Members that know that their report was counted."""
         self.granted = False
+        self.missing = 0
+        """Units that were granted."""
 
 
 class Recovery:
@@ -46,6 +48,9 @@
     MISSING_SECONDS = 3.0
     """How long units must be missing; longer than heartbeats take to agree."""
 
+    NOTHING_LOST_PAUSE_SECONDS = 60.0
+    """Pause after a count that found all units with members that hide them."""
+
     ASK_TIMEOUT_SECONDS = 0.5
 
     def __init__(
@@ -154,10 +159,10 @@
         return now - since >= self.MISSING_SECONDS
 
     def _visible_units(self, holding: Holding) -> int:
-        live = set(self._members.live_members())
-        shares = self._peers.of(holding.customer.name, live).values()
+        heard = set(self._links.peers())
+        shares = self._peers.of(holding.customer.name, heard).values()
         others = sum(s.units + s.in_flight for s in shares if s.epoch == holding.epoch)
-        return holding.units + holding.in_flight(live) + others
+        return holding.units + holding.in_flight(heard) + others
 
     async def _hears_everyone(self) -> bool:
         unrevoked = set(await self._members.unrevoked_members())
@@ -205,6 +210,7 @@
         count.granted = True
         reported = sum(count.reports.values()) + holding.reported
         missing = max(0, TOTAL_UNITS - reported)
+        count.missing = missing
         holding.note_counted(count.epoch)
         holding.grant(missing, self._clock.monotonic())
         _events.UNITS_GRANTED.log(
@@ -215,6 +221,9 @@
         name = holding.customer.name
         del self._counts[name]
         self._missing_since.pop(name, None)
+        if count.granted and not count.missing:
+            paused_until = self._clock.monotonic() + self.NOTHING_LOST_PAUSE_SECONDS
+            self._missing_since[name] = paused_until
         if not count.granted:
             _events.RECOVERY_ABANDONED.log(customer=name, epoch=count.epoch)
 
--- a/packages/guavajunction/src/guavajunction/customers/_share_book.py
+++ b/packages/guavajunction/src/guavajunction/customers/_share_book.py
@@ -118,13 +118,13 @@
         await self._deliver(holding, to, transfer)
 
     async def resend(self) -> None:
-        """Send again what no live receiver has acknowledged."""
-        live = set(self._members.live_members())
+        """Send again what a receiver that is heard from has not acknowledged."""
+        heard = set(self._links.peers())
         sends = [
             self._deliver(holding, sent.to, sent.transfer)
             for holding in self._holdings.values()
             for sent in holding.outgoing()
-            if sent.to in live
+            if sent.to in heard
         ]
         await asyncio.gather(*sends)
 
--- /dev/null
+++ b/tests/customers/test_rate_limits.py
@@ -0,0 +1,466 @@
+"""Tests of the limits across instances, with instances and messages failing."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from fakes_customers import FakeFleet
+from guavajunction.configuration import Customer
+from guavajunction.customers._holding import TOTAL_UNITS
+from guavajunction.customers._messages import (
+    ReportAsk,
+    Transfer,
+    TransferAck,
+    UnitsAsk,
+)
+from guavajunction.errors import (
+    ExceedsBurst,
+    InstanceNotReady,
+    PeerTimeout,
+    RateLimited,
+    StoreAnswerLost,
+)
+
+CUSTOMER = Customer("a", rate=1024.0, burst=2048.0)
+
+
+async def started(names: str = "abcd", customer: Customer = CUSTOMER) -> FakeFleet:
+    fleet = FakeFleet(names, customer)
+    await fleet.step(2)
+    return fleet
+
+
+def overshoot(fleet: FakeFleet, customer: Customer = CUSTOMER) -> float:
+    worst = 0.0
+    for first, (start, _) in enumerate(fleet.charged):
+        total = 0.0
+        for end, cost in fleet.charged[first:]:
+            total += cost
+            allowed = customer.rate * (end - start) + customer.burst
+            worst = max(worst, total - allowed)
+    return worst
+
+
+def messages(fleet: FakeFleet) -> int:
+    return sum(len(node.links.told) for node in fleet.nodes.values())
+
+
+class TestAdmit:
+    """One request at one instance."""
+
+    async def test_an_own_share_that_suffices_costs_no_await_and_no_message(self):
+        fleet = await started()
+        name = max(fleet.units(), key=lambda n: fleet.units()[n])
+        node = fleet.nodes[name]
+        before = messages(fleet), node.table.counts.total()
+        coro = node.limits.admit(CUSTOMER, 10.0)
+        with pytest.raises(StopIteration) as ended:
+            coro.send(None)
+        ended.value.value.settle(5.0)
+        assert (messages(fleet), node.table.counts.total()) == before
+
+    async def test_a_request_above_the_burst_can_never_run(self):
+        fleet = await started()
+        with pytest.raises(ExceedsBurst) as refusal:
+            await fleet.admit("a", 2049.0)
+        assert refusal.value.not_run == "true"
+        assert refusal.value.retry_after is None
+
+    async def test_a_refusal_says_truly_when_to_come_back(self):
+        fleet = await started()
+        await fleet.admit("a", 2048.0)
+        with pytest.raises(RateLimited) as refusal:
+            await fleet.admit("b", 1024.0)
+        after = refusal.value.retry_after
+        assert after == pytest.approx(1.0, abs=0.01)
+        fleet.clock.advance(after / 2)
+        assert not await fleet.admits("b", 1024.0)
+        fleet.clock.advance(after / 2 + 0.001)
+        assert await fleet.admits("b", 1024.0)
+        assert overshoot(fleet) == 0
+
+    async def test_the_whole_burst_is_gathered_from_every_instance(self):
+        fleet = await started()
+        for name in "abcd":
+            assert await fleet.admits(name, 10.0)
+        await fleet.step(8)
+        assert min(fleet.units().values()) > 0
+        assert await fleet.admits("c", 2048.0)
+        assert overshoot(fleet) == 0
+
+    async def test_a_settled_request_frees_what_it_did_not_use(self):
+        fleet = await started()
+        reservation = await fleet.admit("a", 2048.0)
+        assert not await fleet.admits("a", 2000.0)
+        reservation.settle(48.0)
+        reservation.settle(0.0)
+        assert await fleet.admits("a", 2000.0)
+        assert not await fleet.admits("a", 1.0)
+
+    async def test_an_instance_that_has_not_read_the_shares_serves_nothing(self):
+        fleet = FakeFleet("ab", CUSTOMER)
+        fleet.table.down = True
+        await fleet.step(2)
+        with pytest.raises(InstanceNotReady) as refusal:
+            await fleet.admit("a", 1.0)
+        assert refusal.value.not_run == "true"
+
+
+class TestSkew:
+    """Load that sits on one instance, and moves."""
+
+    async def test_load_on_one_instance_gets_the_whole_rate(self):
+        fleet = await started()
+        before = messages(fleet)
+        writes = sum(n.table.counts["put"] for n in fleet.nodes.values())
+        refused = 0
+        for _ in range(200):
+            fleet.clock.advance(0.05)
+            refused += not await fleet.admits("c", 51.0)
+        assert refused == 0
+        assert messages(fleet) - before <= 10
+        assert sum(n.table.counts["put"] for n in fleet.nodes.values()) == writes
+
+    async def test_load_that_moves_takes_the_share_along(self):
+        fleet = await started()
+        refused = 0
+        for name in "abcdab":
+            for tick in range(40):
+                fleet.clock.advance(0.05)
+                refused += not await fleet.admits(name, 51.0)
+                if tick % 10 == 9:
+                    fleet.network.beat()
+        assert refused == 0
+        assert overshoot(fleet) == 0
+
+    async def test_shares_follow_demand_before_they_run_short(self):
+        fleet = await started()
+        for _ in range(20):
+            for name, cost in (("a", 60.0), ("b", 180.0)):
+                assert await fleet.admits(name, cost)
+            await fleet.step()
+        units = fleet.units()
+        assert units["c"] == units["d"] == 0
+        assert 2 < units["b"] / units["a"] < 4
+
+    async def test_units_are_brought_without_being_asked_for(self):
+        fleet = await started()
+        holder = max(fleet.units(), key=lambda n: fleet.units()[n])
+        other = next(n for n in fleet.nodes if n != holder)
+        fleet.network.drop = lambda _s, _r, message: isinstance(message, UnitsAsk)
+        assert not await fleet.admits(other, 51.2)
+        await fleet.step(2)
+        assert await fleet.admits(other, 51.2)
+
+    async def test_spread_load_sends_at_most_one_message_for_a_request(self):
+        fleet = await started()
+        rng = random.Random(7)
+        for _ in range(40):
+            await fleet.admits(rng.choice("abcd"), 20.0)
+            await fleet.step()
+        before, admitted = messages(fleet), 0
+        for _ in range(200):
+            fleet.clock.advance(0.05)
+            admitted += await fleet.admits(rng.choice("abcd"), 40.0)
+        assert admitted == 200
+        assert messages(fleet) - before <= 20
+
+    async def test_overload_is_refused_without_asking_each_time(self):
+        fleet = await started()
+        before, refused = messages(fleet), 0
+        for tick in range(400):
+            fleet.clock.advance(0.0125)
+            refused += not await fleet.admits("abcd"[tick % 4], 51.2)
+            if tick % 40 == 39:
+                await fleet.step()
+        admitted = 400 - refused
+        assert overshoot(fleet) == 0
+        assert admitted * 51.2 >= 0.9 * (2048 + 1024 * 5)
+        assert messages(fleet) - before < 400 + 3 * admitted
+
+
+class TestMessages:
+    """Transfers that are lost, doubled and late."""
+
+    async def test_a_lost_answer_is_made_good_by_sending_again(self):
+        fleet = await started("ab")
+        giver = max("ab", key=lambda n: fleet.units()[n])
+        taker = "b" if giver == "a" else "a"
+        fleet.network.beat()
+        handlers = fleet.nodes[giver].links.handlers
+        answered = handlers[UnitsAsk]
+
+        async def unanswered(sender, ask):
+            await answered(sender, ask)
+            raise PeerTimeout("the answer was lost")
+
+        handlers[UnitsAsk] = unanswered
+        assert not await fleet.admits(taker, 512.0)
+        assert fleet.units() == {giver: 0, taker: 0}
+        await fleet.step()
+        assert fleet.units() == {giver: 0, taker: TOTAL_UNITS}
+        assert not fleet.holding(giver).outgoing()
+
+    async def test_doubled_and_late_transfers_add_nothing(self):
+        fleet = await started("ab")
+        giver = max("ab", key=lambda n: fleet.units()[n])
+        taker = "b" if giver == "a" else "a"
+        sender, receiver = fleet.nodes[giver], fleet.nodes[taker]
+        transfer = fleet.holding(giver).give(receiver.me, 256, 0.0)
+        handler = receiver.links.handlers[Transfer]
+        for _ in range(3):
+            assert (await handler(sender.me, transfer)).taken
+        assert fleet.units() == {giver: 768, taker: 256}
+        late = transfer._replace(sequence=9, epoch=transfer.epoch - 1)
+        assert not (await handler(sender.me, late)).taken
+        assert fleet.spendable() == TOTAL_UNITS
+
+    async def test_units_that_are_not_counted_yet_are_not_given(self):
+        fleet = await started("ab")
+        holder = max("ab", key=lambda n: fleet.units()[n])
+        other = fleet.nodes["b" if holder == "a" else "a"]
+        links = fleet.nodes[holder].links
+        await links.handlers[ReportAsk](other.me, ReportAsk("a", 2, False))
+        ask = UnitsAsk("a", 2, 1_000_000, 0, 1.0)
+        assert (await links.handlers[UnitsAsk](other.me, ask)).transfer is None
+        await links.handlers[ReportAsk](other.me, ReportAsk("a", 2, True))
+        assert (await links.handlers[UnitsAsk](other.me, ask)).transfer is not None
+
+
+class TestRecovery:
+    """Units of instances that died, paused or lost their standing."""
+
+    async def test_units_of_a_dead_instance_come_back_empty_once_it_is_revoked(self):
+        fleet = await started()
+        holder = max(fleet.units(), key=lambda n: fleet.units()[n])
+        dead = fleet.kill(holder)
+        await fleet.step(20)
+        assert fleet.spendable() == 0
+        assert {fleet.holding(name).epoch for name in fleet.nodes} == {1}
+        fleet.revoke(dead)
+        await fleet.step(8)
+        assert fleet.spendable() == TOTAL_UNITS
+        writes = sum(n.table.counts["put"] for n in fleet.nodes.values())
+        await fleet.step(20)
+        assert sum(n.table.counts["put"] for n in fleet.nodes.values()) == writes
+
+    async def test_a_grant_starts_with_an_empty_bucket(self):
+        slow = CUSTOMER._replace(rate=102.4)
+        fleet = await started(customer=slow)
+        holder = max(fleet.units(), key=lambda n: fleet.units()[n])
+        await fleet.admit(holder, 2048.0)
+        dead = fleet.kill(holder)
+        fleet.revoke(dead)
+        for _ in range(40):
+            await fleet.step()
+            for name in fleet.nodes:
+                await fleet.admits(name, 51.2)
+        assert overshoot(fleet, slow) == 0
+        assert len(fleet.charged) > 20
+
+    async def test_a_paused_holder_that_wakes_spends_and_gives_nothing(self):
+        fleet = await started()
+        holder = max(fleet.units(), key=lambda n: fleet.units()[n])
+        paused = fleet.kill(holder)
+        fleet.revoke(paused)
+        await fleet.step(10)
+        assert fleet.spendable() == TOTAL_UNITS
+        fleet.network.nodes[paused.me] = paused.links
+        fleet.nodes["zombie"] = paused
+        with pytest.raises(InstanceNotReady):
+            await fleet.admit("zombie", 1.0)
+        await fleet.step(4)
+        asked = UnitsAsk("a", 2, 1_000_000, 0, 1.0)
+        other = next(iter(fleet.nodes.values()))
+        reply = await paused.links.handlers[UnitsAsk](other.me, asked)
+        assert reply.transfer is None
+        assert fleet.spendable() == TOTAL_UNITS
+
+    async def test_an_author_that_dies_in_mid_epoch_is_followed_by_another(self):
+        fleet = await started("abcde")
+        author = fleet.author()
+        holder = next(n for n in fleet.nodes if n != author)
+        assert await fleet.admits(holder, 2048.0)
+        fleet.revoke(fleet.kill(holder))
+        assert fleet.author() == author
+        fleet.network.drop = lambda _s, _r, message: isinstance(message, ReportAsk)
+        await fleet.step(10)
+        assert fleet.spendable() == 0
+        fleet.revoke(fleet.kill(author))
+        fleet.network.drop = lambda *_: False
+        await fleet.step(10)
+        assert fleet.spendable() == TOTAL_UNITS
+
+    async def test_an_epoch_whose_write_was_not_answered_is_granted_once(self):
+        fleet = await started()
+        holder = max(fleet.units(), key=lambda n: fleet.units()[n])
+        fleet.revoke(fleet.kill(holder))
+        for node in fleet.nodes.values():
+            node.table.lose_answers = 1
+        await fleet.step(12)
+        assert fleet.spendable() == TOTAL_UNITS
+
+    async def test_units_stay_out_while_a_member_is_only_cut_off(self):
+        fleet = await started()
+        holder = max(fleet.units(), key=lambda n: fleet.units()[n])
+        fleet.network.isolate(fleet.nodes[holder].me)
+        await fleet.step(30)
+        assert fleet.spendable() == TOTAL_UNITS
+        assert await fleet.admits(holder, 2048.0)
+        other = next(n for n in fleet.nodes if n != holder)
+        assert not await fleet.admits(other, 1.0)
+
+    async def test_standing_that_is_lost_while_peers_are_asked_undoes_the_charge(self):
+        fleet = await started("ab")
+        holder = max("ab", key=lambda n: fleet.units()[n])
+        asker = "b" if holder == "a" else "a"
+        fleet.network.beat()
+        inner = fleet.nodes[holder].links.handlers[UnitsAsk]
+
+        async def slow(sender, ask):
+            reply = await inner(sender, ask)
+            fleet.nodes[asker].members.has_standing = False
+            return reply
+
+        fleet.nodes[holder].links.handlers[UnitsAsk] = slow
+        with pytest.raises(InstanceNotReady):
+            await fleet.admit(asker, 100.0)
+        fleet.nodes[asker].members.has_standing = True
+        assert await fleet.admits(asker, 2048.0)
+
+
+class TestStoreOutage:
+    """The table service is out for ten minutes."""
+
+    async def test_shares_go_on_moving(self):
+        fleet = await started()
+        for name in "abcd":
+            await fleet.admits(name, 1.0)
+        await fleet.step(4)
+        fleet.table.down = True
+        refused = 0
+        for tick in range(1200):
+            name = "abcd"[tick // 100 % 4]
+            refused += not await fleet.admits(name, 500.0)
+            await fleet.step()
+        assert refused == 0
+        assert overshoot(fleet) == 0
+        assert fleet.spendable() == TOTAL_UNITS
+
+
+class TestConfigurationChange:
+    """New customers and changed rates."""
+
+    async def test_a_lower_rate_holds_at_once(self):
+        fleet = await started()
+        await fleet.admits("a", 1.0)
+        await fleet.step(2)
+        lower = CUSTOMER._replace(rate=102.4, burst=204.8)
+        fleet.customer = lower
+        fleet.charged.clear()
+        for _ in range(100):
+            for name in "abcd":
+                await fleet.admits(name, 51.2)
+            await fleet.step()
+        assert overshoot(fleet, lower) <= 1e-6
+        assert sum(cost for _, cost in fleet.charged) > 0.9 * 102.4 * 50
+
+    async def test_a_new_customer_is_served_by_whoever_meets_it_first(self):
+        fleet = await started()
+        fleet.customer = Customer("new", rate=10.0, burst=100.0)
+        results = await asyncio.gather(*(fleet.admits(n, 25.0) for n in "abcd"))
+        assert results == [True, True, True, True]
+        assert not await fleet.admits("a", 1.0)
+        assert fleet.spendable() == TOTAL_UNITS
+
+    async def test_lost_answers_do_not_create_a_customer_twice(self):
+        fleet = await started()
+        fleet.customer = Customer("new", rate=10.0, burst=100.0)
+        for node in fleet.nodes.values():
+            node.table.lose_answers = 1
+        jobs = [fleet.admits(n, 1.0) for n in "abcd"]
+        await asyncio.gather(*jobs, *(n.limits.refresh() for n in fleet.nodes.values()))
+        await fleet.step(2)
+        assert fleet.spendable() == TOTAL_UNITS
+
+    async def test_two_creations_in_one_instance_grant_once(self):
+        fleet = await started("a")
+        fleet.customer = Customer("new", rate=10.0, burst=100.0)
+        table = fleet.nodes["a"].table
+        read, written = table.get, table.put
+
+        async def get(*key):
+            row = await read(*key)
+            for _ in range(5):
+                await asyncio.sleep(0)
+            return row
+
+        async def put(*key, expected):
+            # The first write takes effect, the second does not arrive.
+            if not any(sort == "new" for _, sort in table.rows):
+                await written(*key, expected=expected)
+            raise StoreAnswerLost("no answer")
+
+        table.get, table.put = get, put
+        limits = fleet.nodes["a"].limits
+        await asyncio.gather(fleet.admits("a", 1.0), limits.refresh())
+        assert fleet.units() == {"a": TOTAL_UNITS}
+
+
+class TestHandOver:
+    """A planned stop."""
+
+    async def test_all_units_go_to_peers_and_none_come_back(self):
+        fleet = await started()
+        holder = max(fleet.units(), key=lambda n: fleet.units()[n])
+        await fleet.nodes[holder].limits.hand_over()
+        units = fleet.units()
+        assert units[holder] == 0
+        assert sum(units.values()) == TOTAL_UNITS
+        back = Transfer("a", 1, 1, 1, 5, 0)
+        links = fleet.nodes[holder].links
+        ack = await links.handlers[Transfer](fleet.nodes[holder].me, back)
+        assert ack == TransferAck("a", 1, 1, False)
+
+
+class TestRandomFaults:
+    """Everything at once."""
+
+    @pytest.mark.parametrize("seed", range(8))
+    async def test_nothing_is_ever_spent_twice(self, seed):
+        rng = random.Random(seed)
+        fleet = await started("abcde")
+        runs = 1
+        for _ in range(150):
+            rate = rng.choice((0.0, 0.0, 0.3))
+            fleet.network.drop = lambda *_, rate=rate: rng.random() < rate
+            event = rng.random()
+            names = sorted(fleet.nodes)
+            if event < 0.03 and len(names) > 3:
+                fleet.revoke(fleet.kill(rng.choice(names)))
+            elif event < 0.06 and len(names) < 5:
+                runs += 1
+                fleet.start(next(n for n in "abcde" if n not in names), runs)
+            elif event < 0.1:
+                fleet.network.cut(*rng.sample([n.me for n in fleet.nodes.values()], 2))
+            elif event < 0.2:
+                fleet.network.heal()
+            fleet.table.down = rng.random() < 0.2
+            for node in fleet.nodes.values():
+                node.table.lose_answers = rng.random() < 0.2
+                node.table.lose_requests = rng.random() < 0.2
+            for name in sorted(fleet.nodes):
+                cost = rng.choice((10.0, 200.0, 900.0))
+                if rng.random() < 0.5:
+                    await fleet.admits(name, cost)
+            await fleet.step()
+            assert fleet.spendable() <= TOTAL_UNITS
+        assert overshoot(fleet) <= 1e-6
+        fleet.network.heal()
+        fleet.network.drop = lambda *_: False
+        fleet.table.down = False
+        await fleet.step(40)
+        assert fleet.spendable() == TOTAL_UNITS
--- /dev/null
+++ b/tests/fakes_customers.py
@@ -0,0 +1,140 @@
+"""A fleet of rate limits in one process, on a clock that a test moves."""
+
+from __future__ import annotations
+
+from fakes_links import FakeLinks, FakeNetwork
+from fakes_platform import FakeTable
+from guavajunction.clock import ManualClock
+from guavajunction.configuration import EMPTY, Configuration, Customer
+from guavajunction.customers import RateLimits, Reservation
+from guavajunction.errors import RequestError, StoreUnavailable
+from guavajunction.membership import owner
+from guavajunction.peers import PeerId
+
+STEP_SECONDS = 0.5
+
+
+class FakeMembers:
+    """One instance's view of a membership that the test decides."""
+
+    def __init__(self, fleet: FakeFleet, links: FakeLinks) -> None:
+        self._fleet = fleet
+        self._links = links
+        self.has_standing = True
+
+    def standing(self) -> bool:
+        """Return whether the instance may act."""
+        return self.has_standing and self._links.me in self._fleet.unrevoked
+
+    def live_members(self) -> list[PeerId]:
+        """Return the instances that this one hears, itself included."""
+        return sorted([*self._links.peers(), self._links.me])
+
+    def author(self, key: str) -> PeerId:
+        """Return the live member that a key falls to."""
+        return owner(key, self.live_members())
+
+    async def unrevoked_members(self) -> list[PeerId]:
+        """Return the members, if the store is up."""
+        if self._fleet.table.down:
+            raise StoreUnavailable("the table service is down")
+        return sorted(self._fleet.unrevoked)
+
+
+class FakeNode:
+    """One instance of the fleet."""
+
+    def __init__(self, fleet: FakeFleet, name: str, incarnation: str) -> None:
+        self.links = fleet.network.join(name, incarnation)
+        self.table = fleet.table.client()
+        self.members = FakeMembers(fleet, self.links)
+        fleet.unrevoked.add(self.links.me)
+        self.limits = RateLimits(
+            fleet.configuration, self.links, self.table, self.members, fleet.clock
+        )
+
+    @property
+    def me(self) -> PeerId:
+        """Identity of the instance."""
+        return self.links.me
+
+    @property
+    def name(self) -> str:
+        """Name of the instance."""
+        return self.links.me.name
+
+
+class FakeFleet:
+    """Instances that share a network, a table service and a configuration."""
+
+    def __init__(self, names: str, customer: Customer) -> None:
+        self.clock = ManualClock()
+        self.network = FakeNetwork()
+        self.table = FakeTable()
+        self.customer = customer
+        self.unrevoked: set[PeerId] = set()
+        self.nodes: dict[str, FakeNode] = {}
+        self.charged: list[tuple[float, float]] = []
+        """Time and tokens of every request that was admitted."""
+        for name in names:
+            self.start(name)
+
+    def configuration(self) -> Configuration:
+        """Return the one customer."""
+        return EMPTY._replace(customers={self.customer.name: self.customer})
+
+    def start(self, name: str, run: int = 1) -> FakeNode:
+        """Start an instance, or a later run of one."""
+        self.nodes[name] = FakeNode(self, name, f"{name}-{run}")
+        return self.nodes[name]
+
+    def kill(self, name: str) -> FakeNode:
+        """End an instance's process; it stays a member until it is revoked."""
+        node = self.nodes.pop(name)
+        self.network.leave(node.me)
+        return node
+
+    def revoke(self, node: FakeNode) -> None:
+        """Revoke the membership of a run."""
+        self.unrevoked.discard(node.me)
+
+    async def step(self, times: int = 1) -> None:
+        """Move the clock on, exchange heartbeats and step every instance."""
+        for _ in range(times):
+            self.clock.advance(STEP_SECONDS)
+            self.network.beat()
+            for node in list(self.nodes.values()):
+                await node.limits.step()
+            await self.network.settle()
+
+    async def admit(self, name: str, cost: float) -> Reservation:
+        """Admit a request at an instance and note what it was charged."""
+        now = self.clock.monotonic()
+        reservation = await self.nodes[name].limits.admit(self.customer, cost)
+        self.charged.append((now, cost))
+        return reservation
+
+    async def admits(self, name: str, cost: float) -> bool:
+        """Return whether a request is admitted."""
+        try:
+            await self.admit(name, cost)
+        except RequestError:
+            return False
+        return True
+
+    def units(self) -> dict[str, int]:
+        """Return the units that each instance holds."""
+        return {name: self.holding(name).units for name in self.nodes}
+
+    def holding(self, name: str):
+        """Return an instance's share of the customer's rate."""
+        return self.nodes[name].limits._book.holding(self.customer)
+
+    def spendable(self) -> int:
+        """Return the units of the instances in standing."""
+        nodes = self.nodes.items()
+        return sum(self.holding(n).units for n, v in nodes if v.members.standing())
+
+    def author(self) -> str:
+        """Return the name of the customer's author."""
+        return next(iter(self.nodes.values())).members.author(self.customer.name).name
--- /dev/null
+++ b/tests/specs/shares_spec.py
@@ -0,0 +1,269 @@
+"""A small model of the shares of a customer's rate, to be checked exhaustively.
+
+Three instances hold two units. Any of them may raise the epoch, count the others and
+grant; messages may be lost, doubled or arrive at any later time; an instance may be
+paused for good or wake after it was revoked. What may be spent never exceeds the
+whole: `spendable_within_total`.
+
+Abstractions: a paused instance never regains its standing; an instance learns of any
+epoch that the row has had at any time, which covers every message that names one;
+reports are fixed when an epoch is entered, so a late report equals a prompt one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from minicheck import Protocol, check_safety
+
+TOTAL = 2
+
+
+class Bounds(NamedTuple):
+    """How far a run of the checker goes."""
+
+    epochs: int
+    transfers: int
+    joins: bool
+    """Whether the third instance may join."""
+    authors: frozenset[int]
+    """Instances that may raise the epoch."""
+    failing: frozenset[int]
+    """Instances that may be paused."""
+
+
+CLOCK_MARGIN = "clock_margin"
+COUNT_BEFORE_GIVING = "count_before_giving"
+DEDUCT_BEFORE_SENDING = "deduct_before_sending"
+DEDUPE = "dedupe"
+GIVE_IN_STANDING = "give_in_standing"
+JOIN_FROM_STORE = "join_from_store"
+LIST_AFTER_WRITE = "list_after_write"
+SAME_EPOCH = "same_epoch"
+WAIT_FOR_REVOCATION = "wait_for_revocation"
+RULES = frozenset(
+    {
+        CLOCK_MARGIN,
+        COUNT_BEFORE_GIVING,
+        DEDUCT_BEFORE_SENDING,
+        DEDUPE,
+        GIVE_IN_STANDING,
+        JOIN_FROM_STORE,
+        LIST_AFTER_WRITE,
+        SAME_EPOCH,
+        WAIT_FOR_REVOCATION,
+    }
+)
+"""The rules of the protocol; a mutation leaves one out."""
+
+
+class Count(NamedTuple):
+    """An author's count of one epoch."""
+
+    listed: frozenset[int] | None
+    """Unrevoked members as last read, None before the first read."""
+    reports: tuple[int | None, ...]
+    granted: bool
+
+
+class Node(NamedTuple):
+    """One instance."""
+
+    member: bool
+    standing: bool
+    epoch: int
+    units: int
+    reported: int
+    counted: bool
+    received: frozenset[int]
+    count: Count | None
+
+
+class Transfer(NamedTuple):
+    """A message that may arrive any number of times."""
+
+    number: int
+    epoch: int
+    to: int
+
+
+class State(NamedTuple):
+    """The whole system."""
+
+    epoch: int
+    """Epoch of the share row."""
+    nodes: tuple[Node, ...]
+    sent: tuple[Transfer, ...]
+    owed: tuple[int, ...]
+    """Givers that have sent but not yet deducted; only in a mutation."""
+
+
+Step = tuple[str, State]
+
+OUTSIDE = Node(False, False, 0, 0, 0, True, frozenset(), None)
+FRESH = Node(True, True, 1, 0, 0, True, frozenset(), None)
+INITIAL = State(1, (FRESH._replace(units=TOTAL), FRESH, OUTSIDE), (), ())
+
+
+def _with(state: State, who: int, node: Node) -> State:
+    nodes = (*state.nodes[:who], node, *state.nodes[who + 1 :])
+    return state._replace(nodes=nodes)
+
+
+def _enter(node: Node, epoch: int) -> Node:
+    if epoch <= node.epoch:
+        return node
+    return node._replace(
+        epoch=epoch,
+        reported=node.units,
+        counted=False,
+        received=frozenset(),
+        count=None,
+    )
+
+
+class SharesSpec:
+    """Transitions of the model under a set of rules."""
+
+    def __init__(self, bounds: Bounds, rules: frozenset[str] = RULES) -> None:
+        self._bounds = bounds
+        self._rules = rules
+
+    def check(self) -> dict[str, Any]:
+        """Explore every reachable state."""
+        model = Protocol(
+            name="shares",
+            candidate=False,
+            fields=State._fields,
+            initial=INITIAL,
+            transitions=lambda state: list(self.steps(State(*state))),
+            invariants={"spendable_within_total": self.spendable_within_total},
+        )
+        return check_safety(model)
+
+    @staticmethod
+    def spendable_within_total(state: dict[str, Any]) -> bool:
+        """Return whether the instances in standing hold no more than there is."""
+        return sum(n.units for n in state["nodes"] if n.standing) <= TOTAL
+
+    def steps(self, state: State) -> Iterator[Step]:
+        """Yield every step that may come next."""
+        for who, node in enumerate(state.nodes):
+            if node == OUTSIDE:
+                yield from self._join(state, who)
+                continue
+            yield from self._give(state, who, node)
+            yield from self._learn(state, who, node)
+            yield from self._fail(state, who, node)
+            yield from self._author(state, who, node)
+        for message in state.sent:
+            yield from self._arrive(state, message)
+
+    def _join(self, state: State, who: int) -> Iterator[Step]:
+        if not self._bounds.joins:
+            return
+        epochs = {state.epoch}
+        if JOIN_FROM_STORE not in self._rules:
+            epochs |= {n.epoch for n in state.nodes if n.member}
+        for epoch in epochs:
+            yield f"join {who}", _with(state, who, FRESH._replace(epoch=epoch))
+
+    def _give(self, state: State, who: int, node: Node) -> Iterator[Step]:
+        if who in state.owed:
+            left = tuple(w for w in state.owed if w != who)
+            paid = node._replace(units=max(0, node.units - 1))
+            yield f"deduct {who}", _with(state._replace(owed=left), who, paid)
+            return
+        uncounted = not node.counted and node.reported > 0
+        if uncounted and COUNT_BEFORE_GIVING in self._rules:
+            return
+        if not node.standing and GIVE_IN_STANDING in self._rules:
+            return
+        if not node.units or len(state.sent) == self._bounds.transfers:
+            return
+        for to, other in enumerate(state.nodes):
+            if to == who or other == OUTSIDE:
+                continue
+            message = Transfer(len(state.sent), node.epoch, to)
+            after = state._replace(sent=(*state.sent, message))
+            if DEDUCT_BEFORE_SENDING in self._rules:
+                after = _with(after, who, node._replace(units=node.units - 1))
+            else:
+                after = after._replace(owed=(*state.owed, who))
+            yield f"give {who}->{to}", after
+
+    def _arrive(self, state: State, message: Transfer) -> Iterator[Step]:
+        node = _enter(state.nodes[message.to], message.epoch)
+        if message.epoch != node.epoch and SAME_EPOCH in self._rules:
+            return
+        if message.number in node.received and DEDUPE in self._rules:
+            return
+        units = min(node.units + 1, TOTAL + 1)
+        received = node.received | {message.number}
+        node = node._replace(units=units, received=received)
+        yield f"arrive {message.number}", _with(state, message.to, node)
+
+    def _learn(self, state: State, who: int, node: Node) -> Iterator[Step]:
+        for epoch in range(node.epoch + 1, state.epoch + 1):
+            yield f"learn {who}", _with(state, who, _enter(node, epoch))
+
+    def _fail(self, state: State, who: int, node: Node) -> Iterator[Step]:
+        if node.standing and who in self._bounds.failing:
+            paused = node._replace(standing=False)
+            yield f"pause {who}", _with(state, who, paused)
+        if who not in self._bounds.failing:
+            return
+        if node.member and (not node.standing or CLOCK_MARGIN not in self._rules):
+            yield f"revoke {who}", _with(state, who, node._replace(member=False))
+
+    def _author(self, state: State, who: int, node: Node) -> Iterator[Step]:
+        if state.epoch < self._bounds.epochs and who in self._bounds.authors:
+            raised = state._replace(epoch=state.epoch + 1)
+            listed = None if LIST_AFTER_WRITE in self._rules else _members(INITIAL)
+            count = Count(listed, (None,) * len(state.nodes), False)
+            entered = _enter(node, raised.epoch)._replace(count=count)
+            yield f"raise {who}", _with(raised, who, entered)
+        if node.count is None or node.count.granted:
+            return
+        if node.count.listed is None:
+            count = node.count._replace(listed=_members(state))
+            yield f"list {who}", _with(state, who, node._replace(count=count))
+            return
+        yield from self._count(state, who, node, node.count)
+        yield from self._grant(state, who, node, node.count)
+
+    def _count(
+        self, state: State, who: int, node: Node, count: Count
+    ) -> Iterator[Step]:
+        for other, member in enumerate(state.nodes):
+            if other == who or member.epoch != node.epoch:
+                continue
+            if count.reports[other] is None:
+                reports = list(count.reports)
+                reports[other] = member.reported
+                told = count._replace(reports=tuple(reports))
+                after = _with(state, who, node._replace(count=told))
+                yield f"report {other}->{who}", after
+            elif not member.counted:
+                confirmed = member._replace(counted=True)
+                yield f"confirm {who}->{other}", _with(state, other, confirmed)
+
+    def _grant(
+        self, state: State, who: int, node: Node, count: Count
+    ) -> Iterator[Step]:
+        waiting = (count.listed or frozenset()) & _members(state) - {who}
+        missing = {w for w in waiting if count.reports[w] is None}
+        if missing and WAIT_FOR_REVOCATION in self._rules:
+            return
+        reported = node.reported + sum(r or 0 for r in count.reports)
+        granted = node._replace(
+            units=min(node.units + max(0, TOTAL - reported), TOTAL + 1),
+            counted=True,
+            count=count._replace(granted=True),
+        )
+        yield f"grant {who}", _with(state, who, granted)
+
+
+def _members(state: State) -> frozenset[int]:
+    return frozenset(i for i, node in enumerate(state.nodes) if node.member)
