Count requests refused for good, and the tokens a customer got

Cause: with one customer at 6 times its rate, the tool counted 163 refusals inside the rate, one for each repeat, which says little of what the customer lost.

Change: wrongfully refused requests (after all repeats) and the share of tokens used of those that could be used; refusals by type stay.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/engine/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/engine/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._answers import answer_tokens, expected_answer, prompt_of
+from ._answers import answer_tokens, expected_answer, prompt_of, tokens_in
 from ._config import EngineConfig, Resident
 from ._engine import FakeEngine
 
@@ -13,4 +13,5 @@
     "answer_tokens",
     "expected_answer",
     "prompt_of",
+    "tokens_in",
 ]
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_arrivals.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_arrivals.py
@@ -6,12 +6,14 @@
 from collections.abc import Iterator
 from typing import Literal, NamedTuple
 
-from ..engine import prompt_of
+from ..engine import answer_tokens, prompt_of, tokens_in
 from ..fleet import CustomerAccess, Roster
 
 Kind = Literal["live", "batch", "call"]
 
 BYTES_PER_TOKEN = 4
+CALL_COST = 10.0
+"""Tokens charged for a call of the plain service, as the profiles' routes say."""
 
 
 class LoadPlan(NamedTuple):
@@ -73,13 +75,19 @@
 
     @property
     def cost(self) -> float:
-        """Return the tokens that are reserved: prompt and longest answer."""
+        """Return the tokens that are reserved, for a chat prompt and longest answer."""
+        if self.kind == "call":
+            return CALL_COST
         prompt = -(-len(self.prompt_text.encode()) // BYTES_PER_TOKEN)
         return float(prompt + self.max_tokens)
 
-
-CALL_COST = 10.0
-"""Tokens charged for a call of the plain service, as the profiles' routes say."""
+    @property
+    def expected_use(self) -> float:
+        """Return the tokens that its whole answer uses of the customer's rate."""
+        if self.kind == "call":
+            return CALL_COST
+        tokens = answer_tokens(self.model, self.prompt_text, self.max_tokens)
+        return float(tokens_in(self.prompt_text) + len(tokens))
 
 
 def arrivals(roster: Roster, plan: LoadPlan) -> list[Arrival]:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_caller.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_caller.py
@@ -14,7 +14,7 @@
 from .._errors import NoInstance
 from ..engine import expected_answer
 from ..fleet import CustomerAccess, Roster
-from ._arrivals import CALL_COST, Arrival, LoadPlan
+from ._arrivals import Arrival, LoadPlan
 from ._bucket import RateWitness
 from ._chat_stream import ChatStream
 from ._directory import DirectoryCache
@@ -91,7 +91,7 @@
         refusals: list[Refusal] = []
         inside_at_arrival = False
         for attempt in range(self._plan.retries + 1):
-            cost = CALL_COST if arrival.kind == "call" else arrival.cost
+            cost = arrival.cost
             inside = self._witness.charge(cost, time.monotonic())
             inside_at_arrival = inside_at_arrival or (attempt == 0 and inside)
             result = await self._send(arrival, inside)
@@ -196,7 +196,7 @@
             return _refused(sent, body, inside)
         own = body.get("body_sha256") == hashlib.sha256(payload).hexdigest()
         verdict = Verdict.WHOLE if own and resp.status == 201 else Verdict.WRONG
-        return _Try(verdict, sent, [answered], CALL_COST)
+        return _Try(verdict, sent, [answered], arrival.cost)
 
     def _may_repeat(self, arrival: Arrival, result: _Try) -> bool:
         if result.verdict is Verdict.UNREACHABLE:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_outcome.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_outcome.py
@@ -67,6 +67,11 @@
         """Seconds between tokens on average."""
         return sum(self.gaps) / len(self.gaps) if self.gaps else 0.0
 
+    @property
+    def wrongfully_refused(self) -> bool:
+        """Whether it ended refused although it arrived inside the customer's rate."""
+        return self.verdict is Verdict.REFUSED and self.inside_rate
+
     @property
     def wrongful_refusals(self) -> list[Refusal]:
         """Refusals although the request was inside the customer's rate."""
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_report.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_report.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
-from ..fleet import ObjectivePlan, Roster
+from ..fleet import CustomerPlan, ObjectivePlan, Roster
 from ._arrivals import LoadPlan
 from ._backend_view import BackendView, answered_without_run, false_not_run
 from ._bucket import overspend
@@ -51,6 +51,7 @@
             "attained_per_accelerator_second": self._goodput(),
             "classes": {kind: self._class(kind) for kind in (*CHATS, "call")},
             "customers": self._customers(),
+            "wrongfully_refused": sum(o.wrongfully_refused for o in self.outcomes),
             "worst_customer_attainment": self._worst_customer(),
             "refused": dict(Counter(r.type for r in self._refusals())),
             "wrongful_refusals": self._wrongful(),
@@ -75,11 +76,11 @@
             f"{'first p50':>11}{'p95':>9}{'between p50':>13}{'p95 (ms)':>10}",
             *(_class_line(name, row) for name, row in figures["classes"].items()),
             f"{'customer':16}{'sent':>7}{'whole':>7}{'attained':>10}"
-            f"{'wrongful':>10}{'overspent':>11}",
+            f"{'tokens':>9}{'wrongful':>10}{'overspent':>11}",
             *(_customer_line(n, row) for n, row in figures["customers"].items()),
             "answers: " + _listed(_verdicts(self.outcomes)),
             "refused: " + _listed(figures["refused"]),
-            "refused inside the rate: " + _listed(figures["wrongful_refusals"]),
+            "of these inside the rate: " + _listed(figures["wrongful_refusals"]),
             "promises broken: " + _listed(figures["promises"]),
             "store: " + _listed(figures["store"]),
             f"engines busy {_percent(figures['engines_busy_share'])}; the bench's own"
@@ -126,19 +127,37 @@
 
     def _customer(self, name: str) -> dict[str, Any]:
         chosen = [o for o in self.outcomes if o.arrival.customer == name]
-        wrongful = sum(len(o.wrongful_refusals) for o in chosen)
         return {
             "sent": len(chosen),
             **_verdicts(chosen),
             "attainment": _rounded(
                 self.attainment(lambda o: _is_chat(o) and o.arrival.customer == name)
             ),
-            "wrongful_refusals": wrongful,
+            "wrongfully_refused": sum(o.wrongfully_refused for o in chosen),
+            "served_share": _rounded(self._served_share(name, chosen)),
             "overspent_tokens": self._overspent(name),
         }
 
+    def _served_share(self, name: str, chosen: list[Outcome]) -> float | None:
+        """Return the tokens that a customer used over those that it could.
+
+        It could use what it asked for, up to its burst and its rate for the time
+        from its first send to its last answer.
+        """
+        if not chosen:
+            return None
+        plan = self._customer_plan(name)
+        ended = max(self.plan.seconds, *(outcome.began for outcome in chosen))
+        asked = sum(outcome.arrival.expected_use for outcome in chosen)
+        could = min(asked, plan.burst + plan.rate * ended)
+        used = sum(o.used for o in chosen if o.verdict is Verdict.WHOLE)
+        return used / could
+
+    def _customer_plan(self, name: str) -> CustomerPlan:
+        return next(a.plan for a in self.roster.customers if a.plan.name == name)
+
     def _overspent(self, name: str) -> float:
-        plan = next(a.plan for a in self.roster.customers if a.plan.name == name)
+        plan = self._customer_plan(name)
         uses = [
             (o.sent, o.began, o.used)
             for o in self.outcomes
@@ -243,5 +262,6 @@
     return (
         f"{name:16}{row['sent']:>7}{row.get('whole', 0):>7}"
         f"{_percent(row['attainment']):>10}"
-        f"{row['wrongful_refusals']:>10}{row['overspent_tokens']:>11}"
+        f"{_percent(row['served_share']):>9}{row['wrongfully_refused']:>10}"
+        f"{row['overspent_tokens']:>11}"
     )
--- a/tests/fakes/test_load.py
+++ b/tests/fakes/test_load.py
@@ -57,6 +57,8 @@
         self.tiers.add(body.get("service_tier"))
         prompt = prompt_of(body)
         now = asyncio.get_running_loop().time()
+        if self.refusals_left < 0:
+            return refusal("overloaded", 503, retry_after=None)
         if prompt in self._refused_at:
             self.retried_after.append(now - self._refused_at.pop(prompt))
         elif self.refusals_left:
@@ -236,7 +238,24 @@
         assert len(waits) == 2
         assert min(waits) >= 0.1
         assert verdicts(report) == {Verdict.WHOLE}
-        assert report.as_dict()["wrongful_refusals"] == {"rate_limited": 2}
+        figures = report.as_dict()
+        assert figures["wrongful_refusals"] == {"rate_limited": 2}
+        assert figures["wrongfully_refused"] == 0
+
+    async def test_a_request_that_stays_refused_was_refused_wrongfully(self, fleet):
+        report = await load(fleet, refusals_left=-1)
+        chats = [o for o in report.outcomes if o.arrival.kind != "call"]
+        figures = report.as_dict()
+        assert figures["wrongfully_refused"] == len(chats)
+        assert figures["attainment"] == 0.0
+        for name, row in figures["customers"].items():
+            calls = sum(o.arrival.customer == name for o in report.outcomes) - sum(
+                o.arrival.customer == name for o in chats
+            )
+            asked = calls * 10.0 + sum(
+                o.arrival.expected_use for o in chats if o.arrival.customer == name
+            )
+            assert row["served_share"] == pytest.approx(calls * 10.0 / asked, abs=1e-4)
 
     async def test_an_instance_that_is_down_is_passed_over(self, fleet):
         entries, _ = fleet
