Race operators in any order against lost, late and refused writes

Ruled out: calling a repeat wrong when one send was told "not accepted" and another send of the same attempt was accepted: that answer speaks of its own send only.

--- a/packages/guavajunction/src/guavajunction/configuration/_keeper.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_keeper.py
@@ -29,7 +29,7 @@
 from ._tables import Sections, empty_sections
 
 POLL_SECONDS = 1.0
-"""Mean time between reads of the head row."""
+"""Mean time between reads of the head row, unless the settings say otherwise."""
 
 POLL_JITTER = 0.25
 """Largest part by which the time between two reads differs from its mean."""
@@ -79,9 +79,11 @@
         confirmations: Confirmations,
         clock: Clock,
         *,
+        poll_seconds: float = POLL_SECONDS,
         jitter: Callable[[], float] = random.random,
     ) -> None:
         self._store = store
+        self._poll_seconds = poll_seconds
         self._links = links
         self._confirmations = confirmations
         self._clock = clock
@@ -296,7 +298,7 @@
         self._reading = True
 
     async def _pause(self) -> None:
-        seconds = POLL_SECONDS * (1 + POLL_JITTER * (2 * self._jitter() - 1))
+        seconds = self._poll_seconds * (1 + POLL_JITTER * (2 * self._jitter() - 1))
         sleeping = asyncio.ensure_future(self._clock.sleep(seconds))
         waking = asyncio.ensure_future(self._wake.wait())
         try:
--- a/tests/configuration/test_keeper.py
+++ b/tests/configuration/test_keeper.py
@@ -85,6 +85,15 @@
         assert node.keeper.current.version == 2
         assert len(node.notes.confirmed) == confirmed
 
+    async def test_damaged_row_is_survived(self, fleet):
+        node = fleet.nodes[0]
+        row = fleet.table.rows["configuration", "head"]
+        damaged = row._replace(body=b"?", version=2)
+        fleet.table.rows["configuration", "head"] = damaged
+        await node.keeper.refresh()
+        assert node.keeper.current.version == 1
+        assert len(node.notes.confirmed) == 1
+
     async def test_unreadable_body_is_not_confirmed(self, fleet):
         a, b, _ = fleet.nodes
         fleet.network.isolate(b.links.me)
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from unittest.mock import patch
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from fakes_configuration import (
     Fleet,
@@ -13,6 +17,7 @@
     lose_head_writes,
     rate_change,
 )
+from guavajunction.configuration import Accepted, _store
 from guavajunction.configuration._head import RECENT_ATTEMPTS
 from guavajunction.errors import (
     AcceptanceUnknown,
@@ -115,6 +120,12 @@
         with pytest.raises(AcceptanceUnknown, match="attempt c"):
             await fleet.nodes[0].store.accept(rate_change(7, "c"))
 
+    async def test_unknown_when_later_writes_are_refused(self, fleet):
+        table = fleet.nodes[0].table
+        table.faults = iter([None, "lose_requests", *["refused"] * 99])
+        with pytest.raises(AcceptanceUnknown):
+            await fleet.nodes[0].store.accept(rate_change(7, "c"))
+
     async def test_not_accepted_when_the_store_was_never_reached(self, fleet):
         fleet.nodes[0].table.down = True
         with pytest.raises(StoreUnavailable):
@@ -176,3 +187,59 @@
             (version, ("customers",)) for version in (4, 3, 2)
         ]
         assert (await store.past(1)).attempts[-1].attempt_id == "first"
+
+
+class TestAnyOrder:
+    """What operators are told is true, whatever the store loses and delays."""
+
+    @settings(max_examples=60, deadline=None)
+    @given(
+        changes=st.lists(
+            st.tuples(st.sampled_from(["customers", "objectives"]), st.booleans()),
+            min_size=2,
+            max_size=5,
+        ),
+        faults=st.lists(
+            st.sampled_from([None, "lose_answers", "lose_requests", "late", "refused"])
+        ),
+        seed=st.integers(0, 99),
+    )
+    def test_reports_agree_with_the_history(self, changes, faults, seed):
+        with patch.object(_store, "ACCEPT_ATTEMPTS", 3):
+            asyncio.run(self.race(changes, faults, random.Random(seed)))
+
+    async def race(self, changes, faults, rng):
+        fleet = Fleet("a", "b", "c")
+        await fleet.accept_example()
+        for node in fleet.nodes:
+            node.table.rng, node.table.faults = rng, iter(faults)
+        tasks = []
+        for i, (section, repeated) in enumerate(changes):
+            content = example_sections()[section]
+            content["returns" if section == "customers" else "live"] |= (
+                {"rate": 10.0 + i} if section == "customers" else {"max_wait": 9.0 + i}
+            )
+            change = change_of(
+                {section: content}, attempt_id=f"t{i}", based_on={section: 1}
+            )
+            stores = [fleet.nodes[(i + j) % 3].store for j in range(1 + repeated)]
+            tasks += [(change, store.accept(change)) for store in stores]
+        results = await asyncio.gather(*[t for _, t in tasks], return_exceptions=True)
+        late = [task for node in fleet.nodes for task in node.table.late]
+        await asyncio.gather(*late, return_exceptions=True)
+        history = await fleet.nodes[0].store.history(99)
+        made = {h.attempts[-1].attempt_id: h.version for h in history}
+        assert len(made) == len(history) <= 3
+        told: dict[str, list] = {}
+        for (change, _), result in zip(tasks, results, strict=True):
+            told.setdefault(change.attempt_id, []).append(result)
+        for attempt_id, answers in told.items():
+            self.check(made.get(attempt_id), answers)
+
+    def check(self, version, answers):
+        """Compare what the sends of an attempt were told with the history."""
+        kinds = {type(answer) for answer in answers}
+        versions = {a.version for a in answers if isinstance(a, Accepted)}
+        assert versions <= {version}
+        if SectionConflict in kinds or not kinds & {Accepted, AcceptanceUnknown}:
+            assert version is None
--- a/tests/fakes_configuration.py
+++ b/tests/fakes_configuration.py
@@ -5,8 +5,9 @@
 import asyncio
 import contextlib
 import copy
+import random
 import tomllib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +26,7 @@
     PeerTimeout,
     PendingExpired,
     StoreAnswerLost,
+    StoreUnavailable,
 )
 from guavajunction.platform import Row
 
@@ -85,15 +87,51 @@
 
 
 class RacingTable(FakeTable):
-    """A view of the table whose every call lets other tasks go first."""
+    """A view of the table whose calls let other tasks go first, and may be lost."""
+
+    def __init__(self, root: FakeTable | None = None) -> None:
+        super().__init__(root)
+        self.rng = random.Random(0)
+        """Decides how many other steps go first."""
+        self.faults: Iterator[str | None] = iter(())
+        """For each put `lose_answers`, `lose_requests`, `late`, `refused` or None."""
+        self.late: list[asyncio.Task[Row]] = []
+        """Writes that were given up and take effect later, if they still can."""
+
+    async def put(
+        self, partition: str, sort: str, body: bytes, *, expected: int
+    ) -> Row:
+        """Write a row, with the next fault."""
+        fault = next(self.faults, None)
+        write = super().put(partition, sort, body, expected=expected)
+        if fault == "late":
+            self.late.append(asyncio.ensure_future(self._put_late(write)))
+            await self._give_way()
+            raise StoreAnswerLost("no answer; the write may arrive later")
+        if fault == "refused":
+            write.close()
+            await self._give_way()
+            raise StoreUnavailable("the write was refused")
+        if fault is not None:
+            setattr(self, fault, 1)
+        return await write
+
+    async def _put_late(self, write: Coroutine[Any, Any, Row]) -> Row:
+        for _ in range(self.rng.randint(1, 9)):
+            await self._give_way()
+        return await write
 
     async def _enter(self, operation: str) -> None:
-        await asyncio.sleep(0)
+        await self._give_way()
         await super()._enter(operation)
 
     async def _leave(self) -> None:
         await super()._leave()
-        await asyncio.sleep(0)
+        await self._give_way()
+
+    async def _give_way(self) -> None:
+        for _ in range(self.rng.randint(1, 4)):
+            await asyncio.sleep(0)
 
 
 class Node:
