--- /dev/null
+++ b/tests/specs/test_claim_spec.py
@@ -0,0 +1,49 @@
+"""Checks the model of the claim and shows that each rule is needed."""
+
+from __future__ import annotations
+
+import pytest
+
+from specs.claim_spec import (
+    CLAIM_BEFORE_SENDING,
+    CONDITIONAL_WRITE,
+    GIVE_BACK_OWN_ONLY,
+    GIVE_BACK_UNSENT_ONLY,
+    GIVING_UP_IS_FINAL,
+    NEVER_STEAL,
+    RULES,
+    ClaimSpec,
+)
+
+WITNESS_STATES = 16_000
+"""States among which each counterexample is found."""
+
+SENT, TRUE = "sent_at_most_once", "not_run_is_true"
+
+
+class TestClaimSpec:
+    """A request is sent at most once, and 'not run' is true."""
+
+    @pytest.mark.parametrize(("attempts", "states"), [(2, 87), (3, 1011), (4, 23049)])
+    def test_no_reachable_state_breaks_a_promise(self, attempts, states):
+        found = ClaimSpec(attempts).check()
+        assert found["exhaustive"]
+        assert found["properties"][SENT]["holds"] is True
+        assert found["properties"][TRUE]["holds"] is True
+        assert found["reachable_states"] == states
+
+    @pytest.mark.parametrize(
+        ("rule", "broken"),
+        [
+            (CLAIM_BEFORE_SENDING, SENT),
+            (CONDITIONAL_WRITE, SENT),
+            (GIVE_BACK_OWN_ONLY, SENT),
+            (GIVE_BACK_UNSENT_ONLY, SENT),
+            (GIVING_UP_IS_FINAL, TRUE),
+            (NEVER_STEAL, SENT),
+        ],
+    )
+    def test_each_rule_is_needed(self, rule, broken):
+        found = ClaimSpec(3, RULES - {rule}).check(WITNESS_STATES)["properties"][broken]
+        assert found["holds"] is False
+        assert found["counterexample"][-1]["label"].startswith("send ")
