--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,18 @@
 test: install
 	$(VENV)/bin/pytest
 
+demo: install
+	$(VENV)/bin/guavafakes demo
+
+bench: install
+	$(PYTHON) bench/path.py
+	$(PYTHON) bench/limits.py
+	$(PYTHON) bench/placement.py
+	$(PYTHON) bench/fleet.py
+
+proofs: install
+	$(VENV)/bin/pytest tests/specs -v
+
 docs: install
 	$(PYTHON) tools/reference_pages.py
 
--- a/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
@@ -81,6 +81,7 @@
         self._build_backends()
         self._build_routing()
         self._build_directory()
+        self._build_gauges()
 
     @property
     def own_record(self) -> InstanceRecord:
@@ -248,6 +249,23 @@
             lambda: self.book.total + self.dispatcher.waiting,
         )
 
+    def _build_gauges(self) -> None:
+        counts = self.table.counts
+        gauges = {
+            "in_flight": lambda: self.book.total,
+            "waiting": lambda: self.dispatcher.waiting,
+            "configuration_version": lambda: self.keeper.current.version,
+            "standing": lambda: int(self.membership.standing()),
+            "store_reads_total": lambda: counts["get"] + counts["query"],
+            "store_writes_total": lambda: counts["put"] + counts["delete"],
+            "peer_sent_bytes_total": self._peer_bytes,
+        }
+        for name, read in gauges.items():
+            self.metrics.gauge(name, read)
+
+    def _peer_bytes(self) -> int:
+        return sum(link.sent_bytes for link in self.mesh.traffic().values())
+
     def _session(
         self, connector: aiohttp.TCPConnector | None = None
     ) -> aiohttp.ClientSession:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/commands/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/__init__.py
@@ -20,6 +20,7 @@
     "service": "servers of a plain service",
     "load": "callers of a running fleet",
     "fleet": "a whole fleet on this machine",
+    "demo": "a small fleet that serves requests of each kind and stops",
 }
 """What each command runs, by name."""
 
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/demo.py
@@ -0,0 +1,29 @@
+"""Starts a small fleet, serves real requests and prints what happened and why."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import uvloop
+from absl import flags
+
+from .._errors import FakesError
+from ..demo import Demo
+
+EXIT_FAILED = 1
+
+
+def define(values: flags.FlagValues) -> None:
+    """Declare the flags."""
+    flags.DEFINE_string("var", "var/demo", "folder to write", flag_values=values)
+
+
+def run(values: flags.FlagValues) -> int:
+    """Run the demo."""
+    try:
+        failed = uvloop.run(Demo(Path(values.var)).run())
+    except FakesError as exc:
+        print(f"{type(exc).__name__}: {exc}", file=sys.stderr)
+        return EXIT_FAILED
+    return EXIT_FAILED if failed else 0
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/demo/_demo.py
@@ -0,0 +1,212 @@
+"""Serves requests of each kind on a small fleet and checks what comes back."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from ..engine import expected_answer
+from ..fleet import Fleet, profile_named
+from ..load import LoadPlan, run_load
+
+MODEL = "model-1"
+MAX_TOKENS = 12
+
+
+class _Answer(NamedTuple):
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def request_id(self) -> str:
+        return self.headers.get("x-request-id", "")
+
+
+class Demo:
+    """Each step prints what was asked, what came back, and whether it is right."""
+
+    READY_SECONDS = 20.0
+    LOAD = LoadPlan(seconds=6.0, scale=2.0)
+
+    def __init__(self, var: Path) -> None:
+        """Create a demo.
+
+        Args:
+            var: Folder for settings, secrets and logs.
+        """
+        self._fleet = Fleet(profile_named("demo"), var)
+        self._session: aiohttp.ClientSession
+        self._failed = 0
+
+    async def run(self) -> int:
+        """Run every step.
+
+        Returns:
+            The number of checks that failed.
+        """
+        async with aiohttp.ClientSession() as self._session, self._fleet:
+            await self._fleet.wait_until_ready(within=self.READY_SECONDS)
+            self._say(
+                f"{len(self._fleet.urls)} entry instances,"
+                f" {len(self._fleet.engines)} engines and"
+                f" {len(self._fleet.services)} servers of a plain service run as"
+                " processes of their own"
+            )
+            for step in (
+                self._directory,
+                self._chat,
+                self._booking,
+                self._refusals,
+                self._withdrawn_key,
+                self._killed_instance,
+                self._planned_stop,
+                self._load,
+            ):
+                await step()
+        print(f"\n{self._failed} checks failed" if self._failed else "\nall is well")
+        return self._failed
+
+    async def _directory(self) -> None:
+        answer = await self._send("GET", "/v1/instances")
+        names = [entry["name"] for entry in json.loads(answer.body)["instances"]]
+        self._say(f"the directory ranks {', '.join(names)} for this customer")
+        self._check("every instance is listed", len(names) == len(self._fleet.urls))
+
+    async def _chat(self) -> None:
+        answer = await self._ask("a caption for a blue coat")
+        own = self._is_whole(answer, "a caption for a blue coat")
+        self._check("a streamed chat is whole and its own", own)
+        why = await self._fleet.operate("GET", f"explain/{answer.request_id}")
+        for decision in why["decisions"]:
+            self._say(
+                f"  {decision['what']}: {decision.get('artifact')} on"
+                f" {decision.get('backend')}, because {decision.get('reason')}"
+            )
+
+    async def _booking(self) -> None:
+        first = await self._book("demo-booking", entry=0)
+        repeat = await self._book("demo-booking", entry=1)
+        runs = [await self._fleet.stats(url) for url in self._fleet.service_urls]
+        self._check(
+            "a booking and its repeat on another instance get one answer",
+            first.status == 201 and first.body == repeat.body,
+        )
+        self._check("it ran once", sum(each["runs"] for each in runs) == 1)
+
+    async def _refusals(self) -> None:
+        burst = int(self._fleet.customers[1].plan.burst)
+        key = self._fleet.customers[1].key
+        asks = [self._ask(f"{i}", burst // 3, key=key, entry=i % 3) for i in range(6)]
+        refused = [a for a in await asyncio.gather(*asks) if a.status == 429]
+        for answer in refused[:1]:
+            error = json.loads(answer.body)["error"]
+            self._say(
+                f"  {error['message']}; come back in {error['retry_after']:.1f} s"
+            )
+        self._check("a customer over its burst is refused", bool(refused))
+        unknown = await self._ask("hello", model="nobody")
+        self._check("an unknown model is told as such", unknown.status == 404)
+
+    async def _withdrawn_key(self) -> None:
+        name = self._fleet.customers[0].plan.name
+        issued = await self._fleet.operate("POST", "keys", {"customer": name})
+        key = issued["key"]
+        before = await self._send("GET", "/v1/models", key=key)
+        await self._fleet.operate("DELETE", f"keys/{issued['key_id']}", {}, index=2)
+        after = before
+        for _ in range(30):
+            after = await self._send("GET", "/v1/models", key=key)
+            if after.status == 401:
+                break
+            await asyncio.sleep(0.1)
+        self._check(
+            "a withdrawn key stops on an open connection within 3 s",
+            (before.status, after.status) == (200, 401),
+        )
+
+    async def _killed_instance(self) -> None:
+        await self._fleet.kill(1)
+        answer = await self._ask("is anybody there?")
+        whole = self._is_whole(answer, "is anybody there?")
+        self._check("with one instance killed the others serve", whole)
+        await self._fleet.start(1)
+
+    async def _planned_stop(self) -> None:
+        prompt = "an answer that outlives the stop"
+        chat = asyncio.ensure_future(self._ask(prompt, 100, entry=2))
+        await asyncio.sleep(0.2)
+        status = await self._fleet.stop(2)
+        whole = self._is_whole(await chat, prompt, 100)
+        self._check("a planned stop cuts no answer and exits 0", whole and not status)
+        await self._fleet.start(2)
+
+    async def _load(self) -> None:
+        report = await run_load(self._fleet.roster(), self.LOAD)
+        print(report.table())
+        broken = {k: v for k, v in report.as_dict()["promises"].items() if v}
+        self._check("no promise was broken under load", not broken)
+
+    async def _ask(
+        self,
+        prompt: str,
+        max_tokens: int = MAX_TOKENS,
+        *,
+        model: str = MODEL,
+        **kwargs: Any,
+    ) -> _Answer:
+        body = {
+            "model": model,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        return await self._send("POST", "/v1/chat/completions", json=body, **kwargs)
+
+    async def _book(self, idempotency_key: str, *, entry: int) -> _Answer:
+        return await self._send(
+            "POST",
+            "/services/booking/bookings",
+            entry=entry,
+            headers={"Idempotency-Key": idempotency_key},
+            data=b'{"studio": 7}',
+        )
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        *,
+        entry: int = 0,
+        key: str = "",
+        headers: dict[str, str] | None = None,
+        **kwargs: Any,
+    ) -> _Answer:
+        key = key or self._fleet.customers[0].key
+        sent = {"Authorization": f"Bearer {key}", **(headers or {})}
+        url = self._fleet.urls[entry] + path
+        async with self._session.request(method, url, headers=sent, **kwargs) as resp:
+            names = {name.lower(): value for name, value in resp.headers.items()}
+            return _Answer(resp.status, names, await resp.read())
+
+    def _is_whole(
+        self, answer: _Answer, prompt: str, max_tokens: int = MAX_TOKENS
+    ) -> bool:
+        lines = answer.body.decode().split("\n")
+        events = [x.removeprefix("data: ") for x in lines if x.startswith("data: ")]
+        if answer.status != 200 or events[-1:] != ["[DONE]"]:
+            return False
+        chunks = [json.loads(event) for event in events[:-1]]
+        text = "".join(c["choices"][0]["delta"].get("content", "") for c in chunks)
+        return text == expected_answer(f"{MODEL}@1", prompt, max_tokens)
+
+    def _check(self, what: str, holds: bool) -> None:
+        self._failed += not holds
+        print(f"{'ok    ' if holds else 'FAILED'} {what}", flush=True)
+
+    def _say(self, what: str) -> None:
+        print(f"       {what}", flush=True)
--- a/packages/guavajunction/src/guavajunction/metrics/_token_times.py
+++ b/packages/guavajunction/src/guavajunction/metrics/_token_times.py
@@ -1,4 +1,4 @@
-"""Times of one answer's tokens."""
+"""Times of one request and of its answer's tokens."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 
 class TokenTimes:
-    """Records the first token and the gaps between tokens of one answer."""
+    """Records the wait, the first token and the gaps between tokens."""
 
     def __init__(
         self,
@@ -20,7 +20,12 @@
         artifact: str,
     ) -> None:
         self._clock = clock
+        self._arrived = arrived
         self._last = arrived
+        self._waits = (
+            metrics.recorder("queue_wait_seconds", objective=objective),
+            metrics.recorder("queue_wait_seconds", customer=customer),
+        )
         name = "first_token_seconds"
         self._first = (
             metrics.recorder(name, objective=objective),
@@ -30,6 +35,12 @@
         self._between = metrics.recorder("between_tokens_seconds", objective=objective)
         self._begun = False
 
+    def on_slot(self) -> None:
+        """Note that the request left the queue."""
+        waited = self._clock.monotonic() - self._arrived
+        for recorder in self._waits:
+            recorder.record(waited)
+
     def on_tokens(self, count: int) -> None:
         """Note that some events of the answer arrived together."""
         now = self._clock.monotonic()
--- a/packages/guavajunction/src/guavajunction/routing/_answer.py
+++ b/packages/guavajunction/src/guavajunction/routing/_answer.py
@@ -31,7 +31,11 @@
 
 
 class AnswerTimes(Protocol):
-    """Receives the times of an answer's tokens."""
+    """Receives the times of a request and its answer's tokens."""
+
+    def on_slot(self) -> None:
+        """Note that the request left the queue for the first time."""
+        ...
 
     def on_tokens(self, count: int) -> None:
         """Note that some events of the stream arrived together."""
--- a/packages/guavajunction/src/guavajunction/routing/_inference_router.py
+++ b/packages/guavajunction/src/guavajunction/routing/_inference_router.py
@@ -82,7 +82,10 @@
         last: Grant | None = None
         for _ in range(self.MAX_ATTEMPTS):
             try:
+                first = last is None
                 last = await self._next_grant(out, call, last, failures)
+                if first:
+                    times.on_slot()
                 return await self._attempt(call, last, check_allowed)
             except (Overloaded, NoReplica) as exc:
                 raise self._final(exc, failure, call) from exc
--- a/tests/routing/test_relay.py
+++ b/tests/routing/test_relay.py
@@ -54,6 +54,9 @@
 class Times:
     """Takes no notice of tokens."""
 
+    def on_slot(self):
+        pass
+
     def on_tokens(self, count):
         pass
 
