Specify views, and test each rule of membership by itself

The view had no specification. Ruled out: counting peers by their own view, or letting voters hold several notes: each gives a counterexample in view_spec. A view is now written only over the view that was announced, as the specification has it.

--- a/packages/guavajunction/src/guavajunction/membership/_announcer.py
+++ b/packages/guavajunction/src/guavajunction/membership/_announcer.py
@@ -28,7 +28,9 @@
 class Announcement:
     """A change that a majority knows of."""
 
-    def __init__(self, clock: Clock, valid_until: float) -> None:
+    def __init__(self, clock: Clock, valid_until: float, view: int) -> None:
+        self.view = view
+        """Number of the view whose majority knows of the change."""
         self._clock = clock
         self._valid_until = valid_until
 
@@ -97,7 +99,7 @@
         valid_until = started + self._cfg.pending_validity
         try:
             async with asyncio.timeout(self._cfg.pending_validity):
-                yield Announcement(self._clock, valid_until)
+                yield Announcement(self._clock, valid_until, note.view)
         except (AcceptanceUnknown, StoreAnswerLost, PendingExpired):
             self._wake()
             raise
--- a/packages/guavajunction/src/guavajunction/membership/_upkeep.py
+++ b/packages/guavajunction/src/guavajunction/membership/_upkeep.py
@@ -86,6 +86,8 @@
         async with self._announcer.pending("view") as announcement:
             await self._table.read()
             announcement.check()
+            if self._observer.view.number != announcement.view:
+                raise ConditionFailed("the view has changed meanwhile")
             await self._write_view()
 
     async def revoke_silent(self) -> None:
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -15,8 +15,10 @@
     NoMajority,
     PendingExpired,
     PlatformError,
+    StoreAnswerLost,
 )
 from guavajunction.membership import Membership, MembershipConfig
+from guavajunction.membership._messages import Pending, PendingAck
 from guavajunction.peers import PeerId
 from guavajunction.platform import InstanceRecord
 
@@ -256,6 +258,17 @@
             await change_late(a, fleet)
         assert a.membership._notes.blocked
 
+    @pytest.mark.parametrize("behind", [-1, 1])
+    async def test_note_of_another_view_is_refused(
+        self, fleet: Fleet, behind: int
+    ) -> None:
+        a, b, _c = await fleet.start("a", "b", "c")
+        number = b.membership._observer.view.number
+        for view, held in ((number + behind, False), (number, True)):
+            note = Pending(f"n{view}", "configuration", view)
+            ack = await a.links.ask(b.me, note, PendingAck, timeout=1)
+            assert ack.held is held
+
     async def test_voter_with_another_view_does_not_acknowledge(
         self, fleet: Fleet
     ) -> None:
@@ -327,6 +340,22 @@
         assert fleet.voters == {"a", "b", "c"}
         assert not any(n.membership.lost.is_set() for n in (a, b, c))
 
+    async def test_end_of_an_outage_for_writes_revokes_nobody(
+        self, fleet: Fleet
+    ) -> None:
+        nodes = await fleet.start("a", "b", "c")
+        for node in nodes:
+            node.table.lose_requests = 10_000
+        await fleet.run(CFG.lease + CFG.drift_margin + 2)
+        author = next(n for n in nodes if n.membership.author("member-view") == n.me)
+        author.table.lose_requests = 0
+        await fleet.run(2)
+        for node in nodes:
+            node.table.lose_requests = 0
+        await fleet.run(10)
+        assert fleet.voters == {"a", "b", "c"}
+        assert not any(node.membership.lost.is_set() for node in nodes)
+
     async def test_restart_at_the_same_address_frees_the_predecessor(
         self, fleet: Fleet
     ) -> None:
@@ -365,6 +394,29 @@
         assert a.standing
         assert not a.membership.lost.is_set()
 
+    async def test_one_renewal_makes_up_for_a_lost_answer(self, fleet: Fleet) -> None:
+        a, *_ = await fleet.start("a", "b", "c")
+        a.table.lose_answers = 1
+        with pytest.raises(StoreAnswerLost):
+            await a.membership.renew()
+        fleet.clock.advance(1)
+        await a.membership.renew()
+        assert a.membership._rule.renewed_at == fleet.clock.monotonic()
+
+    @pytest.mark.parametrize("job", ["renew", "poll"])
+    async def test_revocation_ends_standing_at_once(
+        self, fleet: Fleet, job: str
+    ) -> None:
+        a, _b, c = await fleet.start("a", "b", "c")
+        await c.read()
+        await a.read()
+        row = a.membership._observer.members[c.me]
+        await a.membership._table.mark(row, "revoked")
+        assert c.standing
+        await getattr(c.membership, job)()
+        assert c.membership.lost.is_set()
+        assert not c.standing
+
     async def test_graceful_leave_frees_the_member_at_once(self, fleet: Fleet) -> None:
         a, _b, c = await fleet.start("a", "b", "c")
         await c.membership.leave()
--- /dev/null
+++ b/tests/specs/test_view_spec.py
@@ -0,0 +1,50 @@
+"""Majorities hold while members come and go, and break without any one rule."""
+
+from __future__ import annotations
+
+import pytest
+from minicheck import check_safety
+
+from specs.view_spec import Rules, view_model
+
+PROPERTY = "no majority trusts the old configuration"
+WITNESS_STATES = 22_000
+"""States among which each counterexample is found, breadth first."""
+
+
+class TestViewSpec:
+    """Checks of `guavajunction.membership`, views and notes."""
+
+    def test_no_majority_outlives_a_change(self, record_property) -> None:
+        result = check_safety(view_model())
+        record_property("states", result["reachable_states"])
+        assert result["properties"][PROPERTY]["holds"] is True
+        assert result["reachable_states"] > 10_000
+
+    def test_change_lands_in_the_last_view(self) -> None:
+        model = view_model()
+        model.invariants = {
+            "nothing lands": lambda state: not (state["head"] and state["view"] == 2)
+        }
+        result = check_safety(model, max_states=WITNESS_STATES)
+        assert result["properties"]["nothing lands"]["holds"] is False
+
+    @pytest.mark.parametrize(
+        "rules",
+        [
+            Rules(same_view=False),
+            Rules(ack_same_view=False),
+            Rules(one_note=False),
+            Rules(views_announced=False),
+        ],
+        ids=[
+            "peers of any view counted",
+            "any view acknowledged",
+            "several notes",
+            "views unannounced",
+        ],
+    )
+    def test_each_rule_is_needed(self, rules: Rules) -> None:
+        result = check_safety(view_model(rules), max_states=WITNESS_STATES)
+        assert result["properties"][PROPERTY]["holds"] is False
+        assert result["properties"][PROPERTY]["counterexample"]
--- /dev/null
+++ b/tests/specs/view_spec.py
@@ -0,0 +1,231 @@
+"""Specification of views: majorities while members come and go.
+
+Describes `guavajunction.membership`: `_upkeep.Upkeep.keep_view`, `_announcer.Announcer`
+(whose rule `_enough` is run here as it is), `_note_book.NoteBook` and the majority of
+`_standing.StandingRule`.
+
+The view goes through a fixed sequence. Two announcements of a view and one of a
+configuration may overlap, from any node and any view that the node has read. Times
+are left out: outage_spec covers them. A note is kept until its write has landed or
+never will, which is what `settle_bound` waits for.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from guavajunction.membership._announcer import _enough
+from guavajunction.membership._model import View
+from guavajunction.peers import PeerId
+
+FREE = 0
+"""No note is held."""
+
+CONFIGURATION = 1
+VIEW_CHANGES = (2, 3)
+
+
+class Rules(NamedTuple):
+    """The design, each part of which a test can take away."""
+
+    views: tuple[tuple[int, ...], ...] = ((0,), (0, 1, 2), (1,))
+    """Voters of each view."""
+    same_view: bool = True
+    """Whether a majority counts only peers that know the same view."""
+    ack_same_view: bool = True
+    """Whether a voter acknowledges only announcements in the view that it knows."""
+    one_note: bool = True
+    """Whether a voter that holds a note refuses another."""
+    views_announced: bool = True
+    """Whether a change of the view needs a majority that holds its note."""
+
+    @property
+    def nodes(self) -> range:
+        """Return the numbers of all nodes."""
+        return range(1 + max(max(voters) for voters in self.views))
+
+    def view(self, number: int) -> View:
+        """Return a view by its number."""
+        names = (PeerId(str(node), "1") for node in self.views[number])
+        return View(number, tuple(names))
+
+
+DESIGN = Rules()
+
+
+class Node(NamedTuple):
+    """One member."""
+
+    view: int
+    version: int
+    notes: frozenset[int]
+    """Announcements whose note it holds; at most one by the rules."""
+
+
+class Announcement(NamedTuple):
+    """One announced change."""
+
+    phase: str
+    view: int
+    """The view in which it was announced."""
+
+
+class State(NamedTuple):
+    """One state; `view` and `head` are what the store holds."""
+
+    view: int
+    head: int
+    nodes: tuple[Node, ...]
+    announcements: tuple[Announcement, ...]
+    """By number from 1: the configuration, then changes of the view."""
+
+
+def view_model(rules: Rules = DESIGN) -> Protocol:
+    """Return the model under the given rules."""
+    nodes = tuple(Node(0, 0, frozenset()) for _ in rules.nodes)
+    idle = Announcement("idle", 0)
+    return Protocol(
+        name="views",
+        candidate=False,
+        fields=State._fields,
+        initial=State(0, 0, nodes, (idle, idle, idle)),
+        transitions=lambda state: _transitions(State(*state), rules),
+        invariants={
+            "no majority trusts the old configuration": lambda state: (
+                not state["head"]
+                or not any(_stands(node, state["nodes"], rules) for node in rules.nodes)
+            )
+        },
+    )
+
+
+def _stands(me: int, nodes: tuple[Node, ...], rules: Rules) -> bool:
+    """Return whether a node with the old configuration serves on a majority."""
+    own = nodes[me]
+    voters = rules.views[own.view]
+    if own.version or own.notes or me not in voters:
+        return False
+    votes = sum(_votes(nodes[voter], own, rules) for voter in voters)
+    return votes >= rules.view(own.view).majority
+
+
+def _votes(peer: Node, own: Node, rules: Rules) -> bool:
+    same_view = peer.view == own.view or not rules.same_view
+    return same_view and not peer.notes and peer.version <= own.version
+
+
+def _transitions(s: State, rules: Rules) -> list[tuple[str, State]]:
+    steps = []
+    for node in rules.nodes:
+        steps.append((f"{node} reads the store", _read(s, node)))
+    for number in (CONFIGURATION, *VIEW_CHANGES):
+        steps += _announcement_steps(s, number, rules)
+    return steps
+
+
+def _read(s: State, node: int) -> State:
+    kept = {n for n in s.nodes[node].notes if _phase(s, n) in ("announced", "sent")}
+    return _set_node(s, node, Node(s.view, s.head, frozenset(kept)))
+
+
+def _announcement_steps(s: State, number: int, rules: Rules) -> list[tuple[str, State]]:
+    phase = _phase(s, number)
+    if phase == "idle":
+        return _announce(s, number, rules)
+    if phase == "announced":
+        return _acknowledge(s, number, rules) + _send(s, number, rules)
+    if phase == "sent":
+        return [
+            (f"write of {number} lands", _land(s, number)),
+            (f"write of {number} is dropped", _set_phase(s, number, "over")),
+        ]
+    return _release(s, number, rules)
+
+
+def _announce(s: State, number: int, rules: Rules) -> list[tuple[str, State]]:
+    steps = []
+    for node in rules.nodes:
+        view = s.nodes[node].view
+        last = view == len(rules.views) - 1
+        if (last and number != CONFIGURATION) or not _may_hold(s, node, rules):
+            continue
+        announced = _hold(s, node, number)
+        announced = _set(announced, number, Announcement("announced", view))
+        steps.append((f"{node} announces {number} in view {view}", announced))
+    return steps
+
+
+def _acknowledge(s: State, number: int, rules: Rules) -> list[tuple[str, State]]:
+    view = s.announcements[number - 1].view
+    steps = []
+    for node in rules.views[view]:
+        same_view = s.nodes[node].view == view or not rules.ack_same_view
+        holds = number in s.nodes[node].notes
+        if same_view and not holds and _may_hold(s, node, rules):
+            steps.append((f"{node} holds {number}", _hold(s, node, number)))
+    return steps
+
+
+def _send(s: State, number: int, rules: Rules) -> list[tuple[str, State]]:
+    steps = [(f"{number} is given up", _set_phase(s, number, "cancelled"))]
+    view = rules.view(s.announcements[number - 1].view)
+    voters = rules.views[view.number]
+    held = sum(number in s.nodes[voter].notes for voter in voters)
+    unannounced = number in VIEW_CHANGES and not rules.views_announced
+    if unannounced or _enough(held, 0, view):
+        steps.append((f"{number} is sent", _set_phase(s, number, "sent")))
+    return steps
+
+
+def _land(s: State, number: int) -> State:
+    landed = _set_phase(s, number, "over")
+    if number == CONFIGURATION:
+        return landed._replace(head=1)
+    announced_in = s.announcements[number - 1].view
+    if s.view != announced_in:
+        return landed
+    return landed._replace(view=announced_in + 1)
+
+
+def _release(s: State, number: int, rules: Rules) -> list[tuple[str, State]]:
+    if _phase(s, number) != "cancelled":
+        return []
+    return [
+        (f"{node} drops {number}", _set_node(s, node, _without(s.nodes[node], number)))
+        for node in rules.nodes
+        if number in s.nodes[node].notes
+    ]
+
+
+def _may_hold(s: State, node: int, rules: Rules) -> bool:
+    return not s.nodes[node].notes or not rules.one_note
+
+
+def _hold(s: State, node: int, number: int) -> State:
+    own = s.nodes[node]
+    return _set_node(s, node, own._replace(notes=own.notes | {number}))
+
+
+def _without(node: Node, number: int) -> Node:
+    return node._replace(notes=node.notes - {number})
+
+
+def _phase(s: State, number: int) -> str:
+    return s.announcements[number - 1].phase
+
+
+def _set_phase(s: State, number: int, phase: str) -> State:
+    return _set(s, number, s.announcements[number - 1]._replace(phase=phase))
+
+
+def _set(s: State, number: int, announcement: Announcement) -> State:
+    changed = list(s.announcements)
+    changed[number - 1] = announcement
+    return s._replace(announcements=tuple(changed))
+
+
+def _set_node(s: State, node: int, own: Node) -> State:
+    nodes = (*s.nodes[:node], own, *s.nodes[node + 1 :])
+    return s._replace(nodes=nodes)
