--- a/packages/guavajunction/src/guavajunction/peers/_link.py
+++ b/packages/guavajunction/src/guavajunction/peers/_link.py
@@ -18,6 +18,8 @@
     HIGH_WATER_MARK_MESSAGES = 1000
     RECONNECT_MILLISECONDS = 100
     RECONNECT_MAX_MILLISECONDS = 2000
+    CONNECT_MILLISECONDS = 2000
+    UNACKNOWLEDGED_MILLISECONDS = 5000
 
     def __init__(
         self, context: zmq.asyncio.Context, address: str, keys: FleetKeys
@@ -43,7 +45,9 @@
         sock.immediate = 1
         sock.reconnect_ivl = self.RECONNECT_MILLISECONDS
         sock.reconnect_ivl_max = self.RECONNECT_MAX_MILLISECONDS
-        sock.tcp_keepalive = 1
+        sock.connect_timeout = self.CONNECT_MILLISECONDS
+        # After a cut, TCP alone would wait minutes before it sends again.
+        sock.tcp_maxrt = self.UNACKNOWLEDGED_MILLISECONDS
         sock.curve_serverkey = keys.public.encode("ascii")
         sock.curve_publickey = keys.public.encode("ascii")
         sock.curve_secretkey = keys.secret.encode("ascii")
--- a/packages/guavajunction/src/guavajunction/peers/_mesh.py
+++ b/packages/guavajunction/src/guavajunction/peers/_mesh.py
@@ -60,6 +60,7 @@
     FORGET_SECONDS = 60.0
     REMEMBERED_HEARTBEATS = 240
     MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+    KEEPALIVE_IDLE_SECONDS = 30
 
     def __init__(
         self,
@@ -239,6 +240,7 @@
         router.linger = 0
         router.maxmsgsize = self.MAX_MESSAGE_BYTES
         router.tcp_keepalive = 1
+        router.tcp_keepalive_idle = self.KEEPALIVE_IDLE_SECONDS
         router.curve_server = 1
         router.curve_publickey = self._keys.public.encode("ascii")
         router.curve_secretkey = self._keys.secret.encode("ascii")
