Write bodies before the members are warned of a change

Cause: a trial on three real entry instances with the object store down: the failed change left its note with the members, and the next changes were refused for 8 s with "no majority". A lost answer to an object write looked like an unknown acceptance. Change: bodies go to the object store before the note is asked for; only a lost answer to the write of the head row leaves the outcome unknown. Ruled out: a fault of the notes themselves (they ended after their bound, as told).

--- a/packages/guavajunction/src/guavajunction/configuration/_bodies.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_bodies.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from guavajunction.clock import Clock
-from guavajunction.errors import ObjectCorrupt, PlatformError
+from guavajunction.errors import ObjectCorrupt, PlatformError, StoreUnavailable
 from guavajunction.platform import ObjectStore
 
 from ._head import SectionRef
@@ -45,24 +45,20 @@
         self._jitter = jitter
         self._latest: dict[str, tuple[str, Section]] = {}
 
-    async def write(self, section: str, body: bytes) -> str:
-        """Store a body and return its digest.
+    async def write(self, section: str, body: bytes) -> None:
+        """Store a body under its digest.
 
         Raises:
-            PlatformError: The store did not answer any of several attempts.
+            StoreUnavailable: The store did not confirm any of several attempts.
         """
-        digest = digest_of(body)
-        name = f"configuration/{section}/{digest}"
+        name = f"configuration/{section}/{digest_of(body)}"
         for attempt in range(WRITE_ATTEMPTS):
             try:
-                await self._objects.put(name, body)
-            except PlatformError:
-                if attempt == WRITE_ATTEMPTS - 1:
-                    raise
+                return await self._objects.put(name, body)
+            except PlatformError as exc:
+                failure = exc
                 await self._pause(attempt)
-            else:
-                break
-        return digest
+        raise StoreUnavailable(f"not accepted: {failure.message}") from failure
 
     async def read_all(self, refs: dict[str, SectionRef]) -> Sections:
         """Read the whole document that a head refers to.
--- a/packages/guavajunction/src/guavajunction/configuration/_editor.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_editor.py
@@ -121,6 +121,8 @@
 
     async def _accept(self, change: Change) -> Accepted:
         try:
+            # Members are warned for no longer than the write of the row takes.
+            await self._store.write_bodies(change.sections)
             async with self._notes.pending(PENDING_KIND) as note:
                 accepted = await self._store.accept(change, check=note.check)
         except (AcceptanceUnknown, PendingExpired) as exc:
--- a/packages/guavajunction/src/guavajunction/configuration/_store.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_store.py
@@ -18,6 +18,7 @@
     PlatformError,
     SectionConflict,
     StoreAnswerLost,
+    StoreUnavailable,
 )
 from guavajunction.platform import ObjectStore, TableService
 
@@ -123,7 +124,8 @@
         """Make a change the accepted configuration, unless it conflicts.
 
         Sections that others changed meanwhile are kept as they are. Repeating a
-        change with the same attempt id accepts it at most once.
+        change with the same attempt id accepts it at most once. The bodies of the
+        sections must have been written.
 
         Args:
             change: The sections to replace.
@@ -139,7 +141,7 @@
             GuavaError: The change is not accepted, as the store or the check failed.
             AcceptanceUnknown: It may or may not have been accepted.
         """
-        bodies = await self._write_bodies(change.sections)
+        bodies = _encode(change.sections)
         pending = _PendingWrite()
         for attempt in range(ACCEPT_ATTEMPTS):
             await self._pause(attempt)
@@ -153,7 +155,17 @@
                 raise
         if pending.open:
             raise AcceptanceUnknown(_unknown(change)) from failure
-        raise failure
+        # A lost answer to another write must not pass for that of the head row.
+        raise StoreUnavailable(f"not accepted: {failure.message}") from failure
+
+    async def write_bodies(self, sections: Sections) -> None:
+        """Store the bodies of sections, before the head row can name them.
+
+        Raises:
+            StoreUnavailable: A body was not stored in several attempts.
+        """
+        for name, body in _encode(sections).items():
+            await self.bodies.write(name, body)
 
     async def history(self, limit: int) -> list[Head]:
         """Return the latest accepted versions, the last one first.
@@ -183,12 +195,6 @@
             raise EntryUnknown(f"Version {version} was never replaced.")
         return decode_history(row)
 
-    async def _write_bodies(self, sections: Sections) -> dict[str, bytes]:
-        bodies = {name: encode_section(table) for name, table in sections.items()}
-        for name, body in bodies.items():
-            await self.bodies.write(name, body)
-        return bodies
-
     async def _accept_once(
         self,
         change: Change,
@@ -288,6 +294,10 @@
             self._expected = None
 
 
+def _encode(sections: Sections) -> dict[str, bytes]:
+    return {name: encode_section(table) for name, table in sections.items()}
+
+
 def _changed_meanwhile(change: Change, head: Head) -> str | None:
     """Return a section of a change whose version is not the one it was made from."""
     for name in change.sections:
--- a/tests/configuration/test_editor.py
+++ b/tests/configuration/test_editor.py
@@ -13,7 +13,12 @@
     lose_head_writes,
     rate_change,
 )
-from guavajunction.errors import AcceptanceUnknown, EntryUnknown, PeerTimeout
+from guavajunction.errors import (
+    AcceptanceUnknown,
+    EntryUnknown,
+    PeerTimeout,
+    StoreUnavailable,
+)
 
 
 @pytest.fixture
@@ -40,6 +45,17 @@
             await node.editor.apply(rate_change(7, "c"))
         assert (await node.store.read_head()).version == 1
 
+    @pytest.mark.parametrize("lost", ["bodies", "history"])
+    async def test_other_lost_answers_leave_no_note(self, fleet, lost):
+        node = fleet.nodes[0]
+        if lost == "bodies":
+            fleet.objects.lose_answers = 99
+        else:
+            node.table.faults = iter(["lose_requests"] * 99)
+        with pytest.raises(StoreUnavailable):
+            await node.editor.apply(rate_change(7, "c"))
+        assert node.notes.open == 0
+
     async def test_note_outlives_an_unknown_outcome(self, fleet):
         node = fleet.nodes[0]
         lose_head_writes(node)
--- a/tests/configuration/test_store.py
+++ b/tests/configuration/test_store.py
@@ -12,6 +12,7 @@
 
 from fakes_configuration import (
     Fleet,
+    accept,
     change_of,
     example_sections,
     lose_head_writes,
@@ -62,7 +63,7 @@
             {"objectives": objectives}, attempt_id="o", based_on={"objectives": 1}
         )
         a, b = (node.store for node in fleet.nodes)
-        results = await asyncio.gather(a.accept(rate_change(7, "c")), b.accept(other))
+        results = await asyncio.gather(accept(a, rate_change(7, "c")), accept(b, other))
         assert sorted(accepted.version for accepted in results) == [2, 3]
         cfg = await a.load(await a.read_head())
         assert cfg.customers["returns"].rate == 7
@@ -71,8 +72,8 @@
     async def test_same_section_conflicts_and_names_the_other(self, fleet):
         a, b = (node.store for node in fleet.nodes)
         results = await asyncio.gather(
-            a.accept(rate_change(7, "c")),
-            b.accept(rate_change(8, "d")),
+            accept(a, rate_change(7, "c")),
+            accept(b, rate_change(8, "d")),
             return_exceptions=True,
         )
         (conflict,) = [r for r in results if isinstance(r, SectionConflict)]
@@ -92,7 +93,7 @@
         key = change_of({"keys": keys}, attempt_id="k", based_on={"keys": 1})
         a, b = (node.store for node in fleet.nodes)
         results = await asyncio.gather(
-            a.accept(removal), b.accept(key), return_exceptions=True
+            accept(a, removal), accept(b, key), return_exceptions=True
         )
         assert [type(r) for r in results].count(DocumentInvalid) == 1
         assert (await a.read_head()).version == 2
@@ -105,36 +106,36 @@
     async def test_change_is_accepted_once(self, fleet, fault):
         node = fleet.nodes[0]
         setattr(node.table, fault, 3)
-        accepted = await node.store.accept(rate_change(7, "c"))
+        accepted = await accept(node.store, rate_change(7, "c"))
         assert accepted.version == 2
         assert (await node.store.read_head()).version == 2
 
     async def test_recognised_after_another_change_on_top(self, fleet):
         a, b = fleet.nodes
-        overtake(a, lambda: b.store.accept(rate_change(8, "d", version=2)))
-        assert (await a.store.accept(rate_change(7, "c"))).version == 2
+        overtake(a, lambda: accept(b.store, rate_change(8, "d", version=2)))
+        assert (await accept(a.store, rate_change(7, "c"))).version == 2
         assert (await b.store.read_head()).version == 3
 
     async def test_unknown_when_the_store_stays_silent(self, fleet):
         lose_head_writes(fleet.nodes[0])
         with pytest.raises(AcceptanceUnknown, match="attempt c"):
-            await fleet.nodes[0].store.accept(rate_change(7, "c"))
+            await accept(fleet.nodes[0].store, rate_change(7, "c"))
 
     async def test_unknown_when_later_writes_are_refused(self, fleet):
         table = fleet.nodes[0].table
         table.faults = iter([None, "lose_requests", *["refused"] * 99])
         with pytest.raises(AcceptanceUnknown):
-            await fleet.nodes[0].store.accept(rate_change(7, "c"))
+            await accept(fleet.nodes[0].store, rate_change(7, "c"))
 
     async def test_not_accepted_when_the_store_was_never_reached(self, fleet):
         fleet.nodes[0].table.down = True
         with pytest.raises(StoreUnavailable):
-            await fleet.nodes[0].store.accept(rate_change(7, "c"))
+            await accept(fleet.nodes[0].store, rate_change(7, "c"))
 
     async def test_repeat_at_another_instance_changes_nothing(self, fleet):
         a, b = (node.store for node in fleet.nodes)
-        first = await a.accept(rate_change(7, "c"))
-        again = await b.accept(rate_change(7, "c"))
+        first = await accept(a, rate_change(7, "c"))
+        again = await accept(b, rate_change(7, "c"))
         assert first.version == again.version == (await a.read_head()).version == 2
 
     async def test_found_in_the_history_once_the_row_has_forgotten_it(self, fleet):
@@ -142,12 +143,12 @@
 
         async def many():
             for i in range(RECENT_ATTEMPTS + 1):
-                await b.store.accept(rate_change(9 + i, f"d{i}", version=2 + i))
+                await accept(b.store, rate_change(9 + i, f"d{i}", version=2 + i))
 
         overtake(a, many)
-        assert (await a.store.accept(rate_change(7, "c"))).version == 2
+        assert (await accept(a.store, rate_change(7, "c"))).version == 2
         with pytest.raises(SectionConflict):
-            await a.store.accept(rate_change(7, "never sent"))
+            await accept(a.store, rate_change(7, "never sent"))
 
 
 class TestObjects:
@@ -171,7 +172,7 @@
     async def test_body_stands_before_the_row_names_it(self, fleet):
         fleet.objects.down = True
         with pytest.raises(StoreUnavailable):
-            await fleet.nodes[0].store.accept(rate_change(7, "c"))
+            await accept(fleet.nodes[0].store, rate_change(7, "c"))
         assert (await fleet.nodes[0].store.read_head()).version == 1
 
 
@@ -181,7 +182,7 @@
     async def test_versions_of_several_authors(self, fleet):
         for version in range(1, 4):
             store = fleet.nodes[version % 2].store
-            await store.accept(rate_change(version, f"v{version}", version))
+            await accept(store, rate_change(version, f"v{version}", version))
         heads = await store.history(3)
         assert [(h.version, h.changed) for h in heads] == [
             (version, ("customers",)) for version in (4, 3, 2)
@@ -223,7 +224,7 @@
                 {section: content}, attempt_id=f"t{i}", based_on={section: 1}
             )
             stores = [fleet.nodes[(i + j) % 3].store for j in range(1 + repeated)]
-            tasks += [(change, store.accept(change)) for store in stores]
+            tasks += [(change, accept(store, change)) for store in stores]
         results = await asyncio.gather(*[t for _, t in tasks], return_exceptions=True)
         late = [task for node in fleet.nodes for task in node.table.late]
         await asyncio.gather(*late, return_exceptions=True)
--- a/tests/fakes_configuration.py
+++ b/tests/fakes_configuration.py
@@ -15,6 +15,7 @@
 from fakes_platform import FakeObjects, FakeTable
 from guavajunction.clock import ManualClock
 from guavajunction.configuration import (
+    Accepted,
     Change,
     ConfigurationEditor,
     ConfigurationKeeper,
@@ -69,7 +70,7 @@
         self.open += 1
         try:
             yield self
-        except AcceptanceUnknown:
+        except (AcceptanceUnknown, StoreAnswerLost):
             raise
         except BaseException:
             self.open -= 1
@@ -169,7 +170,7 @@
     async def accept_example(self) -> None:
         """Get the example accepted and in force everywhere."""
         change = change_of(example_sections(), attempt_id="first")
-        await self.nodes[0].store.accept(change)
+        await accept(self.nodes[0].store, change)
         for node in self.nodes:
             await node.keeper.refresh()
 
@@ -208,3 +209,9 @@
         return await put(partition, sort, body, expected=expected)
 
     node.table.put = losing  # type: ignore[method-assign]
+
+
+async def accept(store: ConfigurationStore, change: Change) -> Accepted:
+    """Get a change accepted without a note."""
+    await store.write_bodies(change.sections)
+    return await store.accept(change)
