Plan faster and restart planners that end on a defect

A planner also waits at least twenty times as long as a plan took. The version lookup of a request no longer walks over all artifacts.

--- a/packages/guavajunction/src/guavajunction/backends/_events.py
+++ b/packages/guavajunction/src/guavajunction/backends/_events.py
@@ -33,8 +33,8 @@
 LEDGER_CONFLICT = LogEvent(
     515, "backends:ledger_conflict", "Another author wrote the ledger meanwhile."
 )
-ENGINE_RESTARTED = LogEvent(
-    516, "backends:engine_restarted", "An engine's report numbers started again."
+LEDGER_UNREADABLE = LogEvent(
+    516, "backends:ledger_unreadable", "A ledger's row could not be decoded."
 )
 ARTIFACT_RETIRING = LogEvent(
     520, "backends:artifact_retiring", "An artifact is being drained on one engine."
--- a/packages/guavajunction/src/guavajunction/backends/_inventory.py
+++ b/packages/guavajunction/src/guavajunction/backends/_inventory.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
 
 import msgspec
@@ -42,6 +42,8 @@
     """Longest time between two digests of a backend server."""
     SILENCE_SECONDS = 4.0
     """Time without a digest after which an instance reads by itself."""
+    GREETING_SECONDS = 1.0
+    """Time after the start in which the readers are expected to tell of theirs."""
     MISSES = 2
     """Queries in a row without an answer that make a server unhealthy."""
     LOAD_STEP = 8
@@ -87,6 +89,7 @@
         self._prefixes: defaultdict[str, PrefixIndex] = defaultdict(PrefixIndex)
         self._passive = PassiveHealth(clock)
         self._holders: dict[str, list[str]] | None = None
+        self._versions: dict[str, list[str]] = {}
         self._holders_version = -1
         self._reading: dict[str, asyncio.Task[None]] = {}
         self._known_peers: set[PeerId] = set()
@@ -202,10 +205,11 @@
         return frozenset(n for n in names if author(f"backend/{n}") == me)
 
     def _should_read(self, name: str) -> bool:
-        if self.is_reader(name) or name not in self._states:
+        if self.is_reader(name):
             return True
         silent = self._clock.monotonic() - self._heard.get(name, self._started)
-        return silent >= self.SILENCE_SECONDS
+        known = name in self._states
+        return silent >= (self.SILENCE_SECONDS if known else self.GREETING_SECONDS)
 
     async def _read(self, server: BackendServer) -> None:
         sent_at = self._clock.monotonic()
@@ -341,6 +345,7 @@
         cfg = self._configuration()
         if self._holders is None or self._holders_version != cfg.version:
             self._holders = self._build_index(cfg)
+            self._versions = _by_name(self._holders)
             self._holders_version = cfg.version
         return self._holders
 
@@ -359,15 +364,22 @@
         return dict(holders)
 
     def _older_ready(self, name: str, current: str) -> dict[str, int]:
-        prefix = f"{name}@"
+        self._index()
         return {
             artifact: count
-            for artifact in self._index()
-            if artifact.startswith(prefix) and artifact != current
+            for artifact in self._versions.get(name, ())
+            if artifact != current
             if (count := len(self.ready(artifact)))
         }
 
 
+def _by_name(artifacts: Iterable[str]) -> dict[str, list[str]]:
+    versions: defaultdict[str, list[str]] = defaultdict(list)
+    for artifact in artifacts:
+        versions[artifact.partition("@")[0]].append(artifact)
+    return dict(versions)
+
+
 def _state_of(name: str, report: LoadReport, sent_at: float) -> BackendState:
     return BackendState(
         name=name,
--- a/packages/guavajunction/src/guavajunction/backends/_order_desk.py
+++ b/packages/guavajunction/src/guavajunction/backends/_order_desk.py
@@ -28,6 +28,7 @@
 )
 from ._events import (
     LEDGER_CONFLICT,
+    LEDGER_UNREADABLE,
     ORDER_CLOSED,
     ORDER_REFUSED,
     ORDER_SENT,
@@ -96,6 +97,8 @@
     async def take_over(self, names: Iterable[str]) -> None:
         """Read the ledgers of backend servers that have none here yet.
 
+        A backend server whose row cannot be read gets no orders.
+
         Raises:
             StoreUnavailable: The table service is down.
         """
@@ -104,8 +107,12 @@
             return
         rows = {row.sort: row for row in await self._table.query(PARTITION)}
         for name in missing:
-            if name in self._configuration().backends:
+            if name not in self._configuration().backends:
+                continue
+            try:
                 self._enter(name, rows.get(name))
+            except msgspec.DecodeError as exc:
+                LEDGER_UNREADABLE.log(backend=name, reason=str(exc))
 
     async def load(
         self, name: str, artifact: str, mib: int, base: str | None = None
--- a/packages/guavajunction/src/guavajunction/placement/_events.py
+++ b/packages/guavajunction/src/guavajunction/placement/_events.py
@@ -28,6 +28,12 @@
 ORDER_FAILED = LogEvent(
     615, "placement:order_failed", "An order that was decided could not be sent."
 )
+LOAD_DEFERRED = LogEvent(
+    617, "placement:load_deferred", "A replica waits for the bounds on loads."
+)
+PLANNER_FAILED = LogEvent(
+    618, "placement:planner_failed", "A pool's planner ended on a defect; restarted."
+)
 ROUND_FAILED = LogEvent(
     616, "placement:round_failed", "A planning round failed and is tried again."
 )
--- a/packages/guavajunction/src/guavajunction/placement/_planner.py
+++ b/packages/guavajunction/src/guavajunction/placement/_planner.py
@@ -16,6 +16,10 @@
     name_of,
 )
 
+NO_ROOM_REASON = "no_room"
+ROOM_PENDING = "memory_being_freed"
+OVER_BUDGET = "load_budget"
+
 
 class PlannerLimits(NamedTuple):
     """When a move is worth its cost."""
@@ -142,7 +146,7 @@
         gain: float,
     ) -> bool:
         if not self._spend(deployment):
-            self._shortages.append(Shortage(deployment.artifact, "load_budget", ""))
+            self._shortages.append(Shortage(deployment.artifact, OVER_BUDGET, ""))
             return False
         server = fitting[0].server
         self._draft.add(server, deployment)
@@ -175,15 +179,15 @@
         for c in candidates:
             if c.free_mib + draft.promised[c.server] >= deployment.mib:
                 draft.reserve(c.server, deployment.mib)
-                self._short(deployment, "memory_being_freed", c.server)
+                self._short(deployment, ROOM_PENDING, c.server)
                 return
         rooms = [r for c in candidates if (r := self._room(deployment, c.server))]
         if not rooms:
-            self._short(deployment, "no_room", "")
+            self._short(deployment, NO_ROOM_REASON, "")
             return
         room = min(rooms)
         self._make_room(deployment, room, reason)
-        self._short(deployment, "memory_being_freed", room.server)
+        self._short(deployment, ROOM_PENDING, room.server)
 
     def _short(self, deployment: Deployment, reason: str, server: str) -> None:
         self._shortages.append(Shortage(deployment.artifact, reason, server))
--- a/packages/guavajunction/src/guavajunction/placement/_service.py
+++ b/packages/guavajunction/src/guavajunction/placement/_service.py
@@ -14,7 +14,7 @@
 from ..platform import TableService
 from ..settings import PlacementSettings
 from ._demand_tally import DemandTally
-from ._events import PLANNER_STARTED, PLANNER_STOPPED, ROUND_FAILED
+from ._events import PLANNER_FAILED, PLANNER_STARTED, PLANNER_STOPPED, ROUND_FAILED
 from ._messages import ArtifactWanted
 from ._model import name_of
 from ._protocols import DemandSource, PlannerLease
@@ -28,6 +28,8 @@
     """Least time between two messages about the same wanted artifact."""
     LEAST_PAUSE_SECONDS = 0.05
     """Least time between two planning rounds."""
+    PLANNING_SHARE = 0.05
+    """Part of a core that planning may take; larger pools are planned less often."""
 
     def __init__(
         self,
@@ -95,6 +97,7 @@
         async with AsyncExitStack() as stack:
             stack.push_async_callback(_cancel, pools)
             while True:
+                _drop_failed(pools)
                 for pool in self._pools() - pools.keys():
                     pools[pool] = asyncio.ensure_future(self.lead(pool))
                 await self._clock.sleep(self._settings.plan_every)
@@ -121,7 +124,7 @@
         try:
             while self._is_author(pool):
                 await term.round()
-                await self._pause()
+                await self._pause(term.plan_seconds)
         except LeaseLost as exc:
             PLANNER_STOPPED.log(pool=pool, reason=exc.message)
         finally:
@@ -146,8 +149,9 @@
         self._terms[pool] = term
         return term
 
-    async def _pause(self) -> None:
+    async def _pause(self, plan_seconds: float) -> None:
         """Wait for the next round, or less if an artifact is wanted."""
+        least = max(self.LEAST_PAUSE_SECONDS, plan_seconds / self.PLANNING_SHARE)
         self._wake.clear()
         pause = asyncio.ensure_future(self._clock.sleep(self._settings.plan_every))
         wake = asyncio.ensure_future(self._wake.wait())
@@ -156,7 +160,7 @@
         finally:
             pause.cancel()
             wake.cancel()
-        await self._clock.sleep(self.LEAST_PAUSE_SECONDS)
+        await self._clock.sleep(least)
 
     def _pools(self) -> set[str]:
         return {server.pool for server in self._configuration().engines}
@@ -191,6 +195,14 @@
     return f"placement/{pool}"
 
 
+def _drop_failed(tasks: dict[str, asyncio.Task[None]]) -> None:
+    """Log and forget the tasks that ended, so that they are started again."""
+    for pool, task in list(tasks.items()):
+        if task.done():
+            del tasks[pool]
+            PLANNER_FAILED.log(pool=pool, reason=repr(task.exception()))
+
+
 async def _cancel(tasks: dict[str, asyncio.Task[None]]) -> None:
     for task in tasks.values():
         task.cancel()
--- a/packages/guavajunction/src/guavajunction/placement/_spread.py
+++ b/packages/guavajunction/src/guavajunction/placement/_spread.py
@@ -39,7 +39,7 @@
     out; a few passes over all names come close to the common balance.
     """
 
-    PASSES = 3
+    PASSES = 2
 
     def __init__(
         self,
@@ -87,30 +87,40 @@
         return sum(amount * self._miss_rate(s) for s, amount in shares.items())
 
     def loss(self, name: str, server: str) -> float:
-        """Return the need that goes unmet if an engine gives up a name."""
-        if server not in self._share.get(name, {}):
-            return 0.0
-        return max(0.0, -self.benefit(None, server, [name]))
+        """Estimate the need that goes unmet if an engine gives up a name.
 
-    def benefit(
-        self, name: str | None, server: str, displaced: Collection[str] = ()
-    ) -> float:
+        The other holders are taken as evenly loaded; `benefit` is exact and slower.
+        """
+        moved = self._share.get(name, {}).get(server, 0.0)
+        if moved == 0.0:
+            return 0.0
+        others = [s for s in self._held_by(name) if s != server]
+        relief = excess(self.load[server], self._slots[server])
+        relief -= excess(self.load[server] - moved, self._slots[server])
+        if not others:
+            return max(0.0, moved - relief)
+        count = len(others)
+        load = sum(self.load[s] for s in others) / count
+        slots = sum(self._slots[s] for s in others) / count
+        added = excess(load + moved / count, slots) - excess(load, slots)
+        return max(0.0, count * added - relief)
+
+    def benefit(self, name: str, server: str, displaced: Collection[str] = ()) -> float:
         """Return the need that is met in addition if an engine changes names.
 
         Args:
-            name: What it takes up, None for nothing.
+            name: What it takes up.
             server: The engine.
             displaced: What it gives up.
         """
-        touched = [*displaced] if name is None else [*displaced, name]
+        touched = [*displaced, name]
         saved = [(n, set(self._held_by(n)), self._share.get(n, {})) for n in touched]
         affected = {server}.union(*(holders for _, holders, _ in saved))
         load = {s: self.load[s] for s in affected}
         before = self._unmet_on(affected, touched)
         for other in displaced:
             self.remove(other, server)
-        if name is not None:
-            self.add(name, server)
+        self.add(name, server)
         after = self._unmet_on(affected, touched)
         for touched_name, holders, share in saved:
             self._holders[touched_name] = holders
--- a/packages/guavajunction/src/guavajunction/placement/_term.py
+++ b/packages/guavajunction/src/guavajunction/placement/_term.py
@@ -14,6 +14,7 @@
 from ._draft import Draft
 from ._events import (
     LOAD_DECIDED,
+    LOAD_DEFERRED,
     NO_ROOM,
     ORDER_FAILED,
     ROUND_FAILED,
@@ -23,11 +24,16 @@
 from ._load_budget import LoadBudget, pool_share
 from ._model import Budget, Load, Plan, PoolView, Shortage, Unload
 from ._need_estimate import NeedEstimate
-from ._planner import Planner
+from ._planner import NO_ROOM_REASON, OVER_BUDGET, ROOM_PENDING, Planner
 from ._pool_survey import PoolSurvey
 from ._removal import Removal
 
 NO_BUDGET = Budget(0, 0)
+SHORTAGE_EVENTS = {
+    NO_ROOM_REASON: NO_ROOM,
+    ROOM_PENDING: WAITING_FOR_ROOM,
+    OVER_BUDGET: LOAD_DEFERRED,
+}
 
 
 class Term:
@@ -81,6 +87,9 @@
         self._removals: dict[tuple[str, str], asyncio.Task[None]] = {}
         self._loading: set[asyncio.Task[None]] = set()
         self._wanted: dict[str, float] = {}
+        self.plan_seconds = 0.0
+        """How long the latest plan took to work out."""
+        self._shortages: set[Shortage] = set()
 
     def want(self, artifact: str) -> None:
         """Note that requests wait for an artifact."""
@@ -104,7 +113,9 @@
         await self._desk.settle()
         self._check_lease()
         self._survey.forget_gone()
+        started = self._clock.monotonic()
         plan = self._planner.plan(self.view())
+        self.plan_seconds = self._clock.monotonic() - started
         self._follow(plan)
         return plan
 
@@ -151,8 +162,9 @@
         return self._budget.available(len(loading) - adapters, adapters)
 
     def _follow(self, plan: Plan) -> None:
-        for shortage in plan.shortages:
+        for shortage in set(plan.shortages) - self._shortages:
             self._log_shortage(shortage)
+        self._shortages = set(plan.shortages)
         for unload in plan.unloads:
             self._start_removal(unload)
         for load in plan.loads:
@@ -160,7 +172,7 @@
         self._resume_inherited()
 
     def _log_shortage(self, shortage: Shortage) -> None:
-        event = WAITING_FOR_ROOM if shortage.waiting_on else NO_ROOM
+        event = SHORTAGE_EVENTS[shortage.reason]
         event.log(pool=self._pool, **shortage._asdict())
 
     def _start_load(self, load: Load) -> None:
