Ask an instance that did not answer last, and all of them at once to explain

Cause: with a frozen instance named first, guavactl waited for its timeout at every step, and explain at every silent instance in turn. Change: an instance that did not answer goes to the end of the list; explain asks all at once and names those that it could not ask.

--- a/packages/guavajunction-ctl/src/guavajunction_ctl/_client.py
+++ b/packages/guavajunction-ctl/src/guavajunction_ctl/_client.py
@@ -38,8 +38,8 @@
         self._session = session
         self._headers = {"Authorization": f"Bearer {token}"}
         self._timeout = aiohttp.ClientTimeout(total=timeout)
-        self.instances = instances
-        """URLs of the instances."""
+        self.instances = list(instances)
+        """URLs of the instances, those last that did not answer lately."""
 
     async def read(self, path: str, body: Answer | None = None) -> Answer:
         """Ask the first instance that answers; nothing is changed by it.
@@ -54,7 +54,7 @@
         """
         method = "GET" if body is None else "POST"
         failure: Exception = NoInstanceAnswered("No instance is named.")
-        for url in self.instances:
+        for url in tuple(self.instances):
             try:
                 return await self.call(url, method, path, body)
             except NoInstanceAnswered as exc:
@@ -86,7 +86,7 @@
         attempt_id = body["attempt_id"]
         unknown = False
         reasons = []
-        for url in self.instances:
+        for url in tuple(self.instances):
             try:
                 return await self.call(url, method, path, body)
             except OutcomeUnknown as exc:
@@ -118,15 +118,21 @@
             ) as resp:
                 return await _read_answer(url, resp)
         except aiohttp.ClientConnectorError as exc:
+            self._put_last(url)
             raise NoInstanceAnswered(f"{url} was not reached.") from exc
         except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+            self._put_last(url)
             if method == "GET":
                 raise NoInstanceAnswered(f"{url} did not answer.") from exc
             raise OutcomeUnknown(f"{url} did not answer.") from exc
 
+    def _put_last(self, url: str) -> None:
+        """Ask an instance that did not answer after all others from now on."""
+        self.instances.sort(key=lambda other: other == url)
+
     async def _outcome(self, attempt_id: str) -> int | None:
         """Return the version that an attempt made, None if none is known of."""
-        for url in self.instances:
+        for url in tuple(self.instances):
             try:
                 answer = await self.call(url, "GET", f"attempts/{attempt_id}")
             except (Refused, NoInstanceAnswered):
--- a/packages/guavajunction-ctl/src/guavajunction_ctl/_fleet_commands.py
+++ b/packages/guavajunction-ctl/src/guavajunction_ctl/_fleet_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from urllib.parse import quote
 
@@ -35,14 +36,10 @@
 
 async def explain(context: Context, args: list[str]) -> Outcome:
     """Show the decisions that any instance took for a request."""
-    path = f"explain/{quote(args[0], safe='')}"
-    answers, silent = [], []
-    for url in await _all_urls(context):
-        try:
-            answers.append(await context.client.call(url, "GET", path))
-        except (NoInstanceAnswered, Refused):
-            silent.append(url)
-    found = [answer for answer in answers if answer["decisions"]]
+    urls = await _all_urls(context)
+    answers = await asyncio.gather(*[_ask(context, url, args[0]) for url in urls])
+    silent = [url for url, answer in zip(urls, answers, strict=True) if answer is None]
+    found = [answer for answer in answers if answer and answer["decisions"]]
     if not found:
         unasked = f" Not asked: {', '.join(silent)}." if silent else ""
         raise NotFoundAnywhere(f"No instance knows request {args[0]}.{unasked}")
@@ -50,6 +47,14 @@
     return Outcome(text, {"instances": found})
 
 
+async def _ask(context: Context, url: str, request_id: str) -> Answer | None:
+    path = f"explain/{quote(request_id, safe='')}"
+    try:
+        return await context.client.call(url, "GET", path)
+    except (NoInstanceAnswered, Refused):
+        return None
+
+
 async def drain_backend(context: Context, args: list[str]) -> Outcome:
     """Mark a backend server as leaving and wait until that is in force."""
     path = f"backends/{quote(args[0], safe='')}/drain"
--- a/tests/ctl/test_sessions.py
+++ b/tests/ctl/test_sessions.py
@@ -186,6 +186,19 @@
         await session.run("apply all.toml")
         assert session.lines[-1].startswith("[exit status 0]")
 
+    async def test_frozen_instance_is_waited_for_once(self, session):
+        frozen = session.fleet.served[0]
+        frozen.fault = "hang"
+        flags = [f"--instance={url}" for url in session.urls]
+        await session.run("apply all.toml", "--timeout=0.3", *flags)
+        assert session.lines[-1].startswith("[exit status 0]")
+        assert frozen.hung == 1
+
+    async def test_explanation_names_who_was_not_asked(self, session):
+        await session.fleet.served[0].server.close()
+        await session.run("explain r2")
+        assert "Not asked: http://instance-a" in session.text()
+
     async def test_json_for_programs(self, session):
         await session.run("apply all.toml --json")
         await session.run("keys withdraw k9 --json")
--- a/tests/fakes_operator.py
+++ b/tests/fakes_operator.py
@@ -18,6 +18,7 @@
 
 TOKEN = "operator-token"
 _BEAT_SECONDS = 0.01
+_HANG_SECONDS = 5.0
 
 
 class Explanations:
@@ -36,7 +37,10 @@
         self.node = node
         self.drained = False
         self.fault: str | None = None
-        """`before` drops requests unhandled, `after` drops their answers."""
+        """`before` drops changes unhandled, `after` their answers; `hang` keeps
+        every request waiting."""
+        self.hung = 0
+        """Requests that were kept waiting."""
         node.keeper._clock = ManualClock()
         parts = OperatorParts(
             node.store,
@@ -61,6 +65,9 @@
 
     @web.middleware
     async def _break(self, req: web.Request, handler: Any) -> web.StreamResponse:
+        if self.fault == "hang":
+            self.hung += 1
+            await asyncio.sleep(_HANG_SECONDS)
         fault = self.fault if req.method != "GET" else None
         if fault == "before":
             req.transport.abort()
