--- /dev/null
+++ b/tests/system/test_golden_sessions.py
@@ -0,0 +1,153 @@
+"""Whole sessions as they go over the wire, against golden files.
+
+After a change that is meant, run `pytest tests/system/test_golden_sessions.py
+--update-golden` and read the difference.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from wire_session import WireSession, check_golden
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+GOLDEN = Path(__file__).parent / "golden"
+JSON = "Content-Type: application/json"
+
+
+def chat(prompt: str, *, max_tokens: int = 4, stream: bool = True, model="model-1"):
+    return json.dumps(
+        {
+            "model": model,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": max_tokens,
+            "stream": stream,
+        }
+    )
+
+
+@pytest.fixture
+def golden(request):
+    update = request.config.getoption("--update-golden")
+
+    def check(name: str, session: WireSession) -> None:
+        check_golden(GOLDEN / f"{name}.txt", session.transcript(), update=update)
+
+    return check
+
+
+async def connected(fleet, index: int = 0) -> WireSession:
+    session = WireSession()
+    entry = fleet.entries[index]
+    await session.connect(entry.http_port, entry.name)
+    return session
+
+
+class TestSessions:
+    """Callers see the same bytes on each run."""
+
+    async def test_streamed_chat(self, fleet, golden):
+        session = await connected(fleet)
+        key = fleet.customers[0].key
+        await session.ask(f"POST /v1/chat/completions\n{JSON}", key, chat("a coat"))
+        body = chat("a coat", stream=False)
+        await session.ask(f"POST /v1/chat/completions\n{JSON}", key, body)
+        await session.ask("GET /v1/models", key)
+        session.close()
+        golden("streamed_chat", session)
+
+    async def test_booking_with_its_repeat(self, fleet, golden):
+        session = await connected(fleet)
+        key = fleet.customers[0].key
+        head = "POST /services/booking/bookings\nIdempotency-Key: golden-1"
+        await session.ask(head, key, '{"studio": 7}')
+        await session.ask(head, key, '{"studio": 7}')
+        await session.connect(fleet.entries[1].http_port, fleet.entries[1].name)
+        await session.ask(head, key, '{"studio": 7}')
+        await session.ask(head, key, '{"studio": 8}')
+        session.close()
+        golden("booking_with_its_repeat", session)
+
+    async def test_refusals(self, fleet, golden):
+        session = await connected(fleet)
+        key = fleet.customers[0].key
+        post = f"POST /v1/chat/completions\n{JSON}"
+        await session.ask("GET /nowhere")
+        await session.ask("GET /v1/models")
+        await session.ask("GET /v1/models", "gj_unknown")
+        await session.ask("GET /v1/chat/completions", key)
+        await session.ask("GET /services/nobody/x", key)
+        await session.ask("DELETE /services/booking/bookings", key)
+        await session.ask(post, key, "{")
+        await session.ask("POST /v1/chat/completions", key, "{}")
+        await session.ask(post, key, chat("hello", model="nobody"))
+        await session.ask(post, key, chat("hello", max_tokens=100_000))
+        session.close()
+        golden("refusals", session)
+
+    async def test_key_withdrawn_on_an_open_connection(self, fleet, golden):
+        session = await connected(fleet)
+        name = fleet.customers[0].plan.name
+        issued = await fleet.operate("POST", "keys", {"customer": name})
+        session.note(f"a key is issued to {name}")
+        await session.ask(f"POST /v1/completions\n{JSON}", issued["key"], PROMPT)
+        await fleet.operate("DELETE", f"keys/{issued['key_id']}", {})
+        session.note("the key is withdrawn")
+        await session.ask(f"POST /v1/completions\n{JSON}", issued["key"], PROMPT)
+        session.close()
+        golden("key_withdrawn_on_an_open_connection", session)
+
+    async def test_configuration_change(self, fleet, golden):
+        session = await connected(fleet)
+        key = fleet.customers[0].key
+        before = fleet.document()
+        after = before.replace('"/availability"', '"/availability/now"')
+        assert after != before
+        await session.ask("GET /services/booking/availability")
+        await apply(fleet, after)
+        session.note("the open route moves to /availability/now")
+        await session.ask("GET /services/booking/availability", key)
+        await apply(fleet, before)
+        session.note("the change is taken back by a new version")
+        await session.ask("GET /services/booking/availability")
+        session.close()
+        golden("configuration_change", session)
+
+    async def test_rolling_stop(self, fleet, golden):
+        session = await connected(fleet, 2)
+        key = fleet.customers[0].key
+        await session.ask("GET /healthz")
+        stop = asyncio.create_task(fleet.stop(2))
+        await asyncio.sleep(0.5)
+        session.note("the instance is asked to stop")
+        await session.ask(f"POST /v1/chat/completions\n{JSON}", key, chat("a coat"))
+        session.note(f"closed by the instance: {await session.at_end()}")
+        session.note(f"exit status: {await stop}")
+        await fleet.start(2)
+        session.close()
+        golden("rolling_stop", session)
+
+
+PROMPT = json.dumps({"model": "model-2", "prompt": "a hat", "max_tokens": 3})
+
+
+async def apply(fleet, document: str) -> None:
+    """Get a document accepted and wait until it is in force on every instance."""
+    current = await fleet.operate("POST", "diff", {"document": document})
+    body = {"document": document, "based_on": current["based_on"]}
+    accepted = await fleet.operate("POST", "apply", body)
+    for _ in range(30):
+        if await in_force(fleet, accepted["version"]):
+            return
+        await asyncio.sleep(0.1)
+    pytest.fail("the change is not in force everywhere within 3 s")
+
+
+async def in_force(fleet, version: int) -> bool:
+    status = await fleet.operate("GET", "status")
+    return all(entry["version"] == version for entry in status["instances"])
--- /dev/null
+++ b/tests/wire_session.py
@@ -0,0 +1,111 @@
+"""Records HTTP sessions byte by byte, in a form that is the same on each run."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from pathlib import Path
+
+NORMAL_FORMS = (
+    (re.compile(r"gj_[0-9a-f]{12}_[0-9a-f]{48}"), "KEY"),
+    (re.compile(r"\b[0-9a-f]{24}\b"), "REQUEST-ID"),
+    (re.compile(r"(?i)^< Date: .*$", re.M), "< Date: DATE"),
+    (re.compile(r"(?i)^< Server: .*$", re.M), "< Server: SERVER"),
+    (re.compile(r"127\.0\.0\.1:\d+"), "ADDRESS"),
+    (re.compile(r'"port": ?\d+'), '"port": PORT'),
+    (re.compile(r'"retry_after":[0-9.e-]+'), '"retry_after":SECONDS'),
+    (re.compile(r"(?i)^< Retry-After: \d+$", re.M), "< Retry-After: SECONDS"),
+    (re.compile(r'"server": "[a-z]+-\d+"'), '"server": "SERVER"'),
+    (re.compile(r'"number": \d+'), '"number": NUMBER'),
+    (re.compile(r"engine-\d+"), "ENGINE"),
+    (re.compile(r"(?i)^< Content-Length: \d+$", re.M), "< Content-Length: LENGTH"),
+)
+"""What differs from run to run, and what stands for it."""
+
+
+class WireSession:
+    """One connection to an instance, and what went over it."""
+
+    def __init__(self) -> None:
+        self._lines: list[str] = []
+        self._reader: asyncio.StreamReader
+        self._writer: asyncio.StreamWriter
+
+    async def connect(self, port: int, name: str) -> None:
+        """Open a connection and note it."""
+        self._reader, self._writer = await asyncio.open_connection("127.0.0.1", port)
+        self._lines.append(f"-- connection to {name}")
+
+    def note(self, text: str) -> None:
+        """Note what happens beside the connection."""
+        self._lines.append(f"-- {text}")
+
+    async def ask(self, head: str, key: str = "", body: str = "") -> str:
+        """Send a request and record it with its answer.
+
+        Args:
+            head: Method, path and further header lines.
+            key: Customer's key, if one is sent.
+            body: Body, if there is one.
+
+        Returns:
+            The answer's body.
+        """
+        first, *headers = head.split("\n")
+        lines = [f"{first} HTTP/1.1", "Host: guavajunction", *headers]
+        if key:
+            lines.append(f"Authorization: Bearer {key}")
+        if body:
+            lines.append(f"Content-Length: {len(body.encode())}")
+        request = "\r\n".join([*lines, "", body])
+        self._writer.write(request.encode())
+        self._record(">", request)
+        answer_head, answer_body = await asyncio.wait_for(self._answer(), 20)
+        self._record("<", f"{answer_head}\n{answer_body}")
+        return answer_body
+
+    async def at_end(self) -> bool:
+        """Return whether the instance has closed the connection."""
+        try:
+            return await asyncio.wait_for(self._reader.read(1), 5) == b""
+        except TimeoutError:
+            return False
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+    def transcript(self) -> str:
+        """Return the session in its normal form."""
+        text = "\n".join(self._lines) + "\n"
+        for pattern, form in NORMAL_FORMS:
+            text = pattern.sub(form, text)
+        return text
+
+    async def _answer(self) -> tuple[str, str]:
+        head = (await self._reader.readuntil(b"\r\n\r\n")).decode()
+        lower = head.lower()
+        if "transfer-encoding: chunked" in lower:
+            return head.strip(), await self._chunks()
+        length = re.search(r"content-length: (\d+)", lower)
+        size = int(length[1]) if length else 0
+        return head.strip(), (await self._reader.readexactly(size)).decode()
+
+    async def _chunks(self) -> str:
+        body = b""
+        while size := int(await self._reader.readline(), 16):
+            body += await self._reader.readexactly(size)
+            await self._reader.readline()
+        await self._reader.readline()
+        return body.decode()
+
+    def _record(self, mark: str, text: str) -> None:
+        lines = text.replace("\r\n", "\n").rstrip("\n").split("\n")
+        self._lines.extend(f"{mark} {line}".rstrip() for line in lines)
+
+
+def check_golden(path: Path, transcript: str, *, update: bool) -> None:
+    """Compare a transcript with its golden file, or write the file."""
+    if update:
+        path.write_text(transcript)
+    assert path.read_text() == transcript
