Let voters crash in the specification of views

Cause: counting crashed voters as gone rested on an argument only. Ruled out: counting them at once: two announcements then succeed on disjoint living voters, and a majority serves with the old configuration.

--- a/tests/specs/test_view_spec.py
+++ b/tests/specs/test_view_spec.py
@@ -21,6 +21,15 @@
         assert result["properties"][PROPERTY]["holds"] is True
         assert result["reachable_states"] > 10_000
 
+    @pytest.mark.parametrize(("waits", "holds"), [(True, True), (False, False)])
+    def test_crashed_voters_count_as_gone_only_after_the_wait(
+        self, waits: bool, holds: bool
+    ) -> None:
+        rules = Rules(((0, 1, 2), (2,)), (2,), crashes=2, gone_waits=waits)
+        result = check_safety(view_model(rules))
+        assert result["properties"][PROPERTY]["holds"] is holds
+        assert result["reachable_states"] > 6_000
+
     def test_change_lands_in_the_last_view(self) -> None:
         model = view_model()
         model.invariants = {
--- a/tests/specs/view_spec.py
+++ b/tests/specs/view_spec.py
@@ -1,13 +1,15 @@
 """Specification of views: majorities while members come and go.
 
-Describes `guavajunction.membership`: `_upkeep.Upkeep.keep_view`, `_announcer.Announcer`
-(whose rule `_enough` is run here as it is), `_note_book.NoteBook` and the majority of
-`_standing.StandingRule`.
+Describes `guavajunction.membership`: `keep_view` and `gone` of `_upkeep.Upkeep`,
+`_announcer.Announcer` (whose rule `_enough` is run here as it is),
+`_note_book.NoteBook` and the majority of `_standing.StandingRule`.
 
-The view goes through a fixed sequence. Two announcements of a view and one of a
+The view goes through a fixed sequence. Announcements of views and one of a
 configuration may overlap, from any node and any view that the node has read. Times
 are left out: outage_spec covers them. A note is kept until its write has landed or
-never will, which is what `settle_bound` waits for.
+never will, which is what `settle_bound` waits for. A node that crashes loses its
+notes and its place in any majority; it counts as gone once `settle_bound` has passed,
+that is when the writes whose notes it held have landed or never will.
 """
 
 from __future__ import annotations
@@ -24,7 +26,6 @@
 """No note is held."""
 
 CONFIGURATION = 1
-VIEW_CHANGES = (2, 3)
 
 
 class Rules(NamedTuple):
@@ -32,12 +33,18 @@
 
     views: tuple[tuple[int, ...], ...] = ((0,), (0, 1, 2), (1,))
     """Voters of each view."""
+    view_changes: tuple[int, ...] = (2, 3)
+    """Numbers of the announcements of views."""
     same_view: bool = True
     """Whether a majority counts only peers that know the same view."""
     ack_same_view: bool = True
     """Whether a voter acknowledges only announcements in the view that it knows."""
     one_note: bool = True
     """Whether a voter that holds a note refuses another."""
+    crashes: int = 0
+    """How many nodes may crash."""
+    gone_waits: bool = True
+    """Whether a crashed voter counts as gone only when its notes have ended."""
     views_announced: bool = True
     """Whether a change of the view needs a majority that holds its note."""
 
@@ -62,6 +69,7 @@
     version: int
     notes: frozenset[int]
     """Announcements whose note it holds; at most one by the rules."""
+    crashed: bool = False
 
 
 class Announcement(NamedTuple):
@@ -86,11 +94,12 @@
     """Return the model under the given rules."""
     nodes = tuple(Node(0, 0, frozenset()) for _ in rules.nodes)
     idle = Announcement("idle", 0)
+    announcements = (idle,) * (1 + len(rules.view_changes))
     return Protocol(
         name="views",
         candidate=False,
         fields=State._fields,
-        initial=State(0, 0, nodes, (idle, idle, idle)),
+        initial=State(0, 0, nodes, announcements),
         transitions=lambda state: _transitions(State(*state), rules),
         invariants={
             "no majority trusts the old configuration": lambda state: (
@@ -105,7 +114,7 @@
     """Return whether a node with the old configuration serves on a majority."""
     own = nodes[me]
     voters = rules.views[own.view]
-    if own.version or own.notes or me not in voters:
+    if own.crashed or own.version or own.notes or me not in voters:
         return False
     votes = sum(_votes(nodes[voter], own, rules) for voter in voters)
     return votes >= rules.view(own.view).majority
@@ -113,14 +122,19 @@
 
 def _votes(peer: Node, own: Node, rules: Rules) -> bool:
     same_view = peer.view == own.view or not rules.same_view
+    if peer.crashed:
+        return False
     return same_view and not peer.notes and peer.version <= own.version
 
 
 def _transitions(s: State, rules: Rules) -> list[tuple[str, State]]:
     steps = []
-    for node in rules.nodes:
+    for node in _running(s):
         steps.append((f"{node} reads the store", _read(s, node)))
-    for number in (CONFIGURATION, *VIEW_CHANGES):
+        if len(s.nodes) - len(_running(s)) < rules.crashes:
+            crashed = s.nodes[node]._replace(crashed=True)
+            steps.append((f"{node} crashes", _set_node(s, node, crashed)))
+    for number in (CONFIGURATION, *rules.view_changes):
         steps += _announcement_steps(s, number, rules)
     return steps
 
@@ -146,7 +160,7 @@
 
 def _announce(s: State, number: int, rules: Rules) -> list[tuple[str, State]]:
     steps = []
-    for node in rules.nodes:
+    for node in _running(s):
         view = s.nodes[node].view
         last = view == len(rules.views) - 1
         if (last and number != CONFIGURATION) or not _may_hold(s, node, rules):
@@ -160,7 +174,7 @@
 def _acknowledge(s: State, number: int, rules: Rules) -> list[tuple[str, State]]:
     view = s.announcements[number - 1].view
     steps = []
-    for node in rules.views[view]:
+    for node in set(rules.views[view]) & set(_running(s)):
         same_view = s.nodes[node].view == view or not rules.ack_same_view
         holds = number in s.nodes[node].notes
         if same_view and not holds and _may_hold(s, node, rules):
@@ -173,12 +187,25 @@
     view = rules.view(s.announcements[number - 1].view)
     voters = rules.views[view.number]
     held = sum(number in s.nodes[voter].notes for voter in voters)
-    unannounced = number in VIEW_CHANGES and not rules.views_announced
-    if unannounced or _enough(held, 0, view):
+    gone = sum(_gone(s, voter, number, rules) for voter in voters)
+    unannounced = number != CONFIGURATION and not rules.views_announced
+    if unannounced or _enough(held, gone, view):
         steps.append((f"{number} is sent", _set_phase(s, number, "sent")))
     return steps
 
 
+def _gone(s: State, node: int, number: int, rules: Rules) -> bool:
+    """Return whether a voter that does not hold the note counts as gone."""
+    notes = s.nodes[node].notes
+    open_notes = any(_phase(s, n) in ("announced", "sent") for n in notes)
+    waited = not open_notes or not rules.gone_waits
+    return s.nodes[node].crashed and number not in notes and waited
+
+
+def _running(s: State) -> list[int]:
+    return [number for number, node in enumerate(s.nodes) if not node.crashed]
+
+
 def _land(s: State, number: int) -> State:
     landed = _set_phase(s, number, "over")
     if number == CONFIGURATION:
