Part versions of a base model that share an engine

A trial against three stand-in engines over HTTP showed a version change that never ended: the new version was loaded beside the old one, and the adapters there could be loaded nowhere else, so that the old version had to stay. New versions now prefer engines without the old one, and a shared engine gets a second replica elsewhere. Ruled out: unloading the adapters for a moment, since they must stay reachable.

--- a/packages/guavajunction/src/guavajunction/placement/_draft.py
+++ b/packages/guavajunction/src/guavajunction/placement/_draft.py
@@ -140,13 +140,21 @@
         return deployment.base is None or server in self.ready[deployment.base]
 
     def candidates(self, deployment: Deployment) -> list[Candidate]:
-        """Return the engines that may be given a replica, best first."""
+        """Return the engines that may be given a replica, best first.
+
+        Engines with an older version come last: its adapters could not be loaded on
+        the new version there while they are in use on the old one.
+        """
+        versions = self._by_name.get(deployment.name, [])
+        older = set().union(*(self.ready.get(artifact, set()) for artifact in versions))
         found = [
             Candidate(name, self.spread.spare(name), free)
             for name, free in self.free.items()
             if self.can_take(name, deployment)
         ]
-        found.sort(key=lambda c: (-c.spare_slots, -c.free_mib, c.server))
+        found.sort(
+            key=lambda c: (c.server in older, -c.spare_slots, -c.free_mib, c.server)
+        )
         return found
 
     def add(self, server: str, deployment: Deployment) -> None:
--- a/packages/guavajunction/src/guavajunction/placement/_planner.py
+++ b/packages/guavajunction/src/guavajunction/placement/_planner.py
@@ -326,7 +326,20 @@
                 self._unload(server, artifact, "not_deployed", "")
                 continue
             for adapter in self._to_relocate(server, artifact):
-                self._relocate(adapter)
+                self._make_way(deployment, adapter)
+
+    def _make_way(self, base: Deployment | None, adapter: Deployment | None) -> None:
+        """Load an adapter of an old base version beside the new one.
+
+        Where the new version shares the engine with the old one, it is first given a
+        replica on another engine.
+        """
+        if adapter is None or base is None or self._draft.coming[adapter.artifact]:
+            return
+        if self._draft.candidates(adapter):
+            self._place(adapter, "new_version")
+        elif not self._draft.coming[base.artifact]:
+            self._place(base, "new_version")
 
     # Growth by demand.
 
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -202,6 +202,26 @@
             pool.end()
         assert pool.ready("a@2") == pool.ready("x@1") == {"e2"}
 
+    def test_versions_on_one_engine_part_by_another_replica(self):
+        pool = FakePool([model("a@1"), adapter("x@1", "a@1")])
+        pool.add("e1", 100, "a@1", "x@1")
+        pool.add("e2", 100)
+        pool.deploy("a@1", "a@2")
+        pool.servers["e1"].holdings["a@2"] = pool._holding("a@2")
+        for _ in range(6):
+            pool.begin()
+            assert pool.ready("x@1")
+            pool.end()
+        assert not pool.ready("a@1")
+        assert pool.ready("x@1") == {"e2"}
+
+    def test_new_version_goes_to_an_engine_without_the_old_one(self):
+        pool = FakePool([model("a@1"), model("b@1")])
+        pool.add("e1", 200, "a@1")
+        pool.add("e2", 100, "b@1")
+        pool.deploy("a@1", "a@2")
+        assert [load.server for load in pool.begin().loads] == ["e2"]
+
     def test_in_flight_bound(self):
         adapters = [adapter(f"x{i}@1", "a@1") for i in range(9)]
         pool = FakePool([model("a@1"), *adapters], Budget(5, 4))
