Recognise ledger writes and drop intents that were never sent

When the row was written, its answer lost and the read after it failed too, the author inherited its own intent and counted it for two minutes although nothing was sent. It now remembers such orders. A condition that failed is checked against the own write as well, in case the client below repeated it.

--- a/packages/guavajunction/src/guavajunction/backends/_ledger.py
+++ b/packages/guavajunction/src/guavajunction/backends/_ledger.py
@@ -232,9 +232,13 @@
         return self._bases.get(artifact)
 
     def withdraw(self, intent: Intent) -> None:
-        """Drop an intent if no copy of it was ever sent."""
+        """Drop an intent if this author knows that no copy was sent."""
         if self._progress[intent.order_id].sent == 0:
-            self._close(intent.order_id)
+            self.drop(intent)
+
+    def drop(self, intent: Intent) -> None:
+        """Drop an intent that was certainly never sent."""
+        self._close(intent.order_id)
 
     def sent(self, order_id: str, now: float) -> None:
         """Note that a copy of an order is about to leave."""
--- a/packages/guavajunction/src/guavajunction/backends/_order_desk.py
+++ b/packages/guavajunction/src/guavajunction/backends/_order_desk.py
@@ -12,6 +12,7 @@
 from ..configuration import BackendServer, Configuration
 from ..errors import (
     ConditionFailed,
+    GuavaError,
     LeaseLost,
     OrderRefused,
     StaleFence,
@@ -88,6 +89,8 @@
         self._check_lease = check_lease
         self._clock = clock
         self._entries: dict[str, _Entry] = {}
+        self._never_sent: set[str] = set()
+        """Orders whose writing down failed, so that they were not sent."""
 
     def ledger(self, name: str) -> Ledger | None:
         """Return a backend server's ledger, None if it must be read first."""
@@ -248,6 +251,9 @@
             capacity_mib=server.weights_mib,
             checks_orders=server.checks_orders,
         )
+        for intent in record.intents:
+            if intent.order_id in self._never_sent:
+                ledger.drop(intent)
         self._entries[name] = _Entry(ledger, row.version if row else 0)
         if record.intents:
             ORDERS_INHERITED.log(
@@ -283,10 +289,11 @@
     ) -> bool:
         try:
             await self._write(name, entry)
-            return await self._send_if(name, entry, intent, allowed)
-        except LeaseLost:
+        except GuavaError:
+            self._never_sent.add(intent.order_id)
             self._entries.pop(name, None)
             raise
+        return await self._send_if(name, entry, intent, allowed)
 
     async def _send_if(
         self, name: str, entry: _Entry, intent: Intent, allowed: Callable[[], bool]
@@ -349,7 +356,8 @@
     async def _put(self, name: str, body: bytes, expected: int) -> Row:
         try:
             return await self._table.put(PARTITION, name, body, expected=expected)
-        except StoreAnswerLost:
+        except (StoreAnswerLost, ConditionFailed):
+            # The write may be this one, taken but not answered.
             row = await self._table.get(PARTITION, name)
             if row is not None and row.body == body:
                 return row
--- a/tests/backends/test_orders.py
+++ b/tests/backends/test_orders.py
@@ -22,7 +22,12 @@
     OrderStale,
 )
 from guavajunction.clock import ManualClock
-from guavajunction.errors import LeaseLost, OrderRefused, StaleFence
+from guavajunction.errors import (
+    LeaseLost,
+    OrderRefused,
+    StaleFence,
+    StoreUnavailable,
+)
 
 
 class World:
@@ -246,6 +251,30 @@
         await world.load(desk, "a@1")
         assert list(world.engine.memory) == ["a@1"]
 
+    async def test_intent_that_was_never_sent_is_dropped_after_an_outage(self):
+        world = World()
+        desk = await world.author()
+        world.table.lose_answers = 1
+        get = world.table.get
+
+        async def fail(*args: str) -> None:
+            raise StoreUnavailable("down")
+
+        world.table.get = fail  # type: ignore[method-assign]
+        with pytest.raises(LedgerUnsettled):
+            await world.load(desk, "a@1")
+        world.table.get = get  # type: ignore[method-assign]
+        await desk.take_over(["e"])
+        await world.load(desk, "b@1")
+        assert list(world.engine.memory) == ["b@1"]
+
+    async def test_unreadable_row_gets_no_orders(self):
+        world = World()
+        await world.table.put("ledger", "e", b"?", expected=0)
+        desk = await world.author()
+        with pytest.raises(LedgerUnsettled):
+            await world.load(desk, "a@1")
+
     async def test_crossed_report_frees_nothing(self):
         world = World()
         desk = await world.author()
