Test what heartbeats prove, and let a planned stop get past a renewal on its way

Ruled out: testing echoes over sockets, where a late heartbeat cannot be had on demand: heartbeats are handed to the mesh on a clock moved by hand.

--- a/packages/guavajunction/src/guavajunction/membership/_membership.py
+++ b/packages/guavajunction/src/guavajunction/membership/_membership.py
@@ -238,7 +238,7 @@
         """
         self._state_left = True
         if self.registered and not self._registration.lost:
-            await self._registration.renew("left")
+            await self._renew_row("left")
 
     async def renew(self) -> None:
         """Write the member row once."""
@@ -247,7 +247,7 @@
         if not self.registered:
             await self._table.read()
         try:
-            started = await self._renew_row()
+            started = await self._renew_row("leaving" if self._leaving else "live")
         except PlatformError:
             self._renewing_since = None
             raise
@@ -288,8 +288,7 @@
         await self._upkeep.revoke_silent()
         await self._upkeep.delete_old()
 
-    async def _renew_row(self) -> float | None:
-        state: State = "leaving" if self._leaving else "live"
+    async def _renew_row(self, state: State) -> float | None:
         started = await self._registration.renew(state)
         if started is None and not self._registration.lost:
             # The row's version is known again, so a second write can succeed.
--- a/packages/guavajunction/src/guavajunction/peers/_targets.py
+++ b/packages/guavajunction/src/guavajunction/peers/_targets.py
@@ -25,11 +25,11 @@
 
 
 class FullMesh:
-    """Links to every other instance."""
+    """Links to every instance, also to a replacement of the same name."""
 
     def choose(self, me: str, records: list[InstanceRecord]) -> list[InstanceRecord]:
-        """Return every record but those of the instance itself."""
-        return [record for record in records if record.name != me]
+        """Return every record; the mesh itself leaves out its own address."""
+        return list(records)
 
 
 class RingSubset:
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -427,6 +427,16 @@
         assert not c.standing
         assert c.me not in await a.membership.unrevoked_members()
 
+    async def test_deregistration_gets_past_a_renewal_on_its_way(
+        self, fleet: Fleet
+    ) -> None:
+        a, _b, c = await fleet.start("a", "b", "c")
+        c.table.lose_answers = 1
+        with pytest.raises(StoreAnswerLost):
+            await c.membership.renew()
+        await c.membership.deregister()
+        assert c.me not in await a.membership.unrevoked_members()
+
     async def test_steady_state_stays_within_the_store_budget(
         self, fleet: Fleet
     ) -> None:
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -7,13 +7,15 @@
 from contextlib import AsyncExitStack, suppress
 from typing import NamedTuple
 
+import msgspec
 import pytest
 import zmq
 import zmq.asyncio
 
-from guavajunction.clock import SystemClock
+from guavajunction.clock import ManualClock, SystemClock
 from guavajunction.errors import PeerError, PeerTimeout, PeerUnknown
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh, RingSubset
+from guavajunction.peers._envelope import Beat, Envelope, Kind
 from guavajunction.platform import InstanceRecord
 
 BEAT = 0.02
@@ -94,6 +96,14 @@
         assert traffic.sent_bytes > 0
         assert traffic.received_messages > 0
 
+    async def test_two_incarnations_of_one_name_hear_each_other(
+        self, fleet: Fleet
+    ) -> None:
+        old, new = await fleet.start("a", "1"), await fleet.start("a", "2")
+        new.set_targets([record(old), record(new)])
+        await until(lambda: bool(old.mutual(1) and new.mutual(1)))
+        assert new.peers() == [PeerId("a", "1")]
+
     async def test_shared_values_arrive_and_echo_bounds_their_age(
         self, fleet: Fleet
     ) -> None:
@@ -186,9 +196,89 @@
     ) -> None:
         a, b = await fleet.pair()
         await b.stop()
+        sent = a.traffic()[b.address].sent_messages
+        await until(lambda: a.traffic()[b.address].dropped > 0)
         for _ in range(3000):
             a.tell(b.me, Note("x" * 1000))
-        assert a.traffic()[b.address].dropped > 0
+        traffic = a.traffic()[b.address]
+        assert traffic.dropped > 3000
+        assert traffic.sent_messages - sent < 100
+
+
+class FakeLink:
+    """Notes what is sent over it."""
+
+    def __init__(self) -> None:
+        self.sent: list[Envelope] = []
+
+    def send(self, payload: bytes) -> bool:
+        self.sent.append(msgspec.msgpack.decode(payload, type=Envelope))
+        return True
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+class TestEchoes:
+    """What a heartbeat proves, on a clock moved by hand."""
+
+    PEER = PeerId("b", "b-1")
+    ADDRESS = "127.0.0.1:2"
+
+    @pytest.fixture
+    def clock(self) -> ManualClock:
+        return ManualClock()
+
+    @pytest.fixture
+    async def mesh(self, clock: ManualClock) -> AsyncIterator[PeerMesh]:
+        mesh = PeerMesh(PeerId("a", "a-1"), "127.0.0.1", 1, curve_keys(), clock)
+        mesh._links[self.ADDRESS] = FakeLink()
+        yield mesh
+        mesh._close_all()
+
+    def arrive(
+        self, mesh: PeerMesh, sequence: int, echo: int, to: str = "a-1", value: int = 0
+    ) -> None:
+        topics = {"n": msgspec.Raw(msgspec.msgpack.encode(value))}
+        body = msgspec.Raw(msgspec.msgpack.encode(Beat(sequence, echo, topics)))
+        envelope = Envelope(Kind.BEAT, self.PEER, self.ADDRESS, to, 0, "", body)
+        mesh._take(msgspec.msgpack.encode(envelope))
+
+    async def test_late_heartbeat_is_as_old_as_what_it_echoes(
+        self, mesh: PeerMesh, clock: ManualClock
+    ) -> None:
+        mesh._send_beats()
+        sent_at = clock.monotonic()
+        clock.advance(60)
+        self.arrive(mesh, sequence=1, echo=1)
+        assert mesh.heard(1) == {self.PEER}
+        assert mesh.echoed_at(self.PEER) == sent_at
+        assert mesh.mutual(1) == set()
+
+    @pytest.mark.parametrize(("echo", "to"), [(1, "a-0"), (0, "a-1"), (9, "a-1")])
+    async def test_echo_of_another_incarnation_or_of_nothing_proves_nothing(
+        self, mesh: PeerMesh, echo: int, to: str
+    ) -> None:
+        mesh._send_beats()
+        self.arrive(mesh, sequence=1, echo=echo, to=to)
+        assert mesh.echoed_at(self.PEER) is None
+
+    async def test_overtaken_heartbeat_changes_nothing(self, mesh: PeerMesh) -> None:
+        seen: list[int] = []
+        mesh.share("n", lambda: 0, lambda _, value: seen.append(value), int)
+        self.arrive(mesh, sequence=2, echo=0, value=2)
+        self.arrive(mesh, sequence=1, echo=0, value=1)
+        assert seen == [2]
+
+    async def test_silent_incarnation_is_no_longer_addressed(
+        self, mesh: PeerMesh, clock: ManualClock
+    ) -> None:
+        link = mesh._links[self.ADDRESS]
+        self.arrive(mesh, sequence=1, echo=0)
+        mesh._send_beats()
+        clock.advance(PeerMesh.HEARD_SECONDS)
+        mesh._send_beats()
+        assert [envelope.to for envelope in link.sent] == ["b-1", ""]
 
 
 class TestDefects:
