--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/backends/_digests.py
@@ -0,0 +1,44 @@
+"""Turns reports into states, and states into messages for the peers."""
+
+from __future__ import annotations
+
+import msgspec
+import xxhash
+
+from ._messages import LoadDigest, StateDigest
+from ._model import BackendState, LoadReport
+
+
+def state_of(name: str, report: LoadReport, sent_at: float) -> BackendState:
+    """Return the state that a report shows, asked for at a monotonic time."""
+    return BackendState(
+        name=name,
+        as_of=sent_at - report.age_seconds,
+        running=report.running,
+        waiting=report.waiting,
+        slots=report.slots,
+        resident=report.resident,
+        used_mib=report.used_mib,
+        leaving=report.leaving,
+        healthy=True,
+        seq=report.seq,
+    )
+
+
+def digest_of(state: BackendState, now: float) -> StateDigest:
+    """Return the message that passes on a whole state."""
+    return StateDigest(state.name, now - state.as_of, *state[2:])
+
+
+def load_digest_of(state: BackendState, now: float, fingerprint: int) -> LoadDigest:
+    """Return the message that passes on the load alone."""
+    age = now - state.as_of
+    return LoadDigest(
+        state.name, age, state.running, state.waiting, state.seq, fingerprint
+    )
+
+
+def fingerprint_of(state: BackendState) -> int:
+    """Return a hash of what a load digest leaves out."""
+    lasting = (state.slots, state.resident, state.leaving, state.healthy)
+    return xxhash.xxh32_intdigest(msgspec.msgpack.encode(lasting))
--- a/packages/guavajunction/src/guavajunction/backends/_inventory.py
+++ b/packages/guavajunction/src/guavajunction/backends/_inventory.py
@@ -4,15 +4,13 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 
-import msgspec
-import xxhash
-
 from ..clock import Clock
 from ..configuration import Adapter, BackendServer, Configuration
 from ..peers import Links, PeerId
+from ._digests import digest_of, fingerprint_of, load_digest_of, state_of
 from ._errors import BackendUnreachable
 from ._events import (
     BACKEND_HEALTHY,
@@ -22,10 +20,11 @@
     CACHE_GAP,
 )
 from ._messages import CacheNews, LoadDigest, StateDigest, StateWanted
-from ._model import READY, BackendState, LoadReport
+from ._model import BackendState
 from ._passive_health import PassiveHealth
 from ._prefix_index import PrefixIndex
 from ._protocols import BackendClient, Members
+from ._ready_index import ReadyIndex
 from ._retirement import Retirement
 
 
@@ -88,9 +87,7 @@
         self._misses: dict[str, int] = {}
         self._prefixes: defaultdict[str, PrefixIndex] = defaultdict(PrefixIndex)
         self._passive = PassiveHealth(clock)
-        self._holders: dict[str, list[str]] | None = None
-        self._versions: dict[str, list[str]] = {}
-        self._holders_version = -1
+        self._ready_index: ReadyIndex | None = None
         self._reading: dict[str, asyncio.Task[None]] = {}
         self._known_peers: set[PeerId] = set()
         self._mine: frozenset[str] = frozenset()
@@ -121,7 +118,7 @@
         They are healthy, not leaving, not draining the artifact and have it ready;
         for an adapter, its base model too.
         """
-        names = self._index().get(artifact, [])
+        names = self._index().holders(artifact)
         return [
             self._states[name]
             for name in names
@@ -162,7 +159,7 @@
         """Record that a request failed on a backend server."""
         if self._passive.note_failure(backend):
             BACKEND_SUSPECTED.log(backend=backend)
-            self._holders = None
+            self._ready_index = None
 
     async def run(self) -> None:
         """Read and pass on states until cancelled."""
@@ -175,7 +172,7 @@
     def start_reads(self) -> None:
         """Start a query of each backend server that this instance should read."""
         if self._passive.expire():
-            self._holders = None
+            self._ready_index = None
         self._mine = self._to_read()
         self._greet_new_peers()
         for name, server in self._configuration().backends.items():
@@ -222,7 +219,7 @@
             return
         self._misses[server.name] = 0
         self._own_reads[server.name] = self._clock.monotonic()
-        self._take(_state_of(server.name, report, sent_at), own=True)
+        self._take(state_of(server.name, report, sent_at), own=True)
         self._tell(server.name)
         if engine and self.is_reader(server.name):
             await self._read_cache_events(server)
@@ -262,11 +259,11 @@
         if old is not None and not self._supersedes(state, old, own):
             return
         self._states[state.name] = state
-        fingerprint = _fingerprint(state)
+        fingerprint = fingerprint_of(state)
         if self._fingerprints.get(state.name) == fingerprint:
             return
         self._fingerprints[state.name] = fingerprint
-        self._holders = None
+        self._ready_index = None
         if old is not None and state.leaving and not old.leaving:
             BACKEND_LEAVING.log(backend=state.name)
         if old is not None and state.healthy and not old.healthy:
@@ -289,9 +286,9 @@
         at, told_load, told_fingerprint = self._told.get(name, (-1e9, 0, 0))
         moved = abs(load - told_load) >= max(1, state.slots // self.LOAD_STEP)
         if fingerprint != told_fingerprint:
-            self._links.tell_all(_digest_of(state, now))
+            self._links.tell_all(digest_of(state, now))
         elif moved or now - at >= self.TELL_SECONDS:
-            self._links.tell_all(_load_digest_of(state, now, fingerprint))
+            self._links.tell_all(load_digest_of(state, now, fingerprint))
         else:
             return
         self._told[name] = (now, load, fingerprint)
@@ -302,7 +299,7 @@
         for peer in peers - self._known_peers:
             for name, state in self._states.items():
                 if self.is_reader(name):
-                    self._links.tell(peer, _digest_of(state, now))
+                    self._links.tell(peer, digest_of(state, now))
         self._known_peers = peers
 
     async def _on_state(self, sender: PeerId, digest: StateDigest) -> None:
@@ -336,76 +333,22 @@
     async def _on_wanted(self, sender: PeerId, wanted: StateWanted) -> None:
         state = self._states.get(wanted.name)
         if state is not None:
-            self._links.tell(sender, _digest_of(state, self._clock.monotonic()))
+            self._links.tell(sender, digest_of(state, self._clock.monotonic()))
 
     async def _on_cache_news(self, sender: PeerId, news: CacheNews) -> None:
         self._learn(news)
 
-    def _index(self) -> dict[str, list[str]]:
+    def _index(self) -> ReadyIndex:
         cfg = self._configuration()
-        if self._holders is None or self._holders_version != cfg.version:
-            self._holders = self._build_index(cfg)
-            self._versions = _by_name(self._holders)
-            self._holders_version = cfg.version
-        return self._holders
-
-    def _build_index(self, cfg: Configuration) -> dict[str, list[str]]:
-        bases = {adapter.name: adapter.model for adapter in cfg.adapters.values()}
-        holders: defaultdict[str, list[str]] = defaultdict(list)
-        for state in self.states():
-            if not state.healthy or state.leaving:
-                continue
-            loaded = [r.artifact for r in state.resident if r.state == READY]
-            names = {artifact.partition("@")[0] for artifact in loaded}
-            for artifact in loaded:
-                base = bases.get(artifact.partition("@")[0])
-                if base is None or base in names:
-                    holders[artifact].append(state.name)
-        return dict(holders)
+        index = self._ready_index
+        if index is None or index.version != cfg.version:
+            index = self._ready_index = ReadyIndex(cfg, self.states())
+        return index
 
     def _older_ready(self, name: str, current: str) -> dict[str, int]:
-        self._index()
         return {
             artifact: count
-            for artifact in self._versions.get(name, ())
+            for artifact in self._index().versions(name)
             if artifact != current
             if (count := len(self.ready(artifact)))
         }
-
-
-def _by_name(artifacts: Iterable[str]) -> dict[str, list[str]]:
-    versions: defaultdict[str, list[str]] = defaultdict(list)
-    for artifact in artifacts:
-        versions[artifact.partition("@")[0]].append(artifact)
-    return dict(versions)
-
-
-def _state_of(name: str, report: LoadReport, sent_at: float) -> BackendState:
-    return BackendState(
-        name=name,
-        as_of=sent_at - report.age_seconds,
-        running=report.running,
-        waiting=report.waiting,
-        slots=report.slots,
-        resident=report.resident,
-        used_mib=report.used_mib,
-        leaving=report.leaving,
-        healthy=True,
-        seq=report.seq,
-    )
-
-
-def _digest_of(state: BackendState, now: float) -> StateDigest:
-    return StateDigest(state.name, now - state.as_of, *state[2:])
-
-
-def _load_digest_of(state: BackendState, now: float, fingerprint: int) -> LoadDigest:
-    age = now - state.as_of
-    return LoadDigest(
-        state.name, age, state.running, state.waiting, state.seq, fingerprint
-    )
-
-
-def _fingerprint(state: BackendState) -> int:
-    lasting = (state.slots, state.resident, state.leaving, state.healthy)
-    return xxhash.xxh32_intdigest(msgspec.msgpack.encode(lasting))
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/backends/_ready_index.py
@@ -0,0 +1,49 @@
+"""Which backend servers may be given work for which artifacts."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from ..configuration import Configuration
+from ._model import READY, BackendState
+
+
+class ReadyIndex:
+    """The artifacts that are ready on servers that are healthy and stay."""
+
+    def __init__(self, cfg: Configuration, states: Iterable[BackendState]) -> None:
+        """Index the states.
+
+        Args:
+            cfg: The configuration in force.
+            states: The state of each configured backend server.
+        """
+        self.version = cfg.version
+        """Version of the configuration that the index was made with."""
+        self._bases = {adapter.name: adapter.model for adapter in cfg.adapters.values()}
+        self._holders: defaultdict[str, list[str]] = defaultdict(list)
+        self._versions: defaultdict[str, list[str]] = defaultdict(list)
+        for state in states:
+            if state.healthy and not state.leaving:
+                self._add(state)
+
+    def holders(self, artifact: str) -> list[str]:
+        """Return the backend servers that can answer for an artifact."""
+        return self._holders.get(artifact, [])
+
+    def versions(self, name: str) -> list[str]:
+        """Return the artifacts of a name that some backend server has ready."""
+        return self._versions.get(name, [])
+
+    def _add(self, state: BackendState) -> None:
+        loaded = [r.artifact for r in state.resident if r.state == READY]
+        names = {artifact.partition("@")[0] for artifact in loaded}
+        for artifact in loaded:
+            name = artifact.partition("@")[0]
+            # An adapter is of use only beside its base model.
+            if self._bases.get(name, name) not in names:
+                continue
+            if artifact not in self._holders:
+                self._versions[name].append(artifact)
+            self._holders[artifact].append(state.name)
--- a/packages/guavajunction/src/guavajunction/placement/_planner.py
+++ b/packages/guavajunction/src/guavajunction/placement/_planner.py
@@ -15,6 +15,7 @@
     Unload,
     name_of,
 )
+from ._room import Room, RoomFinder
 
 NO_ROOM_REASON = "no_room"
 ROOM_PENDING = "memory_being_freed"
@@ -38,17 +39,6 @@
     """Replicas that may be on their way out at a time, for gain."""
 
 
-class _Room(NamedTuple):
-    """A way to make room on an engine."""
-
-    cost: float
-    server: str
-    removals: tuple[str, ...]
-    """Artifacts that may go now."""
-    relocations: tuple[str, ...]
-    """Artifacts that must first be loaded elsewhere."""
-
-
 class Planner:
     """Plans one pool; a pure function of the view.
 
@@ -59,27 +49,22 @@
     elsewhere first and goes in a later round.
     """
 
-    RELOCATION_COST = 4.0
-    """Cost in slots of a move that only makes room."""
-
     def __init__(self, limits: PlannerLimits = PlannerLimits()) -> None:  # noqa: B008
         self.limits = limits
 
     def plan(self, view: PoolView) -> Plan:
         """Return the moves of one round."""
-        return _Round(view, self.limits, self.RELOCATION_COST).plan()
+        return _Round(view, self.limits).plan()
 
 
 class _Round:
     """One planning round."""
 
-    def __init__(
-        self, view: PoolView, limits: PlannerLimits, relocation_cost: float
-    ) -> None:
+    def __init__(self, view: PoolView, limits: PlannerLimits) -> None:
         self._view = view
         self._limits = limits
-        self._relocation_cost = relocation_cost
         self._draft = Draft(view)
+        self._finder = RoomFinder(self._draft)
         self._base_budget = view.budget.base
         self._adapter_budget = view.budget.adapter
         self._loads: list[Load] = []
@@ -181,7 +166,9 @@
                 draft.reserve(c.server, deployment.mib)
                 self._short(deployment, ROOM_PENDING, c.server)
                 return
-        rooms = [r for c in candidates if (r := self._room(deployment, c.server))]
+        rooms = [
+            r for c in candidates if (r := self._finder.room(deployment, c.server))
+        ]
         if not rooms:
             self._short(deployment, NO_ROOM_REASON, "")
             return
@@ -192,92 +179,18 @@
     def _short(self, deployment: Deployment, reason: str, server: str) -> None:
         self._shortages.append(Shortage(deployment.artifact, reason, server))
 
-    def _room(self, deployment: Deployment, server: str) -> _Room | None:
-        """Return the cheapest way to make room on an engine, None without one."""
-        draft = self._draft
-        lacking = deployment.mib - draft.free[server] - draft.promised[server]
-        options = [
-            option
-            for artifact, holding in self._view.servers[server].holdings.items()
-            if server in draft.ready[artifact]
-            if artifact != deployment.base and holding.mib > 0
-            if artifact not in self._view.urgent
-            if (option := self._option(server, artifact, deployment)) is not None
-        ]
-        options.sort()
-        chosen: list[str] = []
-        cost = 0.0
-        gone: set[str] = set()
-        for _, option_cost, artifact in options:
-            if lacking <= 0:
-                break
-            freed = {artifact, *draft.dependents(server, artifact)} - gone
-            gone |= freed
-            lacking -= sum(draft.holding(server, a).mib for a in freed)
-            cost += option_cost
-            chosen.append(artifact)
-        if lacking > 0:
-            return None
-        now = tuple(a for a in chosen if draft.may_remove(server, a))
-        later = tuple(a for a in chosen if a not in now)
-        return _Room(cost, server, now, later)
-
-    def _option(
-        self, server: str, artifact: str, favoured: Deployment
-    ) -> tuple[float, float, str] | None:
-        """Return cost for each MiB, cost, and artifact of giving up a replica."""
-        draft = self._draft
-        holding = draft.holding(server, artifact)
-        loss = draft.spread.loss(name_of(artifact), server)
-        if favoured.base is not None and holding.base is None:
-            loss += self._relocation_cost
-        if draft.may_remove(server, artifact):
-            return (loss / holding.mib, loss, artifact)
-        if favoured.base is not None or not self._relocatable(server, artifact):
-            return None
-        if not draft.coming[artifact]:
-            loss += self._relocation_cost
-        return (loss / holding.mib, loss, artifact)
-
-    def _relocatable(self, server: str, artifact: str) -> bool:
-        first = self._to_relocate(server, artifact)
-        return bool(first) and all(
-            d is not None and (self._draft.coming[d.artifact] or self._elsewhere(d))
-            for d in first
-        )
-
-    def _to_relocate(self, server: str, artifact: str) -> list[Deployment | None]:
-        """Return what must be loaded elsewhere next before an artifact can go.
-
-        A base model comes first, the adapters that depend on it follow.
-        """
-        draft = self._draft
-        deployed = self._view.deployments
-        if not draft.enough_without(server, artifact):
-            return [deployed.get(artifact)]
-        return [
-            deployed.get(adapter)
-            for adapter in draft.dependents(server, artifact)
-            if not draft.enough_without(server, adapter)
-        ]
-
-    def _elsewhere(self, deployment: Deployment) -> list[Candidate]:
-        """Return the engines with room for another replica."""
-        candidates = self._draft.candidates(deployment)
-        return [c for c in candidates if c.free_mib >= deployment.mib]
-
-    def _make_room(self, deployment: Deployment, room: _Room, reason: str) -> None:
+    def _make_room(self, deployment: Deployment, room: Room, reason: str) -> None:
         for artifact in room.removals:
             self._unload(room.server, artifact, reason, deployment.artifact)
         for artifact in room.relocations:
-            for moved in self._to_relocate(room.server, artifact):
+            for moved in self._finder.to_relocate(room.server, artifact):
                 self._relocate(moved)
         self._draft.reserve(room.server, deployment.mib)
 
     def _relocate(self, moved: Deployment | None) -> None:
         if moved is None or self._draft.coming[moved.artifact]:
             return
-        fitting = self._elsewhere(moved)
+        fitting = self._finder.elsewhere(moved)
         if fitting:
             self._load(moved, fitting, "relocation", 0.0)
 
@@ -306,7 +219,7 @@
                     break
 
     def _load_if_fits(self, deployment: Deployment, reason: str) -> bool:
-        fitting = self._elsewhere(deployment)
+        fitting = self._finder.elsewhere(deployment)
         return bool(fitting) and self._load(deployment, fitting, reason, 0.0)
 
     def _clear_obsolete(self) -> None:
@@ -325,7 +238,7 @@
             if draft.may_remove(server, artifact):
                 self._unload(server, artifact, "not_deployed", "")
                 continue
-            for adapter in self._to_relocate(server, artifact):
+            for adapter in self._finder.to_relocate(server, artifact):
                 self._make_way(deployment, adapter)
 
     def _make_way(self, base: Deployment | None, adapter: Deployment | None) -> None:
@@ -357,7 +270,7 @@
     def _grow_one(self, deployment: Deployment) -> None:
         if not self._draft.answering(deployment.artifact):
             return
-        while fitting := self._elsewhere(deployment):
+        while fitting := self._finder.elsewhere(deployment):
             gain = self._draft.spread.benefit(deployment.name, fitting[0].server)
             if gain < self._limits.gain_slots:
                 break
@@ -378,7 +291,9 @@
                 return
         if self._going() >= self._limits.max_going:
             return
-        rooms = [r for c in candidates if (r := self._room(deployment, c.server))]
+        rooms = [
+            r for c in candidates if (r := self._finder.room(deployment, c.server))
+        ]
         settled = [r for r in rooms if not r.relocations and self._settled(r)]
         net, room = max(
             ((self._net_gain(deployment, r), r) for r in settled),
@@ -387,11 +302,11 @@
         if room is not None and net >= self._limits.move_cost_slots:
             self._make_room(deployment, room, "demand")
 
-    def _net_gain(self, deployment: Deployment, room: _Room) -> float:
+    def _net_gain(self, deployment: Deployment, room: Room) -> float:
         displaced = [name_of(artifact) for artifact in room.removals]
         return self._draft.spread.benefit(deployment.name, room.server, displaced)
 
-    def _settled(self, room: _Room) -> bool:
+    def _settled(self, room: Room) -> bool:
         stay = self._limits.min_stay_seconds
         holding = self._draft.holding
         return all(holding(room.server, a).age >= stay for a in room.removals)
