--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -4,6 +4,7 @@
 
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -129,6 +130,37 @@
     return max((len(pool.ready(a)) for a in held | deployed), default=0)
 
 
+class TestSettling:
+    """Pools filled to three fifths, with two version changes."""
+
+    @pytest.mark.parametrize("seed", range(10))
+    def test_everything_is_placed_and_then_rests(self, seed: int):
+        rng = random.Random(seed)
+        pool = _filled_pool(rng, servers=rng.randint(3, 6), fill=0.6)
+        pool.rounds(15)
+        changed = rng.sample([a for a, d in pool.deployments.items() if not d.base], 2)
+        for artifact in changed:
+            pool.deploy(artifact, artifact.replace("@1", "@2"))
+        pool.rounds(15)
+        assert all(pool.ready(artifact) for artifact in pool.deployments)
+        moves = pool.moves
+        pool.rounds(5)
+        assert pool.moves == moves
+
+
+def _filled_pool(rng: random.Random, servers: int, fill: float) -> FakePool:
+    bases: list[Deployment] = []
+    while sum(d.mib for d in bases) < servers * 100 * fill:
+        bases.append(model(f"m{len(bases)}@1", rng.choice([15, 20, 25, 35, 45])))
+    adapters = [adapter(f"x{i}@1", rng.choice(bases).artifact) for i in range(6)]
+    pool = FakePool(bases + adapters, Budget(3, 10))
+    for i in range(servers):
+        pool.add(f"e{i}", 100)
+    mean = servers * pool.servers["e0"].slots * 0.6 / len(bases)
+    pool.need = {d.name: rng.random() * 2 * mean for d in bases}
+    return pool
+
+
 class TestVersionChange:
     """A new version takes over before the old one goes."""
 
