Close gaps in the tests of the stand-ins; share KV memory strictly

Cause: of 34 single-line faults put into a scratch copy, the tests missed 6: an unload that didn't wait, an adapter without its base, two ways in which the prefix cache outgrew its memory, a hang-up before the answer began, and an error event that was taken for garbage.

Change: tests for each; requests reserve the KV memory of their whole answer, so that requests and cache never exceed the reserve together; a failing job of a stand-in is reported and raised at its end instead of leaving callers to hang.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/_server.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/_server.py
@@ -31,6 +31,7 @@
         self.counts: Counter[str] = Counter()
         """Operations met so far, by kind."""
         self._jobs: set[asyncio.Task[Any]] = set()
+        self._failures: list[BaseException] = []
         self._loop_held_seconds = 0.0
 
     def routes(self) -> list[web.RouteDef]:
@@ -56,10 +57,13 @@
         }
 
     def spawn(self, job: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Run a job until it ends or the server stops."""
+        """Run a job until it ends or the server stops.
+
+        What a job raises is reported at once and raised when the server stops.
+        """
         task = asyncio.ensure_future(job)
         self._jobs.add(task)
-        task.add_done_callback(self._jobs.discard)
+        task.add_done_callback(self._on_job_end)
         return task
 
     def start_jobs(self) -> None:
@@ -124,12 +128,23 @@
     async def _handle_stats(self, req: web.Request) -> web.Response:
         return web.json_response(self.stats())
 
+    def _on_job_end(self, task: asyncio.Task[Any]) -> None:
+        self._jobs.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        self._failures.append(task.exception())
+        task.get_loop().call_exception_handler(
+            {"message": "a job of a stand-in failed", "exception": task.exception()}
+        )
+
     async def _stop_jobs(self) -> None:
         self.faults.close()
         jobs = list(self._jobs)
         for job in jobs:
             job.cancel()
         await asyncio.gather(*jobs, return_exceptions=True)
+        for failure in self._failures:
+            raise failure
 
     async def _measure_loop(self) -> None:
         interval = 0.1
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_batch.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_batch.py
@@ -54,6 +54,11 @@
         """Tokens that it keeps in KV cache."""
         return self.prompt_tokens + self.made
 
+    @property
+    def most_kv_tokens(self) -> int:
+        """Tokens that it will keep at its end."""
+        return self.prompt_tokens + len(self.tokens)
+
 
 class Batch:
     """Runs jobs in steps; a step's time grows with the number of jobs in it."""
@@ -71,7 +76,14 @@
     @property
     def kv_used_mib(self) -> float:
         """Memory of running jobs and cached prefixes."""
-        return self._running_kv_mib() + self._cache.mib
+        tokens = sum(job.kv_tokens for job in self.running)
+        return tokens * self._cfg.kv_mib_per_token + self._cache.mib
+
+    @property
+    def cache_room_mib(self) -> float:
+        """Memory that running jobs leave to the prefix cache."""
+        tokens = sum(job.most_kv_tokens for job in self.running)
+        return self._cfg.kv_reserve_mib - tokens * self._cfg.kv_mib_per_token
 
     def submit(self, job: Job) -> None:
         """Queue a job."""
@@ -101,10 +113,6 @@
     def _is_here(self, job: Job) -> bool:
         return job in self.running or job in self.waiting
 
-    def _running_kv_mib(self) -> float:
-        tokens = sum(job.kv_tokens for job in self.running)
-        return tokens * self._cfg.kv_mib_per_token
-
     def _admit(self) -> None:
         self.waiting.sort(key=lambda job: job.rank)
         while self.waiting and self._make_room(self.waiting[0]):
@@ -122,9 +130,9 @@
         return True
 
     def _has_room(self, job: Job) -> bool:
-        need = (job.prompt_tokens + len(job.tokens)) * self._cfg.kv_mib_per_token
-        kv_fits = self._running_kv_mib() + need <= self._cfg.kv_reserve_mib
-        return kv_fits and len(self.running) < self._cfg.slots
+        need = job.most_kv_tokens * self._cfg.kv_mib_per_token
+        has_slot = len(self.running) < self._cfg.slots
+        return has_slot and need <= self.cache_room_mib
 
     def _preempt(self, job: Job) -> None:
         self.preemptions += 1
@@ -138,7 +146,7 @@
         job.prefill_left = job.kv_tokens - cached * self._cfg.cached_share
         job.prefilled = False
         self.running.append(job)
-        self._cache.shrink(self._cfg.kv_reserve_mib - self._running_kv_mib())
+        self._cache.shrink(self.cache_room_mib)
 
     def _plan_step(self) -> float:
         """Spread the step's prefill and return its time in seconds."""
@@ -172,6 +180,7 @@
                 jobs.remove(job)
         job.artifact.release()
         if job.prefilled:
-            room = self._cfg.kv_reserve_mib - self._running_kv_mib()
-            self._cache.store(job.artifact.name, job.prefix, job.prompt_tokens, room)
+            self._cache.store(
+                job.artifact.name, job.prefix, job.prompt_tokens, self.cache_room_mib
+            )
         job.out.put_nowait(None)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_engine.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_engine.py
@@ -286,7 +286,7 @@
         return web.Response(body=json.dumps(found).encode())
 
     async def _handle_kv_put(self, req: web.Request) -> web.Response:
-        room = self.cfg.kv_reserve_mib - (self.batch.kv_used_mib - self.cache.mib)
+        room = self.batch.cache_room_mib
         for artifact, tokens in json.loads(await req.read()).items():
             self.cache.store(artifact, req.match_info["prefix"], tokens, room)
         return web.Response(status=204)
--- a/tests/fakes/test_engine.py
+++ b/tests/fakes/test_engine.py
@@ -32,7 +32,8 @@
 
 @pytest.fixture
 async def session():
-    async with aiohttp.ClientSession() as session:
+    timeout = aiohttp.ClientTimeout(total=5)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
         yield session
 
 
@@ -161,6 +162,16 @@
             await until(lambda: not engine.batch.running)
             assert engine.stats()["disconnects"] == 1
 
+    async def test_a_hang_up_is_noticed_before_the_answer_begins(self, session):
+        engine = FakeEngine(CFG._replace(step_seconds=0.05))
+        async with engine.serve() as url:
+            asked = asyncio.ensure_future(
+                ask(session, url, body_of("hi", stream=False)).__aenter__()
+            )
+            await until(lambda: engine.batch.running)
+            asked.cancel()
+            await until(lambda: not engine.batch.running, seconds=0.3)
+
     async def test_a_cancelled_stream_is_not_whole(self, session):
         engine = FakeEngine(CFG._replace(step_seconds=0.05))
         async with (
@@ -219,14 +230,19 @@
                 took.append(time.monotonic() - began)
         assert took[1] < took[0] / 2
 
-    async def test_the_cache_never_outgrows_its_memory(self, session):
+    async def test_requests_and_cache_share_their_memory(self, session):
         engine = FakeEngine(CFG._replace(kv_reserve_mib=50, cache_event_lag=0.0))
+        used = []
+
+        async def run_and_sample(number):
+            body = body_of(f"{number} " + "p" * 150)
+            async with ask(session, url, body) as resp:
+                async for _ in resp.content:
+                    used.append(engine.batch.kv_used_mib)
+
         async with engine.serve() as url:
-            for number in range(12):
-                prompt = f"{number} " + "p" * 200
-                async with ask(session, url, body_of(prompt, max_tokens=4)) as resp:
-                    await resp.read()
-                assert engine.batch.kv_used_mib <= 50
+            await asyncio.gather(*(run_and_sample(number) for number in range(12)))
+            assert 40 < max(used) <= 50
             async with session.get(f"{url}/admin/cache-events?after=0") as resp:
                 events = (await resp.json())["events"]
         seen = [event["seq"] for event in events]
@@ -234,6 +250,17 @@
         assert 11 not in seen
         assert 12 in seen
 
+    async def test_imported_prefixes_are_bounded_too(self, session):
+        engine = FakeEngine(CFG._replace(kv_reserve_mib=50))
+        async with engine.serve() as url:
+            for number in range(5):
+                await session.put(f"{url}/admin/kv/p{number}", json={"m@1": 100})
+            assert engine.batch.kv_used_mib == 50
+            async with session.get(f"{url}/admin/kv/p4") as resp:
+                assert json.loads(await resp.read()) == {"m@1": 100}
+            async with session.get(f"{url}/admin/kv/p0") as resp:
+                assert resp.status == 404
+
     async def test_a_larger_batch_is_slower(self, session):
         cfg = CFG._replace(step_seconds=0.002, step_seconds_per_request=0.004)
 
@@ -326,13 +353,14 @@
             await until(lambda: engine.memory.ready("a@1"))
 
     async def test_an_unload_waits_for_running_requests(self, session):
-        engine = FakeEngine(CFG)
+        engine = FakeEngine(CFG._replace(step_seconds=0.01))
         async with engine.serve() as url:
             async with ask(session, url, body_of("hi")) as resp:
                 await resp.content.readline()
                 await order(session, url, "1", "unload", "m@1")
                 async with ask(session, url, body_of("late")) as late:
                     assert late.status == 404
+                await asyncio.sleep(0.05)
                 assert engine.memory.weights_mib == 300
                 assert b"[DONE]" in await resp.read()
             await until(lambda: engine.memory.weights_mib == 0)
@@ -350,6 +378,16 @@
             async with ask(session, url, body_of("hi", model="a@1")) as resp:
                 assert resp.status == 404
 
+    async def test_an_adapter_without_its_base_does_not_answer(self, session):
+        engine = FakeEngine(CFG._replace(residents=(Resident("a@1", 10, "m@1"),)))
+        async with engine.serve() as url:
+            async with ask(session, url, body_of("hi", model="a@1")) as resp:
+                assert resp.status == 404
+            await order(session, url, "1", "load", "m@1")
+            await until(lambda: engine.memory.ready("m@1"))
+            async with ask(session, url, body_of("hi", model="a@1")) as resp:
+                assert resp.status == 200
+
     async def test_the_load_report_lags(self, session):
         cfg = CFG._replace(load_report_every=0.01, load_report_lag=0.1)
         async with FakeEngine(cfg).serve() as url:
--- a/tests/fakes/test_load.py
+++ b/tests/fakes/test_load.py
@@ -202,16 +202,17 @@
         assert {tier for entry in fleet[0] for tier in entry.tiers} == {None, "flex"}
 
     @pytest.mark.parametrize(
-        ("answer", "verdict"),
+        ("answer", "verdict", "refusals"),
         [
-            ("cut as whole", Verdict.CUT_AS_WHOLE),
-            ("wrong", Verdict.WRONG),
-            ("cut", Verdict.CUT),
-            ("error", Verdict.CUT),
+            ("cut as whole", Verdict.CUT_AS_WHOLE, set()),
+            ("wrong", Verdict.WRONG, set()),
+            ("cut", Verdict.CUT, set()),
+            ("error", Verdict.CUT, {"answer_cut"}),
         ],
     )
-    async def test_bad_answers(self, fleet, answer, verdict):
+    async def test_bad_answers(self, fleet, answer, verdict, refusals):
         report = await load(fleet, answer=answer)
+        assert set(report.as_dict()["refused"]) == refusals
         assert verdicts(report) == {verdict}
         assert report.as_dict()["attainment"] == 0.0
         broken = verdict in (Verdict.CUT_AS_WHOLE, Verdict.WRONG)
--- a/tests/fakes/test_stand_ins.py
+++ b/tests/fakes/test_stand_ins.py
@@ -58,7 +58,8 @@
 
 @pytest.fixture
 async def session():
-    async with aiohttp.ClientSession() as session:
+    timeout = aiohttp.ClientTimeout(total=5)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
         yield session
 
 
