Choose the readers of backend servers less often

Each poll asked the membership for the author of every backend server, which grows with members times servers. The choice is now kept until peers or the configuration change, and for two seconds at most.

--- a/packages/guavajunction/src/guavajunction/backends/_inventory.py
+++ b/packages/guavajunction/src/guavajunction/backends/_inventory.py
@@ -43,6 +43,8 @@
     """Time without a digest after which an instance reads by itself."""
     GREETING_SECONDS = 1.0
     """Time after the start in which the readers are expected to tell of theirs."""
+    CHOICE_SECONDS = 2.0
+    """Longest time until a change of the readers is noticed."""
     MISSES = 2
     """Queries in a row without an answer that make a server unhealthy."""
     LOAD_STEP = 8
@@ -91,6 +93,8 @@
         self._reading: dict[str, asyncio.Task[None]] = {}
         self._known_peers: set[PeerId] = set()
         self._mine: frozenset[str] = frozenset()
+        self._chosen_for: tuple[list[PeerId], int] | None = None
+        self._chosen_at = 0.0
         self._started = clock.monotonic()
         links.handle(StateDigest, self._on_state)
         links.handle(LoadDigest, self._on_load)
@@ -173,7 +177,7 @@
         """Start a query of each backend server that this instance should read."""
         if self._passive.expire():
             self._ready_index = None
-        self._mine = self._to_read()
+        self._choose_readers()
         self._greet_new_peers()
         for name, server in self._configuration().backends.items():
             if name not in self._reading and self._should_read(name):
@@ -195,6 +199,15 @@
         """Return whether this instance reads a backend server for the others."""
         return name in self._mine
 
+    def _choose_readers(self) -> None:
+        """Find out anew what to read when peers or servers change, or now and then."""
+        now = self._clock.monotonic()
+        basis = (self._links.peers(), self._configuration().version)
+        if basis != self._chosen_for or now - self._chosen_at >= self.CHOICE_SECONDS:
+            self._mine = self._to_read()
+            self._chosen_for = basis
+            self._chosen_at = now
+
     def _to_read(self) -> frozenset[str]:
         me = self._links.me
         names = self._configuration().backends
--- a/tests/backends/test_inventory.py
+++ b/tests/backends/test_inventory.py
@@ -84,6 +84,17 @@
         await world.tick(Inventory.SILENCE_SECONDS)
         assert world.inventories[1].state("e1").holds("m@1")
 
+    async def test_another_reader_takes_over(self):
+        world = Fleet()
+        await world.tick()
+        world.members.chosen = world.links[1].me
+        await world.tick(Inventory.CHOICE_SECONDS)
+        world.clients[0].reads.clear()
+        world.engines["e1"].hold("m@1", 40)
+        await world.tick()
+        assert world.names("m@1") == [["e1"], ["e1"]]
+        assert not world.clients[0].reads
+
     async def test_late_digest_does_not_undo_a_newer_one(self):
         world = Fleet()
         await world.tick()
