Measure a run by its real length; split the engine's HTTP module

Cause: an overloaded run went on after its last arrival, and busy time over the planned seconds showed engines 100.7% busy.

Change: LoadReport.elapsed, from the first send to the last answer, is the time base of busy share, store rates and a customer's entitlement; attained chats per accelerator stay over the planned seconds. Bodies and event writing leave engine/_engine.py for modules of their own.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_engine.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_engine.py
@@ -15,7 +15,9 @@
 from .._server import FakeServer
 from ._answers import answer_tokens, prefix_of, prompt_of, tokens_in
 from ._batch import Batch, Job
+from ._chunks import Chunks
 from ._config import EngineConfig
+from ._event_writer import EventWriter
 from ._load_report import LoadReports
 from ._memory import Artifact, Memory
 from ._orders import Order, OrderBook
@@ -210,7 +212,7 @@
             parts.append(token)
         if job.cancelled:
             return cut(req)
-        answer = _Chunks(req.path, job).whole("".join(parts))
+        answer = Chunks(req.path, job).whole("".join(parts))
         return web.json_response(answer, headers={"X-Request-Id": job.request_id})
 
     async def _stream(self, req: web.Request, job: Job) -> web.StreamResponse:
@@ -223,8 +225,8 @@
             }
         )
         await resp.prepare(req)
-        stream = _Stream(self, req, resp)
-        chunks = _Chunks(req.path, job)
+        stream = EventWriter(self.faults, req, resp)
+        chunks = Chunks(req.path, job)
         event = first
         while (token := await job.out.get()) is not None:
             if event == first + 1 and self.faults.take("cross_events"):
@@ -312,86 +314,6 @@
         }
 
 
-class _Stream:
-    """Sends events until a fault cuts the stream."""
-
-    def __init__(
-        self, engine: FakeEngine, req: web.Request, resp: web.StreamResponse
-    ) -> None:
-        self._faults = engine.faults
-        self._req = req
-        self._resp = resp
-        self._cuts = self._faults.take("cut_streams")
-        self._left = self._faults.now.cut_after_events
-
-    async def send(self, number: int, data: str) -> None:
-        """Send one event.
-
-        Raises:
-            ConnectionResetError: The stream is cut, by a fault or by the caller.
-        """
-        if self._cuts and self._left == 0:
-            cut(self._req)
-            raise ConnectionResetError("cut by a fault")
-        self._left -= 1
-        await self._resp.write(f"id: {number}\ndata: {data}\n\n".encode())
-
-
-class _Chunks:
-    """Writes the bodies of one answer."""
-
-    def __init__(self, path: str, job: Job) -> None:
-        self._chat = path.endswith("/chat/completions")
-        self._job = job
-        self._id = f"chatcmpl-{job.request_id}"
-
-    def token(self, text: str) -> str:
-        """Return the chunk of one token."""
-        return json.dumps(self._chunk(self._choice(text, None)))
-
-    def of_another_request(self, text: str) -> str:
-        """Return a chunk that does not belong to this answer."""
-        chunk = self._chunk(self._choice(f" crossed{text}", None))
-        return json.dumps({**chunk, "id": f"chatcmpl-{uuid.uuid4().hex}"})
-
-    def end(self) -> str:
-        """Return the chunk that names the reason of the end."""
-        chunk = self._chunk(self._choice("", "stop"))
-        return json.dumps({**chunk, "usage": self._usage()})
-
-    def whole(self, text: str) -> dict[str, Any]:
-        """Return the body of an answer that is not streamed."""
-        if self._chat:
-            message = {"role": "assistant", "content": text}
-            choice = {"index": 0, "message": message, "finish_reason": "stop"}
-        else:
-            choice = {"index": 0, "text": text, "finish_reason": "stop"}
-        kind = "chat.completion" if self._chat else "text_completion"
-        return {**self._chunk(choice), "object": kind, "usage": self._usage()}
-
-    def _chunk(self, choice: dict[str, Any]) -> dict[str, Any]:
-        return {
-            "id": self._id,
-            "object": "chat.completion.chunk" if self._chat else "text_completion",
-            "model": self._job.artifact.name,
-            "choices": [choice],
-        }
-
-    def _choice(self, text: str, reason: str | None) -> dict[str, Any]:
-        if self._chat:
-            delta = {"content": text} if text else {}
-            return {"index": 0, "delta": delta, "finish_reason": reason}
-        return {"index": 0, "text": text, "finish_reason": reason}
-
-    def _usage(self) -> dict[str, int]:
-        prompt, completion = self._job.prompt_tokens, len(self._job.tokens)
-        return {
-            "prompt_tokens": prompt,
-            "completion_tokens": completion,
-            "total_tokens": prompt + completion,
-        }
-
-
 def _error(
     status: int, kind: str, message: str, headers: dict[str, str] | None = None
 ) -> web.Response:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_report.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_report.py
@@ -22,6 +22,8 @@
     roster: Roster
     plan: LoadPlan
     outcomes: list[Outcome]
+    elapsed: float
+    """Seconds from the first send to the last answer."""
     before: BackendView
     after: BackendView
 
@@ -47,6 +49,7 @@
             "profile": self.roster.profile,
             "plan": self.plan._asdict(),
             "requests": len(self.outcomes),
+            "elapsed_seconds": round(self.elapsed, 2),
             "attainment": _rounded(self.attainment(_is_chat)),
             "attained_per_accelerator_second": self._goodput(),
             "classes": {kind: self._class(kind) for kind in (*CHATS, "call")},
@@ -67,7 +70,7 @@
         figures = self.as_dict()
         lines = [
             f"{self.roster.profile}: {figures['requests']} requests in"
-            f" {self.plan.seconds:g} s, seed {self.plan.seed}",
+            f" {self.elapsed:.1f} s, seed {self.plan.seed}",
             f"attainment {_percent(figures['attainment'])},"
             f" worst customer {_percent(figures['worst_customer_attainment'])},"
             f" {figures['attained_per_accelerator_second']} a second per accelerator,"
@@ -147,9 +150,8 @@
         if not chosen:
             return None
         plan = self._customer_plan(name)
-        ended = max(self.plan.seconds, *(outcome.began for outcome in chosen))
         asked = sum(outcome.arrival.expected_use for outcome in chosen)
-        could = min(asked, plan.burst + plan.rate * ended)
+        could = min(asked, plan.burst + plan.rate * self.elapsed)
         used = sum(o.used for o in chosen if o.verdict is Verdict.WHOLE)
         return used / could
 
@@ -193,7 +195,7 @@
         }
 
     def _store(self) -> dict[str, float]:
-        seconds = self.plan.seconds
+        seconds = self.elapsed
         return {
             "reads_per_second": round(self._difference("reads") / seconds, 1),
             "writes_per_second": round(self._difference("writes") / seconds, 1),
@@ -202,7 +204,7 @@
     def _engines_busy(self) -> float:
         """Return the share of the time in which engines had work, on average."""
         busy = self._difference("busy_seconds")
-        return round(busy / self.plan.seconds / self.roster.accelerators, 3)
+        return round(busy / self.elapsed / self.roster.accelerators, 3)
 
     def _bench(self) -> dict[str, float]:
         """Return how late the bench itself was, in milliseconds.
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_runner.py
@@ -42,10 +42,12 @@
             )
             for index, access in enumerate(roster.customers)
         }
+        started = time.monotonic()
         outcomes = await _send_all(callers, roster, plan)
+        elapsed = time.monotonic() - started
         await asyncio.sleep(plan.settle_seconds)
         after = await read_backends(session, roster)
-    return LoadReport(roster, plan, outcomes, before, after)
+    return LoadReport(roster, plan, outcomes, elapsed, before, after)
 
 
 async def _send_all(
