Let a first change wait for the first view

Cause: a change asked for in the first two seconds of a new fleet was refused, since no view had been written or read yet. Ruled out: accepting it without a view, as two nodes may start at once. Change: an announcement waits with the usual patience, and the first view is read as soon as it is written. Seen: tests/membership 64 passed, its loop and pending tests 12 times over without a failure.

--- a/packages/guavajunction/src/guavajunction/membership/_announcer.py
+++ b/packages/guavajunction/src/guavajunction/membership/_announcer.py
@@ -21,7 +21,7 @@
 
 from ._config import MembershipConfig
 from ._messages import Pending, PendingAck, Settled
-from ._model import View
+from ._model import NO_VIEW, View
 from ._note_book import NoteBook
 
 
@@ -115,9 +115,7 @@
         give_up_at = self._clock.monotonic() + self._cfg.patience
         while True:
             started = self._clock.monotonic()
-            view = self._view()
-            if view is None:
-                raise NoMajority("the members have not been read yet")
+            view = self._view() or NO_VIEW
             note = Pending(uuid.uuid4().hex, kind, view.number)
             asked = [peer for peer in view.voters if peer != self._links.me]
             if await self._held_by_majority(note, view, asked):
--- a/packages/guavajunction/src/guavajunction/membership/_membership.py
+++ b/packages/guavajunction/src/guavajunction/membership/_membership.py
@@ -281,10 +281,14 @@
             return
         if self.author("member-view") != self.me:
             return
+        first = self._observer.view.number == 0
         try:
             await self._upkeep.keep_view()
         except GuavaError as exc:
             events.VIEW_NOT_CHANGED.log(error=type(exc).__name__)
+        if first:
+            # Changes wait for the first view to be read.
+            self.wake()
         await self._upkeep.revoke_silent()
         await self._upkeep.delete_old()
 
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -37,7 +37,7 @@
             FakeInstanceList(),
             self.links,
             fleet.clock,
-            CFG,
+            fleet.cfg,
             InstanceRecord(name, "dc", "10.0.0.1", 80, port, "live"),
             version=lambda: self.version,
         )
@@ -67,7 +67,8 @@
 class Fleet:
     """Several nodes before one table service."""
 
-    def __init__(self) -> None:
+    def __init__(self, cfg: MembershipConfig = CFG) -> None:
+        self.cfg = cfg
         self.clock = ManualClock()
         self.network = FakeNetwork(self.clock)
         self.table = FakeTable()
@@ -453,6 +454,27 @@
 class TestLoops:
     """The loops that the daemon runs."""
 
+    async def test_change_waits_for_the_first_view(self) -> None:
+        cfg = CFG._replace(patience=4.0)
+        fleet = Fleet(cfg)
+        node = Node(fleet, "a", "a-1", 1)
+        entered = asyncio.Event()
+
+        async def change() -> None:
+            async with node.membership.pending("configuration"):
+                entered.set()
+
+        tasks = [asyncio.create_task(change())]
+        tasks.append(asyncio.create_task(node.membership.run()))
+        for _ in range(8):
+            fleet.clock.advance(0.25)
+            for _ in range(6):
+                await asyncio.sleep(0)
+        assert entered.is_set()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def test_loops_survive_an_outage_and_can_be_cancelled(
         self, fleet: Fleet
     ) -> None:
