Keep refunds and refills when units move, and measure the limits

Ruled out: charging at a remote instance, whose charge would be older than the dispatch by the delay; gathering remnants from peers that are over their rate, which doubled the messages; partial gifts, which fill shares that cannot use them. Change: units that refunds of unsettled charges need stay; units move filled to the brim; shares are split only into several requests each; a share about to overflow gives to a low one; a peer that has too little gives nothing; doubtful peers are asked for what would complete the rest.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -1,9 +1,10 @@
 """Measures rate limits: overshoot, wrongful refusals and messages of three schemes.
 
-Eight instances admit the requests of four customers on a simulated clock, with
+Eight instances admit the requests of their customers on a simulated clock, with
 message delays. `shares` is the product's scheme. `equal split` gives each instance
 an eighth of rate and burst. `gossip counter` lets each instance spend the whole and
-broadcasts what was spent with each heartbeat.
+broadcasts what was spent with each heartbeat. `one bucket` is what no real fleet can
+have: a bucket that every instance charges at no delay.
 
 A refusal is wrongful if one bucket for the whole fleet, charged with just what the
 scheme admitted, had enough at that moment. Overshoot is the furthest that this
@@ -52,8 +53,9 @@
     Customer("small", rate=1_000.0, burst=5_000.0),
     Customer("medium", rate=4_000.0, burst=16_000.0),
     Customer("large", rate=12_000.0, burst=48_000.0),
-    Customer("tight", rate=4_000.0, burst=4_000.0),
 ]
+TIGHT = [Customer("tight", rate=4_000.0, burst=4_000.0)]
+"""A burst of one second holds but a few requests."""
 
 Settle = Callable[[float], None]
 
@@ -72,6 +74,7 @@
     """Whether an instance dies on the way."""
     loss: float = 0.0
     """Part of the messages that are lost."""
+    customers: list[Customer] = CUSTOMERS
 
 
 SCENARIOS = [
@@ -81,6 +84,7 @@
     Scenario("on three, moving", 0.9, 3, moving=True),
     Scenario("three times the rate", 3.0, 3),
     Scenario("death, 2% lost", 0.8, 3, death=True, loss=0.02),
+    Scenario("burst of one second", 0.8, 3, customers=TIGHT),
 ]
 
 
@@ -139,7 +143,8 @@
 
     def configuration(self) -> Configuration:
         """Return the customers."""
-        return EMPTY._replace(customers={c.name: c for c in CUSTOMERS})
+        customers = {c.name: c for c in self.scenario.customers}
+        return EMPTY._replace(customers=customers)
 
     async def travel(self) -> None:
         """Wait as long as a message takes.
@@ -374,7 +379,7 @@
         self._members = parts = len(self._world.unrevoked)
         now = self._world.clock.monotonic()
         for peer in self._world.unrevoked:
-            for c in CUSTOMERS:
+            for c in self._world.scenario.customers:
                 rate, burst = c.rate * MICRO / parts, int(c.burst * MICRO / parts)
                 bucket = self._buckets.get((peer, c.name))
                 if bucket is None:
@@ -384,6 +389,24 @@
                 bucket.adjust(rate, burst, 0, now)
 
 
+class OneBucket:
+    """Asks one bucket for the whole fleet, without delay: the best there is."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        customers = world.scenario.customers
+        self._buckets = {c.name: whole_bucket(c, 0.0) for c in customers}
+
+    async def start(self) -> None:
+        """Begin with full buckets."""
+
+    async def admit(
+        self, where: PeerId, customer: Customer, cost: float
+    ) -> Settle | None:
+        """Charge the one bucket."""
+        return charge(self._buckets[customer.name], self._world, cost)
+
+
 class GossipCounter:
     """Each instance spends the whole and hears later what others spent."""
 
@@ -392,7 +415,7 @@
         self._buckets = {
             (peer, c.name): whole_bucket(c, 0.0)
             for peer in world.live
-            for c in CUSTOMERS
+            for c in world.scenario.customers
         }
         self._spent: Counter[tuple[PeerId, str]] = Counter()
 
@@ -419,7 +442,7 @@
 
     async def _gossip(self, peer: PeerId) -> None:
         while peer in self._world.live:
-            for c in CUSTOMERS:
+            for c in self._world.scenario.customers:
                 spent = self._spent.pop((peer, c.name), 0)
                 for other in self._world.live:
                     if spent and other != peer:
@@ -482,7 +505,8 @@
     def __init__(self, scheme: Callable[[World], Scheme], world: World) -> None:
         self._world = world
         self._scheme = scheme(world)
-        self._whole = {c.name: whole_bucket(c, 0.0) for c in CUSTOMERS}
+        self._customers = world.scenario.customers
+        self._whole = {c.name: whole_bucket(c, 0.0) for c in self._customers}
         self._counts: Counter[str] = Counter()
         self._overshoot = 0.0
 
@@ -495,7 +519,7 @@
         if world.scenario.death:
             loop = asyncio.get_running_loop()
             loop.call_later(DEATH_AT_SECONDS, lambda: world.kill(world.live[0]))
-        await asyncio.gather(*(self._offer(c, seconds) for c in CUSTOMERS))
+        await asyncio.gather(*(self._offer(c, seconds) for c in self._customers))
         counts = self._counts
         return Result(
             counts["requests"],
@@ -519,7 +543,7 @@
         turn = (
             int(world.clock.monotonic() / HOT_SECONDS) if world.scenario.moving else 0
         )
-        first = CUSTOMERS.index(customer) + turn * 3
+        first = self._customers.index(customer) + turn * 3
         place = first + world.rng.randrange(world.scenario.instances)
         return world.live[place % len(world.live)]
 
@@ -554,6 +578,7 @@
     "shares": Shares,
     "equal split": EqualSplit,
     "gossip counter": GossipCounter,
+    "one bucket": OneBucket,
 }
 
 
--- a/packages/guavajunction/src/guavajunction/customers/_borrower.py
+++ b/packages/guavajunction/src/guavajunction/customers/_borrower.py
@@ -8,9 +8,10 @@
 from guavajunction.customers import _events
 from guavajunction.customers._bucket import MICRO, Charge
 from guavajunction.customers._holding import TOTAL_UNITS, Holding
-from guavajunction.customers._messages import UnitsAsk, UnitsReply
-from guavajunction.customers._peer_shares import PeerShares, Portion
+from guavajunction.customers._messages import Transfer, UnitsAsk, UnitsReply
+from guavajunction.customers._peer_shares import Own, PeerShares, Portion
 from guavajunction.customers._share_book import ShareBook, acknowledgement
+from guavajunction.customers._targets import Targets, Want
 from guavajunction.errors import PeerError
 from guavajunction.peers import Links, PeerId
 
@@ -31,18 +32,20 @@
     UNKNOWN_WAIT_SECONDS = 1.0
     """When to come back if no instance that is heard from has any units."""
 
-    ROUNDS = 2
-    """Asks for one request: a second if the first found less than was expected."""
+    ROUNDS = 3
+    """Asks for one request: more if the first found less than was expected."""
 
     def __init__(
         self,
         book: ShareBook,
         peers: PeerShares,
+        targets: Targets,
         links: Links,
         clock: Clock,
     ) -> None:
         self._book = book
         self._peers = peers
+        self._targets = targets
         self._links = links
         self._clock = clock
         links.handle(UnitsAsk, self._on_ask)
@@ -83,15 +86,22 @@
     def _plan(self, holding: Holding, cost: int) -> list[Portion]:
         now = self._clock.monotonic()
         needed = cost - holding.level(now)
+        own = Own(holding.units, holding.demand.rate(now))
         return self._peers.plan(
-            holding.customer, needed, holding.units, set(self._links.peers()), now
+            holding.customer, needed, own, set(self._links.peers()), now
         )
 
     async def _ask(self, holding: Holding, portion: Portion) -> None:
         now = self._clock.monotonic()
         name = holding.customer.name
-        demand = holding.demand.rate(now)
-        ask = UnitsAsk(name, holding.epoch, portion.level, holding.units, demand)
+        ask = UnitsAsk(
+            name,
+            holding.epoch,
+            portion.level,
+            holding.units,
+            holding.demand.rate(now),
+            holding.demand.largest(now),
+        )
         peer = portion.peer
         timeout = self.ASK_TIMEOUT_SECONDS
         try:
@@ -112,27 +122,29 @@
         if holding is None:
             return UnitsReply(0, None, 0, 0)
         self._book.enter(holding, ask.epoch)
-        now = self._clock.monotonic()
-        units = self._units_for(holding, ask, now)
         transfer = None
-        if units > 0 and ask.epoch == holding.epoch and self._book.may_give(holding):
-            transfer = holding.give(sender, units, now)
-            _events.UNITS_MOVED.log(
-                customer=ask.customer, to=sender.name, units=units, why="asked"
-            )
+        if ask.epoch == holding.epoch and self._book.may_give(holding):
+            transfer = self._give(holding, sender, ask)
+        now = self._clock.monotonic()
         left = holding.level(now) if self._book.may_give(holding) else 0
         return UnitsReply(holding.epoch, transfer, holding.units, left)
 
-    def _units_for(self, holding: Holding, ask: UnitsAsk, now: float) -> int:
-        level = holding.level(now)
-        if level <= 0:
-            return 0
-        needed = -(-ask.level * holding.units // level)
-        return min(holding.units, max(needed, self._fair_part(holding, ask, now)))
-
-    def _fair_part(self, holding: Holding, ask: UnitsAsk, now: float) -> int:
-        demand = ask.demand + holding.demand.rate(now)
-        if demand <= 0:
-            return 0
-        target = (ask.units + holding.units) * ask.demand / demand
-        return int(target) - ask.units
+    def _give(self, holding: Holding, to: PeerId, ask: UnitsAsk) -> Transfer | None:
+        now = self._clock.monotonic()
+        level = ask.level
+        if holding.level(now) < level:
+            # Too little is of no use there; the asker learns what there is.
+            return None
+        fair = min(self._fair_part(holding, to, ask), holding.givable(now))
+        units = min(holding.units, max(holding.units_for(level), fair))
+        _events.UNITS_MOVED.log(
+            customer=ask.customer, to=to.name, units=units, why="asked"
+        )
+        return holding.give(to, units, now, level=level)
+
+    def _fair_part(self, holding: Holding, asker: PeerId, ask: UnitsAsk) -> int:
+        """Return the units of this instance that are above its target and lacking."""
+        wants = self._targets.wants(holding)
+        wants[asker] = Want(ask.units, ask.demand, ask.largest)
+        lacking = self._targets.lacking(holding, wants)
+        return min(-lacking.get(self._links.me, 0), lacking.get(asker, 0))
--- a/packages/guavajunction/src/guavajunction/customers/_bucket.py
+++ b/packages/guavajunction/src/guavajunction/customers/_bucket.py
@@ -51,7 +51,8 @@
         self._fraction = 0.0
         self._refilled_at = now
         self._charges = 0
-        self._open: dict[int, None] = {}
+        self._open: dict[int, int] = {}
+        self._reserved = 0
         self._lows: list[_Low] = []
 
     @property
@@ -59,6 +60,11 @@
         """Microtokens that fit."""
         return self._capacity
 
+    @property
+    def reserved(self) -> int:
+        """Microtokens of the charges that are not settled."""
+        return self._reserved
+
     def level(self, now: float) -> int:
         """Return the microtokens that may be charged now."""
         self._refill(now)
@@ -71,7 +77,8 @@
             return None
         self._level -= cost
         self._charges += 1
-        self._open[self._charges] = None
+        self._open[self._charges] = cost
+        self._reserved += cost
         self._note_headroom()
         return Charge(self._charges, cost)
 
@@ -92,7 +99,7 @@
         refund = self._refund(charge, unspent) if unspent > 0 else unspent
         if unspent < 0:
             self._level += unspent
-        self._open.pop(charge.number, None)
+        self._reserved -= self._open.pop(charge.number, 0)
         self._forget_lows()
         return refund
 
--- a/packages/guavajunction/src/guavajunction/customers/_holding.py
+++ b/packages/guavajunction/src/guavajunction/customers/_holding.py
@@ -105,15 +105,46 @@
         self.units += units
         self._resize(self._capacity(self.units) if full else 0, now)
 
-    def give(self, to: PeerId, units: int, now: float) -> Transfer:
-        """Deduct units with their part of the level, before they are sent.
+    def givable(self, now: float) -> int:
+        """Return the units that refunds of unsettled charges do not need.
+
+        A refund has to fit below the capacity, so units whose capacity is neither
+        filled nor free of reservations stay.
+        """
+        capacity = self._bucket.capacity
+        if not capacity:
+            return self.units
+        level = self.level(now)
+        movable = level + self._free_headroom(level)
+        return max(0, min(self.units, self.units * movable // capacity))
+
+    def fill(self, now: float) -> float:
+        """Return the level as a part of the capacity."""
+        capacity = self._bucket.capacity
+        return self.level(now) / capacity if capacity else 0.0
+
+    def units_for(self, level: int) -> int:
+        """Return how many units, filled to the brim, carry some microtokens."""
+        burst = math.floor(self.customer.burst * MICRO)
+        return min(TOTAL_UNITS, -(-level * TOTAL_UNITS // burst))
+
+    def give(self, to: PeerId, units: int, now: float, *, level: int = 0) -> Transfer:
+        """Deduct units with part of the level, before they are sent.
+
+        They take along their part of the level, or more: as much as is asked for,
+        and what would otherwise stand in the way of refunds.
 
         Args:
             to: The receiver.
             units: From 1 to the number held; `may_give` must hold.
             now: Monotonic time in seconds.
+            level: Microtokens that the receiver needs.
         """
-        level = -(-self.level(now) * units // self.units)
+        own = self.level(now)
+        room = self._bucket.capacity - self._capacity(self.units - units)
+        part = -(-own * units // self.units)
+        wanted = max(level, part, room - self._free_headroom(own))
+        level = max(0, min(wanted, own, room))
         self.units -= units
         self._resize(-level, now)
         self._sequence += 1
@@ -151,6 +182,9 @@
         """Return the units sent to some receivers and not acknowledged."""
         return sum(sent.units for to, sent in self.outgoing() if to in receivers)
 
+    def _free_headroom(self, level: int) -> int:
+        return max(0, self._bucket.capacity - level - self._bucket.reserved)
+
     def _resize(self, moved: int, now: float) -> None:
         rate = self.customer.rate * MICRO * self.units / TOTAL_UNITS
         self._bucket.adjust(rate, self._capacity(self.units), moved, now)
--- a/packages/guavajunction/src/guavajunction/customers/_messages.py
+++ b/packages/guavajunction/src/guavajunction/customers/_messages.py
@@ -32,6 +32,8 @@
     """Microtokens that could be spent at once."""
     demand: float
     """Tokens a second that were asked for lately."""
+    largest: float
+    """Tokens of the largest request of late."""
 
 
 class Transfer(NamedTuple):
@@ -68,6 +70,8 @@
     """Units that the sender has."""
     demand: float
     """Tokens a second that were asked of the sender lately."""
+    largest: float
+    """Tokens of the largest request of late at the sender."""
 
 
 class UnitsReply(NamedTuple):
--- a/packages/guavajunction/src/guavajunction/customers/_peer_shares.py
+++ b/packages/guavajunction/src/guavajunction/customers/_peer_shares.py
@@ -21,14 +21,33 @@
     """Microtokens."""
     demand: float
     """Tokens a second."""
+    largest: float
+    """Tokens."""
     heard_at: float
     """Monotonic time in seconds."""
 
     def level_at(self, customer: Customer, now: float) -> int:
         """Return the most that the peer's level can have grown to."""
         rate = customer.rate * MICRO * self.units / TOTAL_UNITS
-        capacity = customer.burst * MICRO * self.units / TOTAL_UNITS
-        return int(min(capacity, self.level + rate * (now - self.heard_at)))
+        grown = self.level + rate * (now - self.heard_at)
+        return int(min(self.capacity(customer), grown))
+
+    def worth_asking(self, customer: Customer, now: float) -> int:
+        """Return the level, or 0 if it does not even hold one request of the peer."""
+        level = self.level_at(customer, now)
+        return level if level >= self.largest * MICRO else 0
+
+    def capacity(self, customer: Customer) -> float:
+        """Return the microtokens that fit into the share."""
+        return customer.burst * MICRO * self.units / TOTAL_UNITS
+
+
+class Own(NamedTuple):
+    """This instance's own share, beside those of its peers."""
+
+    units: int
+    demand: float
+    """Tokens a second."""
 
 
 class Portion(NamedTuple):
@@ -43,7 +62,13 @@
     """Keeps the last digest of each peer and picks whom to ask."""
 
     ASK_AGAIN_SECONDS = 0.25
-    """How long a peer that had nothing is not asked for unaccounted units."""
+    """How long a peer that had nothing is not asked again in doubt."""
+
+    OVERLOADED_AT_RATES = 1.7
+    """Demand, with tokens reserved in vain, at which a customer is over its rate."""
+
+    MAX_DOUBTFUL_PEERS = 2
+    """Peers that are asked in case what is known of them is out of date."""
 
     def __init__(self) -> None:
         self._shares: dict[PeerId, dict[str, PeerShare]] = {}
@@ -53,8 +78,7 @@
     def accept(self, sender: PeerId, digests: list[ShareDigest], now: float) -> None:
         """Replace what is known of a peer by its newest heartbeat."""
         self._shares[sender] = {
-            d.customer: PeerShare(d.epoch, d.units, d.in_flight, d.level, d.demand, now)
-            for d in digests
+            digest.customer: PeerShare(*digest[1:], heard_at=now) for digest in digests
         }
 
     def update(
@@ -63,7 +87,7 @@
         """Correct one share by the peer's answer to an ask, or the lack of one."""
         known = self._shares.setdefault(peer, {}).get(customer)
         if known is None:
-            known = PeerShare(0, 0, 0, 0, 0.0, now)
+            known = PeerShare(0, 0, 0, 0, 0.0, 0.0, now)
         share = known._replace(units=units, level=level, heard_at=now)
         self._shares[peer][customer] = share
         self._answered_at[peer, customer] = now
@@ -94,7 +118,7 @@
         self,
         customer: Customer,
         needed: int,
-        own_units: int,
+        own: Own,
         heard: set[PeerId],
         now: float,
     ) -> list[Portion]:
@@ -103,7 +127,7 @@
         Args:
             customer: Whose rate it is.
             needed: Microtokens that are lacking.
-            own_units: Units that this instance has itself.
+            own: What this instance has itself.
             heard: Peers that may be asked.
             now: Monotonic time in seconds.
 
@@ -111,8 +135,13 @@
             Portions that may add up to what is needed; empty if the peers lack it.
         """
         shares = self.of(customer.name, heard)
+        # Remnants that peers over their rate will use up themselves stay with them:
+        # to gather those would only move the refusal, at the cost of messages.
+        demand = own.demand + sum(share.demand for share in shares.values())
+        overloaded = demand > self.OVERLOADED_AT_RATES * customer.rate
+        level_of = PeerShare.worth_asking if overloaded else PeerShare.level_at
         levels = [
-            Portion(peer, share.level_at(customer, now))
+            Portion(peer, level_of(share, customer, now))
             for peer, share in shares.items()
         ]
         portions = []
@@ -123,26 +152,30 @@
             needed -= level
         if needed <= 0:
             return portions
-        if own_units + sum(share.units for share in shares.values()) >= TOTAL_UNITS:
-            return []
-        return self._anyone(customer.name, needed, portions, heard, now)
-
-    def _anyone(
-        self,
-        customer: str,
-        needed: int,
-        portions: list[Portion],
-        heard: set[PeerId],
-        now: float,
-    ) -> list[Portion]:
-        """Add the peers that may hold the units nobody is known to have."""
-        known = {portion.peer for portion in portions}
+        accounted = own.units + sum(share.units for share in shares.values())
+        doubtful = self._not_asked_lately(customer.name, heard, now)
+        if accounted >= TOTAL_UNITS:
+            # What is known may be out of date, but not for many peers at once.
+            doubtful = [peer for peer in doubtful if peer in shares]
+            doubtful = doubtful[: self.MAX_DOUBTFUL_PEERS]
+        # Each is asked for what would complete the rest, so that nothing moves
+        # unless the whole comes together.
+        expected = {portion.peer: portion.level for portion in portions}
+        return [Portion(peer, expected.get(peer, 0) + needed) for peer in doubtful]
+
+    def _not_asked_lately(
+        self, customer: str, peers: set[PeerId], now: float
+    ) -> list[PeerId]:
+        """Return the peers to ask although nothing is known to be left with them."""
         long_ago = now - self.ASK_AGAIN_SECONDS
-        unknown = [
+
+        def units(peer: PeerId) -> int:
+            share = self._shares.get(peer, {}).get(customer)
+            return share.units if share else 0
+
+        lately = {
             peer
-            for peer in sorted(heard - known)
-            if self._answered_at.get((peer, customer), float("-inf")) <= long_ago
-        ]
-        if not unknown:
-            return []
-        return portions + [Portion(peer, needed) for peer in unknown]
+            for peer in peers
+            if self._answered_at.get((peer, customer), float("-inf")) > long_ago
+        }
+        return sorted(sorted(peers - lately), key=units, reverse=True)
--- a/packages/guavajunction/src/guavajunction/customers/_rate_limits.py
+++ b/packages/guavajunction/src/guavajunction/customers/_rate_limits.py
@@ -19,6 +19,7 @@
 from guavajunction.customers._recovery import Recovery
 from guavajunction.customers._reservation import Reservation
 from guavajunction.customers._share_book import ShareBook
+from guavajunction.customers._targets import Targets
 from guavajunction.errors import (
     ExceedsBurst,
     InstanceNotReady,
@@ -59,8 +60,11 @@
         self._clock = clock
         self._book = ShareBook(configuration, links, table, members, clock)
         self._peers = PeerShares()
-        self._borrower = Borrower(self._book, self._peers, links, clock)
-        self._rebalancer = Rebalancer(self._book, self._peers, links, clock)
+        self._targets = Targets(self._peers, links, clock)
+        self._borrower = Borrower(self._book, self._peers, self._targets, links, clock)
+        self._rebalancer = Rebalancer(
+            self._book, self._peers, self._targets, links, clock
+        )
         self._recovery = Recovery(self._book, self._peers, links, table, members, clock)
         links.share(SHARES_TOPIC, self._digests, self._accept, list[ShareDigest])
 
@@ -108,7 +112,7 @@
         heard = set(self._links.peers())
         self._peers.keep_only(heard)
         await self._book.resend()
-        await self._rebalancer.step(heard)
+        await self._rebalancer.step()
         await self._recovery.step()
 
     async def hand_over(self) -> None:
@@ -187,6 +191,7 @@
             holding.in_flight(heard),
             holding.level(now),
             holding.demand.rate(now),
+            holding.demand.largest(now),
         )
 
     def _accept(self, sender: PeerId, digests: list[ShareDigest]) -> None:
--- a/packages/guavajunction/src/guavajunction/customers/_rebalancer.py
+++ b/packages/guavajunction/src/guavajunction/customers/_rebalancer.py
@@ -3,71 +3,94 @@
 from __future__ import annotations
 
 import asyncio
+from typing import NamedTuple
 
 from guavajunction.clock import Clock
 from guavajunction.customers._holding import Holding
 from guavajunction.customers._peer_shares import PeerShares
 from guavajunction.customers._share_book import ShareBook
+from guavajunction.customers._targets import Targets
 from guavajunction.peers import Links, PeerId
 
 
+class _Move(NamedTuple):
+    """Units that should go to a peer."""
+
+    to: PeerId
+    units: int
+
+
 class Rebalancer:
-    """Gives units above this instance's part of the demand to whom lacks most.
+    """Gives units above this instance's target to the instance that lacks most.
 
     Only givers act, each on its own surplus, so two instances never correct the
     same imbalance twice with the same units.
     """
 
     MIN_MOVE_UNITS = 32
-    """Smaller differences stay, unless this instance has no demand at all."""
+    """Smaller differences stay, unless this instance should have no units."""
+
+    FULL_PART = 0.75
+    """A level above this part of the capacity will soon lose refill."""
+
+    LOW_PART = 0.5
+    """A level below this part of the capacity can take more."""
 
     def __init__(
         self,
         book: ShareBook,
         peers: PeerShares,
+        targets: Targets,
         links: Links,
         clock: Clock,
     ) -> None:
         self._book = book
         self._peers = peers
+        self._targets = targets
         self._links = links
         self._clock = clock
 
-    async def step(self, heard: set[PeerId]) -> None:
-        """Compare every share with its demand once, and move what is too much."""
-        holdings = self._book.all()
-        await asyncio.gather(*(self._balance(holding, heard) for holding in holdings))
+    async def step(self) -> None:
+        """Compare every share with its target once, and move what is too much."""
+        await asyncio.gather(*(self._balance(h) for h in self._book.all()))
 
-    async def _balance(self, holding: Holding, heard: set[PeerId]) -> None:
+    async def _balance(self, holding: Holding) -> None:
+        heard = set(self._links.peers())
         if not self._book.may_give(holding) or holding.in_flight(heard):
             return
-        demands, units = self._known(holding, heard)
-        total_demand = sum(demands.values())
-        if total_demand <= 0:
-            return
-        total = sum(units.values())
-        lacking = {
-            peer: int(total * demand / total_demand) - units[peer]
-            for peer, demand in demands.items()
-        }
-        surplus = -lacking.pop(self._links.me)
-        idle = demands[self._links.me] <= 0
-        if not lacking or surplus < (1 if idle else self.MIN_MOVE_UNITS):
+        move = self._surplus(holding) or self._overflow(holding, heard)
+        if move is None:
             return
-        neediest = max(lacking, key=lambda peer: lacking[peer])
-        amount = min(surplus, lacking[neediest], holding.units)
+        givable = holding.givable(self._clock.monotonic())
+        amount = min(move.units, givable)
         if amount > 0:
-            await self._book.move(holding, neediest, amount)
-            self._peers.add(neediest, holding.customer.name, amount)
-
-    def _known(
-        self, holding: Holding, heard: set[PeerId]
-    ) -> tuple[dict[PeerId, float], dict[PeerId, int]]:
-        me = self._links.me
-        demands = {me: holding.demand.rate(self._clock.monotonic())}
-        units = {me: holding.units}
-        for peer, share in self._peers.of(holding.customer.name, heard).items():
-            if share.epoch == holding.epoch:
-                demands[peer] = share.demand
-                units[peer] = share.units
-        return demands, units
+            await self._book.move(holding, move.to, amount)
+            self._peers.add(move.to, holding.customer.name, amount)
+
+    def _surplus(self, holding: Holding) -> _Move | None:
+        """Return what is above the target, for the instance that lacks most."""
+        lacking = self._targets.lacking(holding, self._targets.wants(holding))
+        surplus = -lacking.pop(self._links.me, 0)
+        least = 1 if surplus == holding.units else self.MIN_MOVE_UNITS
+        if not lacking or surplus < least:
+            return None
+        neediest = max(lacking, key=lambda peer: lacking[peer])
+        amount = min(surplus, lacking[neediest])
+        return _Move(neediest, amount) if amount > 0 else None
+
+    def _overflow(self, holding: Holding, heard: set[PeerId]) -> _Move | None:
+        """Return units whose refill is about to be lost while another is low."""
+        now = self._clock.monotonic()
+        if holding.fill(now) < self.FULL_PART:
+            return None
+        shares = self._peers.of(holding.customer.name, heard)
+        fills = {
+            peer: share.level_at(holding.customer, now)
+            / share.capacity(holding.customer)
+            for peer, share in shares.items()
+            if share.epoch == holding.epoch and share.demand > 0 and share.units > 0
+        }
+        lowest = min(fills, key=lambda peer: fills[peer], default=None)
+        if lowest is None or fills[lowest] > self.LOW_PART:
+            return None
+        return _Move(lowest, holding.units // 2)
--- a/tests/customers/test_bucket.py
+++ b/tests/customers/test_bucket.py
@@ -121,6 +121,18 @@
         receiver.receive(self.PEERS[0], giver.give(self.PEERS[1], 512, 0.0), 0.0)
         assert giver.level(0.0) + receiver.level(0.0) == TOTAL_UNITS // 2
 
+    def test_units_that_refunds_need_stay_until_they_are_settled(self):
+        giver, receiver = Holding(self.CUSTOMER, 0.0), Holding(self.CUSTOMER, 0.0)
+        giver.grant(TOTAL_UNITS, 0.0, full=True)
+        charge = giver.charge(TOTAL_UNITS // 2, 0.0)
+        assert charge is not None
+        assert giver.givable(0.0) == TOTAL_UNITS // 2
+        moved = giver.give(self.PEERS[1], giver.givable(0.0), 0.0)
+        assert receiver.receive(self.PEERS[0], moved, 0.0)
+        assert receiver.level(0.0) == TOTAL_UNITS // 2
+        giver.settle(charge, 0, 0.0)
+        assert giver.level(0.0) == giver.givable(0.0) == TOTAL_UNITS // 2
+
     def test_a_repeat_below_the_floor_adds_nothing(self):
         giver, receiver = Holding(self.CUSTOMER, 0.0), Holding(self.CUSTOMER, 0.0)
         giver.grant(TOTAL_UNITS, 0.0)
--- a/tests/customers/test_rate_limits.py
+++ b/tests/customers/test_rate_limits.py
@@ -137,10 +137,10 @@
         assert overshoot(fleet) == 0
 
     async def test_shares_follow_demand_before_they_run_short(self):
-        fleet = await started()
+        fleet = await started(customer=CUSTOMER._replace(burst=20480.0))
         for _ in range(20):
             for name, cost in (("a", 60.0), ("b", 180.0)):
-                assert await fleet.admits(name, cost)
+                (await fleet.admit(name, cost)).settle(cost)
             await fleet.step()
         units = fleet.units()
         assert units["c"] == units["d"] == 0
@@ -224,7 +224,7 @@
         other = fleet.nodes["b" if holder == "a" else "a"]
         links = fleet.nodes[holder].links
         await links.handlers[ReportAsk](other.me, ReportAsk("a", 2, False))
-        ask = UnitsAsk("a", 2, 1_000_000, 0, 1.0)
+        ask = UnitsAsk("a", 2, 1_000_000, 0, 1.0, 1.0)
         assert (await links.handlers[UnitsAsk](other.me, ask)).transfer is None
         await links.handlers[ReportAsk](other.me, ReportAsk("a", 2, True))
         assert (await links.handlers[UnitsAsk](other.me, ask)).transfer is not None
@@ -273,7 +273,7 @@
         with pytest.raises(InstanceNotReady):
             await fleet.admit("zombie", 1.0)
         await fleet.step(4)
-        asked = UnitsAsk("a", 2, 1_000_000, 0, 1.0)
+        asked = UnitsAsk("a", 2, 1_000_000, 0, 1.0, 1.0)
         other = next(iter(fleet.nodes.values()))
         reply = await paused.links.handlers[UnitsAsk](other.me, asked)
         assert reply.transfer is None
