Run the command lines of the pages for callers

Cause: the pages promise that each line works against a demo fleet; nothing ran them. Change: a test reads each curl line of the caller API and the metrics page, sends what it says to a fleet of three instances, and checks the status and shape promised. An option that it does not know is an error, and so is a line that no test runs. Ruled out: running curl itself, which need not be installed.

--- /dev/null
+++ b/tests/docs/test_caller_lines.py
@@ -0,0 +1,180 @@
+"""Runs each command line of the pages for callers against a small fleet."""
+
+from __future__ import annotations
+
+import json
+import re
+import shlex
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import aiohttp
+import pytest
+import pytest_asyncio
+from multidict import CIMultiDictProxy
+
+from guavajunction_fakes.fleet import PROFILES, Fleet
+
+REFERENCE = Path(__file__).resolve().parent.parent.parent / "docs" / "reference"
+SETTLED_SECONDS = 60
+
+COMMAND = re.compile(r"^ {4}(curl (?:.*\\\n)*.*)$", re.MULTILINE)
+"""An indented curl line with those that continue it."""
+
+
+class CurlCall(NamedTuple):
+    """What a curl line sends."""
+
+    method: str
+    url: str
+    headers: dict[str, str]
+    body: str | None
+
+
+def curl_lines(page: str) -> list[str]:
+    """Return the curl lines of a reference page."""
+    text = (REFERENCE / page).read_text(encoding="utf-8")
+    return [line.replace("\\\n", " ") for line in COMMAND.findall(text)]
+
+
+def parse(line: str, variables: dict[str, str]) -> CurlCall:
+    """Return what a curl line sends; an unknown option is an error."""
+    for name, value in variables.items():
+        line = line.replace(f"${name}", value)
+    words = iter(shlex.split(line)[1:])
+    url, body, headers = "", None, {}
+    for word in words:
+        if word == "-H":
+            name, _, value = next(words).partition(": ")
+            headers[name] = value
+        elif word == "-d":
+            body = next(words)
+        elif word in ("-s", "-sN"):
+            continue
+        else:
+            assert word.startswith("http://"), f"unknown option {word}"
+            url = word
+    if body is not None:
+        headers.setdefault("Content-Type", "application/x-www-form-urlencoded")
+    return CurlCall("GET" if body is None else "POST", url, headers, body)
+
+
+@pytest_asyncio.fixture(loop_scope="module", scope="module")
+async def fleet(tmp_path_factory):
+    var = tmp_path_factory.mktemp("fleet")
+    async with Fleet(PROFILES["demo"], var, entries=3) as fleet:
+        await fleet.wait_until_ready(within=SETTLED_SECONDS)
+        yield fleet
+
+
+class Answer(NamedTuple):
+    """An answer as a caller sees it."""
+
+    status: int
+    headers: CIMultiDictProxy[str]
+    text: str
+
+    @property
+    def json(self) -> Any:
+        return json.loads(self.text)
+
+
+async def run(fleet: Fleet, line: str) -> Answer:
+    """Send what a line sends, as curl would."""
+    variables = {"URL": fleet.urls[0], "KEY": fleet.customers[0].key}
+    call = parse(line, variables)
+    async with (
+        aiohttp.ClientSession() as session,
+        session.request(
+            call.method, call.url, headers=call.headers, data=call.body
+        ) as resp,
+    ):
+        return Answer(resp.status, resp.headers, await resp.text())
+
+
+def only(lines: list[str], *parts: str, without: str = "\0") -> str:
+    """Return the one line that holds all the parts."""
+    found = [x for x in lines if all(p in x for p in parts) and without not in x]
+    assert len(found) == 1, f"{len(found)} lines with {parts}"
+    return found[0]
+
+
+@pytest.mark.asyncio(loop_scope="module")
+class TestCallerPage:
+    """Each line of the caller API's page gives what the page promises."""
+
+    LINES = curl_lines("caller-api.md")
+
+    async def test_every_line_is_run_here(self):
+        assert len(self.LINES) == 7
+
+    async def test_directory(self, fleet):
+        answer = await run(fleet, only(self.LINES, "/v1/instances"))
+        assert answer.status == 200
+        assert answer.json.keys() == {"instances", "ttl_seconds"}
+        assert answer.json["ttl_seconds"] == 2.0
+        names = set()
+        for entry in answer.json["instances"]:
+            assert entry.keys() == {"name", "data_centre", "address", "port"}
+            names.add(entry["name"])
+        assert names == {"entry-1", "entry-2", "entry-3"}
+
+    async def test_chat(self, fleet):
+        line = only(self.LINES, "chat/completions", without='"stream"')
+        answer = await run(fleet, line)
+        assert answer.status == 200
+        assert answer.json["choices"][0]["message"]["content"]
+        assert answer.json["usage"]["completion_tokens"] == 16
+
+    async def test_streamed_chat_ends_with_its_end_mark(self, fleet):
+        answer = await run(fleet, only(self.LINES, '"stream": true'))
+        assert answer.status == 200
+        assert answer.headers["Content-Type"].startswith("text/event-stream")
+        assert answer.text.rstrip().endswith("data: [DONE]")
+        assert answer.text.count("data: ") > 16
+
+    async def test_models(self, fleet):
+        answer = await run(fleet, only(self.LINES, "/v1/models", "KEY"))
+        assert answer.status == 200
+        assert "model-1" in {model["id"] for model in answer.json["data"]}
+
+    async def test_open_route_of_a_service(self, fleet):
+        line = only(self.LINES, "/availability")
+        assert "KEY" not in line
+        assert (await run(fleet, line)).status == 200
+
+    async def test_booking_and_its_repeat(self, fleet):
+        line = only(self.LINES, "/bookings")
+        first, repeat = await run(fleet, line), await run(fleet, line)
+        assert first.status == repeat.status == 201
+        assert "Idempotent-Replayed" not in first.headers
+        assert repeat.headers["Idempotent-Replayed"] == "true"
+        assert repeat.text == first.text
+
+    async def test_refusal_without_a_key(self, fleet):
+        answer = await run(fleet, only(self.LINES, "/v1/models", without="KEY"))
+        assert answer.status == 401
+        error = answer.json["error"]
+        assert error.pop("message")
+        assert error.pop("request_id") == answer.headers["X-Request-Id"]
+        assert error == {"type": "key_missing", "not_run": "true", "retry_after": None}
+
+
+@pytest.mark.asyncio(loop_scope="module")
+class TestMetricsPage:
+    """The line of the metrics page shows the metrics that it lists."""
+
+    async def test_each_listed_name_is_exposed(self, fleet):
+        chat = only(TestCallerPage.LINES, '"stream": true')
+        refused = only(TestCallerPage.LINES, "/v1/models", without="KEY")
+        await run(fleet, chat)
+        await run(fleet, refused)
+        (line,) = curl_lines("metrics.md")
+        answer = await run(fleet, line)
+        assert answer.status == 200
+        assert answer.headers["Content-Type"].startswith("text/plain")
+        page = (REFERENCE / "metrics.md").read_text(encoding="utf-8")
+        listed = set(re.findall(r"`(guavajunction_\w+)`", page))
+        assert len(listed) > 5
+        missing = {name for name in listed if f"\n{name}" not in f"\n{answer.text}"}
+        assert not missing
