Say in the catalogue that event 305 also tells of members that left

Cause: a restart at the same address marks its predecessor as left with event 305. Change: its meaning; docs/reference/log-events.md has to be generated anew. Seen: tests of platform, peers and membership, the specifications of leases, the outage rule and views, and doctests: 138 passed.

--- a/packages/guavajunction/src/guavajunction/membership/_events.py
+++ b/packages/guavajunction/src/guavajunction/membership/_events.py
@@ -22,7 +22,9 @@
     304, "membership:members_changed", "The set of live members has changed."
 )
 MEMBER_REVOKED = LogEvent(
-    305, "membership:member_revoked", "A silent member's row was marked as revoked."
+    305,
+    "membership:member_revoked",
+    "A member's row was marked as revoked, or as left.",
 )
 VIEW_CHANGED = LogEvent(
     306, "membership:view_changed", "The voters were changed by this instance."
