--- a/tests/customers/test_rate_limits.py
+++ b/tests/customers/test_rate_limits.py
@@ -9,6 +9,7 @@
 
 from fakes_customers import FakeFleet
 from guavajunction.configuration import Customer
+from guavajunction.customers._bucket import MICRO
 from guavajunction.customers._holding import TOTAL_UNITS
 from guavajunction.customers._messages import (
     ReportAsk,
@@ -155,6 +156,31 @@
         await fleet.step(2)
         assert await fleet.admits(other, 51.2)
 
+    async def test_a_full_share_gives_to_a_low_one(self):
+        fleet = await started("ab", CUSTOMER._replace(burst=204800.0))
+        for name in "ab":
+            (await fleet.admit(name, 100.0)).settle(100.0)
+        await fleet.step(2)
+        low, full = "a", "b"
+        assert fleet.units() == {low: 512, full: 512}
+        now = fleet.clock.monotonic()
+        assert fleet.holding(low).charge(90_000 * MICRO, now) is not None
+        for _ in range(4):
+            for name in "ab":
+                (await fleet.admit(name, 1.0)).settle(1.0)
+            await fleet.step()
+        assert fleet.units()[low] > 512
+
+    async def test_a_peer_that_has_too_little_gives_nothing(self):
+        fleet = await started("ab")
+        holder = max("ab", key=lambda n: fleet.units()[n])
+        other = fleet.nodes["b" if holder == "a" else "a"]
+        handler = fleet.nodes[holder].links.handlers[UnitsAsk]
+        ask = UnitsAsk("a", 1, 2049 * MICRO, 0, 1.0, 1.0)
+        reply = await handler(other.me, ask)
+        assert reply.transfer is None
+        assert reply.level == 2048 * MICRO
+
     async def test_spread_load_sends_at_most_one_message_for_a_request(self):
         fleet = await started()
         rng = random.Random(7)
