Plan from the newer of ledger and report

In a trial with the whole kaupunkikuva fleet 32 of 162 decided loads failed because the artifact was resident already: the ledger had seen the load, the peers-reports lagged, and the repeats used up the bounds on loads. The planner now takes whichever is newer. Adapters whose base is not ready are no longer reported as without room.

--- a/packages/guavajunction/src/guavajunction/backends/_ledger.py
+++ b/packages/guavajunction/src/guavajunction/backends/_ledger.py
@@ -109,6 +109,8 @@
         self.checks_orders = checks_orders
         self.seq = record.seq
         """Number of the newest report that was taken in."""
+        self.as_of = float("-inf")
+        """Local monotonic time in seconds that this author's newest report is of."""
         self.inherited = frozenset(intent.order_id for intent in record.intents)
         """Open intents of earlier authors."""
         self._intents = {intent.order_id: intent for intent in record.intents}
@@ -289,6 +291,7 @@
         if not self._is_newer(report, read_at):
             return []
         self.seq = report.seq
+        self.as_of = read_at - report.age_seconds
         self._residents = {r.artifact: self._count(r) for r in report.resident}
         done = [i for i in self._intents.values() if self._is_over(i, report, read_at)]
         for intent in done:
--- a/packages/guavajunction/src/guavajunction/placement/_events.py
+++ b/packages/guavajunction/src/guavajunction/placement/_events.py
@@ -34,6 +34,9 @@
 PLANNER_FAILED = LogEvent(
     618, "placement:planner_failed", "A pool's planner ended on a defect; restarted."
 )
+WAITING_FOR_BASE = LogEvent(
+    619, "placement:waiting_for_base", "An adapter waits for its base model."
+)
 ROUND_FAILED = LogEvent(
     616, "placement:round_failed", "A planning round failed and is tried again."
 )
--- a/packages/guavajunction/src/guavajunction/placement/_planner.py
+++ b/packages/guavajunction/src/guavajunction/placement/_planner.py
@@ -20,6 +20,7 @@
 NO_ROOM_REASON = "no_room"
 ROOM_PENDING = "memory_being_freed"
 OVER_BUDGET = "load_budget"
+BASE_PENDING = "base_not_ready"
 
 
 class PlannerLimits(NamedTuple):
@@ -116,6 +117,10 @@
         Returns:
             Whether a load was decided.
         """
+        base = deployment.base
+        if base is not None and not self._draft.ready.get(base):
+            self._short(deployment, BASE_PENDING, "")
+            return False
         candidates = self._draft.candidates(deployment)
         fitting = [c for c in candidates if c.free_mib >= deployment.mib]
         if fitting:
--- a/packages/guavajunction/src/guavajunction/placement/_pool_survey.py
+++ b/packages/guavajunction/src/guavajunction/placement/_pool_survey.py
@@ -122,7 +122,8 @@
         adapters = self._configuration().adapters
         now = self._clock.monotonic()
         holdings = {}
-        for resident in state.resident:
+        newer = ledger.as_of > state.as_of
+        for resident in ledger.residents if newer else state.resident:
             artifact = resident.artifact
             kept = self._state(state, ledger, artifact, resident.state)
             since = self._ready_since.setdefault((state.name, artifact), now)
--- a/packages/guavajunction/src/guavajunction/placement/_term.py
+++ b/packages/guavajunction/src/guavajunction/placement/_term.py
@@ -19,12 +19,13 @@
     ORDER_FAILED,
     ROUND_FAILED,
     UNLOAD_DECIDED,
+    WAITING_FOR_BASE,
     WAITING_FOR_ROOM,
 )
 from ._load_budget import LoadBudget, pool_share
 from ._model import Budget, Load, Plan, PoolView, Shortage, Unload
 from ._need_estimate import NeedEstimate
-from ._planner import NO_ROOM_REASON, OVER_BUDGET, ROOM_PENDING, Planner
+from ._planner import BASE_PENDING, NO_ROOM_REASON, OVER_BUDGET, ROOM_PENDING, Planner
 from ._pool_survey import PoolSurvey
 from ._removal import Removal
 
@@ -33,6 +34,7 @@
     NO_ROOM_REASON: NO_ROOM,
     ROOM_PENDING: WAITING_FOR_ROOM,
     OVER_BUDGET: LOAD_DEFERRED,
+    BASE_PENDING: WAITING_FOR_BASE,
 }
 
 
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -211,6 +211,14 @@
         loads = pool.begin().loads
         assert [(m.artifact, m.server, m.base) for m in loads] == [("x@1", "e2", "a@1")]
 
+    def test_adapter_that_waits_for_its_base_is_not_without_room(self):
+        pool = FakePool([model("a@1"), adapter("x@1", "a@1")])
+        pool.add("e1", 100)
+        shortages = pool.begin().shortages
+        assert [(s.artifact, s.reason) for s in shortages] == [
+            ("x@1", "base_not_ready")
+        ]
+
     def test_base_goes_only_after_its_adapters_have_another_place(self):
         pool = FakePool([model("a@1", 60), adapter("x@1", "a@1"), model("b@1", 60)])
         pool.add("e1", 100, "a@1", "x@1")
--- a/tests/placement/test_service.py
+++ b/tests/placement/test_service.py
@@ -154,6 +154,17 @@
             assert [world.copies(f"{n}@1") for n in "abx"] == [1, 1, 1]
             assert any({"a@1", "x@1"} <= held for held in world.held().values())
 
+    async def test_nothing_is_decided_twice_while_peers_reports_lag(self):
+        async with World(models("a@1", "b@1")) as world:
+            await world.run(0.25)
+            for node in world.nodes:
+                node.inventory.start_reads = lambda: None
+            await world.run(4)
+            assert sum(world.copies(f"{n}@1") for n in "ab") == 2
+            plan = await world.nodes[0].placement._terms["pool"].round()
+            assert plan is not None
+            assert plan.loads == ()
+
     async def test_lost_orders_heal_and_memory_holds(self):
         async with World(models("a@1", "b@1", "c@1", "d@1", mib=60)[:3]) as world:
             world.client.fates = ["late", "lose", "late_ack", "double", "lose_answer"]
