--- a/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
@@ -16,13 +16,13 @@
     ConfigurationKeeper,
     ConfigurationStore,
 )
-from guavajunction.customers import KeyRing, RateLimits
+from guavajunction.customers import EqualSplit, KeyRing, Limits, RateLimits
 from guavajunction.directory import Directory
 from guavajunction.membership import Lease, Membership, MembershipConfig
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.once import OnceRegister
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh
-from guavajunction.placement import PlacementService
+from guavajunction.placement import DemandSource, PlacementService
 from guavajunction.platform import (
     InstanceListClient,
     InstanceRecord,
@@ -48,6 +48,8 @@
 )
 from guavajunction.settings import Settings
 
+from ._no_demand import NoDemand
+
 INCARNATION_BYTES = 8
 ENGINE_CONNECTIONS = 2_048
 
@@ -151,20 +153,29 @@
     def _build_configuration(self) -> None:
         self.store = ConfigurationStore(self.table, self.objects, self._clock)
         self.keeper = ConfigurationKeeper(
-            self.store, self.mesh, self.membership, self._clock
+            self.store,
+            self.mesh,
+            self.membership,
+            self._clock,
+            poll_seconds=self._settings.timing.configuration_poll,
         )
         self.editor = ConfigurationEditor(self.store, self.keeper, self.membership)
 
     def _build_customers(self) -> None:
         pepper = self._settings.secrets.pepper_file
         self.key_ring = KeyRing(self._current, pepper)
-        self.limits = RateLimits(
-            self._current, self.mesh, self.table, self.membership, self._clock
-        )
+        self.limits = self._limits()
         self.once = OnceRegister(
             self.table, self.objects, self.mesh.me, self._clock, self.membership
         )
 
+    def _limits(self) -> Limits:
+        if self._settings.policy.shares == "equal":
+            return EqualSplit(self.membership, self._clock)
+        return RateLimits(
+            self._current, self.mesh, self.table, self.membership, self._clock
+        )
+
     def _build_backends(self) -> None:
         self.book = LoadBook(self._clock)
         self._backend_client = HttpBackendClient(self._session())
@@ -200,7 +211,9 @@
             self.membership,
             self._lease,
             self._current,
-            self.dispatcher,
+            NoDemand()
+            if self._settings.policy.placement == "static"
+            else self.dispatcher,
             self._settings.placement,
             self._clock,
         )
@@ -208,6 +221,11 @@
         self.dispatcher.connect(contention.fraction, self.placement.request_artifact)
         self._build_routers(RetryBudget(self._rng))
 
+    def _placement_demand(self) -> DemandSource:
+        if self._settings.policy.placement == "static":
+            return NoDemand()
+        return self.dispatcher
+
     def _selector(self) -> Selector:
         policy = self._settings.policy.routing
         if policy == "random":
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_parts.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_parts.py
@@ -8,7 +8,7 @@
 from guavajunction.backends import Inventory
 from guavajunction.clock import Clock
 from guavajunction.configuration import Configuration
-from guavajunction.customers import KeyRing, RateLimits
+from guavajunction.customers import KeyRing, Limits
 from guavajunction.directory import Directory
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.once import OnceRegister
@@ -26,7 +26,7 @@
 
     configuration: Callable[[], Configuration]
     key_ring: KeyRing
-    limits: RateLimits
+    limits: Limits
     once: OnceRegister
     inventory: Inventory
     inference: InferenceRouter
--- a/packages/guavajunction/src/guavajunction/clock.py
+++ b/packages/guavajunction/src/guavajunction/clock.py
@@ -20,11 +20,15 @@
 
 
 class SystemClock:
-    """The clock of the running process."""
+    """The clock of the running process.
+
+    It counts the time in which the machine was suspended, as a lease goes on running
+    out meanwhile.
+    """
 
     def monotonic(self) -> float:
-        """Return seconds of the system's monotonic clock."""
-        return time.monotonic()
+        """Return seconds since the machine started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     async def sleep(self, seconds: float) -> None:
         """Suspend the calling task on the event loop."""
