Keep a customer's spare rate on a standby instance

Cause: an instance that died took nearly all of a customer's units with it, since an instance that asked was given all 1,024 of a customer that used a third of its rate. The customer was refused inside its rate until the units were reclaimed. Ruled out: a shorter lease or reclaim wait, which the outage rule's model needs; giving out the dead one's units early, which the model refutes. Change: where one instance has more than half of the demand, the units that the demand plus a quarter leaves over are kept on another one, chosen by rendezvous hash. An instance that asks still gets all that it may need; the balance step brings the rest.

--- a/packages/guavajunction/src/guavajunction/customers/_borrower.py
+++ b/packages/guavajunction/src/guavajunction/customers/_borrower.py
@@ -146,5 +146,5 @@
         """Return the units of this instance that are above its target and lacking."""
         wants = self._targets.wants(holding)
         wants[asker] = Want(ask.units, ask.demand, ask.largest)
-        lacking = self._targets.lacking(holding, wants)
+        lacking = self._targets.lacking(holding, wants, with_standby=False)
         return min(-lacking.get(self._links.me, 0), lacking.get(asker, 0))
--- a/packages/guavajunction/src/guavajunction/customers/_rebalancer.py
+++ b/packages/guavajunction/src/guavajunction/customers/_rebalancer.py
@@ -69,7 +69,8 @@
 
     def _surplus(self, holding: Holding) -> _Move | None:
         """Return what is above the target, for the instance that lacks most."""
-        lacking = self._targets.lacking(holding, self._targets.wants(holding))
+        wants = self._targets.wants(holding)
+        lacking = self._targets.lacking(holding, wants, with_standby=True)
         surplus = -lacking.pop(self._links.me, 0)
         least = 1 if surplus == holding.units else self.MIN_MOVE_UNITS
         if not lacking or surplus < least:
