Measure how state, messages and processor time grow with the fleet

The users ask for a page of capacity at the size of two years ahead, worked out from slopes. bench/capacity.py measures memory, processor time and bytes at two or three sizes each: configuration, keys, states of engines, cached prefixes, choice of authors, heartbeat topics, shares, planning rounds, links and polls (by control_cost), and a running fleet of three.

Ruled out: the slope of a token from chats whose answers the stand-in cuts short (it came out negative, -5.6 and -10.5 us in two runs); the prompt is now one that is answered at full length (203 us in the run after).

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,819 @@
+"""Measures how state, messages and processor time grow with the size of a fleet.
+
+Each line is measured at two or three sizes; its slope is the growth for one more
+item. docs/CAPACITY.md multiplies the slopes. Run `python bench/capacity.py`; with
+`--json` it prints the figures alone. The last part starts a fleet of three entry
+instances and its stand-ins.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import itertools
+import json
+import random
+import subprocess
+import sys
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import aiohttp
+import control_cost
+import eliot
+import msgspec
+import psutil
+import uvloop
+
+import placement as placement_bench
+from guavajunction.backends import Inventory, Retirement
+from guavajunction.backends._digests import digest_of, fingerprint_of, load_digest_of
+from guavajunction.backends._messages import CacheNews
+from guavajunction.backends._model import BackendState, CacheEvent, Resident
+from guavajunction.backends._prefix_index import PrefixIndex
+from guavajunction.clock import SystemClock
+from guavajunction.configuration import Configuration, Customer
+from guavajunction.configuration._bodies import encode_section
+from guavajunction.configuration._build import build
+from guavajunction.configuration._model import EMPTY
+from guavajunction.configuration._tables import Sections, empty_sections
+from guavajunction.customers import KeyRing, RateLimits
+from guavajunction.customers._keys import issue
+from guavajunction.customers._messages import ShareDigest
+from guavajunction.membership import Membership, MembershipConfig
+from guavajunction.membership._messages import Status
+from guavajunction.membership._model import Member, MemberRow, View
+from guavajunction.peers import PeerId
+from guavajunction.peers._envelope import Envelope, Kind
+from guavajunction.placement._messages import ArtifactDemand, DemandDigest
+from guavajunction.platform import InstanceRecord, Row
+from guavajunction_fakes.engine import answer_tokens
+from guavajunction_fakes.fleet import PROFILES, Fleet
+
+ADAPTERS_PER_MODEL = 10
+RESIDENTS = 24
+"""Artifacts in the memory of each engine."""
+PEPPER = b"pepper"
+ME = PeerId("entry-0000", "0123456789abcdef")
+READER = PeerId("entry-0001", "fedcba9876543210")
+ENTRIES = 3
+SETTLE_SECONDS = 8.0
+IDLE_SECONDS = 6.0
+CHATS = 200
+CHAT_TOKENS = (4, 60)
+CHATS_AT_ONCE = 8
+
+encode = msgspec.msgpack.encode
+
+
+class Line(NamedTuple):
+    """One figure at several sizes."""
+
+    what: str
+    per: str
+    unit: str
+    points: dict[int, float]
+
+    @property
+    def slope(self) -> float:
+        """Return the growth for one more item, from the least to the largest size."""
+        sizes = sorted(self.points)
+        least, most = sizes[0], sizes[-1]
+        if least == most:
+            return self.points[most] / most
+        return (self.points[most] - self.points[least]) / (most - least)
+
+
+class NotedLinks:
+    """Keeps handlers and topics so that they can be called; sends nowhere."""
+
+    def __init__(self, me: PeerId = ME) -> None:
+        self.me = me
+        self.handlers: dict[str, Any] = {}
+        self.provide: dict[str, Callable[[], Any]] = {}
+        self.accept: dict[str, Callable[[PeerId, Any], None]] = {}
+        self.known: list[PeerId] = [READER]
+
+    def peers(self) -> list[PeerId]:
+        """Return the peers that were set."""
+        return self.known
+
+    def handle(self, message_type: type[Any], handler: Any) -> None:
+        """Keep a handler."""
+        self.handlers[message_type.__name__] = handler
+
+    def tell(self, to: PeerId, message: Any) -> None:
+        """Send nothing."""
+
+    def tell_all(self, message: Any) -> None:
+        """Send nothing."""
+
+    async def ask(self, *args: Any, **kwargs: Any) -> Any:
+        """Refuse: nobody answers here."""
+        raise RuntimeError("no question is expected in this measurement")
+
+    def share(
+        self,
+        topic: str,
+        provide: Callable[[], Any],
+        accept: Callable[[PeerId, Any], None],
+        value_type: type[Any],
+    ) -> None:
+        """Keep a topic."""
+        self.provide[topic] = provide
+        self.accept[topic] = accept
+
+
+class OneMember:
+    """A member that is the author of everything, or of nothing."""
+
+    def __init__(self, author: PeerId) -> None:
+        self._author = author
+
+    def standing(self) -> bool:
+        """Return that it may act."""
+        return True
+
+    def live_members(self) -> list[PeerId]:
+        """Return both members."""
+        return [ME, READER]
+
+    def author(self, key: str) -> PeerId:
+        """Return the author of every key."""
+        return self._author
+
+    async def unrevoked_members(self) -> list[PeerId]:
+        """Return both members."""
+        return [ME, READER]
+
+
+class MemoryTable:
+    """Rows in memory."""
+
+    def __init__(self) -> None:
+        self._rows: dict[tuple[str, str], Row] = {}
+
+    async def get(self, partition: str, sort: str) -> Row | None:
+        """Read a row."""
+        return self._rows.get((partition, sort))
+
+    async def query(self, partition: str) -> list[Row]:
+        """Read a partition."""
+        return [row for row in self._rows.values() if row.partition == partition]
+
+    async def put(
+        self, partition: str, sort: str, body: bytes, *, expected: int
+    ) -> Row:
+        """Write a row; nobody else writes here."""
+        row = Row(partition, sort, expected + 1, body)
+        self._rows[partition, sort] = row
+        return row
+
+    async def delete(self, partition: str, sort: str, *, expected: int) -> None:
+        """Delete a row."""
+        del self._rows[partition, sort]
+
+
+def cpu_us(work: Callable[[], object], times: int) -> float:
+    """Return the processor time of one call in microseconds."""
+    work()
+    started = time.process_time()
+    for _ in range(times):
+        work()
+    return (time.process_time() - started) / times * 1e6
+
+
+async def cpu_us_async(work: Callable[[], Awaitable[object]], times: int) -> float:
+    """Return the processor time of one awaited call in microseconds."""
+    await work()
+    started = time.process_time()
+    for _ in range(times):
+        await work()
+    return (time.process_time() - started) / times * 1e6
+
+
+def held_bytes(make: Callable[[], object]) -> int:
+    """Return the memory that stays allocated for what a function returns."""
+    make()
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def envelope_bytes(message: object) -> int:
+    """Return the size of a told message between two instances, without CURVE."""
+    body = msgspec.Raw(encode(message))
+    name = type(message).__name__
+    address = "10.20.30.40:9090"
+    envelope = Envelope(Kind.TELL, ME, address, READER.incarnation, 0, name, body)
+    return len(encode(envelope))
+
+
+# Configuration and keys
+
+
+def document(models: int, keys: int, customers: int, servers: int) -> Sections:
+    """Return a document of a size."""
+    sections = empty_sections()
+    sections["models"] = {f"model-{i:04}": _model_table(i) for i in range(models)}
+    sections["customers"] = {
+        f"customer-{i:04}": {"rate": 9000.0, "burst": 72000.0} for i in range(customers)
+    }
+    for number in range(keys):
+        record = issue(f"customer-{number % max(1, customers):04}", PEPPER).record
+        table = {"customer": record.customer, "digest": record.digest}
+        sections["keys"][record.key_id] = table
+    sections["backends"] = {f"engine-{i:04}": _server_table(i) for i in range(servers)}
+    return sections
+
+
+def _model_table(number: int) -> dict[str, Any]:
+    adapters = {
+        f"model-{number:04}-adapter-{i:02}": {"version": "2026-11-1", "memory_mib": 60}
+        for i in range(ADAPTERS_PER_MODEL)
+    }
+    return {
+        "version": "2026-11-1",
+        "pool": f"pool-{number % 6}",
+        "memory_mib": 20_000,
+        "min_replicas": 1,
+        "adapters": adapters,
+    }
+
+
+def _server_table(number: int) -> dict[str, Any]:
+    return {
+        "kind": "engine",
+        "address": f"10.1.{number // 250}.{number % 250}:8000",
+        "data_centre": f"region-dc-{number % 5}",
+        "pool": f"pool-{number % 6}",
+        "accelerators": 8,
+        "memory_mib": 640_000,
+        "kv_reserve_mib": 80_000,
+        "slots": 64,
+    }
+
+
+def measure_configuration() -> list[Line]:
+    """Measure bodies, decoding, building and what stays in memory."""
+    lines = []
+    for section, sizes in (
+        ("models", (400, 800, 1600)),
+        ("keys", (500, 2000, 8000)),
+        ("customers", (100, 500)),
+        ("backends", (60, 300, 600)),
+    ):
+        octets, cpu, held = {}, {}, {}
+        for size in sizes:
+            counts = {"models": 0, "keys": 0, "customers": 0, "backends": 0}
+            counts[section] = size
+            body = encode_section(document(*counts.values())[section])
+
+            def install(section: str = section, body: bytes = body) -> object:
+                sections = empty_sections()
+                sections[section] = msgspec.json.decode(body)
+                return sections, build(1, sections, previous=EMPTY, changed={section})
+
+            octets[size] = len(body)
+            cpu[size] = cpu_us(install, 10)
+            held[size] = held_bytes(install)
+        one = section.removesuffix("s")
+        lines.append(Line(f"section {section}: body", one, "bytes", octets))
+        lines.append(Line(f"section {section}: decode and build", one, "CPU us", cpu))
+        lines.append(Line(f"section {section}: in memory", one, "bytes", held))
+    return lines
+
+
+def measure_key_ring() -> list[Line]:
+    """Measure the check of a key among many."""
+    points = {}
+    for size in (500, 2000, 8000):
+        issued = [issue("customer", PEPPER) for _ in range(size)]
+        keys = {each.record.digest: each.record for each in issued}
+        customers = {"customer": Customer("customer", 1.0, 1.0)}
+        cfg = EMPTY._replace(keys=keys, customers=customers)
+        ring = KeyRing(lambda cfg=cfg: cfg, PEPPER)
+        headers = [f"Bearer {each.key}" for each in issued]
+        rng = random.Random(1)
+        work = lambda: ring.authenticate(rng.choice(headers))  # noqa: E731, B023
+        points[size] = cpu_us(work, 3000)
+    return [Line("check of a key", "key", "CPU us", points)]
+
+
+# Backend servers
+
+
+def states(servers: int) -> list[BackendState]:
+    """Return the states of engines that are in use."""
+    return [_state(number) for number in range(servers)]
+
+
+def _state(number: int) -> BackendState:
+    bases = [f"model-{(number * 3 + i) % 1600:04}" for i in range(RESIDENTS // 3)]
+    adapters = [f"{base}-adapter-{i:02}" for base in bases for i in range(2)]
+    resident = tuple(
+        Resident(f"{name}@2026-11-1", 20_000, "ready", f"{number:08x}{i:08x}" * 2)
+        for i, name in enumerate(bases + adapters)
+    )
+    return BackendState(
+        f"engine-{number:04}", 0.0, 40, 2, 64, resident, 480_000, False, True, 12_345
+    )
+
+
+class LivingInventory:
+    """An inventory whose states all come from a peer."""
+
+    def __init__(self, servers: int) -> None:
+        document_ = document(0, 0, 0, servers)
+        cfg: Configuration = build(1, document_)
+        self.links = NotedLinks()
+        clock = SystemClock()
+        retirement = Retirement(self.links, lambda *_: 0, clock)
+        client: Any = None
+        self.inventory = Inventory(
+            client, self.links, OneMember(READER), lambda: cfg, retirement, clock
+        )
+        self.now = clock.monotonic()
+        self.states = states(servers)
+
+    async def take(self, message: object) -> None:
+        """Take a message as it comes over a link."""
+        body = encode(message)
+        decoded = msgspec.msgpack.decode(body, type=type(message))
+        await self.links.handlers[type(message).__name__](READER, decoded)
+
+    async def take_states(self) -> None:
+        """Take the whole state of every engine."""
+        for state in self.states:
+            await self.take(digest_of(state._replace(as_of=self.now), self.now))
+
+
+async def measure_inventory() -> list[Line]:
+    """Measure what is held of each engine and the cost of each message."""
+    held, whole, load, index = {}, {}, {}, {}
+    for servers in (60, 300, 600):
+        living = LivingInventory(servers)
+        tracemalloc.start()
+        await living.take_states()
+        living.inventory.ready("x")
+        gc.collect()
+        held[servers] = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        whole[servers] = await cpu_us_async(living.take_states, 3)
+        load[servers] = await cpu_us_async(lambda it=living: _take_loads(it), 10)
+
+        def rebuild(living: LivingInventory = living) -> None:
+            living.inventory._ready_index = None
+            living.inventory.ready("model-0001@2026-11-1")
+
+        index[servers] = cpu_us(rebuild, 10)
+    state = _state(1)._replace(as_of=0.0)
+    load_digest = load_digest_of(state, 0.1, fingerprint_of(state))
+    return [
+        Line("states of engines in memory", "engine", "bytes", held),
+        Line("whole states taken in", "engine", "CPU us", whole),
+        Line("load digests taken in", "engine", "CPU us", load),
+        Line("index of what is ready rebuilt", "engine", "CPU us", index),
+        _one("StateDigest on a link", "message", envelope_bytes(digest_of(state, 0.1))),
+        _one("LoadDigest on a link", "message", envelope_bytes(load_digest)),
+    ]
+
+
+async def _take_loads(living: LivingInventory) -> None:
+    for state in living.states:
+        newer = state._replace(as_of=living.now, seq=state.seq + 1)
+        await living.take(load_digest_of(newer, living.now, fingerprint_of(state)))
+
+
+def _one(what: str, per: str, figure: float, unit: str = "bytes") -> Line:
+    return Line(what, per, unit, {1: figure})
+
+
+def measure_authors() -> list[Line]:
+    """Measure how an instance finds out who is responsible for a key."""
+    points = {}
+    for size in (8, 64, 390):
+        clock = SystemClock()
+        mesh: Any = NotedLinks()
+        peers = [PeerId(f"entry-{i:04}", f"{i:016x}") for i in range(size)]
+        mesh.heard = lambda within, peers=peers: set(peers)
+        record = InstanceRecord("entry-0000", "dc", "10.0.0.1", 80, 90, "live")
+        client: Any = None
+        cfg = MembershipConfig()
+        members = Membership(MemoryTable(), client, mesh, clock, cfg, record)
+        rows = [Member(p, 1, MemberRow(record, 1, "live")) for p in peers]
+        now = clock.monotonic()
+        members._observer.note(now, now, rows, View(1, tuple(peers)))
+        points[size] = cpu_us(lambda m=members: m.author("backend/engine-0001"), 100)
+    return [Line("author of a key", "member", "CPU us", points)]
+
+
+def measure_prefixes() -> list[Line]:
+    """Measure an engine's cached prefixes in memory and on a link."""
+    rng = random.Random(1)
+
+    def events(count: int) -> tuple[CacheEvent, ...]:
+        return tuple(
+            CacheEvent(
+                n + 1, "stored", "model-0001@2026-11-1", f"{rng.getrandbits(64):016x}"
+            )
+            for n in range(count)
+        )
+
+    def fill(count: int) -> PrefixIndex:
+        index = PrefixIndex()
+        index.extend(0, events(count), count)
+        return index
+
+    held = {size: held_bytes(lambda n=size: fill(n)) for size in (512, 2048, 4096)}
+    news = {
+        size: envelope_bytes(CacheNews("engine-0001", 0, events(size), size))
+        for size in (1, 11, 101)
+    }
+    batch = events(2000)
+    took = cpu_us(lambda: PrefixIndex().extend(0, batch, 2000), 5)
+    return [
+        Line("cached prefixes in memory", "prefix", "bytes", held),
+        Line("CacheNews on a link", "event", "bytes", news),
+        Line("cache events taken in", "event", "CPU us", {2000: took}),
+    ]
+
+
+# Heartbeat topics and rate limits
+
+
+def measure_topics() -> list[Line]:
+    """Measure the parts of a heartbeat that grow."""
+    demand = {n: _demand(n) for n in (0, 100, 1600)}
+    shares = {n: _shares(n) for n in (0, 50, 500)}
+    status = {n: Status(0.4, 7, 3, True, ("0" * 16,) * n) for n in (0, 100)}
+    lines = []
+    for what, per, values, kind in (
+        ("demand", "artifact", demand, DemandDigest),
+        ("shares", "customer", shares, list[ShareDigest]),
+        ("membership", "revoked row", status, Status),
+    ):
+        octets = {n: float(len(encode(value))) for n, value in values.items()}
+        cpu = {
+            n: cpu_us(lambda v=value, k=kind: _round_trip(v, k), 50)
+            for n, value in values.items()
+        }
+        lines.append(Line(f"topic {what}", per, "bytes", octets))
+        lines.append(Line(f"topic {what}: encode and decode", per, "CPU us", cpu))
+    return lines
+
+
+def _round_trip(value: Any, kind: Any) -> Any:
+    return msgspec.msgpack.decode(encode(value), type=kind)
+
+
+def _demand(count: int) -> DemandDigest:
+    return DemandDigest(
+        tuple(
+            ArtifactDemand(f"model-{i:04}@2026-11-1", 1.25, 250.5, 0)
+            for i in range(count)
+        )
+    )
+
+
+def _shares(count: int) -> list[ShareDigest]:
+    return [
+        ShareDigest(f"customer-{i:04}", 3, 340, 0, 24_000_000_000, 812.5, 310.0)
+        for i in range(count)
+    ]
+
+
+async def measure_rate_limits() -> list[Line]:
+    """Measure the shares of customers that an instance keeps."""
+    held, stepped, heartbeat = {}, {}, {}
+    for customers in (100, 500):
+        cfg = build(1, document(0, 0, customers, 0))
+        links = NotedLinks()
+        tracemalloc.start()
+        limits = RateLimits(
+            lambda cfg=cfg: cfg, links, MemoryTable(), OneMember(ME), SystemClock()
+        )
+        await limits.step()
+        await limits.step()
+        gc.collect()
+        held[customers] = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        stepped[customers] = await cpu_us_async(limits.step, 10)
+        heartbeat[customers] = cpu_us(links.provide["shares"], 20)
+    known = {}
+    for peers in (8, 64):
+        links = NotedLinks()
+        cfg = build(1, document(0, 0, 50, 0))
+        limits = RateLimits(
+            lambda cfg=cfg: cfg, links, MemoryTable(), OneMember(ME), SystemClock()
+        )
+        await limits.step()
+        digests = encode(_shares(50))
+        tracemalloc.start()
+        for number in range(peers):
+            value = msgspec.msgpack.decode(digests, type=list[ShareDigest])
+            links.accept["shares"](PeerId(f"e{number}", "0"), value)
+        known[peers] = tracemalloc.get_traced_memory()[0] / 50
+        tracemalloc.stop()
+    return [
+        Line("shares of a rate in memory (1 peer)", "customer", "bytes", held),
+        Line("step of the shares, each 0.5 s (1 peer)", "customer", "CPU us", stepped),
+        Line("shares put into a heartbeat", "customer", "CPU us", heartbeat),
+        Line("a peer's share of a customer in memory", "peer", "bytes", known),
+    ]
+
+
+# Planner, log lines
+
+
+def measure_planner() -> list[Line]:
+    """Measure planning rounds of pools of several sizes."""
+    median, memory = {}, {}
+    for servers, models in ((60, 160), (300, 800), (600, 1600)):
+        fleet = placement_bench.Fleet(servers, 64, 640_000, models, 0.55)
+        sim = placement_bench.Simulation(
+            fleet, placement_bench.StaticEven(), 60.0, seed=1
+        )
+        rng = random.Random(1)
+        planned = placement_bench.Planned()
+        for _ in range(5):
+            sim.now += 1.0
+            for model in range(models):
+                burst = 10.0 if rng.random() < 0.02 else 1.0
+                sim.rates[model] = sim.traffic.rate(model, 0.0) * burst
+            planned.decide(sim)
+        median[servers] = sorted(planned.round_seconds)[2] * 1e6
+        need = {f"m{m}": 1.0 for m in range(models)}
+        memory[servers] = held_bytes(
+            lambda sim=sim, need=need: placement_bench._view_of(sim, need)
+        )
+    return [
+        Line("planning round, median of 5 (elapsed)", "engine", "us", median),
+        Line("view of the planner in memory", "engine", "bytes", memory),
+    ]
+
+
+# Running instances
+
+
+class Daemon:
+    """One entry instance of the demonstration fleet."""
+
+    def __init__(self, fleet: Fleet, index: int) -> None:
+        self._url = fleet.urls[index]
+        self._process = fleet.processes[index]
+        self._usage = psutil.Process(self._process.pid)
+
+    def cpu_seconds(self) -> float:
+        """Return its processor time so far."""
+        times = self._usage.cpu_times()
+        return times.user + times.system
+
+    def resident_mib(self) -> float:
+        """Return its resident memory."""
+        return self._usage.memory_info().rss / 2**20
+
+    def unshared_mib(self) -> float:
+        """Return the memory that is its alone."""
+        return self._usage.memory_full_info().uss / 2**20
+
+    def log_bytes(self) -> int:
+        """Return the bytes that it has logged."""
+        return self._process.log_path.stat().st_size
+
+    async def count(self, session: aiohttp.ClientSession) -> Counts:
+        """Return what it has used and sent so far."""
+        async with session.get(f"{self._url}/metrics") as resp:
+            text = await resp.text()
+        rows = [line.rsplit(" ", 1) for line in text.splitlines() if line[0] != "#"]
+        found = {name: float(figure) for name, figure in rows}
+        return Counts(
+            self.cpu_seconds(),
+            self.log_bytes(),
+            found["guavajunction_store_reads_total"],
+            found["guavajunction_store_writes_total"],
+            found["guavajunction_peer_sent_bytes_total"],
+        )
+
+
+class Counts(NamedTuple):
+    """What one instance has used and sent."""
+
+    cpu_seconds: float
+    log_bytes: float
+    table_reads: float
+    table_writes: float
+    peer_bytes: float
+
+
+async def measure_daemons() -> list[Line]:
+    """Measure instances that idle and then serve chats."""
+    async with AsyncExitStack() as stack:
+        var = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        profile = PROFILES["demo"]
+        rich = [c._replace(rate=1e9, burst=1e9) for c in profile.customers]
+        profile = profile._replace(customers=tuple(rich))
+        fleet = await stack.enter_async_context(Fleet(profile, var, entries=ENTRIES))
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        daemons = [Daemon(fleet, index) for index in range(ENTRIES)]
+        await _chat(fleet, session, max(CHAT_TOKENS))
+        await asyncio.sleep(SETTLE_SECONDS)
+        idle = await _idle(daemons, session)
+        busy = await _busy(daemons[0], fleet, session, idle)
+        return _idle_lines(daemons, idle) + busy
+
+
+async def _idle(daemons: list[Daemon], session: aiohttp.ClientSession) -> Counts:
+    """Return what an instance uses and sends in a second, the mean over all."""
+    before = [await daemon.count(session) for daemon in daemons]
+    await asyncio.sleep(IDLE_SECONDS)
+    after = [await daemon.count(session) for daemon in daemons]
+    return Counts(*(_mean_growth(before, after, field) for field in Counts._fields))
+
+
+def _mean_growth(before: list[Counts], after: list[Counts], field: str) -> float:
+    total = sum(getattr(c, field) for c in after)
+    total -= sum(getattr(c, field) for c in before)
+    return total / len(before) / IDLE_SECONDS
+
+
+def _idle_lines(daemons: list[Daemon], idle: Counts) -> list[Line]:
+    resident = max(daemon.resident_mib() for daemon in daemons)
+    unshared = max(daemon.unshared_mib() for daemon in daemons)
+    what = f"instance of {ENTRIES}, idle"
+    return [
+        _one(f"{what}: resident", "instance", resident, "MiB"),
+        _one(f"{what}: unshared", "instance", unshared, "MiB"),
+        _one(f"{what}: processor", "instance", idle.cpu_seconds, "cores"),
+        _one(f"{what}: log", "instance", idle.log_bytes, "bytes/s"),
+        _one(f"{what}: table reads", "instance", idle.table_reads, "1/s"),
+        _one(f"{what}: table writes", "instance", idle.table_writes, "1/s"),
+        _one(f"{what}: sent to peers", "instance", idle.peer_bytes, "bytes/s"),
+    ]
+
+
+async def _busy(
+    daemon: Daemon, fleet: Fleet, session: aiohttp.ClientSession, idle: Counts
+) -> list[Line]:
+    cpu, logged = {}, {}
+    for tokens in CHAT_TOKENS:
+        started, before = time.monotonic(), await daemon.count(session)
+        await _chats(fleet, session, tokens)
+        after, elapsed = await daemon.count(session), time.monotonic() - started
+        spent = after.cpu_seconds - before.cpu_seconds - idle.cpu_seconds * elapsed
+        cpu[tokens] = spent / CHATS * 1e6
+        written = after.log_bytes - before.log_bytes - idle.log_bytes * elapsed
+        logged[tokens] = written / CHATS
+    resident = daemon.resident_mib()
+    return [
+        Line("streamed chat, idle work deducted", "token", "CPU us", cpu),
+        Line("streamed chat: log", "token", "bytes", logged),
+        _one("instance after chats: resident", "instance", resident, "MiB"),
+    ]
+
+
+async def _chats(fleet: Fleet, session: aiohttp.ClientSession, tokens: int) -> None:
+    gate = asyncio.Semaphore(CHATS_AT_ONCE)
+
+    async def one() -> None:
+        async with gate:
+            await _chat(fleet, session, tokens)
+
+    await asyncio.gather(*(one() for _ in range(CHATS)))
+
+
+def long_prompt(model: str) -> str:
+    """Return a prompt that the stand-in answers with as many tokens as asked for."""
+    prompts = (f"{number} {'x' * 200}" for number in itertools.count())
+    most = max(CHAT_TOKENS)
+    return next(p for p in prompts if len(answer_tokens(model, p, most)) == most)
+
+
+async def _chat(fleet: Fleet, session: aiohttp.ClientSession, tokens: int) -> None:
+    model = fleet.profile.models[0].name
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": long_prompt(model)}],
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    headers = {"Authorization": f"Bearer {fleet.customers[0].key}"}
+    url = f"{fleet.urls[0]}/v1/chat/completions"
+    for _ in range(100):
+        async with session.post(url, json=body, headers=headers) as resp:
+            answer = await resp.read()
+            if resp.status == 200 and b"[DONE]" in answer:
+                return
+        await asyncio.sleep(0.2)
+    raise RuntimeError(f"{url} answers {resp.status}: {answer[:200]!r}")
+
+
+def measure_imports() -> list[Line]:
+    """Measure the memory of interpreters that have only imported something."""
+    lines = []
+    for what, modules in (
+        ("interpreter alone", ""),
+        (
+            "libraries",
+            "aiohttp.web, zmq.asyncio, uvloop, aiomisc, eliot, hdrh.histogram",
+        ),
+        ("the daemon's modules", "guavajunction_entry.main"),
+    ):
+        code = f"import {modules or 'sys'}\nimport psutil\n"
+        code += "print(psutil.Process().memory_info().rss)"
+        out = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, check=True, text=True
+        )
+        mib = int(out.stdout) / 2**20
+        lines.append(_one(f"imported: {what}", "process", mib, "MiB"))
+    return lines
+
+
+# Links and polls, measured by control_cost
+
+
+async def measure_links(port: int) -> list[Line]:
+    """Measure heartbeats, questions and polls of the member rows."""
+    beats = {size: await control_cost.measure_heartbeats(size) for size in (4, 8)}
+    wire = await control_cost.measure_wire_heartbeat()
+    ask = await control_cost.measure_asks()
+    polls = {size: await control_cost.measure_poll(port, size) for size in (8, 64, 390)}
+    return [
+        _one(
+            "heartbeat sent and received, 8 instances",
+            "heartbeat",
+            beats[8].cpu_us,
+            "CPU us",
+        ),
+        _one("heartbeat in the TCP stream", "heartbeat", wire),
+        _one("question and answer, both sides", "question", ask.cpu_us, "CPU us"),
+        _one("question and answer, both sides", "question", ask.octets),
+        Line(
+            "poll of the member rows",
+            "member",
+            "CPU us",
+            {n: c.cpu_us for n, c in polls.items()},
+        ),
+        Line(
+            "poll of the member rows",
+            "member",
+            "bytes",
+            {n: c.octets for n, c in polls.items()},
+        ),
+    ]
+
+
+async def measure(port: int) -> list[Line]:
+    """Measure everything."""
+    return [
+        *measure_configuration(),
+        *measure_key_ring(),
+        *await measure_inventory(),
+        *measure_authors(),
+        *measure_prefixes(),
+        *measure_topics(),
+        *await measure_rate_limits(),
+        *measure_planner(),
+        *await measure_links(port),
+        *measure_imports(),
+        *await measure_daemons(),
+    ]
+
+
+def table_of(lines: list[Line]) -> str:
+    """Return the lines as text."""
+    rows = [f"{'what':<46}{'slope':>12} {'unit':<8}{'per':<13}at size: figure"]
+    for line in lines:
+        points = ", ".join(f"{n}: {figure:,.6g}" for n, figure in line.points.items())
+        rows.append(
+            f"{line.what:<46}{line.slope:>12,.4g} {line.unit:<8}{line.per:<13}{points}"
+        )
+    return "\n".join(rows)
+
+
+def main(argv: list[str]) -> None:
+    """Run the measurement."""
+    eliot.add_destinations(lambda message: None)
+    command = [sys.executable, control_cost.__file__, "--serve"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as server:
+        try:
+            assert server.stdout is not None
+            lines = uvloop.run(measure(int(server.stdout.readline())))
+        finally:
+            server.terminate()
+    as_json = [line._asdict() | {"slope": line.slope} for line in lines]
+    print(json.dumps(as_json) if "--json" in argv else table_of(lines))
+
+
+if __name__ == "__main__":
+    main(sys.argv)
