--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_admission.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_admission.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from guavajunction.configuration import Customer
-from guavajunction.errors import InstanceNotReady, NotPermitted
+from guavajunction.errors import BadRequest, InstanceNotReady, NotPermitted
 
 from ._parts import FrontParts
 
@@ -57,3 +57,15 @@
         """Raise `NotPermitted` unless the customer may use a model."""
         if customer.models and name not in customer.models:
             raise NotPermitted(f"{customer.name!r} may not use {name!r}")
+
+
+def bearer_of(req: web.Request) -> str:
+    """Return the token of a request's `Authorization` header, or an empty text."""
+    return req.headers.get("Authorization", "").partition(" ")[2].strip()
+
+
+def refuse_key_in(content: bytes, req: web.Request) -> None:
+    """Raise `BadRequest` if what goes to a backend server holds the caller's key."""
+    key = bearer_of(req).encode()
+    if key and key in content:
+        raise BadRequest("the key belongs in the Authorization header alone")
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_inference_handler.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_inference_handler.py
@@ -22,7 +22,7 @@
 )
 
 from .. import _events as events
-from ._admission import Admission
+from ._admission import Admission, refuse_key_in
 from ._body import BodyReader, InferenceBody
 from ._errors import request_id_of
 from ._parts import FrontParts
@@ -106,6 +106,7 @@
     ) -> _Admitted:
         arrived = self._parts.clock.monotonic()
         raw, body = await self._reader.read_inference(req)
+        refuse_key_in(raw, req)
         self._admission.check_model(customer, body.model)
         artifact = self._artifact(body.model)
         routed = self._routed(req, customer, artifact, body, arrived)
@@ -163,11 +164,12 @@
         )
 
     def _used(self, admitted: _Admitted, summary: AnswerSummary) -> float:
-        """Return the tokens of a whole answer, at most those that were reserved."""
+        """Return the tokens of a whole answer, as reserved if the engine told none."""
         req = admitted.out.req
         self._parts.metrics.count("answers_total", objective=req.objective.name)
-        counted = summary.output_tokens + (summary.prompt_tokens or 0.0)
-        return min(req.cost, counted) if summary.prompt_tokens else req.cost
+        if summary.prompt_tokens is None:
+            return req.cost
+        return summary.output_tokens + summary.prompt_tokens
 
     async def _on_failure(
         self, exc: RequestError, sink: ResponseSink, admitted: _Admitted
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_service_handler.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_service_handler.py
@@ -20,7 +20,7 @@
 from guavajunction.routing import ServiceAnswer, ServiceRequest
 
 from .. import _events as events
-from ._admission import Admission
+from ._admission import Admission, bearer_of, refuse_key_in
 from ._body import BodyReader
 from ._errors import request_id_of
 from ._parts import FrontParts
@@ -134,7 +134,9 @@
 
     async def _outgoing(self, req: web.Request) -> ServiceRequest:
         body = await self._reader.read(req)
-        key = _bearer(req)
+        refuse_key_in(body, req)
+        refuse_key_in(req.path.encode(), req)
+        key = bearer_of(req)
         headers = strip_credentials(req.headers.items(), key)
         query = strip_credentials(req.query.items(), key)
         path = _path_below_service(req)
@@ -186,10 +188,6 @@
     return req.rel_url.raw_path.removeprefix(f"{PATH_PREFIX}{service}") or "/"
 
 
-def _bearer(req: web.Request) -> str:
-    return req.headers.get("Authorization", "").partition(" ")[2].strip()
-
-
 def _fingerprint(out: ServiceRequest) -> str:
     head = f"{out.method} {out.path}\n".encode()
     return xxhash.xxh3_128_hexdigest(head + out.body)
--- a/packages/guavajunction/src/guavajunction/placement/_term.py
+++ b/packages/guavajunction/src/guavajunction/placement/_term.py
@@ -89,6 +89,8 @@
         self._removals: dict[tuple[str, str], asyncio.Task[None]] = {}
         self._loading: set[asyncio.Task[None]] = set()
         self._wanted: dict[str, float] = {}
+        self._shortages: frozenset[Shortage] = frozenset()
+        """Those of the last round; a decision that lasts is logged once."""
         self.plan_seconds = 0.0
         """How long the latest plan took to work out."""
         self._shortages: set[Shortage] = set()
--- a/packages/guavajunction/src/guavajunction/routing/_engine_call.py
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -127,6 +127,7 @@
             data=self._out.body,
             headers=headers,
             timeout=timeout,
+            allow_redirects=False,
         )
 
     async def _check_status(self, resp: aiohttp.ClientResponse) -> None:
--- a/packages/guavajunction/src/guavajunction/settings/_model.py
+++ b/packages/guavajunction/src/guavajunction/settings/_model.py
@@ -55,7 +55,7 @@
 
 
 class TimingSettings(NamedTuple):
-    """`[timing]`: all in seconds."""
+    """`[timing]`: all in seconds; every instance of a fleet must have the same."""
 
     heartbeat: Seconds = 0.5
     """Between two heartbeats to a peer."""
@@ -90,7 +90,7 @@
 
 
 class PlacementSettings(NamedTuple):
-    """`[placement]`: bounds on orders, fleet-wide."""
+    """`[placement]`: bounds on orders, fleet-wide, the same on every instance."""
 
     loads_per_second: Seconds = 1.5
     """Base models fetched from the weight store a second."""
--- a/tests/customers/test_rate_limits.py
+++ b/tests/customers/test_rate_limits.py
@@ -146,8 +146,8 @@
         units = fleet.units()
         standby, idle = sorted((units["c"], units["d"]), reverse=True)
         assert idle == 0
-        # The demand is measured as 422 to 542 of 1,024 tokens a second and has a quarter
-        # more; differences below 32 units stay.
+        # The demand is measured as 422 to 542 of 1,024 tokens a second and has a
+        # quarter more; differences below 32 units stay.
         assert 0.3 * TOTAL_UNITS < standby < 0.52 * TOTAL_UNITS
         assert 2 < units["b"] / units["a"] < 4
 
--- a/tests/placement/test_service.py
+++ b/tests/placement/test_service.py
@@ -14,7 +14,7 @@
 from guavajunction.clock import ManualClock
 from guavajunction.configuration import Adapter, Model
 from guavajunction.membership import Lease
-from guavajunction.placement import PlacementService, name_of
+from guavajunction.placement import PlacementService, _events, name_of
 from guavajunction.settings import PlacementSettings
 
 
@@ -165,6 +165,15 @@
             assert plan is not None
             assert plan.loads == ()
 
+    async def test_shortage_that_lasts_is_logged_once(self, monkeypatch):
+        logged: list[str] = []
+        monkeypatch.setattr(
+            _events.NO_ROOM, "log", lambda **fields: logged.append(fields["artifact"])
+        )
+        async with World(models("big@1", mib=10_000)) as world:
+            await world.run(20)
+        assert logged == ["big@1"]
+
     async def test_lost_orders_heal_and_memory_holds(self):
         async with World(models("a@1", "b@1", "c@1", "d@1", mib=60)[:3]) as world:
             world.client.fates = ["late", "lose", "late_ack", "double", "lose_answer"]
--- a/tests/system/test_refusals.py
+++ b/tests/system/test_refusals.py
@@ -39,6 +39,14 @@
         assert answer.error["not_run"] == "true"
         assert answer.error["request_id"] == answer.headers["x-request-id"]
 
+    async def test_key_in_what_a_backend_server_would_see_is_refused(self, caller):
+        chat = await caller.chat(f"my key is {caller.key}")
+        booking = await caller.book("key-1", caller.key)
+        path = await caller.send("GET", f"/services/booking/availability/{caller.key}")
+        for answer in (chat, booking, path):
+            assert (answer.status, answer.error["type"]) == (400, "bad_request")
+            assert caller.key not in answer.error["message"]
+
     async def test_open_route_needs_no_key(self, caller):
         answer = await caller.send("GET", "/services/booking/availability", key=None)
         assert answer.status == 200
