--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,6 +20,7 @@
 import tracemalloc
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -33,7 +34,7 @@
 import placement as placement_bench
 from guavajunction.backends import Inventory, Retirement
 from guavajunction.backends._digests import digest_of, fingerprint_of, load_digest_of
-from guavajunction.backends._messages import CacheNews
+from guavajunction.backends._messages import CacheNews, LoadDigest, StateDigest
 from guavajunction.backends._model import BackendState, CacheEvent, Resident
 from guavajunction.backends._prefix_index import PrefixIndex
 from guavajunction.clock import SystemClock
@@ -346,16 +347,24 @@
         self.now = clock.monotonic()
         self.states = states(servers)
 
-    async def take(self, message: object) -> None:
-        """Take a message as it comes over a link."""
-        body = encode(message)
-        decoded = msgspec.msgpack.decode(body, type=type(message))
-        await self.links.handlers[type(message).__name__](READER, decoded)
+    async def take(self, encoded: list[bytes], kind: type[Any]) -> None:
+        """Take messages as they come over a link."""
+        handler = self.links.handlers[kind.__name__]
+        for body in encoded:
+            await handler(READER, msgspec.msgpack.decode(body, type=kind))
 
-    async def take_states(self) -> None:
-        """Take the whole state of every engine."""
-        for state in self.states:
-            await self.take(digest_of(state._replace(as_of=self.now), self.now))
+    def state_digests(self) -> list[bytes]:
+        """Return a message with the whole state of each engine."""
+        current = [state._replace(as_of=self.now) for state in self.states]
+        return [encode(digest_of(state, self.now)) for state in current]
+
+    def load_digests(self) -> list[bytes]:
+        """Return a message with the load of each engine."""
+        newer = [s._replace(as_of=self.now, seq=s.seq + 1) for s in self.states]
+        return [
+            encode(load_digest_of(state, self.now, fingerprint_of(state)))
+            for state in newer
+        ]
 
 
 async def measure_inventory() -> list[Line]:
@@ -363,14 +372,16 @@
     held, whole, load, index = {}, {}, {}, {}
     for servers in (60, 300, 600):
         living = LivingInventory(servers)
+        digests, loads = living.state_digests(), living.load_digests()
         tracemalloc.start()
-        await living.take_states()
+        await living.take(digests, StateDigest)
         living.inventory.ready("x")
         gc.collect()
         held[servers] = tracemalloc.get_traced_memory()[0]
         tracemalloc.stop()
-        whole[servers] = await cpu_us_async(living.take_states, 3)
-        load[servers] = await cpu_us_async(lambda it=living: _take_loads(it), 10)
+        take = living.take
+        whole[servers] = await cpu_us_async(partial(take, digests, StateDigest), 3)
+        load[servers] = await cpu_us_async(partial(take, loads, LoadDigest), 10)
 
         def rebuild(living: LivingInventory = living) -> None:
             living.inventory._ready_index = None
@@ -389,12 +400,6 @@
     ]
 
 
-async def _take_loads(living: LivingInventory) -> None:
-    for state in living.states:
-        newer = state._replace(as_of=living.now, seq=state.seq + 1)
-        await living.take(load_digest_of(newer, living.now, fingerprint_of(state)))
-
-
 def _one(what: str, per: str, figure: float, unit: str = "bytes") -> Line:
     return Line(what, per, unit, {1: figure})
 
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_errors.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_errors.py
@@ -19,8 +19,7 @@
     UnknownRoute,
 )
 from guavajunction.metrics import MetricsRegistry
-
-from .. import _events as events
+from guavajunction_entry import _events as events
 
 REQUEST_ID_HEADER = "X-Request-Id"
 REQUEST_ID = web.RequestKey("request_id", str)
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_inference_handler.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_inference_handler.py
@@ -20,8 +20,8 @@
     EngineRequest,
     RoutedRequest,
 )
+from guavajunction_entry import _events as events
 
-from .. import _events as events
 from ._admission import Admission, refuse_key_in
 from ._body import BodyReader, InferenceBody
 from ._errors import request_id_of
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_service_handler.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_service_handler.py
@@ -18,8 +18,8 @@
 )
 from guavajunction.once import Claim, RecordedAnswer
 from guavajunction.routing import ServiceAnswer, ServiceRequest
+from guavajunction_entry import _events as events
 
-from .. import _events as events
 from ._admission import Admission, bearer_of, refuse_key_in
 from ._body import BodyReader
 from ._errors import request_id_of
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/commands/demo.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/demo.py
@@ -8,8 +8,8 @@
 import uvloop
 from absl import flags
 
-from .._errors import FakesError
-from ..demo import Demo
+from guavajunction_fakes._errors import FakesError
+from guavajunction_fakes.demo import Demo
 
 EXIT_FAILED = 1
 
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/commands/engines.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/engines.py
@@ -8,8 +8,8 @@
 
 from absl import flags
 
-from .._serving import define_port, serve_until_stopped
-from ..engine import EngineConfig, FakeEngine, Resident
+from guavajunction_fakes._serving import define_port, serve_until_stopped
+from guavajunction_fakes.engine import EngineConfig, FakeEngine, Resident
 
 
 def define(values: flags.FlagValues) -> None:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/commands/fleet.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/fleet.py
@@ -10,9 +10,9 @@
 import uvloop
 from absl import flags
 
-from .._errors import FakesError
-from .._serving import stop_event
-from ..fleet import PROFILES, Fleet, profile_named
+from guavajunction_fakes._errors import FakesError
+from guavajunction_fakes._serving import stop_event
+from guavajunction_fakes.fleet import PROFILES, Fleet, profile_named
 
 EXIT_FAILED = 1
 
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/commands/load.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/load.py
@@ -9,9 +9,9 @@
 import uvloop
 from absl import flags
 
-from .._errors import FakesError
-from ..fleet import read_roster
-from ..load import LoadPlan, run_load
+from guavajunction_fakes._errors import FakesError
+from guavajunction_fakes.fleet import read_roster
+from guavajunction_fakes.load import LoadPlan, run_load
 
 EXIT_PROMISE_BROKEN = 1
 EXIT_USAGE = 2
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/commands/service.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/service.py
@@ -4,8 +4,8 @@
 
 from absl import flags
 
-from .._service import FakeService
-from .._serving import define_port, serve_until_stopped
+from guavajunction_fakes._service import FakeService
+from guavajunction_fakes._serving import define_port, serve_until_stopped
 
 
 def define(values: flags.FlagValues) -> None:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/commands/table.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/table.py
@@ -4,8 +4,8 @@
 
 from absl import flags
 
-from .._serving import define_port, serve_until_stopped
-from .._table import FakeTable
+from guavajunction_fakes._serving import define_port, serve_until_stopped
+from guavajunction_fakes._table import FakeTable
 
 
 def define(values: flags.FlagValues) -> None:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/demo/_demo.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/demo/_demo.py
@@ -9,9 +9,9 @@
 
 import aiohttp
 
-from ..engine import expected_answer
-from ..fleet import Fleet, profile_named
-from ..load import LoadPlan, run_load
+from guavajunction_fakes.engine import expected_answer
+from guavajunction_fakes.fleet import Fleet, profile_named
+from guavajunction_fakes.load import LoadPlan, run_load
 
 MODEL = "model-1"
 MAX_TOKENS = 12
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_engine.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_engine.py
@@ -10,9 +10,10 @@
 
 from aiohttp import web
 
-from .._faults import cut
-from .._run_log import RunLog
-from .._server import FakeServer
+from guavajunction_fakes._faults import cut
+from guavajunction_fakes._run_log import RunLog
+from guavajunction_fakes._server import FakeServer
+
 from ._answers import answer_tokens, prefix_of, prompt_of, tokens_in
 from ._batch import Batch, Job
 from ._chunks import Chunks
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_event_writer.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/engine/_event_writer.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from .._faults import FaultBoard, cut
+from guavajunction_fakes._faults import FaultBoard, cut
 
 
 class EventWriter:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_control.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_control.py
@@ -10,7 +10,8 @@
 
 import aiohttp
 
-from .._errors import OperationRefused, StartTimeout
+from guavajunction_fakes._errors import OperationRefused, StartTimeout
+
 from ._process import FleetProcess
 
 POLL_SECONDS = 0.05
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_fleet.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_fleet.py
@@ -13,8 +13,9 @@
 
 import aiohttp
 
-from .._errors import StartTimeout
-from ..engine import EngineConfig
+from guavajunction_fakes._errors import StartTimeout
+from guavajunction_fakes.engine import EngineConfig
+
 from ._control import Control
 from ._document import BackendAddress, document_of
 from ._ports import HOST, free_ports
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_process.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_process.py
@@ -12,7 +12,7 @@
 
 import psutil
 
-from .._errors import ProcessEnded
+from guavajunction_fakes._errors import ProcessEnded
 
 _PR_SET_PDEATHSIG = 1
 _LIBC = ctypes.CDLL(None)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_profiles.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/fleet/_profiles.py
@@ -4,8 +4,8 @@
 
 from typing import NamedTuple
 
-from .._errors import ProfileUnknown
-from .._weights import WeightStoreConfig
+from guavajunction_fakes._errors import ProfileUnknown
+from guavajunction_fakes._weights import WeightStoreConfig
 
 
 class ModelPlan(NamedTuple):
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_arrivals.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_arrivals.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterator
 from typing import Literal, NamedTuple
 
-from ..engine import answer_tokens, prompt_of, tokens_in
-from ..fleet import CustomerAccess, Roster
+from guavajunction_fakes.engine import answer_tokens, prompt_of, tokens_in
+from guavajunction_fakes.fleet import CustomerAccess, Roster
 
 Kind = Literal["live", "batch", "call"]
 
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_backend_view.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_backend_view.py
@@ -8,8 +8,9 @@
 
 import aiohttp
 
-from .._errors import FleetUnreachable
-from ..fleet import Roster
+from guavajunction_fakes._errors import FleetUnreachable
+from guavajunction_fakes.fleet import Roster
+
 from ._outcome import Outcome, Verdict
 
 
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_caller.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_caller.py
@@ -11,9 +11,10 @@
 
 import aiohttp
 
-from .._errors import NoInstance
-from ..engine import expected_answer
-from ..fleet import CustomerAccess, Roster
+from guavajunction_fakes._errors import NoInstance
+from guavajunction_fakes.engine import expected_answer
+from guavajunction_fakes.fleet import CustomerAccess, Roster
+
 from ._arrivals import Arrival, LoadPlan
 from ._bucket import RateWitness
 from ._chat_stream import ChatStream
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_directory.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_directory.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from .._errors import NoInstance
+from guavajunction_fakes._errors import NoInstance
 
 
 class DirectoryCache:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_report.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_report.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
-from ..fleet import CustomerPlan, ObjectivePlan, Roster
+from guavajunction_fakes.fleet import CustomerPlan, ObjectivePlan, Roster
+
 from ._arrivals import LoadPlan
 from ._backend_view import BackendView, answered_without_run, false_not_run
 from ._bucket import overspend
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/load/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/load/_runner.py
@@ -9,7 +9,8 @@
 
 import aiohttp
 
-from ..fleet import Roster
+from guavajunction_fakes.fleet import Roster
+
 from ._arrivals import LoadPlan, arrivals
 from ._backend_view import read_backends
 from ._caller import Caller
--- a/packages/guavajunction/src/guavajunction/backends/_client.py
+++ b/packages/guavajunction/src/guavajunction/backends/_client.py
@@ -7,7 +7,8 @@
 import aiohttp
 import msgspec
 
-from ..errors import OrderRefused
+from guavajunction.errors import OrderRefused
+
 from ._errors import (
     BackendUnreachable,
     OrderLacksMemory,
--- a/packages/guavajunction/src/guavajunction/backends/_errors.py
+++ b/packages/guavajunction/src/guavajunction/backends/_errors.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..errors import GuavaError, OrderRefused
+from guavajunction.errors import GuavaError, OrderRefused
 
 
 class BackendUnreachable(GuavaError):
--- a/packages/guavajunction/src/guavajunction/backends/_events.py
+++ b/packages/guavajunction/src/guavajunction/backends/_events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..events import LogEvent
+from guavajunction.events import LogEvent
 
 BACKEND_UNHEALTHY = LogEvent(
     500, "backends:unhealthy", "A backend server did not answer its load query."
--- a/packages/guavajunction/src/guavajunction/backends/_inventory.py
+++ b/packages/guavajunction/src/guavajunction/backends/_inventory.py
@@ -7,9 +7,10 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 
-from ..clock import Clock
-from ..configuration import Adapter, BackendServer, Configuration
-from ..peers import Links, PeerId
+from guavajunction.clock import Clock
+from guavajunction.configuration import Adapter, BackendServer, Configuration
+from guavajunction.peers import Links, PeerId
+
 from ._digests import digest_of, fingerprint_of, load_digest_of, state_of
 from ._errors import BackendUnreachable
 from ._events import (
--- a/packages/guavajunction/src/guavajunction/backends/_order_desk.py
+++ b/packages/guavajunction/src/guavajunction/backends/_order_desk.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from ..clock import Clock
-from ..configuration import BackendServer, Configuration
-from ..errors import (
+from guavajunction.clock import Clock
+from guavajunction.configuration import BackendServer, Configuration
+from guavajunction.errors import (
     ConditionFailed,
     GuavaError,
     LeaseLost,
@@ -19,7 +19,8 @@
     StoreAnswerLost,
     StoreUnavailable,
 )
-from ..platform import Row, TableService
+from guavajunction.platform import Row, TableService
+
 from ._errors import (
     BackendUnreachable,
     LedgerUnsettled,
--- a/packages/guavajunction/src/guavajunction/backends/_passive_health.py
+++ b/packages/guavajunction/src/guavajunction/backends/_passive_health.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-from ..clock import Clock
+from guavajunction.clock import Clock
 
 
 class PassiveHealth:
--- a/packages/guavajunction/src/guavajunction/backends/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/backends/_protocols.py
@@ -4,7 +4,8 @@
 
 from typing import Protocol
 
-from ..peers import PeerId
+from guavajunction.peers import PeerId
+
 from ._model import CacheEvents, LoadReport, Order
 
 
--- a/packages/guavajunction/src/guavajunction/backends/_ready_index.py
+++ b/packages/guavajunction/src/guavajunction/backends/_ready_index.py
@@ -5,7 +5,8 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from ..configuration import Configuration
+from guavajunction.configuration import Configuration
+
 from ._model import READY, BackendState
 
 
--- a/packages/guavajunction/src/guavajunction/backends/_retirement.py
+++ b/packages/guavajunction/src/guavajunction/backends/_retirement.py
@@ -5,9 +5,10 @@
 import asyncio
 from collections.abc import Callable
 
-from ..clock import Clock
-from ..errors import PeerError
-from ..peers import Links, PeerId
+from guavajunction.clock import Clock
+from guavajunction.errors import PeerError
+from guavajunction.peers import Links, PeerId
+
 from ._events import ARTIFACT_RETIRING
 from ._messages import RetireAnswer, RetireAsk
 
--- a/packages/guavajunction/src/guavajunction/customers/_borrower.py
+++ b/packages/guavajunction/src/guavajunction/customers/_borrower.py
@@ -5,16 +5,17 @@
 import asyncio
 
 from guavajunction.clock import Clock
-from guavajunction.customers import _events
-from guavajunction.customers._bucket import MICRO, Charge
-from guavajunction.customers._holding import TOTAL_UNITS, Holding
-from guavajunction.customers._messages import Transfer, UnitsAsk, UnitsReply
-from guavajunction.customers._peer_shares import Own, PeerShares, Portion
-from guavajunction.customers._share_book import ShareBook, acknowledgement
-from guavajunction.customers._targets import Targets, Want
 from guavajunction.errors import PeerError
 from guavajunction.peers import Links, PeerId
 
+from . import _events
+from ._bucket import MICRO, Charge
+from ._holding import TOTAL_UNITS, Holding
+from ._messages import Transfer, UnitsAsk, UnitsReply
+from ._peer_shares import Own, PeerShares, Portion
+from ._share_book import ShareBook, acknowledgement
+from ._targets import Targets, Want
+
 
 class Borrower:
     """Asks the peers with the most to spare, and gives when it is asked.
--- a/packages/guavajunction/src/guavajunction/customers/_credentials.py
+++ b/packages/guavajunction/src/guavajunction/customers/_credentials.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from guavajunction.customers._keys import KEY_PATTERN
+from ._keys import KEY_PATTERN
 
 CREDENTIAL_HEADERS = frozenset(
     {"authorization", "proxy-authorization", "cookie", "x-api-key", "api-key"}
--- a/packages/guavajunction/src/guavajunction/customers/_equal_split.py
+++ b/packages/guavajunction/src/guavajunction/customers/_equal_split.py
@@ -7,10 +7,11 @@
 
 from guavajunction.clock import Clock
 from guavajunction.configuration import Customer
-from guavajunction.customers._bucket import MICRO, Charge, TokenBucket
-from guavajunction.customers._members import Members
 from guavajunction.errors import ExceedsBurst, InstanceNotReady, RateLimited
 
+from ._bucket import MICRO, Charge, TokenBucket
+from ._members import Members
+
 
 class SplitReservation(NamedTuple):
     """Tokens that were charged to this instance's part."""
--- a/packages/guavajunction/src/guavajunction/customers/_holding.py
+++ b/packages/guavajunction/src/guavajunction/customers/_holding.py
@@ -7,12 +7,13 @@
 from typing import NamedTuple
 
 from guavajunction.configuration import Customer
-from guavajunction.customers._bucket import MICRO, Charge, TokenBucket
-from guavajunction.customers._demand import DemandMeter
-from guavajunction.customers._messages import Transfer
-from guavajunction.customers._received import ReceivedTransfers
 from guavajunction.peers import PeerId
 
+from ._bucket import MICRO, Charge, TokenBucket
+from ._demand import DemandMeter
+from ._messages import Transfer
+from ._received import ReceivedTransfers
+
 TOTAL_UNITS = 1024
 """Units that a customer's rate and burst are split into."""
 
--- a/packages/guavajunction/src/guavajunction/customers/_key_ring.py
+++ b/packages/guavajunction/src/guavajunction/customers/_key_ring.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable
 
 from guavajunction.configuration import Configuration, Customer
-from guavajunction.customers._keys import KEY_PATTERN, digest
 from guavajunction.errors import KeyMissing, KeyRefused
 
+from ._keys import KEY_PATTERN, digest
+
 BEARER = "bearer"
 
 
--- a/packages/guavajunction/src/guavajunction/customers/_peer_shares.py
+++ b/packages/guavajunction/src/guavajunction/customers/_peer_shares.py
@@ -5,11 +5,12 @@
 from typing import NamedTuple
 
 from guavajunction.configuration import Customer
-from guavajunction.customers._bucket import MICRO
-from guavajunction.customers._holding import TOTAL_UNITS
-from guavajunction.customers._messages import ShareDigest
 from guavajunction.peers import PeerId
 
+from ._bucket import MICRO
+from ._holding import TOTAL_UNITS
+from ._messages import ShareDigest
+
 
 class PeerShare(NamedTuple):
     """A peer's share of one customer's rate as last heard."""
--- a/packages/guavajunction/src/guavajunction/customers/_rate_limits.py
+++ b/packages/guavajunction/src/guavajunction/customers/_rate_limits.py
@@ -8,18 +8,6 @@
 
 from guavajunction.clock import Clock
 from guavajunction.configuration import Configuration, Customer
-from guavajunction.customers import _events
-from guavajunction.customers._borrower import Borrower
-from guavajunction.customers._bucket import MICRO
-from guavajunction.customers._holding import Holding
-from guavajunction.customers._members import Members
-from guavajunction.customers._messages import ShareDigest
-from guavajunction.customers._peer_shares import PeerShares
-from guavajunction.customers._rebalancer import Rebalancer
-from guavajunction.customers._recovery import Recovery
-from guavajunction.customers._reservation import Reservation
-from guavajunction.customers._share_book import ShareBook
-from guavajunction.customers._targets import Targets
 from guavajunction.errors import (
     ExceedsBurst,
     InstanceNotReady,
@@ -29,6 +17,19 @@
 from guavajunction.peers import Links, PeerId
 from guavajunction.platform import TableService
 
+from . import _events
+from ._borrower import Borrower
+from ._bucket import MICRO
+from ._holding import Holding
+from ._members import Members
+from ._messages import ShareDigest
+from ._peer_shares import PeerShares
+from ._rebalancer import Rebalancer
+from ._recovery import Recovery
+from ._reservation import Reservation
+from ._share_book import ShareBook
+from ._targets import Targets
+
 SHARES_TOPIC = "shares"
 
 
--- a/packages/guavajunction/src/guavajunction/customers/_rebalancer.py
+++ b/packages/guavajunction/src/guavajunction/customers/_rebalancer.py
@@ -6,12 +6,13 @@
 from typing import NamedTuple
 
 from guavajunction.clock import Clock
-from guavajunction.customers._holding import Holding
-from guavajunction.customers._peer_shares import PeerShares
-from guavajunction.customers._share_book import ShareBook
-from guavajunction.customers._targets import Targets
 from guavajunction.peers import Links, PeerId
 
+from ._holding import Holding
+from ._peer_shares import PeerShares
+from ._share_book import ShareBook
+from ._targets import Targets
+
 
 class _Move(NamedTuple):
     """Units that should go to a peer."""
--- a/packages/guavajunction/src/guavajunction/customers/_recovery.py
+++ b/packages/guavajunction/src/guavajunction/customers/_recovery.py
@@ -7,13 +7,6 @@
 import msgspec
 
 from guavajunction.clock import Clock
-from guavajunction.customers import _events
-from guavajunction.customers._bucket import MICRO
-from guavajunction.customers._holding import TOTAL_UNITS, Holding
-from guavajunction.customers._members import Members
-from guavajunction.customers._messages import ReportAsk, ShareRow, UnitsReport
-from guavajunction.customers._peer_shares import PeerShares
-from guavajunction.customers._share_book import SHARE_PARTITION, ShareBook
 from guavajunction.errors import (
     ConditionFailed,
     PeerError,
@@ -23,6 +16,14 @@
 from guavajunction.peers import Links, PeerId
 from guavajunction.platform import Row, TableService
 
+from . import _events
+from ._bucket import MICRO
+from ._holding import TOTAL_UNITS, Holding
+from ._members import Members
+from ._messages import ReportAsk, ShareRow, UnitsReport
+from ._peer_shares import PeerShares
+from ._share_book import SHARE_PARTITION, ShareBook
+
 
 class _Count:
     """The reports of one epoch that this instance has raised."""
--- a/packages/guavajunction/src/guavajunction/customers/_reservation.py
+++ b/packages/guavajunction/src/guavajunction/customers/_reservation.py
@@ -5,8 +5,9 @@
 import math
 
 from guavajunction.clock import Clock
-from guavajunction.customers._bucket import MICRO, Charge
-from guavajunction.customers._holding import Holding
+
+from ._bucket import MICRO, Charge
+from ._holding import Holding
 
 
 class Reservation:
--- a/packages/guavajunction/src/guavajunction/customers/_share_book.py
+++ b/packages/guavajunction/src/guavajunction/customers/_share_book.py
@@ -9,19 +9,20 @@
 
 from guavajunction.clock import Clock
 from guavajunction.configuration import Configuration, Customer
-from guavajunction.customers import _events
-from guavajunction.customers._holding import Holding
-from guavajunction.customers._members import Members
-from guavajunction.customers._messages import (
+from guavajunction.errors import InstanceNotReady, PeerError, PlatformError
+from guavajunction.peers import Links, PeerId
+from guavajunction.platform import TableService
+
+from . import _events
+from ._holding import Holding
+from ._members import Members
+from ._messages import (
     ReportAsk,
     ShareRow,
     Transfer,
     TransferAck,
     UnitsReport,
 )
-from guavajunction.errors import InstanceNotReady, PeerError, PlatformError
-from guavajunction.peers import Links, PeerId
-from guavajunction.platform import TableService
 
 SHARE_PARTITION = "share"
 
--- a/packages/guavajunction/src/guavajunction/customers/_targets.py
+++ b/packages/guavajunction/src/guavajunction/customers/_targets.py
@@ -5,12 +5,13 @@
 from typing import NamedTuple
 
 from guavajunction.clock import Clock
-from guavajunction.customers._bucket import MICRO
-from guavajunction.customers._holding import Holding
-from guavajunction.customers._peer_shares import PeerShares
 from guavajunction.membership import owner
 from guavajunction.peers import Links, PeerId
 
+from ._bucket import MICRO
+from ._holding import Holding
+from ._peer_shares import PeerShares
+
 
 class Want(NamedTuple):
     """What one instance has and is asked for."""
--- a/packages/guavajunction/src/guavajunction/directory/_directory.py
+++ b/packages/guavajunction/src/guavajunction/directory/_directory.py
@@ -8,9 +8,9 @@
 
 import xxhash
 
-from ..clock import Clock
-from ..peers import Links, PeerId
-from ..platform import InstanceRecord
+from guavajunction.clock import Clock
+from guavajunction.peers import Links, PeerId
+from guavajunction.platform import InstanceRecord
 
 
 class DirectoryEntry(NamedTuple):
--- a/packages/guavajunction/src/guavajunction/metrics/_token_times.py
+++ b/packages/guavajunction/src/guavajunction/metrics/_token_times.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from ..clock import Clock
+from guavajunction.clock import Clock
+
 from ._registry import MetricsRegistry
 
 
--- a/packages/guavajunction/src/guavajunction/once/__init__.py
+++ b/packages/guavajunction/src/guavajunction/once/__init__.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from guavajunction.once._claim import Claim
-from guavajunction.once._members import Members
-from guavajunction.once._model import RecordedAnswer
-from guavajunction.once._register import OnceRegister
+from ._claim import Claim
+from ._members import Members
+from ._model import RecordedAnswer
+from ._register import OnceRegister
 
 __all__ = ["Claim", "Members", "OnceRegister", "RecordedAnswer"]
--- a/packages/guavajunction/src/guavajunction/once/_claim.py
+++ b/packages/guavajunction/src/guavajunction/once/_claim.py
@@ -6,9 +6,11 @@
 from types import TracebackType
 
 from guavajunction.errors import InstanceNotReady
-from guavajunction.once import _events
-from guavajunction.once._members import Members
-from guavajunction.once._model import (
+from guavajunction.platform import Row
+
+from . import _events
+from ._members import Members
+from ._model import (
     DONE,
     NOT_RUN,
     UNKNOWN,
@@ -17,8 +19,7 @@
     RecordedAnswer,
     decode,
 )
-from guavajunction.once._outcome_log import OutcomeLog
-from guavajunction.platform import Row
+from ._outcome_log import OutcomeLog
 
 
 class Claim:
--- a/packages/guavajunction/src/guavajunction/once/_claim_key.py
+++ b/packages/guavajunction/src/guavajunction/once/_claim_key.py
@@ -4,7 +4,7 @@
 
 import hashlib
 
-from guavajunction.once._model import ClaimKey
+from ._model import ClaimKey
 
 PARTITIONS = 256
 """Partitions that claims spread over, so that each can be read whole."""
--- a/packages/guavajunction/src/guavajunction/once/_claim_table.py
+++ b/packages/guavajunction/src/guavajunction/once/_claim_table.py
@@ -11,10 +11,11 @@
     StoreUnavailable,
     StoreUnavailableForRequest,
 )
-from guavajunction.once._model import NOT_RUN, ClaimKey, ClaimRow, Outcome, encode
-from guavajunction.once._outcome_log import OutcomeLog
 from guavajunction.platform import Row, TableService
 
+from ._model import NOT_RUN, ClaimKey, ClaimRow, Outcome, encode
+from ._outcome_log import OutcomeLog
+
 RETRY_AFTER_SECONDS = 1.0
 
 
--- a/packages/guavajunction/src/guavajunction/once/_outcome_log.py
+++ b/packages/guavajunction/src/guavajunction/once/_outcome_log.py
@@ -11,8 +11,10 @@
     PlatformError,
     StoreAnswerLost,
 )
-from guavajunction.once import _events
-from guavajunction.once._model import (
+from guavajunction.platform import ObjectStore, Row, TableService
+
+from . import _events
+from ._model import (
     CLAIMED,
     ClaimKey,
     ClaimRow,
@@ -21,7 +23,6 @@
     decode,
     encode,
 )
-from guavajunction.platform import ObjectStore, Row, TableService
 
 
 class _Pending(NamedTuple):
--- a/packages/guavajunction/src/guavajunction/once/_register.py
+++ b/packages/guavajunction/src/guavajunction/once/_register.py
@@ -15,11 +15,14 @@
     PlatformError,
     StoreUnavailableForRequest,
 )
-from guavajunction.once._claim import Claim
-from guavajunction.once._claim_key import claim_key
-from guavajunction.once._claim_table import RETRY_AFTER_SECONDS, ClaimTable
-from guavajunction.once._members import Members
-from guavajunction.once._model import (
+from guavajunction.peers import PeerId
+from guavajunction.platform import ObjectStore, Row, TableService
+
+from ._claim import Claim
+from ._claim_key import claim_key
+from ._claim_table import RETRY_AFTER_SECONDS, ClaimTable
+from ._members import Members
+from ._model import (
     CLAIMED,
     DONE,
     NOT_RUN,
@@ -30,10 +33,8 @@
     RecordedAnswer,
     decode,
 )
-from guavajunction.once._outcome_log import OutcomeLog
-from guavajunction.once._sweeper import Sweeper
-from guavajunction.peers import PeerId
-from guavajunction.platform import ObjectStore, Row, TableService
+from ._outcome_log import OutcomeLog
+from ._sweeper import Sweeper
 
 
 class OnceRegister:
--- a/packages/guavajunction/src/guavajunction/once/_sweeper.py
+++ b/packages/guavajunction/src/guavajunction/once/_sweeper.py
@@ -5,13 +5,14 @@
 from collections.abc import Callable
 
 from guavajunction.errors import ConditionFailed, PlatformError
-from guavajunction.once import _events
-from guavajunction.once._claim_key import PARTITIONS, partition
-from guavajunction.once._members import Members
-from guavajunction.once._model import decode
 from guavajunction.peers import PeerId
 from guavajunction.platform import Row, TableService
 
+from . import _events
+from ._claim_key import PARTITIONS, partition
+from ._members import Members
+from ._model import decode
+
 
 class Sweeper:
     """Walks through the partitions that this instance is the author of."""
--- a/packages/guavajunction/src/guavajunction/placement/_demand_tally.py
+++ b/packages/guavajunction/src/guavajunction/placement/_demand_tally.py
@@ -5,8 +5,9 @@
 from collections import defaultdict
 from typing import NamedTuple
 
-from ..clock import Clock
-from ..peers import Links, PeerId
+from guavajunction.clock import Clock
+from guavajunction.peers import Links, PeerId
+
 from ._messages import ArtifactDemand, DemandDigest
 from ._model import name_of
 from ._protocols import DemandSource
--- a/packages/guavajunction/src/guavajunction/placement/_events.py
+++ b/packages/guavajunction/src/guavajunction/placement/_events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..events import LogEvent
+from guavajunction.events import LogEvent
 
 PLANNER_STARTED = LogEvent(
     600, "placement:planner_started", "This instance plans a pool from now on."
--- a/packages/guavajunction/src/guavajunction/placement/_load_budget.py
+++ b/packages/guavajunction/src/guavajunction/placement/_load_budget.py
@@ -4,9 +4,10 @@
 
 from collections import Counter
 
-from ..clock import Clock
-from ..configuration import Configuration
-from ..settings import PlacementSettings
+from guavajunction.clock import Clock
+from guavajunction.configuration import Configuration
+from guavajunction.settings import PlacementSettings
+
 from ._model import Budget
 
 
--- a/packages/guavajunction/src/guavajunction/placement/_need_estimate.py
+++ b/packages/guavajunction/src/guavajunction/placement/_need_estimate.py
@@ -5,7 +5,8 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from ..backends import BackendState
+from guavajunction.backends import BackendState
+
 from ._demand_tally import NameDemand
 
 
--- a/packages/guavajunction/src/guavajunction/placement/_pool_survey.py
+++ b/packages/guavajunction/src/guavajunction/placement/_pool_survey.py
@@ -4,9 +4,17 @@
 
 from collections.abc import Callable, Mapping
 
-from ..backends import LOADING, READY, BackendState, Inventory, Ledger, OrderDesk
-from ..clock import Clock
-from ..configuration import BackendServer, Configuration
+from guavajunction.backends import (
+    LOADING,
+    READY,
+    BackendState,
+    Inventory,
+    Ledger,
+    OrderDesk,
+)
+from guavajunction.clock import Clock
+from guavajunction.configuration import BackendServer, Configuration
+
 from ._model import Budget, Deployment, Holding, PoolView, ServerView, name_of
 
 
--- a/packages/guavajunction/src/guavajunction/placement/_removal.py
+++ b/packages/guavajunction/src/guavajunction/placement/_removal.py
@@ -5,9 +5,15 @@
 from collections.abc import Callable
 from contextlib import suppress
 
-from ..backends import BackendUnreachable, LedgerRefused, OrderDesk, Retirement
-from ..clock import Clock
-from ..errors import OrderRefused
+from guavajunction.backends import (
+    BackendUnreachable,
+    LedgerRefused,
+    OrderDesk,
+    Retirement,
+)
+from guavajunction.clock import Clock
+from guavajunction.errors import OrderRefused
+
 from ._events import UNLOAD_ABANDONED
 
 
--- a/packages/guavajunction/src/guavajunction/placement/_service.py
+++ b/packages/guavajunction/src/guavajunction/placement/_service.py
@@ -6,13 +6,20 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 
-from ..backends import BackendClient, Inventory, Members, OrderDesk, Retirement
-from ..clock import Clock
-from ..configuration import Configuration
-from ..errors import GuavaError, LeaseLost
-from ..peers import Links, PeerId
-from ..platform import TableService
-from ..settings import PlacementSettings
+from guavajunction.backends import (
+    BackendClient,
+    Inventory,
+    Members,
+    OrderDesk,
+    Retirement,
+)
+from guavajunction.clock import Clock
+from guavajunction.configuration import Configuration
+from guavajunction.errors import GuavaError, LeaseLost
+from guavajunction.peers import Links, PeerId
+from guavajunction.platform import TableService
+from guavajunction.settings import PlacementSettings
+
 from ._demand_tally import DemandTally
 from ._events import PLANNER_FAILED, PLANNER_STARTED, PLANNER_STOPPED, ROUND_FAILED
 from ._messages import ArtifactWanted
--- a/packages/guavajunction/src/guavajunction/placement/_term.py
+++ b/packages/guavajunction/src/guavajunction/placement/_term.py
@@ -5,11 +5,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from ..backends import Inventory, OrderDesk, Retirement
-from ..clock import Clock
-from ..configuration import Configuration
-from ..errors import GuavaError, PlatformError
-from ..settings import PlacementSettings
+from guavajunction.backends import Inventory, OrderDesk, Retirement
+from guavajunction.clock import Clock
+from guavajunction.configuration import Configuration
+from guavajunction.errors import GuavaError, PlatformError
+from guavajunction.settings import PlacementSettings
+
 from ._demand_tally import DemandTally
 from ._draft import Draft
 from ._events import (
--- a/packages/guavajunction/src/guavajunction/routing/_contention.py
+++ b/packages/guavajunction/src/guavajunction/routing/_contention.py
@@ -5,8 +5,8 @@
 from collections import Counter
 from collections.abc import Callable
 
-from ..clock import Clock
-from ..peers import Links, PeerId
+from guavajunction.clock import Clock
+from guavajunction.peers import Links, PeerId
 
 Activity = dict[str, float]
 """Weight of each customer with requests waiting or in flight, by name."""
--- a/packages/guavajunction/src/guavajunction/routing/_decision_log.py
+++ b/packages/guavajunction/src/guavajunction/routing/_decision_log.py
@@ -6,7 +6,7 @@
 from collections import OrderedDict
 from typing import Any
 
-from ..events import LogEvent
+from guavajunction.events import LogEvent
 
 
 class DecisionLog:
--- a/packages/guavajunction/src/guavajunction/routing/_demand_meter.py
+++ b/packages/guavajunction/src/guavajunction/routing/_demand_meter.py
@@ -5,7 +5,7 @@
 import math
 from typing import NamedTuple
 
-from ..clock import Clock
+from guavajunction.clock import Clock
 
 
 class DemandRate(NamedTuple):
--- a/packages/guavajunction/src/guavajunction/routing/_dispatcher.py
+++ b/packages/guavajunction/src/guavajunction/routing/_dispatcher.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from ..clock import Clock
-from ..errors import NoReplica, Overloaded
+from guavajunction.clock import Clock
+from guavajunction.errors import NoReplica, Overloaded
+
 from . import _events as events
 from ._decision_log import DecisionLog
 from ._demand_meter import DemandMeter, DemandRate
--- a/packages/guavajunction/src/guavajunction/routing/_engine_call.py
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -8,7 +8,8 @@
 import aiohttp
 import msgspec
 
-from ..errors import BackendFailed, GuavaError
+from guavajunction.errors import BackendFailed, GuavaError
+
 from . import _events as events
 from ._answer import AnswerSink, AnswerSummary, AnswerTimes
 from ._decision_log import DecisionLog
--- a/packages/guavajunction/src/guavajunction/routing/_events.py
+++ b/packages/guavajunction/src/guavajunction/routing/_events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..events import LogEvent
+from guavajunction.events import LogEvent
 
 ROUTED = LogEvent(700, "routing:routed", "A request was given to a backend server.")
 QUEUED = LogEvent(701, "routing:queued", "A request waits for a backend server.")
--- a/packages/guavajunction/src/guavajunction/routing/_fair_queue.py
+++ b/packages/guavajunction/src/guavajunction/routing/_fair_queue.py
@@ -7,7 +7,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from ..configuration import Customer
+from guavajunction.configuration import Customer
+
 from ._model import Choice, RoutedRequest
 
 
--- a/packages/guavajunction/src/guavajunction/routing/_inference_router.py
+++ b/packages/guavajunction/src/guavajunction/routing/_inference_router.py
@@ -7,9 +7,16 @@
 
 import aiohttp
 
-from ..clock import Clock
-from ..configuration import Configuration
-from ..errors import AnswerCut, BackendFailed, GuavaError, NoReplica, Overloaded
+from guavajunction.clock import Clock
+from guavajunction.configuration import Configuration
+from guavajunction.errors import (
+    AnswerCut,
+    BackendFailed,
+    GuavaError,
+    NoReplica,
+    Overloaded,
+)
+
 from . import _events as events
 from ._answer import AnswerSink, AnswerSummary, AnswerTimes
 from ._decision_log import DecisionLog
--- a/packages/guavajunction/src/guavajunction/routing/_load_book.py
+++ b/packages/guavajunction/src/guavajunction/routing/_load_book.py
@@ -4,7 +4,8 @@
 
 from collections import defaultdict, deque
 
-from ..clock import Clock
+from guavajunction.clock import Clock
+
 from ._model import ReplicaState, RoutedRequest
 
 
--- a/packages/guavajunction/src/guavajunction/routing/_model.py
+++ b/packages/guavajunction/src/guavajunction/routing/_model.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple, Protocol
 
-from ..configuration import Customer, Objective
+from guavajunction.configuration import Customer, Objective
 
 LIVE = "live"
 BATCH = "batch"
--- a/packages/guavajunction/src/guavajunction/routing/_service_router.py
+++ b/packages/guavajunction/src/guavajunction/routing/_service_router.py
@@ -8,9 +8,10 @@
 
 import aiohttp
 
-from ..clock import Clock
-from ..configuration import BackendServer, Configuration, Route
-from ..errors import BackendFailed, NoReplica, OutcomeUnknown
+from guavajunction.clock import Clock
+from guavajunction.configuration import BackendServer, Configuration, Route
+from guavajunction.errors import BackendFailed, NoReplica, OutcomeUnknown
+
 from . import _events as events
 from ._decision_log import DecisionLog
 from ._engine_call import REQUEST_ID_HEADER
--- a/packages/guavajunction/src/guavajunction/settings/_reader.py
+++ b/packages/guavajunction/src/guavajunction/settings/_reader.py
@@ -6,7 +6,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple, get_type_hints
 
-from ..errors import SettingsInvalid
+from guavajunction.errors import SettingsInvalid
+
 from ._faults import SettingsFault, ValueFault
 from ._model import Settings
 
