Finish what callers left behind in a planned stop; be ready only when surveyed

Cause: reading the daemon as a newcomer found that nothing waited for the calls that go on after their caller left, that answers longer than 30 s were cut by a planned stop, and a test of the first met an instance that said it served before it had asked any backend server. Ruled out: cancelling such calls, whose outcome would be unknown for no reason. Change: the stop waits for them; `drain` is 900 s; an instance is healthy and in the directory once each backend server was seen or asked in vain, and stays so. The two baselines of routing share one class; a lambda that stood twice is gone.

--- a/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
@@ -38,12 +38,12 @@
     FairQueue,
     FifoQueue,
     InferenceRouter,
-    LeastLoadedSelector,
     LoadBook,
-    RandomSelector,
     RetryBudget,
     Selector,
     ServiceRouter,
+    least_loaded_selector,
+    random_selector,
     single_send_session,
 )
 from guavajunction.settings import Settings
@@ -100,7 +100,7 @@
 
     def ready(self) -> bool:
         """Return whether callers may be sent to this instance."""
-        return not self.draining and self.may_serve()
+        return not self.draining and self.may_serve() and self.inventory.surveyed
 
     def may_serve(self) -> bool:
         """Return whether requests that need a key may run here."""
@@ -229,9 +229,9 @@
     def _selector(self) -> Selector:
         policy = self._settings.policy.routing
         if policy == "random":
-            return RandomSelector(self.inventory, self.book, self._rng)
+            return random_selector(self.inventory, self.book, self._rng)
         if policy == "least_loaded":
-            return LeastLoadedSelector(self.inventory, self.book)
+            return least_loaded_selector(self.inventory, self.book)
         return AffinitySelector(self.inventory, self.book, self._rng)
 
     def _build_routers(self, budget: RetryBudget) -> None:
--- a/packages/guavajunction-entry/src/guavajunction_entry/_incarnation.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_incarnation.py
@@ -73,7 +73,9 @@
                 )
             ]
             running.append(tasks.create_task(self._pump(parts)))
-            parts.keeper.on_change(lambda cfg: tasks.create_task(self._refresh(parts)))
+            parts.keeper.on_change(
+                lambda cfg: tasks.create_task(parts.limits.refresh())
+            )
             try:
                 return await self._serve(parts, stack)
             finally:
@@ -82,8 +84,9 @@
 
     async def _serve(self, parts: Aggregates, stack: AsyncExitStack) -> Ending:
         await parts.mesh.ready()
+        front = self._front(parts)
         runner = web.AppRunner(
-            self._front(parts).app(),
+            front.app(),
             handler_cancellation=True,
             shutdown_timeout=self._settings.timing.drain,
             lingering_time=LINGERING_SECONDS,
@@ -100,7 +103,7 @@
         )
         _spare_garbage_collection()
         ending = await self._wait_for_end(parts)
-        await self._drain(parts, runner, ending)
+        await self._drain(parts, front, runner, ending)
         return ending
 
     async def _wait_for_end(self, parts: Aggregates) -> Ending:
@@ -116,7 +119,7 @@
         return waits[next(iter(done))]
 
     async def _drain(
-        self, parts: Aggregates, runner: web.AppRunner, ending: Ending
+        self, parts: Aggregates, front: Front, runner: web.AppRunner, ending: Ending
     ) -> None:
         """Leave the directory, finish what runs, and hand over."""
         events.STOPPING.log(ending=ending.value, in_flight=parts.book.total)
@@ -126,6 +129,7 @@
             await self._attempt(parts.membership.leave)
             await self._clock.sleep(timing.directory_ttl + 2 * timing.heartbeat)
         await runner.cleanup()
+        await front.finish()
         if ending is Ending.STOPPED:
             await parts.limits.hand_over()
             await self._attempt(parts.membership.deregister)
@@ -144,9 +148,6 @@
             await self._clock.sleep(self._settings.timing.load_poll / 2)
             parts.dispatcher.pump()
 
-    async def _refresh(self, parts: Aggregates) -> None:
-        await parts.limits.refresh()
-
     def _front(self, parts: Aggregates) -> Front:
         operator_parts = OperatorParts(
             store=parts.store,
@@ -171,9 +172,8 @@
             demand=parts.demand,
             metrics=parts.metrics,
             clock=self._clock,
-            standing=lambda: (
-                parts.keeper.ready.is_set() and parts.membership.standing()
-            ),
+            ready=parts.ready,
+            standing=parts.may_serve,
             draining=lambda: parts.draining,
             serving=self._settings.serving,
             timing=self._settings.timing,
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_app.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_app.py
@@ -13,6 +13,7 @@
 from ._info_handler import InfoHandler
 from ._parts import FrontParts
 from ._service_handler import PATH_PREFIX, ServiceHandler
+from ._unbroken_tasks import UnbrokenTasks
 
 MAX_HEADER_LINE_BYTES = 16_384
 
@@ -25,6 +26,7 @@
     ) -> None:
         self._parts = parts
         self._operator_routes = list(operator_routes)
+        self._unbroken = UnbrokenTasks()
 
     def app(self) -> web.Application:
         """Return the application, ready to be served."""
@@ -38,13 +40,17 @@
         app.add_routes(self._operator_routes)
         return app
 
+    async def finish(self) -> None:
+        """Wait for the work that goes on although its caller has left."""
+        await self._unbroken.finish()
+
     def _caller_routes(self) -> list[web.RouteDef]:
         admission = Admission(self._parts)
         reader = BodyReader(
             self._parts.serving.max_body_bytes, self._parts.serving.body_timeout
         )
         inference = InferenceHandler(self._parts, admission, reader)
-        services = ServiceHandler(self._parts, admission, reader)
+        services = ServiceHandler(self._parts, admission, reader, self._unbroken)
         info = InfoHandler(self._parts, admission)
         return [
             web.post("/v1/chat/completions", inference.on_inference),
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_info_handler.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_info_handler.py
@@ -33,14 +33,14 @@
         )
 
     async def on_health(self, req: web.Request) -> web.Response:
-        """Answer `GET /healthz`: 200 while the instance serves, else 503."""
-        standing = self._parts.standing()
+        """Answer `GET /healthz`: 200 while callers may be sent here, else 503."""
+        ready = self._parts.ready()
         return web.json_response(
             {
-                "status": "serving" if standing else "not serving",
+                "status": "serving" if ready else "not serving",
                 "configuration_version": self._parts.configuration().version,
             },
-            status=200 if standing else 503,
+            status=200 if ready else 503,
         )
 
     async def on_metrics(self, req: web.Request) -> web.Response:
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_parts.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_parts.py
@@ -36,6 +36,8 @@
     demand: DemandMeter
     metrics: MetricsRegistry
     clock: Clock
+    ready: Callable[[], bool]
+    """Whether callers may be sent to this instance."""
     standing: Callable[[], bool]
     """Whether this instance may serve requests that need a key."""
     draining: Callable[[], bool]
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_service_handler.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_service_handler.py
@@ -51,12 +51,24 @@
     """Takes a call of a plain service from its key to its answer."""
 
     def __init__(
-        self, parts: FrontParts, admission: Admission, reader: BodyReader
+        self,
+        parts: FrontParts,
+        admission: Admission,
+        reader: BodyReader,
+        unbroken: UnbrokenTasks,
     ) -> None:
+        """Create a handler.
+
+        Args:
+            parts: The aggregates that a request walks through.
+            admission: Checks standing and keys.
+            reader: Reads bodies.
+            unbroken: Runs calls that may not be repeated to their end.
+        """
         self._parts = parts
         self._admission = admission
         self._reader = reader
-        self._unbroken = UnbrokenTasks()
+        self._unbroken = unbroken
 
     async def on_call(self, req: web.Request) -> web.StreamResponse:
         """Answer any method on `/services/NAME/...`."""
--- a/packages/guavajunction/src/guavajunction/backends/_inventory.py
+++ b/packages/guavajunction/src/guavajunction/backends/_inventory.py
@@ -88,6 +88,7 @@
         self._own_reads: dict[str, float] = {}
         self._told: dict[str, tuple[float, int, int]] = {}
         self._misses: dict[str, int] = {}
+        self._surveyed = False
         self._prefixes: defaultdict[str, PrefixIndex] = defaultdict(PrefixIndex)
         self._passive = PassiveHealth(clock)
         self._ready_index: ReadyIndex | None = None
@@ -112,6 +113,18 @@
         leaving = state.leaving or server.leaving
         return state._replace(healthy=healthy, leaving=leaving)
 
+    @property
+    def surveyed(self) -> bool:
+        """Return whether each backend server was seen, or asked without an answer.
+
+        Once true it stays so: a backend server that is added later does not make an
+        instance that serves unready.
+        """
+        if not self._surveyed:
+            names = self._configuration().backends
+            self._surveyed = all(n in self._states or n in self._misses for n in names)
+        return self._surveyed
+
     def states(self) -> list[BackendState]:
         """Return the latest state of every configured backend server."""
         found = (self.state(name) for name in self._configuration().backends)
--- a/packages/guavajunction/src/guavajunction/routing/__init__.py
+++ b/packages/guavajunction/src/guavajunction/routing/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ._answer import AnswerSink, AnswerSummary, AnswerTimes
+from ._baseline_selectors import least_loaded_selector, random_selector
 from ._contention import ContentionShare
 from ._decision_log import DecisionLog
 from ._demand_meter import DemandMeter, DemandRate
@@ -21,7 +22,7 @@
     RoutedRequest,
 )
 from ._retry_budget import RetryBudget
-from ._selector import AffinitySelector, LeastLoadedSelector, RandomSelector, Selector
+from ._selector import AffinitySelector, Selector
 from ._service_router import (
     ServiceAnswer,
     ServiceReplicas,
@@ -49,9 +50,7 @@
     "Grant",
     "InferenceRouter",
     "LIVE",
-    "LeastLoadedSelector",
     "LoadBook",
-    "RandomSelector",
     "ReplicaState",
     "Replicas",
     "RetryBudget",
@@ -61,5 +60,7 @@
     "ServiceReplicas",
     "ServiceRequest",
     "ServiceRouter",
+    "least_loaded_selector",
+    "random_selector",
     "single_send_session",
 ]
--- a/packages/guavajunction/src/guavajunction/routing/_selector.py
+++ b/packages/guavajunction/src/guavajunction/routing/_selector.py
@@ -111,53 +111,5 @@
         return min(pair, key=lambda c: c.utilisation)
 
 
-class RandomSelector:
-    """Baseline: any replica with room, at random."""
-
-    def __init__(self, replicas: Replicas, book: LoadBook, rng: random.Random) -> None:
-        self._replicas = replicas
-        self._book = book
-        self._rng = rng
-
-    def choose(
-        self, req: RoutedRequest, excluded: frozenset[str], share: Share
-    ) -> Choice | None:
-        """Choose a backend server that has room, or None if none has."""
-        seen = _plain_candidates(self._replicas, self._book, req, excluded)
-        roomy = [c for c in seen if has_room(c, req, self._book, share)]
-        if not roomy:
-            return None
-        return Choice(self._rng.choice(roomy).name, "random", seen)
-
-
-class LeastLoadedSelector:
-    """Baseline: the replica with the lowest estimated utilisation."""
-
-    def __init__(self, replicas: Replicas, book: LoadBook) -> None:
-        self._replicas = replicas
-        self._book = book
-
-    def choose(
-        self, req: RoutedRequest, excluded: frozenset[str], share: Share
-    ) -> Choice | None:
-        """Choose a backend server that has room, or None if none has."""
-        seen = _plain_candidates(self._replicas, self._book, req, excluded)
-        roomy = [c for c in seen if has_room(c, req, self._book, share)]
-        if not roomy:
-            return None
-        best = min(roomy, key=lambda c: c.utilisation)
-        return Choice(best.name, "least_loaded", seen)
-
-
-def _plain_candidates(
-    replicas: Replicas, book: LoadBook, req: RoutedRequest, excluded: frozenset[str]
-) -> tuple[Candidate, ...]:
-    return tuple(
-        Candidate(s.name, book.estimate(s), s.slots, False)
-        for s in replicas.ready(req.artifact)
-        if s.name not in excluded
-    )
-
-
 def _weight(backend: str, req: RoutedRequest) -> int:
     return xxhash.xxh3_64_intdigest(f"{backend}/{req.artifact}/{req.prefix}".encode())
--- a/packages/guavajunction/src/guavajunction/settings/_model.py
+++ b/packages/guavajunction/src/guavajunction/settings/_model.py
@@ -71,8 +71,8 @@
     """Between two reads of a backend server's load."""
     directory_ttl: Seconds = 2.0
     """How long callers may keep the directory's answer."""
-    drain: Seconds = 30.0
-    """Longest wait for requests in flight in a planned stop."""
+    drain: Seconds = 900.0
+    """Longest wait for requests in flight in a planned stop; longer ones are cut."""
 
 
 class ServingSettings(NamedTuple):
--- a/tests/backends/test_inventory.py
+++ b/tests/backends/test_inventory.py
@@ -108,6 +108,25 @@
         assert world.names("m@1")[1] == ["e1"]
 
 
+class TestSurvey:
+    """An instance that has just started does not know the backend servers yet."""
+
+    async def test_survey_ends_when_each_server_was_asked(self):
+        world = Fleet()
+        world.clients[0].down.add("e2")
+        assert not world.inventories[0].surveyed
+        await world.tick()
+        assert world.inventories[0].surveyed
+
+    async def test_server_that_is_added_does_not_undo_it(self):
+        world = Fleet()
+        await world.tick()
+        assert world.inventories[0].surveyed
+        new = world.cfg.backends["e1"]._replace(name="e3", address="e3")
+        world.cfg = world.cfg._replace(backends=world.cfg.backends | {"e3": new})
+        assert world.inventories[0].surveyed
+
+
 class TestHealth:
     """Servers that fail or leave."""
 
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -19,7 +19,7 @@
 IN_FORCE_SECONDS = 3.0
 """The stated bound on a change of configuration."""
 
-TIMING = {"timing": {"lease": "3", "drain": "10", "directory_ttl": "1"}}
+TIMING = {"timing": {"lease": "3", "directory_ttl": "1"}}
 
 
 @pytest_asyncio.fixture(loop_scope="module", scope="module")
@@ -113,6 +113,21 @@
         assert await stop == 0
         await fleet.start(3)
 
+    async def test_stop_waits_for_a_booking_whose_caller_left(self, fleet, caller):
+        for url in fleet.service_urls:
+            await fleet.set_faults(url, late_seconds=3.0, only=["POST /bookings"])
+        booking = asyncio.create_task(caller.book("left-1", entry=3))
+        await asyncio.sleep(0.5)
+        booking.cancel()
+        assert await fleet.stop(3) == 0
+        for url in fleet.service_urls:
+            await fleet.set_faults(url, clear=True)
+        repeat = await caller.book("left-1", entry=0)
+        assert repeat.status == 201
+        assert repeat.headers["idempotent-replayed"] == "true"
+        assert await caller.runs("left-1") == 1
+        await fleet.start(3)
+
 
 class TestKeys:
     """Keys are issued and withdrawn while traffic runs."""
