--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	$(PYTHON) bench/limits.py
 	$(PYTHON) bench/placement.py
 	$(PYTHON) bench/fleet.py
+	$(PYTHON) bench/capacity.py
 
 proofs: install
 	$(VENV)/bin/pytest tests/specs -v
--- a/packages/guavajunction/src/guavajunction/once/_outcome_log.py
+++ b/packages/guavajunction/src/guavajunction/once/_outcome_log.py
@@ -34,6 +34,8 @@
     """The claim's row as last known, None if it must be read."""
     give_up_at: float
     """Monotonic time in seconds."""
+    is_told: bool = False
+    """Whether the log says that it waits."""
 
 
 class OutcomeLog:
@@ -153,10 +155,11 @@
         if self._clock.monotonic() >= pending.give_up_at:
             self._drop(attempt)
             return
-        self._pending[attempt] = pending._replace(row=None)
-        _events.OUTCOME_DEFERRED.log(
-            attempt=attempt, state=pending.outcome.state, reason=reason
-        )
+        self._pending[attempt] = pending._replace(row=None, is_told=True)
+        if not pending.is_told:
+            _events.OUTCOME_DEFERRED.log(
+                attempt=attempt, state=pending.outcome.state, reason=reason
+            )
 
     def _drop(self, attempt: str) -> None:
         dropped = self._pending.pop(attempt, None)
--- a/tests/once/test_once.py
+++ b/tests/once/test_once.py
@@ -16,7 +16,7 @@
     RequestError,
     StoreUnavailableForRequest,
 )
-from guavajunction.once import Claim, RecordedAnswer
+from guavajunction.once import Claim, RecordedAnswer, _events
 from guavajunction.once._claim_key import PARTITIONS, claim_key
 
 ANSWER = RecordedAnswer(201, (("X-Run", "1"),), b"booked")
@@ -220,6 +220,20 @@
         assert await b.claim() == ANSWER
         assert fleet.runs == {"k": 1}
 
+    async def test_an_outcome_that_waits_is_logged_once(self, monkeypatch):
+        logged: list[str] = []
+        monkeypatch.setattr(
+            _events.OUTCOME_DEFERRED, "log", lambda **f: logged.append(f["attempt"])
+        )
+        _, (a,) = start("a")
+        claim = await a.claim()
+        a.send(claim)
+        a.table.down = True
+        await claim.done(*ANSWER)
+        for _ in range(5):
+            await a.step()
+        assert logged == [claim.attempt]
+
     async def test_an_outcome_that_is_never_written_is_unknown(self):
         fleet, (a, b) = start("ab")
         claim = await a.claim()
