Say "not run" only if no attempt may have run

A request whose connection was cut before its answer began was tried again, and the last attempt's refusal, which had not run, was told of the whole request. A check of the key between attempts did the same. Change: once an attempt may have run, no later refusal says "not run"; the tokens of such a request are charged. Before: the two new tests fail with "true" for "unknown". After: 35 routing tests pass.

--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_inference_handler.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_inference_handler.py
@@ -81,7 +81,7 @@
             used = self._used(admitted, summary)
             return await sink.finish()
         except RequestError as exc:
-            used = admitted.out.req.cost if sink.started else 0.0
+            used = 0.0 if exc.not_run == "true" else admitted.out.req.cost
             return await self._on_failure(exc, sink, admitted)
         except ConnectionError:
             used = admitted.out.req.cost
--- a/packages/guavajunction/src/guavajunction/routing/_inference_router.py
+++ b/packages/guavajunction/src/guavajunction/routing/_inference_router.py
@@ -14,7 +14,7 @@
     BackendFailed,
     GuavaError,
     NoReplica,
-    Overloaded,
+    RequestError,
 )
 
 from . import _events as events
@@ -86,6 +86,7 @@
         call = EngineCall(self._session, out, sink, times, self._decisions)
         failures: Counter[str] = Counter()
         failure: GuavaError = NoReplica("no attempt was made")
+        may_have_run = False
         last: Grant | None = None
         for _ in range(self.MAX_ATTEMPTS):
             try:
@@ -94,21 +95,18 @@
                 if first:
                     times.on_slot()
                 return await self._attempt(call, last, check_allowed)
-            except (Overloaded, NoReplica) as exc:
-                raise self._final(exc, failure, call) from exc
+            except RequestError as exc:
+                raise _told(exc, call, may_have_run=may_have_run) from exc
             except (NotBegun, StreamCut) as exc:
                 failure = exc
-                failures[last.backend] += 1
-                if not isinstance(exc, EngineRefused):
-                    self._replicas.note_failure(last.backend)
-                self._note_retry(out, last, exc, call)
-            except BackendFailed as exc:
-                raise self._final(None, exc, call) from exc
+                may_have_run = may_have_run or isinstance(exc, StreamCut)
+                self._note_failure(out, last, exc, call, failures)
             if not call.has_begun and not self._budget.spend():
                 self._decisions.note(events.NO_RETRY_LEFT, out.req.request_id)
                 break
             await self._clock.sleep(self._budget.backoff())
-        raise self._final(None, failure, call)
+        end = BackendFailed(failure.message, retry_after=1.0, not_run="true")
+        raise _told(end, call, may_have_run=may_have_run)
 
     async def _next_grant(
         self,
@@ -145,9 +143,17 @@
         finally:
             self._dispatcher.release(grant, used or call.output_tokens)
 
-    def _note_retry(
-        self, out: EngineRequest, grant: Grant, exc: GuavaError, call: EngineCall
+    def _note_failure(
+        self,
+        out: EngineRequest,
+        grant: Grant,
+        exc: NotBegun | StreamCut,
+        call: EngineCall,
+        failures: Counter[str],
     ) -> None:
+        failures[grant.backend] += 1
+        if not isinstance(exc, EngineRefused):
+            self._replicas.note_failure(grant.backend)
         self._decisions.note(
             events.RESUMED if call.has_begun else events.RETRIED,
             out.req.request_id,
@@ -156,19 +162,11 @@
             tokens=call.output_tokens,
         )
 
-    def _final(
-        self,
-        refusal: Overloaded | NoReplica | None,
-        failure: GuavaError,
-        call: EngineCall,
-    ) -> GuavaError:
-        """Return what the caller is told, true to what has run."""
-        if call.has_begun:
-            return AnswerCut(f"the answer was cut: {failure.message}")
-        if isinstance(failure, BackendFailed):
-            return failure
-        if isinstance(failure, StreamCut):
-            return BackendFailed(failure.message, retry_after=1.0)
-        if refusal is not None:
-            return refusal
-        return BackendFailed(failure.message, retry_after=1.0, not_run="true")
+
+def _told(exc: RequestError, call: EngineCall, *, may_have_run: bool) -> RequestError:
+    """Return what the caller is told, true to what has run in any attempt."""
+    if call.has_begun:
+        return AnswerCut(f"the answer was cut: {exc.message}")
+    if may_have_run and exc.not_run == "true":
+        exc.not_run = "unknown"
+    return exc
--- a/tests/routing/test_relay.py
+++ b/tests/routing/test_relay.py
@@ -15,6 +15,7 @@
 from guavajunction.errors import (
     AnswerCut,
     BackendFailed,
+    KeyRefused,
     NoReplica,
     OutcomeUnknown,
     Overloaded,
@@ -134,6 +135,10 @@
         await response.write(b"id: 1\ndata: [DONE]\n\n")
         return response
 
+    async def vanish(self, req):
+        req.transport.abort()
+        return web.Response()
+
     async def full(self, req):
         return web.Response(status=503, headers={"Retry-After": "1"})
 
@@ -163,7 +168,7 @@
     )
 
 
-async def route_to(*engines):
+async def route_to(*engines, check=lambda: None):
     """Send one stream to engines; each further one is a replica."""
     async with AsyncExitStack() as stack:
         addresses = {
@@ -200,7 +205,7 @@
         sink = Sink()
         out = EngineRequest(req, "/v1/chat/completions", b"{}", stream=True)
         try:
-            await router.route(out, sink, Times(), lambda: None)
+            await router.route(out, sink, Times(), check)
         finally:
             assert book.total == 0
         return sink
@@ -302,6 +307,29 @@
         assert caught.value.not_run == "true"
         assert caught.value.retry_after > 0
 
+    async def test_refusal_after_an_attempt_that_may_have_run_does_not_say_not_run(
+        self,
+    ):
+        engine = ScriptedEngine()
+        engine.script = [engine.vanish] + [engine.full] * 9
+        with pytest.raises((NoReplica, BackendFailed, Overloaded)) as caught:
+            await route_to(engine)
+        assert caught.value.not_run == "unknown"
+
+    async def test_key_withdrawn_after_such_an_attempt_does_not_say_not_run(self):
+        engine = ScriptedEngine()
+        engine.script = [engine.vanish] * 9
+        checks = iter([None])
+
+        def check():
+            for _ in checks:
+                return
+            raise KeyRefused("the key is not valid")
+
+        with pytest.raises(KeyRefused) as caught:
+            await route_to(engine, check=check)
+        assert caught.value.not_run == "unknown"
+
     async def test_budget_ends_retries(self):
         budget = RetryBudget(random.Random(1))
         assert sum(budget.spend() for _ in range(50)) == budget.MAX_RETRIES_SAVED
