Refuse path segments that lead out of their route

Cause: reading the service handler found that `/availability/../bookings` matched the open route; aiohttp's client then resolved the dots, and the call reached `/bookings` on the backend server without any key (seen: the service's own 405 for GET). A route open to all was thus a way to every other path of its service. Ruled out: matching on the resolved path alone, since a service may decode `%2F` and `%5C` itself. Change: a path with a segment `.` or `..`, plain or encoded, is a bad request.

--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_service_handler.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_service_handler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from urllib.parse import urlencode
+from urllib.parse import unquote, urlencode
 
 import xxhash
 from aiohttp import web
@@ -196,8 +196,17 @@
 
 
 def _path_below_service(req: web.Request) -> str:
+    """Return the path that the service sees.
+
+    Raises:
+        BadRequest: A segment would lead out of its route once the service decodes it.
+    """
     service = req.match_info["service"]
-    return req.rel_url.raw_path.removeprefix(f"{PATH_PREFIX}{service}") or "/"
+    path = req.rel_url.raw_path.removeprefix(f"{PATH_PREFIX}{service}") or "/"
+    segments = unquote(path).replace("\\", "/").split("/")
+    if not {".", ".."}.isdisjoint(segments):
+        raise BadRequest("a path segment may not be '.' or '..'")
+    return path
 
 
 def _fingerprint(out: ServiceRequest) -> str:
--- a/tests/system/test_refusals.py
+++ b/tests/system/test_refusals.py
@@ -47,6 +47,22 @@
             assert (answer.status, answer.error["type"]) == (400, "bad_request")
             assert caller.key not in answer.error["message"]
 
+    @pytest.mark.parametrize(
+        "way",
+        [
+            "/availability/../bookings",
+            "/availability/%2e%2e/bookings",
+            "/availability/..%2fbookings",
+            "/availability/%2e%2e%2Fbookings",
+            "/availability/..%5cbookings",
+        ],
+    )
+    async def test_open_route_is_no_way_around_to_another(self, fleet, way):
+        head = f"GET /services/booking{way} HTTP/1.1\r\nHost: x\r\nConnection: close"
+        answer = await raw(fleet, f"{head}\r\n\r\n".encode())
+        assert b"400" in answer.split(b"\r\n")[0]
+        assert b'"bad_request"' in answer
+
     async def test_open_route_needs_no_key(self, caller):
         answer = await caller.send("GET", "/services/booking/availability", key=None)
         assert answer.status == 200
