Drop log events that nothing writes, and a bound that nothing applies

Cause: the catalogue promised operators lines 705, 706 and 708, which no code logs, and the front named a bound on header lines that it does not set. Ruled out: logging them now; that would change the path of a request in a clean-up. Seen: make check clean; routing, entry, settings and reference page tests pass.

--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_app.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_app.py
@@ -15,8 +15,6 @@
 from ._service_handler import PATH_PREFIX, ServiceHandler
 from ._unbroken_tasks import UnbrokenTasks
 
-MAX_HEADER_LINE_BYTES = 16_384
-
 
 class Front:
     """The routes for callers, and those for operators that are handed in."""
--- a/packages/guavajunction/src/guavajunction/routing/_events.py
+++ b/packages/guavajunction/src/guavajunction/routing/_events.py
@@ -9,14 +9,9 @@
 REFUSED = LogEvent(702, "routing:refused", "A request was refused and not run.")
 RETRIED = LogEvent(703, "routing:retried", "A request goes to another replica.")
 RESUMED = LogEvent(704, "routing:resumed", "A cut stream is resumed at its offset.")
-ANSWERED = LogEvent(705, "routing:answered", "A request ended with a whole answer.")
-FAILED = LogEvent(706, "routing:failed", "A request ended with a typed failure.")
 FOREIGN_EVENT = LogEvent(
     707, "routing:foreign_event", "An answer to another request was dropped."
 )
-CALLER_LEFT = LogEvent(
-    708, "routing:caller_left", "The caller closed its connection; work is cancelled."
-)
 NO_RETRY_LEFT = LogEvent(
     709, "routing:no_retry_left", "The retry budget allows no further retry."
 )
