--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -52,7 +52,7 @@
 from guavajunction.peers import PeerId
 from guavajunction.peers._envelope import Envelope, Kind
 from guavajunction.placement._messages import ArtifactDemand, DemandDigest
-from guavajunction.platform import InstanceRecord, Row
+from guavajunction.storage import InstanceRecord, Row
 from guavajunction_fakes.engine import answer_tokens
 from guavajunction_fakes.fleet import PROFILES, Fleet
 
--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -33,7 +33,7 @@
 from guavajunction.membership._model import MemberRow, encode
 from guavajunction.membership._observer import MemberObserver
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh, RingSubset
-from guavajunction.platform import InstanceRecord, TableClient
+from guavajunction.storage import InstanceRecord, TableClient
 
 MEASURE_SECONDS = 3.0
 BEAT_SECONDS = 0.01
--- a/bench/limits.py
+++ b/bench/limits.py
@@ -31,7 +31,7 @@
 from guavajunction.errors import ConditionFailed, PeerTimeout, RateLimited
 from guavajunction.membership import owner
 from guavajunction.peers import PeerId
-from guavajunction.platform import Row
+from guavajunction.storage import Row
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer("seeds", 3, "Seeds of each comparison.", lower_bound=1)
--- a/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
@@ -23,12 +23,6 @@
 from guavajunction.once import OnceRegister
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh
 from guavajunction.placement import DemandSource, PlacementService
-from guavajunction.platform import (
-    InstanceListClient,
-    InstanceRecord,
-    ObjectClient,
-    TableClient,
-)
 from guavajunction.routing import (
     AffinitySelector,
     ContentionShare,
@@ -47,6 +41,12 @@
     single_send_session,
 )
 from guavajunction.settings import Settings
+from guavajunction.storage import (
+    InstanceListClient,
+    InstanceRecord,
+    ObjectClient,
+    TableClient,
+)
 
 from ._no_demand import NoDemand
 
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/__init__.py
@@ -0,0 +1,19 @@
+"""The daemon of one gateway instance."""
+
+from __future__ import annotations
+
+from ._daemon import GatewayDaemon, system_daemon
+from ._deployment import Deployment, FrontParts, RowAddress
+from ._settings import GatewaySettings, ListenAddress, OrderBounds, StoreSettings
+
+__all__ = [
+    "Deployment",
+    "FrontParts",
+    "GatewayDaemon",
+    "GatewaySettings",
+    "ListenAddress",
+    "OrderBounds",
+    "RowAddress",
+    "StoreSettings",
+    "system_daemon",
+]
--- a/packages/guavajunction-entry/src/guavajunction_entry/main.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/main.py
@@ -12,7 +12,7 @@
 from guavajunction.settings import Settings, read_settings
 
 from ._daemon_service import DaemonService
-from ._log_output import open_log
+from .log_output import open_log
 
 EXIT_OK = 0
 EXIT_FAILED = 1
--- a/packages/guavajunction/src/guavajunction/backends/__init__.py
+++ b/packages/guavajunction/src/guavajunction/backends/__init__.py
@@ -32,6 +32,7 @@
     Resident,
 )
 from ._order_desk import OrderDesk
+from ._passive_health import PassiveHealth
 from ._protocols import BackendClient, Members
 from ._retirement import Retirement
 
@@ -65,6 +66,7 @@
     "OrderPending",
     "OrderStale",
     "OrderUnanswered",
+    "PassiveHealth",
     "Resident",
     "Retirement",
 ]
--- a/packages/guavajunction/src/guavajunction/backends/_order_desk.py
+++ b/packages/guavajunction/src/guavajunction/backends/_order_desk.py
@@ -19,7 +19,7 @@
     StoreAnswerLost,
     StoreUnavailable,
 )
-from guavajunction.platform import Row, TableService
+from guavajunction.storage import Row, TableService
 
 from ._errors import (
     BackendUnreachable,
--- a/packages/guavajunction/src/guavajunction/configuration/_bodies.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_bodies.py
@@ -10,7 +10,7 @@
 
 from guavajunction.clock import Clock
 from guavajunction.errors import ObjectCorrupt, PlatformError, StoreUnavailable
-from guavajunction.platform import ObjectStore
+from guavajunction.storage import ObjectStore
 
 from ._head import SectionRef
 from ._tables import Section, Sections, empty_sections
--- a/packages/guavajunction/src/guavajunction/configuration/_fleet_routes.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_fleet_routes.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from guavajunction.errors import EntryUnknown, PlatformError
-from guavajunction.platform import InstanceRecord
+from guavajunction.storage import InstanceRecord
 
 from ._document_routes import accepted_response
 from ._events import BACKEND_DRAINED
--- a/packages/guavajunction/src/guavajunction/configuration/_head.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_head.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from guavajunction.errors import ObjectCorrupt
-from guavajunction.platform import Row
+from guavajunction.storage import Row
 
 PARTITION = "configuration"
 SORT = "head"
--- a/packages/guavajunction/src/guavajunction/configuration/_operator_parts.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_operator_parts.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from guavajunction.platform import InstanceRecord
+from guavajunction.storage import InstanceRecord
 
 from ._editor import ConfigurationEditor
 from ._keeper import ConfigurationKeeper
--- a/packages/guavajunction/src/guavajunction/configuration/_store.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_store.py
@@ -20,7 +20,7 @@
     StoreAnswerLost,
     StoreUnavailable,
 )
-from guavajunction.platform import ObjectStore, TableService
+from guavajunction.storage import ObjectStore, TableService
 
 from ._bodies import SectionBodies, digest_of, encode_section
 from ._build import build
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/customers/_pooled_allowance.py
@@ -0,0 +1,115 @@
+"""A customer's rate and burst, spent by all instances from one pool.
+
+Answers one customer that sends many times its usual, spread over all instances: each
+counts what it let through and hears within a heartbeat what the others did, so nobody
+is refused while the pool has units, wherever they are asked for. While some instances
+are not heard, each side keeps to its part of the pool, as the other may be serving.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from guavajunction.peers import PeerId
+
+
+class AllowanceTerms(NamedTuple):
+    """What a customer was promised and how exactly it is judged."""
+
+    rate: float
+    """Units a second."""
+    burst: float
+    """Units on top."""
+    tolerance: float
+    """Units over rate and burst that a window may hold."""
+
+
+class PooledAllowance:
+    """One instance's view of a customer's pool.
+
+    The level may fall below zero, as peers spend unseen until the next heartbeat;
+    the debt is paid by refusing until the refill has covered it.
+
+    >>> terms = AllowanceTerms(rate=10.0, burst=20.0, tolerance=0.0)
+    >>> allowance = PooledAllowance(terms, now=0.0)
+    >>> allowance.spend(5.0, now=0.1), allowance.spend(5.0, now=1.0)
+    (False, True)
+    """
+
+    TOLERANCE_USED = 0.3
+    """Part of the tolerance that is lent; the rest covers what peers spend unseen."""
+
+    def __init__(self, terms: AllowanceTerms, now: float) -> None:
+        """Start with an empty pool: what was spent before is not known."""
+        self._terms = terms
+        self._level = 0.0
+        self._refilled_at = now
+        self._part = 1.0
+        self._spent = 0.0
+        self._heard: dict[PeerId, float] = {}
+
+    @property
+    def spent(self) -> float:
+        """Return the units that this instance let through since its start."""
+        return self._spent
+
+    def level(self, now: float) -> float:
+        """Return the units left; negative while there is a debt."""
+        self._refill(now)
+        return self._level
+
+    def spend(self, units: float, now: float) -> bool:
+        """Take units for a request.
+
+        Returns:
+            Whether the pool had them.
+        """
+        self._refill(now)
+        if self._level + self._lent() < units:
+            return False
+        self._level -= units
+        self._spent += units
+        return True
+
+    def seconds_until(self, units: float, now: float) -> float:
+        """Return how long a request of some units would have to wait."""
+        missing = units - self._lent() - self.level(now)
+        return max(0.0, missing / max(self._terms.rate * self._part, 1e-9))
+
+    def change_terms(self, terms: AllowanceTerms, now: float) -> None:
+        """Follow a new configuration; a lowered burst takes effect at once."""
+        self._refill(now)
+        self._terms = terms
+        self._level = min(self._level, terms.burst * self._part)
+
+    def hear(self, peer: PeerId, spent: float, now: float) -> None:
+        """Take off what a peer let through since it was last heard.
+
+        The first word of a peer only sets where its count stands.
+        """
+        before = self._heard.get(peer)
+        self._heard[peer] = spent
+        if before is not None and spent > before:
+            self._refill(now)
+            self._level -= spent - before
+
+    def keep_to(self, part: float, now: float) -> None:
+        """Keep to a part of the pool while some instances are not heard.
+
+        Args:
+            part: Instances that are heard, this one included, by those that may
+                be serving.
+            now: Monotonic time in seconds.
+        """
+        self._refill(now)
+        if part < self._part and self._level > 0:
+            self._level *= part / self._part
+        self._part = part
+
+    def _lent(self) -> float:
+        return self._terms.tolerance * self.TOLERANCE_USED * self._part
+
+    def _refill(self, now: float) -> None:
+        gained = max(0.0, now - self._refilled_at) * self._terms.rate * self._part
+        self._refilled_at = max(now, self._refilled_at)
+        self._level = min(self._terms.burst * self._part, self._level + gained)
--- a/packages/guavajunction/src/guavajunction/customers/_rate_limits.py
+++ b/packages/guavajunction/src/guavajunction/customers/_rate_limits.py
@@ -15,7 +15,7 @@
     RateLimited,
 )
 from guavajunction.peers import Links, PeerId
-from guavajunction.platform import TableService
+from guavajunction.storage import TableService
 
 from . import _events
 from ._borrower import Borrower
--- a/packages/guavajunction/src/guavajunction/customers/_recovery.py
+++ b/packages/guavajunction/src/guavajunction/customers/_recovery.py
@@ -14,7 +14,7 @@
     StoreAnswerLost,
 )
 from guavajunction.peers import Links, PeerId
-from guavajunction.platform import Row, TableService
+from guavajunction.storage import Row, TableService
 
 from . import _events
 from ._bucket import MICRO
--- a/packages/guavajunction/src/guavajunction/customers/_share_book.py
+++ b/packages/guavajunction/src/guavajunction/customers/_share_book.py
@@ -11,7 +11,7 @@
 from guavajunction.configuration import Configuration, Customer
 from guavajunction.errors import InstanceNotReady, PeerError, PlatformError
 from guavajunction.peers import Links, PeerId
-from guavajunction.platform import TableService
+from guavajunction.storage import TableService
 
 from . import _events
 from ._holding import Holding
--- a/packages/guavajunction/src/guavajunction/directory/_directory.py
+++ b/packages/guavajunction/src/guavajunction/directory/_directory.py
@@ -10,7 +10,7 @@
 
 from guavajunction.clock import Clock
 from guavajunction.peers import Links, PeerId
-from guavajunction.platform import InstanceRecord
+from guavajunction.storage import InstanceRecord
 
 
 class DirectoryEntry(NamedTuple):
--- a/packages/guavajunction/src/guavajunction/errors.py
+++ b/packages/guavajunction/src/guavajunction/errors.py
@@ -171,6 +171,13 @@
     NOT_RUN: NotRun = "unknown"
 
 
+class BackendRefused(RequestError):
+    """A backend server turned a request away without running it."""
+
+    STATUS = 503
+    TYPE = "backend_refused"
+
+
 class AnswerCut(RequestError):
     """The answer ended before its end mark and could not be resumed."""
 
@@ -210,6 +217,10 @@
     NOT_RUN: NotRun = "unknown"
 
 
+class NotSent(GuavaError):
+    """A request could not be handed to a backend server: no byte went out."""
+
+
 class PlatformError(GuavaError):
     """Base of the failures of the platform's services."""
 
@@ -226,6 +237,10 @@
     """A conditional write found another version of the row."""
 
 
+class HistoryGone(PlatformError):
+    """Changes after a version are not kept any more: all has to be read again."""
+
+
 class ObjectNotFound(PlatformError):
     """The object store has no object of that name."""
 
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/fleet/_fleet_keys.py
@@ -0,0 +1,45 @@
+"""The key pair of the links between instances, kept in the store."""
+
+from __future__ import annotations
+
+import msgspec
+import zmq
+
+from guavajunction.clock import Clock
+from guavajunction.errors import ConditionFailed, PlatformError
+from guavajunction.peers import FleetKeys
+from guavajunction.storage import TableService
+
+from . import _events as events
+
+PARTITION = "fleet"
+SORT = "keys"
+RETRY_SECONDS = 0.3
+"""Pause while the store does not answer."""
+
+
+async def obtain_keys(table: TableService, clock: Clock) -> FleetKeys:
+    """Return the fleet's keys; the first instance of all draws them.
+
+    Waits for as long as the store does not answer.
+    """
+    while True:
+        try:
+            row = await table.get(PARTITION, SORT)
+            if row is not None:
+                return msgspec.msgpack.decode(row.body, type=FleetKeys)
+            await table.put(PARTITION, SORT, _draw(), expected=0)
+        except ConditionFailed:
+            continue
+        except PlatformError as exc:
+            events.STORE_REFUSED.log(
+                row=f"{PARTITION}/{SORT}", reason=type(exc).__name__, detail=exc.message
+            )
+            await clock.sleep(RETRY_SECONDS)
+
+
+def _draw() -> bytes:
+    public, secret = zmq.curve_keypair()
+    return msgspec.msgpack.encode(
+        FleetKeys(public.decode("ascii"), secret.decode("ascii"))
+    )
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
@@ -0,0 +1,123 @@
+"""Rows by which instances first find each other."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+
+from guavajunction.clock import Clock
+from guavajunction.errors import ConditionFailed, PlatformError
+from guavajunction.peers import PeerId
+from guavajunction.storage import InstanceRecord, Row, TableService
+
+from . import _events as events
+
+PARTITION = "instance"
+
+
+class InstanceEntry(NamedTuple):
+    """What an instance writes of itself."""
+
+    incarnation: str
+    data_centre: str
+    address: str
+    """IP number."""
+    front_port: int
+    """Port for callers."""
+    peer_port: int
+    """Port for links between instances."""
+
+
+class StoreRoster:
+    """Enters this instance in the store and reads who else is there.
+
+    After the first seconds everybody has heard of everybody over the links, so the
+    rows are read ever less often.
+    """
+
+    READ_SECONDS = (0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+    """Pauses after the start; the last one repeats."""
+
+    def __init__(
+        self, table: TableService, me: PeerId, entry: InstanceEntry, clock: Clock
+    ) -> None:
+        self._table = table
+        self._me = me
+        self._entry = entry
+        self._clock = clock
+        self._rng = random.Random(me.incarnation)
+        self.on_read: Callable[[list[InstanceRecord]], None] = lambda _: None
+        """Called with every listed instance after each reading."""
+
+    async def run(self) -> None:
+        """Enter this instance, then read the rows until cancelled."""
+        await self._until_done(self._enter)
+        events.ENTERED.log(instance=self._me.name, incarnation=self._me.incarnation)
+        pauses = list(self.READ_SECONDS)
+        while True:
+            await self._attempt(self._read)
+            pause = pauses.pop(0) if len(pauses) > 1 else pauses[0]
+            await self._clock.sleep(pause * self._rng.uniform(0.8, 1.2))
+
+    async def leave(self) -> None:
+        """Remove this instance's row, unless a newer incarnation wrote it."""
+        await self._attempt(self._remove_own)
+
+    async def remove(self, name: str, incarnation: str) -> None:
+        """Remove the row of an instance that has gone silent."""
+        row = await self._table.get(PARTITION, name)
+        if row is not None and _decode(row).incarnation == incarnation:
+            await self._table.delete(PARTITION, name, expected=row.version)
+            events.ROW_REMOVED.log(instance=name, incarnation=incarnation)
+
+    async def _enter(self) -> None:
+        row = await self._table.get(PARTITION, self._me.name)
+        if row is not None and _decode(row).incarnation == self._me.incarnation:
+            return
+        await self._table.put(
+            PARTITION,
+            self._me.name,
+            msgspec.msgpack.encode(self._entry),
+            expected=row.version if row else 0,
+        )
+
+    async def _read(self) -> None:
+        self.on_read([_record(row) for row in await self._table.query(PARTITION)])
+
+    async def _remove_own(self) -> None:
+        await self.remove(self._me.name, self._me.incarnation)
+
+    async def _until_done(self, call: Callable) -> None:
+        while not await self._attempt(call):
+            await self._clock.sleep(self.READ_SECONDS[0] * self._rng.uniform(0.5, 1.5))
+
+    async def _attempt(self, call: Callable) -> bool:
+        try:
+            await call()
+        except (PlatformError, ConditionFailed, msgspec.DecodeError) as exc:
+            events.STORE_REFUSED.log(
+                row=f"{PARTITION}/{self._me.name}",
+                reason=type(exc).__name__,
+                detail=str(exc),
+            )
+            return False
+        return True
+
+
+def _decode(row: Row) -> InstanceEntry:
+    return msgspec.msgpack.decode(row.body, type=InstanceEntry)
+
+
+def _record(row: Row) -> InstanceRecord:
+    entry = _decode(row)
+    return InstanceRecord(
+        name=row.sort,
+        data_centre=entry.data_centre,
+        address=entry.address,
+        http_port=entry.front_port,
+        peer_port=entry.peer_port,
+        state="live",
+    )
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/gateway/__init__.py
@@ -0,0 +1,62 @@
+"""Requests on their way from callers to backend servers and back."""
+
+from __future__ import annotations
+
+from ._allowances import AllowanceBounds, Allowances
+from ._backend import BackendRecord
+from ._backend_book import AdapterNotice, BackendBook, RetireNotice
+from ._catalogue import (
+    Catalogue,
+    Customer,
+    EngineSpec,
+    IngressLimits,
+    ModelSpec,
+    RequestKind,
+    Route,
+    Service,
+    WeightedService,
+)
+from ._gateway import Gateway, GatewayParts
+from ._load_view import Load, LoadView
+from ._model_demand import Demand, ModelDemand
+from ._protocols import AnswerHead, AnswerSink, BackendAnswer, BackendCaller
+from ._request import GatewayRequest, GenerationSize, PromptPart
+from ._retry_allowance import RetryAllowance, RetryBounds
+from ._route_table import RouteTable
+from ._waiting_room import Ticket, WaitingRoom
+
+__all__ = [
+    "AdapterNotice",
+    "AllowanceBounds",
+    "Allowances",
+    "AnswerHead",
+    "AnswerSink",
+    "BackendAnswer",
+    "BackendBook",
+    "BackendCaller",
+    "BackendRecord",
+    "Catalogue",
+    "Customer",
+    "Demand",
+    "EngineSpec",
+    "Gateway",
+    "GatewayParts",
+    "GatewayRequest",
+    "GenerationSize",
+    "IngressLimits",
+    "Load",
+    "LoadView",
+    "ModelDemand",
+    "ModelSpec",
+    "PromptPart",
+    "RequestKind",
+    "RetireNotice",
+    "RetryAllowance",
+    "RetryBounds",
+    "Route",
+    "RouteTable",
+    "Service",
+    "Ticket",
+    "WaitingRoom",
+    "WeightedService",
+]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/gateway/_allowances.py
@@ -0,0 +1,90 @@
+"""The rate limits of all customers."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from guavajunction.clock import Clock
+from guavajunction.customers import AllowanceTerms, PooledAllowance
+from guavajunction.peers import PeerId
+
+from ._catalogue import Customer
+from ._request import GatewayRequest
+
+
+class AllowanceBounds(NamedTuple):
+    """How exactly rates are judged."""
+
+    window_seconds: float
+    overshoot: float
+    """Part of a window's rate and burst that may be exceeded."""
+    slack: float
+    """Units on top."""
+
+
+class Allowances:
+    """Charges requests to their customers' pools."""
+
+    def __init__(self, bounds: AllowanceBounds, clock: Clock) -> None:
+        self._bounds = bounds
+        self._clock = clock
+        self._pools: dict[str, PooledAllowance] = {}
+
+    def configure(self, customers: tuple[Customer, ...]) -> None:
+        """Follow a configuration; pools of customers that stay keep their level."""
+        now = self._clock.monotonic()
+        limited = {c.name: self._terms(c) for c in customers if c.rate > 0}
+        for name in set(self._pools) - set(limited):
+            del self._pools[name]
+        for name, terms in limited.items():
+            if name in self._pools:
+                self._pools[name].change_terms(terms, now)
+            else:
+                self._pools[name] = PooledAllowance(terms, now)
+
+    def charge(self, customer: Customer, req: GatewayRequest) -> float | None:
+        """Charge a request.
+
+        Returns:
+            None if it was charged, else the seconds until its units are there.
+        """
+        pool = self._pools.get(customer.name)
+        if pool is None:
+            return None
+        now = self._clock.monotonic()
+        units = self._units(customer, req)
+        if pool.spend(units, now):
+            return None
+        return pool.seconds_until(units, now)
+
+    def spent(self) -> dict[str, float]:
+        """Return what this instance let through, to be told to peers."""
+        return {name: p.spent for name, p in self._pools.items() if p.spent}
+
+    def hear(self, peer: PeerId, spent: dict[str, float]) -> None:
+        """Take off what a peer let through."""
+        now = self._clock.monotonic()
+        for name, pool in self._pools.items():
+            pool.hear(peer, spent.get(name, 0.0), now)
+
+    def keep_to(self, part: float) -> None:
+        """Keep to a part of every pool while some instances are not heard."""
+        now = self._clock.monotonic()
+        for pool in self._pools.values():
+            pool.keep_to(part, now)
+
+    def _units(self, customer: Customer, req: GatewayRequest) -> float:
+        if not customer.counts_tokens:
+            return 1.0
+        if req.size is None:
+            return customer.plain_request_tokens
+        return float(req.size.prompt_tokens + req.size.max_output_tokens)
+
+    def _terms(self, customer: Customer) -> AllowanceTerms:
+        bounds = self._bounds
+        whole = customer.rate * bounds.window_seconds + customer.burst
+        return AllowanceTerms(
+            rate=customer.rate,
+            burst=customer.burst,
+            tolerance=whole * bounds.overshoot + bounds.slack,
+        )
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_book.py
@@ -0,0 +1,149 @@
+"""The backend servers that this instance knows of."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from guavajunction.clock import Clock
+
+from . import _events as events
+from ._backend import BackendRecord
+
+
+class AdapterNotice(NamedTuple):
+    """What the author of orders made a backend server hold."""
+
+    backend: str
+    incarnation: int
+    orders_accepted: int
+    """Orders accepted by then; a record with fewer is older."""
+    adapters: dict[str, tuple[str, ...]]
+    """By model."""
+
+
+class RetireNotice(NamedTuple):
+    """A model is about to be unloaded: nothing new may be sent for it."""
+
+    backend: str
+    incarnation: int
+    model: str
+
+
+class BackendBook:
+    """Merges the records of backend servers with newer notices of their author."""
+
+    RETIRED_SECONDS = 12.0
+    """A notice lapses if the unload that it tells of does not follow."""
+    MISSING_SECONDS = 1.0
+    """How long a refusal for want of a model is believed against the record."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._records: dict[str, BackendRecord] = {}
+        self._notices: dict[str, AdapterNotice] = {}
+        self._retired: dict[tuple[str, int, str], float] = {}
+        self._missing: dict[tuple[str, str], float] = {}
+
+    def records(self) -> Iterable[BackendRecord]:
+        """Return every known backend server."""
+        return self._records.values()
+
+    def get(self, name: str) -> BackendRecord | None:
+        """Return a backend server by name, or None if it is gone."""
+        return self._records.get(name)
+
+    def put(self, record: BackendRecord) -> None:
+        """Take what a backend server says of itself."""
+        before = self._records.get(record.name)
+        if before is not None and before.incarnation > record.incarnation:
+            return
+        self._records[record.name] = record
+        if before is None or before.identity != record.identity:
+            events.BACKEND_SEEN.log(
+                backend=record.name,
+                service=record.service,
+                address=record.address,
+                incarnation=record.incarnation,
+                models=sorted(record.models),
+            )
+        elif record.draining and not before.draining:
+            events.BACKEND_DRAINING.log(backend=record.name, address=record.address)
+
+    def drop(self, name: str) -> None:
+        """Forget a backend server whose record is gone."""
+        record = self._records.pop(name, None)
+        self._notices.pop(name, None)
+        if record is not None:
+            events.BACKEND_GONE.log(backend=name, address=record.address)
+
+    def replace_all(self, records: Iterable[BackendRecord]) -> None:
+        """Take a complete list: what is not on it is gone."""
+        listed = {record.name: record for record in records}
+        for name in set(self._records) - set(listed):
+            self.drop(name)
+        for record in listed.values():
+            self.put(record)
+
+    def note_adapters(self, notice: AdapterNotice) -> None:
+        """Take the newest word of what adapters a backend server holds."""
+        known = self._notices.get(notice.backend)
+        if (
+            known is None
+            or known.incarnation != notice.incarnation
+            or known.orders_accepted <= notice.orders_accepted
+        ):
+            self._notices[notice.backend] = notice
+            for model, adapters in notice.adapters.items():
+                for adapter in adapters:
+                    self._missing.pop((notice.backend, f"{model}/{adapter}"), None)
+
+    def note_retired(self, notice: RetireNotice) -> None:
+        """Leave a backend server out for a model that is about to be unloaded."""
+        key = (notice.backend, notice.incarnation, notice.model)
+        self._retired[key] = self._clock.monotonic() + self.RETIRED_SECONDS
+
+    def note_missing(self, backend: str, artifact: str) -> None:
+        """Believe a backend server that it lacks a model or adapter."""
+        until = self._clock.monotonic() + self.MISSING_SECONDS
+        self._missing[backend, artifact] = until
+
+    def adapters(self, record: BackendRecord, model: str) -> frozenset[str]:
+        """Return the adapters of a model that a backend server holds."""
+        notice = self._notices.get(record.name)
+        newer = (
+            notice is not None
+            and notice.incarnation == record.incarnation
+            and notice.orders_accepted >= record.orders_accepted
+        )
+        if notice is not None and newer:
+            return frozenset(notice.adapters.get(model, ()))
+        return record.models.get(model, frozenset())
+
+    def holds_model(self, record: BackendRecord, model: str) -> bool:
+        """Return whether requests for a model may be sent to a backend server."""
+        if model not in record.models:
+            return False
+        now = self._clock.monotonic()
+        retired = self._retired.get((record.name, record.incarnation, model), 0.0)
+        return retired <= now and self._missing.get((record.name, model), 0.0) <= now
+
+    def holds(self, record: BackendRecord, model: str, adapter: str) -> bool:
+        """Return whether a backend server is ready for a model and adapter."""
+        if not self.holds_model(record, model):
+            return False
+        if not adapter:
+            return True
+        missing = self._missing.get((record.name, f"{model}/{adapter}"), 0.0)
+        return (
+            adapter in self.adapters(record, model)
+            and missing <= self._clock.monotonic()
+        )
+
+    def of_service(self, service: str) -> list[BackendRecord]:
+        """Return the backend servers of a service that take new work."""
+        return [
+            record
+            for record in self._records.values()
+            if record.service == service and not record.draining
+        ]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -0,0 +1,327 @@
+"""Takes a request from its caller to a backend server and back."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import NamedTuple
+
+from guavajunction.backends import PassiveHealth
+from guavajunction.clock import Clock
+from guavajunction.errors import (
+    AnswerCut,
+    BackendFailed,
+    BackendRefused,
+    InstanceNotReady,
+    NotSent,
+    OutcomeUnknown,
+    Overloaded,
+    RateLimited,
+    RequestError,
+)
+from guavajunction.metrics import MetricsRegistry
+
+from . import _events as events
+from ._allowances import Allowances
+from ._backend import BackendRecord
+from ._backend_book import BackendBook
+from ._catalogue import Customer, RequestKind, Route, Service
+from ._model_demand import ModelDemand
+from ._protocols import AnswerHead, AnswerSink, BackendAnswer, BackendCaller
+from ._request import GatewayRequest
+from ._retry_allowance import RetryAllowance
+from ._route_table import RouteTable
+from ._waiting_room import Ticket, WaitingRoom
+
+
+class GatewayParts(NamedTuple):
+    """What the gateway works with."""
+
+    book: BackendBook
+    room: WaitingRoom
+    health: PassiveHealth
+    allowances: Allowances
+    retries: RetryAllowance
+    demand: ModelDemand
+    caller: BackendCaller
+    metrics: MetricsRegistry
+    clock: Clock
+    rng: random.Random
+
+
+class _Flight(NamedTuple):
+    """A request with everything that was decided for it on arrival."""
+
+    req: GatewayRequest
+    route: Route
+    service: Service
+    customer: Customer | None
+    priority: int
+    ends_at: float
+    """When the answer must have ended, monotonic."""
+
+
+class Gateway:
+    """Serves one request after another; each is one task, written straight down."""
+
+    RETRY_AFTER_SECONDS = 0.3
+    """Told after a backend server turned a request away: room comes with the next
+    heartbeat."""
+    NOT_READY_SECONDS = 1.0
+    """Told while no configuration is known."""
+    MAX_UNREACHABLE = 3
+    """Backend servers that may prove unreachable before a request is refused."""
+    MAX_ENGINE_PRIORITY = 9
+    """Least urgent rank that an engine takes."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
+        self._routes: RouteTable | None = None
+        self.instances = 1
+        """Instances that may be serving, this one included."""
+        self.in_flight = 0
+        """Requests that have not ended."""
+
+    @property
+    def routes(self) -> RouteTable | None:
+        """Return the configuration in force, None before the first."""
+        return self._routes
+
+    def configure(self, routes: RouteTable) -> None:
+        """Put a configuration in force, unless a newer one is."""
+        current = self._routes
+        if current and current.catalogue.version >= routes.catalogue.version:
+            return
+        self._routes = routes
+        self._parts.allowances.configure(routes.catalogue.customers)
+        self._parts.room.wake()
+        events.CONFIGURED.log(
+            version=routes.catalogue.version,
+            before=current.catalogue.version if current else None,
+            routes=len(routes.catalogue.routes),
+        )
+
+    async def serve(self, req: GatewayRequest, sink: AnswerSink) -> None:
+        """Answer one request through a sink.
+
+        Raises:
+            RequestError: It failed before anything was sent to the caller.
+        """
+        self.in_flight += 1
+        try:
+            await self._serve(req, sink)
+        except RequestError as exc:
+            self._log_failure(req, exc)
+            raise
+        except asyncio.CancelledError:
+            events.CALLER_LEFT.log(
+                request_id=req.request_id, after_ms=self._age_ms(req)
+            )
+            raise
+        finally:
+            self.in_flight -= 1
+
+    async def _serve(self, req: GatewayRequest, sink: AnswerSink) -> None:
+        flight = self._admit(req)
+        self._parts.retries.note_request(flight.service.name, req.arrived_at)
+        if req.size is not None:
+            self._parts.demand.note(req.size.model, req.arrived_at)
+        sent: list[str] = []
+        unreachable: list[str] = []
+        while True:
+            backend = await self._place(flight, sent, unreachable)
+            try:
+                await self._attempt(flight, backend, sink, len(sent) + 1)
+            except NotSent as exc:
+                unreachable.append(backend.name)
+                if len(unreachable) > self.MAX_UNREACHABLE:
+                    raise self._unreachable(flight, exc) from exc
+                reason = exc.message
+            except (BackendRefused, BackendFailed, OutcomeUnknown) as exc:
+                sent.append(backend.name)
+                if not self._may_repeat(flight, sent, exc):
+                    raise
+                reason = exc.message
+            else:
+                return
+            events.REPEATED.log(
+                request_id=req.request_id,
+                backend=backend.name,
+                reason=reason,
+                sent=len(sent),
+                unreachable=len(unreachable),
+            )
+
+    def _admit(self, req: GatewayRequest) -> _Flight:
+        if self._routes is None:
+            raise InstanceNotReady(
+                "no configuration is known yet", retry_after=self.NOT_READY_SECONDS
+            )
+        route = self._routes.find(req.host, req.path)
+        customer = self._routes.customer_of(route, req.key)
+        service = self._routes.catalogue.services[self._split(route)]
+        if customer is not None:
+            self._charge(customer, req)
+        ranked = customer is not None and customer.priority is not None
+        return _Flight(
+            req=req,
+            route=route,
+            service=service,
+            customer=customer,
+            priority=customer.priority if ranked else route.priority,
+            ends_at=req.arrived_at + min(req.caller_seconds, route.timeout_seconds),
+        )
+
+    def _split(self, route: Route) -> str:
+        if len(route.services) == 1:
+            return route.services[0].service
+        weights = [part.weight for part in route.services]
+        return self._parts.rng.choices(route.services, weights)[0].service
+
+    def _charge(self, customer: Customer, req: GatewayRequest) -> None:
+        wait = self._parts.allowances.charge(customer, req)
+        if wait is not None:
+            raise RateLimited(
+                f"customer {customer.name!r} is over its rate and burst",
+                retry_after=wait,
+            )
+
+    async def _place(
+        self, flight: _Flight, sent: list[str], unreachable: list[str]
+    ) -> BackendRecord:
+        exhausted = len(set(sent)) >= flight.route.max_attempts
+        ticket = Ticket(
+            req=flight.req,
+            route=flight.route,
+            service=flight.service,
+            priority=flight.priority,
+            ends_at=flight.ends_at,
+            only=frozenset(sent) if exhausted else None,
+            avoid=frozenset(sent + unreachable),
+            fut=asyncio.get_running_loop().create_future(),
+        )
+        return await self._parts.room.place(ticket)
+
+    async def _attempt(
+        self, flight: _Flight, backend: BackendRecord, sink: AnswerSink, attempt: int
+    ) -> None:
+        req = flight.req
+        left = flight.ends_at - self._parts.clock.monotonic()
+        unread = True
+        events.SENT.log(
+            request_id=req.request_id,
+            backend=backend.name,
+            service=flight.service.name,
+            artifact=req.size.artifact if req.size else None,
+            attempt=attempt,
+            waited_ms=self._age_ms(req),
+            left_ms=round(left * 1000),
+            record=backend.orders_accepted,
+        )
+        try:
+            async with self._parts.caller.send(
+                backend,
+                req,
+                customer=flight.customer.name if flight.customer else None,
+                priority=min(self.MAX_ENGINE_PRIORITY, flight.priority),
+                seconds_left=left,
+            ) as answer:
+                self._check(answer.head, flight, backend, attempt)
+                unread = False
+                self._parts.room.read(req, backend)
+                await self._relay(flight, backend, answer, sink)
+        except (BackendFailed, OutcomeUnknown, AnswerCut, NotSent) as exc:
+            self._blame(backend, exc)
+            raise
+        finally:
+            self._parts.room.release(req, backend, unread=unread)
+
+    def _check(
+        self, head: AnswerHead, flight: _Flight, backend: BackendRecord, attempt: int
+    ) -> None:
+        """Turn away what says that the request did not run, or may be repeated.
+
+        Raises:
+            BackendRefused: The backend server did not run the request.
+            BackendFailed: It failed, and another one may be tried.
+        """
+        message = f"backend server {backend.name!r} answered {head.status}"
+        if head.misdirected and flight.req.size is not None:
+            self._parts.book.note_missing(backend.name, flight.req.size.artifact)
+        if head.not_run or head.misdirected:
+            raise BackendRefused(
+                f"{message}: not run", retry_after=self.RETRY_AFTER_SECONDS
+            )
+        failed = head.status >= 500 and flight.route.kind is RequestKind.SAFE
+        if failed and attempt < flight.route.max_attempts:
+            raise BackendFailed(message)
+
+    async def _relay(
+        self,
+        flight: _Flight,
+        backend: BackendRecord,
+        answer: BackendAnswer,
+        sink: AnswerSink,
+    ) -> None:
+        await sink.start(answer.head)
+        size = 0
+        try:
+            async for chunk in answer.chunks():
+                size += len(chunk)
+                await sink.write(chunk)
+        except AnswerCut:
+            sink.abort()
+            raise
+        await sink.finish()
+        age = self._age_ms(flight.req)
+        self._parts.metrics.observe(
+            "request_seconds", age / 1000, service=flight.service.name
+        )
+        self._parts.metrics.count("answers_total", status=str(answer.head.status))
+        events.ANSWERED.log(
+            request_id=flight.req.request_id,
+            backend=backend.name,
+            status=answer.head.status,
+            body_bytes=size,
+            after_ms=age,
+        )
+
+    def _may_repeat(self, flight: _Flight, sent: list[str], exc: RequestError) -> bool:
+        now = self._parts.clock.monotonic()
+        may_have_run = not isinstance(exc, BackendRefused)
+        if may_have_run and not flight.route.repeatable:
+            return False
+        if may_have_run and len(set(sent)) >= flight.route.max_attempts:
+            return False
+        if len(sent) > flight.route.max_attempts or now >= flight.ends_at:
+            return False
+        return self._parts.retries.take(
+            flight.service.name, now, instances=self.instances
+        )
+
+    def _unreachable(self, flight: _Flight, exc: NotSent) -> RequestError:
+        return Overloaded(
+            f"service {flight.service.name!r} could not be reached: {exc.message}",
+            retry_after=self.RETRY_AFTER_SECONDS,
+        )
+
+    def _blame(self, backend: BackendRecord, exc: Exception) -> None:
+        if self._parts.health.note_failure(backend.name):
+            events.BACKEND_SUSPECT.log(
+                backend=backend.name, reason=type(exc).__name__, detail=str(exc)
+            )
+
+    def _log_failure(self, req: GatewayRequest, exc: RequestError) -> None:
+        event = events.REFUSED if exc.not_run == "true" else events.FAILED
+        self._parts.metrics.count("failures_total", type=exc.TYPE)
+        event.log(
+            request_id=req.request_id,
+            type=exc.TYPE,
+            reason=exc.message,
+            retry_after=exc.retry_after,
+            after_ms=self._age_ms(req),
+            artifact=req.size.artifact if req.size else None,
+        )
+
+    def _age_ms(self, req: GatewayRequest) -> int:
+        return round((self._parts.clock.monotonic() - req.arrived_at) * 1000)
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/gateway/_load_view.py
@@ -0,0 +1,69 @@
+"""Work that all instances have given to each backend server."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import NamedTuple
+
+from guavajunction.peers import PeerId
+
+
+class Load(NamedTuple):
+    """Work at one backend server."""
+
+    running: int
+    """Requests that were sent and have not ended."""
+    unread_tokens: int
+    """Prompt tokens of those whose first event has not come."""
+
+    def plus(self, other: Load) -> Load:
+        """Return the sum of two loads."""
+        return Load(
+            self.running + other.running, self.unread_tokens + other.unread_tokens
+        )
+
+
+NO_LOAD = Load(0, 0)
+
+
+class LoadView:
+    """Adds this instance's work to what its peers last said of theirs."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, Load] = defaultdict(lambda: NO_LOAD)
+        self._peers: dict[PeerId, dict[str, Load]] = {}
+        self._total: dict[str, Load] = defaultdict(lambda: NO_LOAD)
+
+    def of(self, backend: str) -> Load:
+        """Return the work at a backend server, as far as known."""
+        return self._total[backend]
+
+    def own(self) -> dict[str, Load]:
+        """Return this instance's part, to be told to peers."""
+        return {name: load for name, load in self._own.items() if load.running}
+
+    def add(self, backend: str, running: int, unread_tokens: int) -> None:
+        """Count work that this instance gave, or with minus signs, that ended."""
+        change = Load(running, unread_tokens)
+        self._own[backend] = self._own[backend].plus(change)
+        self._total[backend] = self._total[backend].plus(change)
+
+    def hear(self, peer: PeerId, loads: dict[str, Load]) -> None:
+        """Replace what is known of a peer's work."""
+        self._peers[peer] = loads
+        self._sum_up()
+
+    def keep_only(self, peers: list[PeerId]) -> None:
+        """Forget the work of peers that are not heard any more."""
+        gone = set(self._peers) - set(peers)
+        for peer in gone:
+            del self._peers[peer]
+        if gone:
+            self._sum_up()
+
+    def _sum_up(self) -> None:
+        total: dict[str, Load] = defaultdict(lambda: NO_LOAD, self._own)
+        for loads in self._peers.values():
+            for name, load in loads.items():
+                total[name] = total[name].plus(load)
+        self._total = total
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/gateway/_model_demand.py
@@ -0,0 +1,81 @@
+"""How much each model is asked for, by this instance and its peers."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from typing import NamedTuple
+
+from guavajunction.peers import PeerId
+
+
+class Demand(NamedTuple):
+    """What is asked of one model."""
+
+    rate: float
+    """Requests a second, lately."""
+    waiting: int
+    """Requests that wait because no backend server has the model ready."""
+
+
+NO_DEMAND = Demand(0.0, 0)
+
+
+class ModelDemand:
+    """A tally of arrivals that forgets, so that a shift shows within seconds."""
+
+    MEMORY_SECONDS = 3.0
+    """Time constant: demand may move to other models within five seconds."""
+    FORGOTTEN_RATE = 0.02
+    """Requests a second below which a model counts as not asked for."""
+
+    def __init__(self) -> None:
+        self._tally: defaultdict[str, float] = defaultdict(float)
+        self._as_of = 0.0
+        self._peers: dict[PeerId, dict[str, Demand]] = {}
+
+    def note(self, model: str, now: float) -> None:
+        """Count a request for a model."""
+        self._forget(now)
+        self._tally[model] += 1.0
+
+    def own(self, waiting: dict[str, int], now: float) -> dict[str, Demand]:
+        """Return this instance's part, to be told to peers.
+
+        Args:
+            waiting: Requests that wait for a load, by model.
+            now: Monotonic time in seconds.
+        """
+        self._forget(now)
+        rates = {m: count / self.MEMORY_SECONDS for m, count in self._tally.items()}
+        return {
+            model: Demand(round(rates.get(model, 0.0), 2), waiting.get(model, 0))
+            for model in rates.keys() | waiting.keys()
+            if rates.get(model, 0.0) > self.FORGOTTEN_RATE or waiting.get(model)
+        }
+
+    def hear(self, peer: PeerId, demand: dict[str, Demand]) -> None:
+        """Replace what is known of a peer's part."""
+        self._peers[peer] = demand
+
+    def fleet(self, own: dict[str, Demand], peers: list[PeerId]) -> dict[str, Demand]:
+        """Return the sum over this instance and the peers that are heard."""
+        for gone in set(self._peers) - set(peers):
+            del self._peers[gone]
+        total = dict(own)
+        for demand in self._peers.values():
+            for model, part in demand.items():
+                known = total.get(model, NO_DEMAND)
+                total[model] = Demand(
+                    known.rate + part.rate, known.waiting + part.waiting
+                )
+        return total
+
+    def _forget(self, now: float) -> None:
+        kept = math.exp(-max(0.0, now - self._as_of) / self.MEMORY_SECONDS)
+        self._as_of = max(self._as_of, now)
+        floor = self.FORGOTTEN_RATE * self.MEMORY_SECONDS / 2
+        for model in list(self._tally):
+            self._tally[model] *= kept
+            if self._tally[model] < floor:
+                del self._tally[model]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/gateway/_retry_allowance.py
@@ -0,0 +1,66 @@
+"""Bounds what all instances together send to a second backend server.
+
+Answers retry storms: when backend servers fail, repeats would multiply the load on
+those that are left. Each instance may repeat a part of its own requests and an equal
+share of the fixed slack, so the sum over the fleet stays within the bound without a
+message.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from typing import NamedTuple
+
+
+class RetryBounds(NamedTuple):
+    """The fleet's bound on repeats to one service."""
+
+    ratio: float
+    """Repeats for each request in the window."""
+    window_seconds: float
+    slack: float
+    """Repeats on top, in each window."""
+
+
+class RetryAllowance:
+    """This instance's part of the fleet's bound.
+
+    >>> allowance = RetryAllowance(RetryBounds(0.2, 10.0, 8.0))
+    >>> [allowance.take("a", 0.0, instances=4) for _ in range(2)]
+    [True, False]
+    """
+
+    USED_PART = 0.75
+    """Part of the bound that is used; the rest covers windows that lie across the
+    instances' own, and instances that have just come."""
+
+    def __init__(self, bounds: RetryBounds) -> None:
+        self._bounds = bounds
+        self._requests: defaultdict[str, deque[float]] = defaultdict(deque)
+        self._repeats: defaultdict[str, deque[float]] = defaultdict(deque)
+
+    def note_request(self, service: str, now: float) -> None:
+        """Count the first send of a request."""
+        self._requests[service].append(now)
+
+    def take(self, service: str, now: float, *, instances: int) -> bool:
+        """Return whether one more repeat may be sent, and count it if so.
+
+        Args:
+            service: Where to.
+            now: Monotonic time in seconds.
+            instances: Most instances that may share the bound.
+        """
+        requests = self._recent(self._requests[service], now)
+        repeats = self._recent(self._repeats[service], now)
+        fixed = self._bounds.slack / max(1, instances)
+        allowed = self.USED_PART * (self._bounds.ratio * requests + fixed)
+        if repeats + 1 > allowed:
+            return False
+        self._repeats[service].append(now)
+        return True
+
+    def _recent(self, times: deque[float], now: float) -> int:
+        while times and times[0] < now - self._bounds.window_seconds:
+            times.popleft()
+        return len(times)
--- a/packages/guavajunction/src/guavajunction/membership/_lease.py
+++ b/packages/guavajunction/src/guavajunction/membership/_lease.py
@@ -11,7 +11,7 @@
 from guavajunction.clock import Clock
 from guavajunction.errors import ConditionFailed, LeaseLost, PlatformError
 from guavajunction.peers import PeerId
-from guavajunction.platform import Row, TableService
+from guavajunction.storage import Row, TableService
 
 from . import _events as events
 
--- a/packages/guavajunction/src/guavajunction/membership/_member_table.py
+++ b/packages/guavajunction/src/guavajunction/membership/_member_table.py
@@ -6,7 +6,7 @@
 
 from guavajunction.clock import Clock
 from guavajunction.errors import StoreUnavailable
-from guavajunction.platform import TableService
+from guavajunction.storage import TableService
 
 from ._model import (
     MEMBER_PARTITION,
--- a/packages/guavajunction/src/guavajunction/membership/_membership.py
+++ b/packages/guavajunction/src/guavajunction/membership/_membership.py
@@ -11,7 +11,7 @@
 from guavajunction.clock import Clock
 from guavajunction.errors import GuavaError, PlatformError
 from guavajunction.peers import PeerId
-from guavajunction.platform import InstanceList, InstanceRecord, TableService
+from guavajunction.storage import InstanceList, InstanceRecord, TableService
 
 from . import _events as events
 from ._announcer import Announcement, Announcer
--- a/packages/guavajunction/src/guavajunction/membership/_model.py
+++ b/packages/guavajunction/src/guavajunction/membership/_model.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from guavajunction.peers import PeerId
-from guavajunction.platform import InstanceRecord, Row
+from guavajunction.storage import InstanceRecord, Row
 
 MEMBER_PARTITION = "member"
 VIEW_PARTITION = "member-view"
--- a/packages/guavajunction/src/guavajunction/membership/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/membership/_protocols.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from guavajunction.peers import Links, PeerId
-from guavajunction.platform import InstanceRecord
+from guavajunction.storage import InstanceRecord
 
 
 class Mesh(Links, Protocol):
--- a/packages/guavajunction/src/guavajunction/membership/_registration.py
+++ b/packages/guavajunction/src/guavajunction/membership/_registration.py
@@ -5,7 +5,7 @@
 from guavajunction.clock import Clock
 from guavajunction.errors import ConditionFailed
 from guavajunction.peers import PeerId
-from guavajunction.platform import InstanceRecord
+from guavajunction.storage import InstanceRecord
 
 from . import _events as events
 from ._member_table import MemberTable
--- a/packages/guavajunction/src/guavajunction/once/_claim.py
+++ b/packages/guavajunction/src/guavajunction/once/_claim.py
@@ -6,7 +6,7 @@
 from types import TracebackType
 
 from guavajunction.errors import InstanceNotReady
-from guavajunction.platform import Row
+from guavajunction.storage import Row
 
 from . import _events
 from ._members import Members
--- a/packages/guavajunction/src/guavajunction/once/_claim_table.py
+++ b/packages/guavajunction/src/guavajunction/once/_claim_table.py
@@ -11,7 +11,7 @@
     StoreUnavailable,
     StoreUnavailableForRequest,
 )
-from guavajunction.platform import Row, TableService
+from guavajunction.storage import Row, TableService
 
 from ._model import NOT_RUN, ClaimKey, ClaimRow, Outcome, encode
 from ._outcome_log import OutcomeLog
--- a/packages/guavajunction/src/guavajunction/once/_model.py
+++ b/packages/guavajunction/src/guavajunction/once/_model.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from guavajunction.platform import Row
+from guavajunction.storage import Row
 
 CLAIMED = "claimed"
 """The request may be sent, or has been, by the attempt that claimed it."""
--- a/packages/guavajunction/src/guavajunction/once/_outcome_log.py
+++ b/packages/guavajunction/src/guavajunction/once/_outcome_log.py
@@ -11,7 +11,7 @@
     PlatformError,
     StoreAnswerLost,
 )
-from guavajunction.platform import ObjectStore, Row, TableService
+from guavajunction.storage import ObjectStore, Row, TableService
 
 from . import _events
 from ._model import (
--- a/packages/guavajunction/src/guavajunction/once/_register.py
+++ b/packages/guavajunction/src/guavajunction/once/_register.py
@@ -16,7 +16,7 @@
     StoreUnavailableForRequest,
 )
 from guavajunction.peers import PeerId
-from guavajunction.platform import ObjectStore, Row, TableService
+from guavajunction.storage import ObjectStore, Row, TableService
 
 from ._claim import Claim
 from ._claim_key import claim_key
--- a/packages/guavajunction/src/guavajunction/once/_sweeper.py
+++ b/packages/guavajunction/src/guavajunction/once/_sweeper.py
@@ -6,7 +6,7 @@
 
 from guavajunction.errors import ConditionFailed, PlatformError
 from guavajunction.peers import PeerId
-from guavajunction.platform import Row, TableService
+from guavajunction.storage import Row, TableService
 
 from . import _events
 from ._claim_key import PARTITIONS, partition
--- a/packages/guavajunction/src/guavajunction/peers/_mesh.py
+++ b/packages/guavajunction/src/guavajunction/peers/_mesh.py
@@ -14,7 +14,7 @@
 
 from guavajunction.clock import Clock
 from guavajunction.errors import PeerError, PeerTimeout, PeerUnknown
-from guavajunction.platform import InstanceRecord
+from guavajunction.storage import InstanceRecord
 
 from . import _events as events
 from ._authenticator import ZAP_DOMAIN, FleetAuthenticator
--- a/packages/guavajunction/src/guavajunction/peers/_targets.py
+++ b/packages/guavajunction/src/guavajunction/peers/_targets.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from guavajunction.platform import InstanceRecord
+from guavajunction.storage import InstanceRecord
 
 
 class TargetStrategy(Protocol):
@@ -42,7 +42,7 @@
     def choose(self, me: str, records: list[InstanceRecord]) -> list[InstanceRecord]:
         """Return the neighbours at power-of-two distances in both directions.
 
-        >>> from guavajunction.platform import InstanceRecord
+        >>> from guavajunction.storage import InstanceRecord
         >>> fleet = [InstanceRecord(f"e{i}", "a", "", 0, 0, "live") for i in range(9)]
         >>> [record.name for record in RingSubset().choose("e0", fleet)]
         ['e1', 'e2', 'e4', 'e5', 'e7', 'e8']
--- a/packages/guavajunction/src/guavajunction/placement/_service.py
+++ b/packages/guavajunction/src/guavajunction/placement/_service.py
@@ -17,8 +17,8 @@
 from guavajunction.configuration import Configuration
 from guavajunction.errors import GuavaError, LeaseLost
 from guavajunction.peers import Links, PeerId
-from guavajunction.platform import TableService
 from guavajunction.settings import PlacementSettings
+from guavajunction.storage import TableService
 
 from ._demand_tally import DemandTally
 from ._events import PLANNER_FAILED, PLANNER_STARTED, PLANNER_STOPPED, ROUND_FAILED
--- a/packages/guavajunction/src/guavajunction/platform/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/storage/_protocols.py
@@ -100,3 +100,52 @@
     async def instances(self) -> list[InstanceRecord]:
         """Return the listed instances, perhaps of a while ago."""
         ...
+
+
+class RowChange(NamedTuple):
+    """One row as a change left it."""
+
+    sort: str
+    """Sort key, unique in its partition."""
+    body: bytes | None
+    """New content, or None if the row was removed."""
+    version: int
+    """Version of the row; for a removal, of the removal."""
+
+
+class Changes(NamedTuple):
+    """Rows of one partition, as of a version of the whole store."""
+
+    rows: tuple[RowChange, ...]
+    version: int
+    """Newest version that these rows reflect."""
+    complete: bool
+    """Whether these are all rows of the partition, not only the changed ones."""
+
+
+class ChangeFeed(Protocol):
+    """Tells what changed in a partition as soon as it changes."""
+
+    async def snapshot(self, partition: str) -> Changes:
+        """Read every row of a partition as of one moment.
+
+        Raises:
+            StoreUnavailable: The store did not answer.
+        """
+        ...
+
+    async def changes(
+        self, partition: str, after: int, *, wait_seconds: float
+    ) -> Changes:
+        """Wait for changes after a version.
+
+        Args:
+            partition: Partition key.
+            after: Version up to which changes are known.
+            wait_seconds: Longest wait; without a change the answer has no rows.
+
+        Raises:
+            HistoryGone: Changes after that version are not kept any more.
+            StoreUnavailable: The store did not answer.
+        """
+        ...
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/storage/_watcher.py
@@ -0,0 +1,81 @@
+"""Follows a partition of the store through outages."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator
+
+from guavajunction.clock import Clock
+from guavajunction.errors import HistoryGone, PlatformError
+
+from . import _events as events
+from ._protocols import ChangeFeed, Changes
+
+
+class PartitionWatcher:
+    """Yields a partition's rows once and its changes from then on, without end."""
+
+    WAIT_SECONDS = 3.0
+    """Longest wait of one call. A call that a silent store swallowed is noticed after
+    it, so it stays below the time after which bounds hold again."""
+    RETRY_SECONDS = 0.25
+    """Mean pause after a failed call, with jitter of a half either way."""
+
+    def __init__(
+        self, feed: ChangeFeed, partition: str, clock: Clock, rng: random.Random
+    ) -> None:
+        self._feed = feed
+        self._partition = partition
+        self._clock = clock
+        self._rng = rng
+        self._version: int | None = None
+        self._lost_at: float | None = None
+        self.read_at = float("-inf")
+        """When the latest call that was answered began, monotonic."""
+
+    async def __aiter__(self) -> AsyncIterator[Changes]:
+        while True:
+            started = self._clock.monotonic()
+            try:
+                changes = await self._next()
+            except HistoryGone:
+                events.FEED_RESTARTED.log(
+                    partition=self._partition, version=self._version
+                )
+                self._version = None
+                continue
+            except PlatformError as exc:
+                self._note_lost(exc)
+                pause = self.RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
+                await self._clock.sleep(pause)
+                continue
+            self._note_answer(started)
+            self._version = changes.version
+            if changes.rows or changes.complete:
+                yield changes
+
+    async def _next(self) -> Changes:
+        if self._version is None:
+            return await self._feed.snapshot(self._partition)
+        return await self._feed.changes(
+            self._partition, self._version, wait_seconds=self.WAIT_SECONDS
+        )
+
+    def _note_lost(self, exc: PlatformError) -> None:
+        if self._lost_at is None:
+            self._lost_at = self._clock.monotonic()
+            events.FEED_LOST.log(
+                partition=self._partition,
+                version=self._version,
+                reason=type(exc).__name__,
+                detail=exc.message,
+            )
+
+    def _note_answer(self, started: float) -> None:
+        self.read_at = started
+        if self._lost_at is not None:
+            seconds = self._clock.monotonic() - self._lost_at
+            self._lost_at = None
+            events.FEED_REGAINED.log(
+                partition=self._partition, after_seconds=round(seconds, 2)
+            )
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/swapping/_adapter_demand.py
@@ -0,0 +1,71 @@
+"""Chooses where an adapter is loaded on demand.
+
+Answers requests for many adapters, each asked for now and then: a load takes
+milliseconds, places are few, so an adapter is loaded when it is first asked for and
+the one that is asked for least makes room.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from guavajunction.gateway import Demand, Load
+
+from . import _ledger
+
+
+class AdapterPlace(NamedTuple):
+    """A backend server for an adapter, and what has to make room there."""
+
+    ledger: _ledger.BackendLedger
+    evict: tuple[str, str] | None
+    """Model and adapter."""
+
+
+def choose_place(
+    ledgers: Sequence[_ledger.BackendLedger],
+    loads: Mapping[str, Load],
+    model: str,
+    demand: Mapping[str, Demand],
+) -> AdapterPlace | None:
+    """Return the best place for an adapter of a model, or None if there is none.
+
+    Args:
+        ledgers: Backend servers that hold the model and take orders.
+        loads: Work of each backend server.
+        model: The adapter's model.
+        demand: What is asked of each artifact, fleet-wide.
+    """
+    free = [ledger for ledger in ledgers if ledger.fits_adapter(model)]
+    if free:
+        return AdapterPlace(min(free, key=lambda le: _work(loads, le)), None)
+    options = []
+    for ledger in ledgers:
+        victim = _least_asked(ledger, demand)
+        if victim is not None:
+            rate = _rate(demand, *victim)
+            options.append((rate, _work(loads, ledger), ledger, victim))
+    if not options:
+        return None
+    _, _, ledger, victim = min(options, key=lambda option: option[:2])
+    return AdapterPlace(ledger, victim)
+
+
+def _work(
+    loads: Mapping[str, Load], ledger: _ledger.BackendLedger
+) -> tuple[int, int, int]:
+    load = loads.get(ledger.record.name, Load(0, 0))
+    return load.running, ledger.adapter_count, load.unread_tokens
+
+
+def _least_asked(
+    ledger: _ledger.BackendLedger, demand: Mapping[str, Demand]
+) -> tuple[str, str] | None:
+    held = [(model, name) for model, names in ledger.adapters.items() for name in names]
+    return min(held, key=lambda pair: _rate(demand, *pair), default=None)
+
+
+def _rate(demand: Mapping[str, Demand], model: str, adapter: str) -> float:
+    asked = demand.get(f"{model}/{adapter}")
+    return asked.rate if asked else 0.0
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/swapping/_messages.py
@@ -0,0 +1,29 @@
+"""Messages about orders between instances."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class AdapterWanted(NamedTuple):
+    """Asks the author for an adapter that requests wait for."""
+
+    service: str
+    model: str
+    adapter: str
+
+
+class AdapterReady(NamedTuple):
+    """Answers when the adapter is loaded, or can't be."""
+
+    backend: str
+    """Empty if no backend server can take it now."""
+
+
+class AuthorBeat(NamedTuple):
+    """What the author says in each heartbeat; others say the defaults."""
+
+    fence: int = 0
+    """Its fencing number; 0 from an instance that is not the author."""
+    loads_due: dict[str, float] = {}
+    """Seconds until the models that are being loaded are expected."""
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/swapping/_order_desk.py
@@ -0,0 +1,138 @@
+"""Sends orders to backend servers and keeps their ledgers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from guavajunction.errors import LeaseLost, NotSent, OrderRefused, OutcomeUnknown
+from guavajunction.gateway import BackendRecord, EngineSpec
+
+from . import _events as events
+from ._ledger import BackendLedger
+from ._protocols import Order, OrderKind, OrderOutcome, OrderSender
+
+
+class OrderDesk:
+    """One term of an author: its ledgers begin with the records at its start."""
+
+    TRIES = 3
+    """Sends of one order before it is given up."""
+
+    def __init__(
+        self, sender: OrderSender, author: str, fence: Callable[[], int]
+    ) -> None:
+        """Create a desk.
+
+        Args:
+            sender: Sends the orders.
+            author: This instance.
+            fence: Returns the fencing number, or raises `LeaseLost`.
+        """
+        self._sender = sender
+        self._author = author
+        self._fence = fence
+        self._ledgers: dict[str, BackendLedger] = {}
+        self._locks: dict[str, asyncio.Lock] = {}
+
+    def ledgers(self) -> list[BackendLedger]:
+        """Return the ledgers of all backend servers that take orders."""
+        return list(self._ledgers.values())
+
+    def sync(self, records: dict[str, tuple[BackendRecord, EngineSpec]]) -> None:
+        """Follow the records of the backend servers that run engines."""
+        for name in set(self._ledgers) - set(records):
+            del self._ledgers[name]
+        for name, (record, spec) in records.items():
+            known = self._ledgers.get(name)
+            if known is None or known.record.identity != record.identity:
+                self._ledgers[name] = BackendLedger(record, spec)
+                self._locks[name] = asyncio.Lock()
+                continue
+            known.spec = spec
+            if known.record is not record:
+                known.sync(record)
+
+    async def order(
+        self, ledger: BackendLedger, kind: OrderKind, model: str, adapter: str = ""
+    ) -> None:
+        """Give an order and return once it was accepted or holds already.
+
+        Raises:
+            OrderRefused: It was refused, or not answered several times.
+            LeaseLost: This instance is not the author any more.
+        """
+        async with self._locks[ledger.record.name]:
+            for _ in range(self.TRIES):
+                if await self._attempt(ledger, kind, model, adapter):
+                    return
+        raise OrderRefused(
+            f"backend server {ledger.record.name!r} did not take the order to "
+            f"{kind} {model}/{adapter}"
+        )
+
+    async def _attempt(
+        self, ledger: BackendLedger, kind: OrderKind, model: str, adapter: str
+    ) -> bool:
+        order = Order(
+            kind, model, adapter, ledger.orders_accepted, self._author, self._fence()
+        )
+        try:
+            outcome = await self._sender.send(ledger.record, order)
+        except NotSent as exc:
+            self._log_failure(ledger, order, exc.message)
+            return False
+        except OutcomeUnknown as exc:
+            ledger.unanswered(order)
+            self._log_failure(ledger, order, exc.message)
+            return False
+        events.ORDERED.log(
+            backend=ledger.record.name,
+            order=kind,
+            model=model,
+            adapter=adapter,
+            expected_orders=order.expected_orders,
+            fence=order.fence,
+            outcome=outcome,
+        )
+        if outcome is OrderOutcome.ACCEPTED:
+            ledger.accepted(order)
+            return True
+        return await self._settle(ledger, order, outcome)
+
+    async def _settle(
+        self, ledger: BackendLedger, order: Order, outcome: OrderOutcome
+    ) -> bool:
+        if outcome is OrderOutcome.STALE:
+            raise LeaseLost(
+                f"backend server {ledger.record.name!r} has seen a higher fencing "
+                f"number than {order.fence}"
+            )
+        if outcome is OrderOutcome.REJECTED:
+            raise OrderRefused(
+                f"backend server {ledger.record.name!r} rejects the order to "
+                f"{order.kind} {order.model}/{order.adapter}"
+            )
+        try:
+            report = await self._sender.report(ledger.record)
+        except NotSent as exc:
+            self._log_failure(ledger, order, exc.message)
+            return False
+        ledger.resync(report)
+        events.RESYNCED.log(
+            backend=ledger.record.name,
+            orders_accepted=report.orders_accepted,
+            models=sorted(report.models),
+            busy=report.busy,
+        )
+        return outcome is OrderOutcome.HOLDS
+
+    def _log_failure(self, ledger: BackendLedger, order: Order, reason: str) -> None:
+        events.ORDER_FAILED.log(
+            backend=ledger.record.name,
+            order=order.kind,
+            model=order.model,
+            adapter=order.adapter,
+            expected_orders=order.expected_orders,
+            reason=reason,
+        )
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
@@ -0,0 +1,199 @@
+"""Plans which backend server is to hold which model.
+
+Answers two loads at once: a few busy models that take most requests and change within
+seconds, and a long tail of rare models that can't all be resident. A model that is
+asked for and resident nowhere comes first: its requests are gathered while it loads,
+and served together. A busy model gets more copies as its rate grows. Room is made
+where it costs least: models that nobody asks for, then surplus copies, then the rare
+model whose group has been served.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from guavajunction.gateway import Demand, EngineSpec
+
+REQUESTS_PER_COPY = 5.0
+"""Requests a second that one copy is to take: a backend server reads about 17 prompts
+of the mean size a second, shares itself between two models and should stay half
+idle for bursts."""
+
+ASKED_FOR_RATE = 0.05
+"""Requests a second from which a model without waiting requests counts as asked for."""
+
+MIN_STAY_SECONDS = 1.5
+"""Least time that a model stays: its gathered requests have to be sent first."""
+
+SINGLE_COPY_WEIGHT = 2.0
+"""Price of evicting the only copy, in seconds of its request rate: about what loading
+it again from memory or disk takes."""
+
+SURPLUS_COPY_WEIGHT = 0.2
+"""The same for one of several copies, whose requests go to the others."""
+
+GAIN_FACTOR = 1.5
+"""A move must gain this much more than it costs, so that models don't swap to and
+fro."""
+
+SECONDS_WEIGHT = 0.3
+"""Price of a second of loading when backend servers are compared."""
+
+
+class Holding(NamedTuple):
+    """One backend server as the planner sees it."""
+
+    name: str
+    resident: Mapping[str, float]
+    """When each resident model was first seen there, monotonic seconds."""
+    used_mb: float
+    """Memory that is taken, adapters and pending orders included."""
+    adapters_mb: Mapping[str, float]
+    """Memory of the adapters of each resident model, which go with it."""
+    in_memory: frozenset[str]
+    on_disk: frozenset[str]
+    running: int
+    """Requests that it works on."""
+
+
+class Move(NamedTuple):
+    """A model to load, and what has to be unloaded before."""
+
+    backend: str
+    model: str
+    evict: tuple[str, ...]
+    from_store: bool
+    """Whether the weights come from the weight store, which is rate-limited."""
+    load_seconds: float
+
+
+class _Option(NamedTuple):
+    price: float
+    eviction_cost: float
+    move: Move
+
+
+def plan(
+    spec: EngineSpec,
+    holdings: Sequence[Holding],
+    coming: Mapping[str, int],
+    demand: Mapping[str, Demand],
+    now: float,
+) -> Move | None:
+    """Return the move that is worth most now, or None if none is worth it.
+
+    Args:
+        spec: Models of the service.
+        holdings: Backend servers that take orders now.
+        coming: Copies of each model elsewhere: on busy backend servers, or loading.
+        demand: What is asked of each model, fleet-wide.
+        now: Monotonic time in seconds.
+    """
+    copies = Counter(coming)
+    for holding in holdings:
+        copies.update(holding.resident.keys())
+    for model in _by_urgency(spec, copies, demand):
+        options = [
+            option
+            for holding in holdings
+            if model not in holding.resident
+            and (option := _option(spec, holding, model, copies, demand, now))
+        ]
+        best = min(options, key=lambda option: option.price, default=None)
+        gain = _gain(model, copies, demand)
+        if best is not None and gain > best.eviction_cost * GAIN_FACTOR:
+            return best.move
+    return None
+
+
+def copies_needed(demand: Demand | None) -> int:
+    """Return how many copies of a model its demand is worth.
+
+    >>> [copies_needed(Demand(rate, 0)) for rate in (0.0, 0.2, 5.0, 5.1)]
+    [0, 1, 1, 2]
+    """
+    if demand is None or (demand.rate < ASKED_FOR_RATE and not demand.waiting):
+        return 0
+    return max(1, math.ceil(demand.rate / REQUESTS_PER_COPY))
+
+
+def _by_urgency(
+    spec: EngineSpec, copies: Counter[str], demand: Mapping[str, Demand]
+) -> list[str]:
+    wanted = [
+        model
+        for model in demand
+        if model in spec.models and copies[model] < copies_needed(demand[model])
+    ]
+    return sorted(wanted, key=lambda model: -_gain(model, copies, demand))
+
+
+def _gain(model: str, copies: Counter[str], demand: Mapping[str, Demand]) -> float:
+    asked = demand[model]
+    if copies[model] == 0:
+        return asked.waiting + asked.rate * SINGLE_COPY_WEIGHT
+    # Another copy takes over its part of the requests.
+    return asked.rate / (copies[model] * (copies[model] + 1)) * SURPLUS_COPY_WEIGHT
+
+
+def _option(
+    spec: EngineSpec,
+    holding: Holding,
+    model: str,
+    copies: Counter[str],
+    demand: Mapping[str, Demand],
+    now: float,
+) -> _Option | None:
+    evicted: list[str] = []
+    cost = 0.0
+    free = spec.memory_mb - holding.used_mb
+    victims = sorted(
+        (
+            (_eviction_cost(name, copies, demand), name)
+            for name, since in holding.resident.items()
+            if now - since >= MIN_STAY_SECONDS and not _waited_for(name, demand)
+        ),
+    )
+    for victim_cost, name in victims:
+        if free >= spec.models[model].memory_mb:
+            break
+        evicted.append(name)
+        cost += victim_cost
+        size = spec.models[name].memory_mb if name in spec.models else 0.0
+        free += size + holding.adapters_mb.get(name, 0.0)
+    if free < spec.models[model].memory_mb:
+        return None
+    seconds, from_store = _load(spec, holding, model)
+    price = cost + seconds * SECONDS_WEIGHT + holding.running * 0.02
+    move = Move(holding.name, model, tuple(evicted), from_store, seconds)
+    return _Option(price, cost, move)
+
+
+def _waited_for(model: str, demand: Mapping[str, Demand]) -> bool:
+    asked = demand.get(model)
+    return asked is not None and asked.waiting > 0
+
+
+def _eviction_cost(
+    model: str, copies: Counter[str], demand: Mapping[str, Demand]
+) -> float:
+    asked = demand.get(model)
+    if asked is None:
+        return 0.0
+    if copies[model] <= 1:
+        return asked.rate * SINGLE_COPY_WEIGHT
+    if copies[model] <= copies_needed(asked):
+        return asked.rate / copies[model] * SINGLE_COPY_WEIGHT
+    return asked.rate / copies[model] * SURPLUS_COPY_WEIGHT
+
+
+def _load(spec: EngineSpec, holding: Holding, model: str) -> tuple[float, bool]:
+    sizes = spec.models[model]
+    if model in holding.in_memory:
+        return sizes.memory_load_seconds, False
+    if model in holding.on_disk:
+        return sizes.disk_load_seconds, False
+    return sizes.store_load_seconds, True
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/swapping/_term.py
@@ -0,0 +1,297 @@
+"""One term of the author of orders: from taking the lease to losing it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from guavajunction.clock import Clock
+from guavajunction.errors import GuavaError, OrderRefused
+from guavajunction.gateway import (
+    AdapterNotice,
+    BackendBook,
+    BackendRecord,
+    Catalogue,
+    Demand,
+    EngineSpec,
+    LoadView,
+    RetireNotice,
+)
+
+from . import _events as events
+from . import _rare_models
+from ._adapter_demand import choose_place
+from ._ledger import BackendLedger
+from ._load_ceiling import LoadCeiling
+from ._messages import AdapterReady, AdapterWanted
+from ._order_desk import OrderDesk
+from ._protocols import OrderKind
+from ._rare_models import Holding, Move
+
+
+class TermParts(NamedTuple):
+    """What the author works from."""
+
+    book: BackendBook
+    loads: LoadView
+    catalogue: Callable[[], Catalogue | None]
+    demand: Callable[[], dict[str, Demand]]
+    """What is asked of each artifact, fleet-wide."""
+    tell_all: Callable[[Any], None]
+    """Sends a notice to every other instance."""
+    wake: Callable[[], None]
+    """Called when this instance's view of backend servers changed."""
+    ceiling: LoadCeiling
+    clock: Clock
+
+
+class Term:
+    """Plans moves and carries them out, one a backend server at a time."""
+
+    TICK_SECONDS = 0.1
+    RETIRE_SECONDS = 0.08
+    """From the notice to the unload: other instances have heard it by then."""
+    POLL_SECONDS = 0.02
+    UNLOAD_SECONDS = 15.0
+    """Longest wait for the runs of a model that is unloaded."""
+    LOAD_FACTOR = 4.0
+    """Longest wait for a load, as a multiple of its usual time: many loads at once
+    slow each other."""
+    LOAD_SLACK_SECONDS = 5.0
+    ADAPTER_SETTLE_SECONDS = 0.016
+    """From the acceptance of an adapter to its use; the sheets give 5 to 14 ms."""
+    SEEN_SECONDS = 1.0
+    """From the end of a load to the record that shows it."""
+
+    def __init__(self, parts: TermParts, desk: OrderDesk) -> None:
+        self._parts = parts
+        self._desk = desk
+        self._moves: dict[str, Move] = {}
+        self._due: dict[str, float] = {}
+        self._resident_since: dict[tuple[str, str], float] = {}
+        self._adapters: dict[AdapterWanted, asyncio.Future[str]] = {}
+
+    def loads_due(self) -> dict[str, float]:
+        """Return the seconds until the models that are being loaded are expected."""
+        now = self._parts.clock.monotonic()
+        return {m: round(max(0.1, due - now), 1) for m, due in self._due.items()}
+
+    async def run(self) -> None:
+        """Plan and order until cancelled or the lease is lost.
+
+        Raises:
+            LeaseLost: Another instance gives orders.
+        """
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                self._sync()
+                for service, spec in self._engines().items():
+                    self._plan(service, spec, tasks)
+                await self._parts.clock.sleep(self.TICK_SECONDS)
+
+    async def adapter(self, wanted: AdapterWanted) -> AdapterReady:
+        """Load an adapter where it fits best; repeated questions share one load."""
+        fut = self._adapters.get(wanted)
+        if fut is not None:
+            return AdapterReady(await asyncio.shield(fut))
+        fut = self._adapters[wanted] = asyncio.get_running_loop().create_future()
+        backend = ""
+        try:
+            backend = await self._load_adapter(wanted)
+        except GuavaError as exc:
+            events.ADAPTER_REFUSED.log(
+                model=wanted.model, adapter=wanted.adapter, reason=exc.message
+            )
+        finally:
+            del self._adapters[wanted]
+            fut.set_result(backend)
+        return AdapterReady(backend)
+
+    def _engines(self) -> dict[str, EngineSpec]:
+        catalogue = self._parts.catalogue()
+        services = catalogue.services.values() if catalogue else ()
+        return {s.name: s.engine for s in services if s.engine and s.engine.models}
+
+    def _sync(self) -> None:
+        engines = self._engines()
+        records: dict[str, tuple[BackendRecord, EngineSpec]] = {}
+        for service, spec in engines.items():
+            for record in self._parts.book.of_service(service):
+                records[record.name] = record, spec
+        self._desk.sync(records)
+        now = self._parts.clock.monotonic()
+        seen = {(le.record.name, m) for le in self._desk.ledgers() for m in le.models}
+        for gone in set(self._resident_since) - seen:
+            del self._resident_since[gone]
+        for pair in seen:
+            self._resident_since.setdefault(pair, now)
+
+    def _plan(self, service: str, spec: EngineSpec, tasks: asyncio.TaskGroup) -> None:
+        now = self._parts.clock.monotonic()
+        demand = self._parts.demand()
+        while True:
+            free, coming = self._survey(service)
+            move = _rare_models.plan(spec, free, coming, demand, now)
+            if move is None:
+                return
+            if move.from_store and not self._parts.ceiling.take(
+                spec.loads_per_second, now
+            ):
+                return
+            self._begin(move, demand, tasks)
+
+    def _survey(self, service: str) -> tuple[list[Holding], Counter[str]]:
+        """Return the backend servers that are free for a move, and copies elsewhere."""
+        free: list[Holding] = []
+        coming: Counter[str] = Counter(m.model for m in self._moves.values())
+        for ledger in self._desk.ledgers():
+            if ledger.record.service != service:
+                continue
+            name = ledger.record.name
+            if name not in self._moves and not ledger.busy and ledger.settled:
+                free.append(self._holding(ledger))
+                continue
+            leaving = self._moves[name].evict if name in self._moves else ()
+            coming.update(ledger.models - set(leaving))
+        return free, coming
+
+    def _holding(self, ledger: BackendLedger) -> Holding:
+        record = ledger.record
+        return Holding(
+            name=record.name,
+            resident={m: self._resident_since[record.name, m] for m in ledger.models},
+            used_mb=ledger.used_mb(),
+            adapters_mb={
+                m: len(names) * ledger.spec.adapter_mb.get(m, 0.0)
+                for m, names in ledger.adapters.items()
+            },
+            in_memory=record.in_memory,
+            on_disk=record.on_disk,
+            running=self._parts.loads.of(record.name).running,
+        )
+
+    def _begin(
+        self, move: Move, demand: dict[str, Demand], tasks: asyncio.TaskGroup
+    ) -> None:
+        now = self._parts.clock.monotonic()
+        self._moves[move.backend] = move
+        self._due[move.model] = now + move.load_seconds + self.SEEN_SECONDS
+        events.MOVE_PLANNED.log(
+            backend=move.backend,
+            model=move.model,
+            evict=move.evict,
+            from_store=move.from_store,
+            load_seconds=move.load_seconds,
+            demand=demand.get(move.model),
+            evicted_demand=[demand.get(model) for model in move.evict],
+        )
+        ledger = next(
+            le for le in self._desk.ledgers() if le.record.name == move.backend
+        )
+        tasks.create_task(self._carry_out(move, ledger))
+
+    async def _carry_out(self, move: Move, ledger: BackendLedger) -> None:
+        started = self._parts.clock.monotonic()
+        outcome = "done"
+        try:
+            await self._swap(move, ledger)
+        except (OrderRefused, TimeoutError) as exc:
+            outcome = str(exc)
+        finally:
+            del self._moves[move.backend]
+            self._due.pop(move.model, None)
+            seconds = self._parts.clock.monotonic() - started
+            events.MOVE_ENDED.log(
+                backend=move.backend,
+                model=move.model,
+                outcome=outcome,
+                seconds=round(seconds, 2),
+            )
+
+    async def _swap(self, move: Move, ledger: BackendLedger) -> None:
+        for model in move.evict:
+            self._retire(ledger.record, model)
+        if move.evict:
+            await self._parts.clock.sleep(self.RETIRE_SECONDS)
+        for model in move.evict:
+            await self._desk.order(ledger, OrderKind.UNLOAD, model)
+            await self._until(ledger, model, resident=False, within=self.UNLOAD_SECONDS)
+        if not ledger.fits_model(move.model):
+            raise OrderRefused(
+                f"backend server {move.backend!r} has no room for {move.model!r}: "
+                f"{ledger.used_mb():g} of {ledger.spec.memory_mb:g} MB are used"
+            )
+        await self._desk.order(ledger, OrderKind.LOAD, move.model)
+        within = move.load_seconds * self.LOAD_FACTOR + self.LOAD_SLACK_SECONDS
+        await self._until(ledger, move.model, resident=True, within=within)
+
+    def _retire(self, record: BackendRecord, model: str) -> None:
+        notice = RetireNotice(record.name, record.incarnation, model)
+        self._parts.book.note_retired(notice)
+        self._parts.tell_all(notice)
+
+    async def _until(
+        self, ledger: BackendLedger, model: str, *, resident: bool, within: float
+    ) -> None:
+        """Wait until a record shows a model resident or gone.
+
+        Raises:
+            TimeoutError: It took too long, or the backend server is gone.
+        """
+        ends_at = self._parts.clock.monotonic() + within
+        while (model in ledger.models) is not resident:
+            gone = ledger not in self._desk.ledgers()
+            if gone or self._parts.clock.monotonic() > ends_at:
+                state = "loaded" if resident else "unloaded"
+                reason = "it is gone" if gone else f"{within:.1f} s have passed"
+                raise TimeoutError(
+                    f"backend server {ledger.record.name!r} has not {state} "
+                    f"{model!r}: {reason}"
+                )
+            await self._parts.clock.sleep(self.POLL_SECONDS)
+            self._sync()
+
+    async def _load_adapter(self, wanted: AdapterWanted) -> str:
+        self._sync()
+        ledgers = [
+            ledger
+            for ledger in self._desk.ledgers()
+            if ledger.record.service == wanted.service
+            and self._parts.book.holds_model(ledger.record, wanted.model)
+        ]
+        held = [
+            ledger
+            for ledger in ledgers
+            if wanted.adapter in ledger.adapters.get(wanted.model, ())
+        ]
+        if held:
+            self._announce(held[0])
+            return held[0].record.name
+        loads = {le.record.name: self._parts.loads.of(le.record.name) for le in ledgers}
+        place = choose_place(ledgers, loads, wanted.model, self._parts.demand())
+        if place is None:
+            raise OrderRefused(
+                f"no backend server with {wanted.model!r} has a place for an adapter"
+            )
+        if place.evict is not None:
+            await self._desk.order(place.ledger, OrderKind.UNLOAD, *place.evict)
+            self._announce(place.ledger)
+        await self._desk.order(
+            place.ledger, OrderKind.LOAD, wanted.model, wanted.adapter
+        )
+        await self._parts.clock.sleep(self.ADAPTER_SETTLE_SECONDS)
+        self._announce(place.ledger)
+        return place.ledger.record.name
+
+    def _announce(self, ledger: BackendLedger) -> None:
+        notice = AdapterNotice(
+            backend=ledger.record.name,
+            incarnation=ledger.record.incarnation,
+            orders_accepted=ledger.orders_accepted,
+            adapters={m: tuple(sorted(names)) for m, names in ledger.adapters.items()},
+        )
+        self._parts.book.note_adapters(notice)
+        self._parts.tell_all(notice)
+        self._parts.wake()
--- a/tests/fakes_configuration.py
+++ b/tests/fakes_configuration.py
@@ -29,7 +29,7 @@
     StoreAnswerLost,
     StoreUnavailable,
 )
-from guavajunction.platform import Row
+from guavajunction.storage import Row
 
 EXAMPLE = (
     Path(__file__).parent.parent / "docs/reference/example-configuration.toml"
--- a/tests/fakes_links.py
+++ b/tests/fakes_links.py
@@ -11,7 +11,7 @@
 from guavajunction.clock import Clock, SystemClock
 from guavajunction.errors import PeerTimeout, PeerUnknown
 from guavajunction.peers import Handler, PeerId
-from guavajunction.platform import InstanceRecord
+from guavajunction.storage import InstanceRecord
 
 
 class _Topic(NamedTuple):
--- a/tests/fakes_once.py
+++ b/tests/fakes_once.py
@@ -11,7 +11,7 @@
 from guavajunction.errors import RequestError, StoreAnswerLost, StoreUnavailable
 from guavajunction.once import Claim, OnceRegister, RecordedAnswer
 from guavajunction.peers import PeerId
-from guavajunction.platform import Row
+from guavajunction.storage import Row
 
 OK = "ok"
 DOWN = "down"
--- a/tests/fakes_operator.py
+++ b/tests/fakes_operator.py
@@ -14,7 +14,7 @@
 from fakes_configuration import Fleet, Node
 from guavajunction.clock import ManualClock
 from guavajunction.configuration import KeyRecord, OperatorParts, operator_routes
-from guavajunction.platform import InstanceRecord
+from guavajunction.storage import InstanceRecord
 
 TOKEN = "operator-token"
 _BEAT_SECONDS = 0.01
--- a/tests/fakes_platform.py
+++ b/tests/fakes_platform.py
@@ -11,7 +11,7 @@
     StoreAnswerLost,
     StoreUnavailable,
 )
-from guavajunction.platform import InstanceRecord, Row
+from guavajunction.storage import InstanceRecord, Row
 
 
 class FakeTable:
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -20,7 +20,7 @@
 from guavajunction.membership import Membership, MembershipConfig
 from guavajunction.membership._messages import Pending, PendingAck
 from guavajunction.peers import PeerId
-from guavajunction.platform import InstanceRecord
+from guavajunction.storage import InstanceRecord
 
 CFG = MembershipConfig(patience=0.0, ask_timeout=0.05)
 
--- a/tests/membership/test_rules.py
+++ b/tests/membership/test_rules.py
@@ -12,7 +12,7 @@
 from guavajunction.membership._observer import MemberObserver
 from guavajunction.membership._standing import StandingRule
 from guavajunction.peers import PeerId
-from guavajunction.platform import InstanceRecord
+from guavajunction.storage import InstanceRecord
 
 CFG = MembershipConfig()
 A, B, C = (PeerId(name, f"{name}-1") for name in "abc")
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -16,7 +16,7 @@
 from guavajunction.errors import PeerError, PeerTimeout, PeerUnknown
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh, RingSubset
 from guavajunction.peers._envelope import Beat, Envelope, Kind
-from guavajunction.platform import InstanceRecord
+from guavajunction.storage import InstanceRecord
 
 BEAT = 0.02
 
--- a/tests/platform/test_clients.py
+++ b/tests/storage/test_clients.py
@@ -15,7 +15,7 @@
     StoreAnswerLost,
     StoreUnavailable,
 )
-from guavajunction.platform import (
+from guavajunction.storage import (
     InstanceListClient,
     InstanceRecord,
     ObjectClient,
