--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -53,7 +53,7 @@
     LEASE_SLACK_SECONDS = 0.2
     """On top of the deployment's lease."""
     DRIFT_SECONDS = 0.1
-    STORE_FRESH_SECONDS = 5.0
+    STORE_FRESH_SECONDS = 3.8
     """After its last answer, until an instance counts as cut from the store."""
     DIRECTORY_TTL_SECONDS = 2.0
     """Short, so that callers leave a lost instance soon; a question is cheap."""
@@ -264,6 +264,7 @@
             parts,
             self._clock,
             candidates=self._candidates,
+            turn_seconds=orders.lease_seconds + self.DRIFT_SECONDS,
         )
         author.stopping = self._stopping_since is not None
         return author
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -182,7 +182,8 @@
         wait = self._parts.allowances.charge(customer, req)
         if wait is not None:
             raise RateLimited(
-                f"customer {customer.name!r} is over its rate and burst",
+                f"customer {customer.name!r} is over its rate of {customer.rate:g} "
+                f"and burst of {customer.burst:g}",
                 retry_after=wait,
             )
 
@@ -213,7 +214,10 @@
             request_id=req.request_id,
             backend=backend.name,
             service=flight.service.name,
+            customer=flight.customer.name if flight.customer else None,
             artifact=req.size.artifact if req.size else None,
+            prompt_tokens=req.size.prompt_tokens if req.size else None,
+            max_output_tokens=req.size.max_output_tokens if req.size else None,
             attempt=attempt,
             waited_ms=self._age_ms(req),
             left_ms=round(left * 1000),
--- a/packages/guavajunction/src/guavajunction/membership/_lease.py
+++ b/packages/guavajunction/src/guavajunction/membership/_lease.py
@@ -119,6 +119,11 @@
             await self._put(self._row._replace(holder=None), self._version)
         events.LEASE_RELEASED.log(lease=self.name, fence=self.fence)
 
+    async def abandon(self) -> None:
+        """Stop holding the lease without a word to the store; it runs out there."""
+        self._held_until = float("-inf")
+        await self._stop_renewing()
+
     async def try_acquire(self) -> bool:
         """Take the lease if it is free or has run out; one look at the row.
 
@@ -138,6 +143,36 @@
             return False
         return await self._take(LeaseRow(self._me, content.fence + 1, 0), row.version)
 
+    async def take_over(self, previous: PeerId, fence: int) -> bool:
+        """Take the lease from a holder that has given it up without the store.
+
+        A holder that is cut from the store can't release its row. Once it has
+        promised its peers never to use its fencing number again, nobody needs to
+        wait until the lease runs out.
+
+        Args:
+            previous: The holder that promised.
+            fence: The fencing number that it promised not to use.
+
+        Returns:
+            Whether it is held now.
+
+        Raises:
+            PlatformError: The store did not answer; it may have been taken.
+        """
+        await self._stop_renewing()
+        row = await self._table.get(LEASE_PARTITION, self.name)
+        if row is None:
+            return False
+        content = msgspec.msgpack.decode(row.body, type=LeaseRow)
+        if content.fence != fence or content.holder != previous:
+            return False
+        if not await self._take(LeaseRow(self._me, fence + 1, 0), row.version):
+            return False
+        events.LEASE_TAKEN.log(lease=self.name, fence=self.fence)
+        self._renewing = asyncio.create_task(self._renew_forever())
+        return True
+
     async def renew(self) -> None:
         """Renew the lease once.
 
--- a/packages/guavajunction/src/guavajunction/storage/_watcher.py
+++ b/packages/guavajunction/src/guavajunction/storage/_watcher.py
@@ -31,11 +31,10 @@
         self._version: int | None = None
         self._lost_at: float | None = None
         self.read_at = float("-inf")
-        """When the latest call that was answered began, monotonic."""
+        """When the latest answer came, monotonic."""
 
     async def __aiter__(self) -> AsyncIterator[Changes]:
         while True:
-            started = self._clock.monotonic()
             try:
                 changes = await self._next()
             except HistoryGone:
@@ -49,7 +48,7 @@
                 pause = self.RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
                 await self._clock.sleep(pause)
                 continue
-            self._note_answer(started)
+            self._note_answer()
             self._version = changes.version
             if changes.rows or changes.complete:
                 yield changes
@@ -71,8 +70,8 @@
                 detail=exc.message,
             )
 
-    def _note_answer(self, started: float) -> None:
-        self.read_at = started
+    def _note_answer(self) -> None:
+        self.read_at = self._clock.monotonic()
         if self._lost_at is not None:
             seconds = self._clock.monotonic() - self._lost_at
             self._lost_at = None
--- a/packages/guavajunction/src/guavajunction/swapping/_adapter_demand.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_adapter_demand.py
@@ -62,7 +62,7 @@
 def _least_asked(
     ledger: _ledger.BackendLedger, demand: Mapping[str, Demand]
 ) -> tuple[str, str] | None:
-    held = [(model, name) for model, names in ledger.adapters.items() for name in names]
+    held = ledger.evictable()
     return min(held, key=lambda pair: _rate(demand, *pair), default=None)
 
 
--- a/packages/guavajunction/src/guavajunction/swapping/_author.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_author.py
@@ -4,9 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from guavajunction.clock import Clock
-from guavajunction.errors import LeaseLost, PeerError
+from guavajunction.errors import LeaseLost, PeerError, PlatformError
 from guavajunction.gateway import GenerationSize
 from guavajunction.membership import Lease, owner
 from guavajunction.peers import Links, PeerId
@@ -20,6 +21,15 @@
 LEASE_NAME = "order-author"
 
 
+class _Vacancy(NamedTuple):
+    """A lease that its holder has given up without the store."""
+
+    holder: PeerId
+    fence: int
+    quiet_since: float
+    """After its last order, monotonic."""
+
+
 class OrderAuthor:
     """Holds the lease of orders while no other instance does.
 
@@ -50,6 +60,7 @@
         clock: Clock,
         *,
         candidates: Callable[[], list[PeerId]],
+        turn_seconds: float,
     ) -> None:
         """Create an author that holds no lease yet.
 
@@ -60,6 +71,7 @@
             parts: What a term works from.
             clock: Source of time.
             candidates: Returns the instances that see the store, this one included.
+            turn_seconds: Least time between the orders of two authors.
         """
         self._links = links
         self._lease = lease
@@ -67,9 +79,13 @@
         self._parts = parts
         self._clock = clock
         self._candidates = candidates
+        self._turn_seconds = turn_seconds
         self._term: Term | None = None
         self._author: PeerId | None = None
         self._author_at = float("-inf")
+        self._given_up = 0
+        self._last_order_at = float("-inf")
+        self._vacancy: _Vacancy | None = None
         self._asking: dict[AdapterWanted, asyncio.Task[None]] = {}
         self.stopping = False
         """Whether this instance is about to leave and must not begin a term."""
@@ -80,17 +96,26 @@
     def beat(self) -> AuthorBeat:
         """Return what this instance says in its heartbeat."""
         if self._term is None:
-            return AuthorBeat()
+            idle = self._clock.monotonic() - self._last_order_at
+            return AuthorBeat(given_up=self._given_up, idle_seconds=idle)
         due = self._term.loads_due()
         self._note_due(due)
-        return AuthorBeat(self._lease.fence, due)
+        return AuthorBeat(self._lease.fence, loads_due=due)
 
     def hear(self, peer: PeerId, beat: AuthorBeat) -> None:
         """Take what another instance says in its heartbeat."""
+        now = self._clock.monotonic()
+        if beat.given_up:
+            quiet_since = now - beat.idle_seconds
+            self._vacancy = _Vacancy(peer, beat.given_up, quiet_since)
         if not beat.fence:
             return
+        if beat.fence > self._given_up:
+            self._given_up = 0
+        if self._vacancy is not None and beat.fence > self._vacancy.fence:
+            self._vacancy = None
         self._author = peer
-        self._author_at = self._clock.monotonic()
+        self._author_at = now
         self._note_due(beat.loads_due)
 
     async def run(self) -> None:
@@ -135,10 +160,12 @@
         return await self._term.adapter(wanted)
 
     def _my_turn(self) -> bool:
-        if self.stopping:
+        if self.stopping or self._given_up:
             return False
         silent = self._clock.monotonic() - self._author_at
         candidates = self._candidates()
+        if self._vacancy is not None:
+            candidates = [peer for peer in candidates if peer != self._vacancy.holder]
         return (
             silent > self.SILENT_SECONDS
             and self._links.me in candidates
@@ -148,12 +175,15 @@
     async def _try_for_lease(self) -> None:
         try:
             async with asyncio.timeout(self.TRY_SECONDS):
-                await self._lease.acquire()
+                await self._acquire()
         except TimeoutError:
             return
-        desk = OrderDesk(self._sender, self._links.me.name, self._fence, self._clock)
+        desk = OrderDesk(
+            self._sender, self._links.me.name, self._order_fence, self._clock
+        )
         self._term = Term(self._parts, desk)
         events.AUTHOR_BEGAN.log(fence=self._lease.fence)
+        self._vacancy = None
         reason = "cancelled"
         try:
             async with asyncio.TaskGroup() as tasks:
@@ -163,11 +193,27 @@
             reason = str(group.exceptions[0])
         finally:
             self._term = None
+            self._given_up = self._lease.fence
             events.AUTHOR_ENDED.log(fence=self._lease.fence, reason=reason)
+            await self._lease.abandon()
+
+    async def _acquire(self) -> None:
+        vacancy = self._vacancy
+        if vacancy is not None:
+            try:
+                if await self._lease.take_over(vacancy.holder, vacancy.fence):
+                    quiet = self._clock.monotonic() - vacancy.quiet_since
+                    await self._clock.sleep(max(0.0, self._turn_seconds - quiet))
+                    return
+            except PlatformError as exc:
+                events.TAKE_OVER_FAILED.log(
+                    fence=vacancy.fence, holder=vacancy.holder.name, reason=exc.message
+                )
+        await self._lease.acquire()
 
     async def _watch_lease(self) -> None:
         while True:
-            self._lease.check()
+            self._fence()
             if self.stopping:
                 raise LeaseLost("this instance is about to leave")
             await self._clock.sleep(self.LOOK_SECONDS)
@@ -177,6 +223,11 @@
             raise LeaseLost(f"the lease {LEASE_NAME} runs out")
         return self._lease.fence
 
+    def _order_fence(self) -> int:
+        fence = self._fence()
+        self._last_order_at = self._clock.monotonic()
+        return fence
+
     def _note_due(self, due: dict[str, float]) -> None:
         now = self._clock.monotonic()
         self.loads_due.clear()
--- a/packages/guavajunction/src/guavajunction/swapping/_events.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_events.py
@@ -25,3 +25,6 @@
 REPORT_FAILED = LogEvent(
     1308, "swapping:report_failed", "A backend server did not say what it holds."
 )
+TAKE_OVER_FAILED = LogEvent(
+    1309, "swapping:take_over_failed", "A lease that was given up could not be taken."
+)
--- a/packages/guavajunction/src/guavajunction/swapping/_ledger.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_ledger.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
-
 from guavajunction.gateway import BackendRecord, EngineSpec
 
 from ._protocols import EngineReport, Order, OrderKind
@@ -35,7 +33,11 @@
         """Model of an accepted load that has not been seen resident."""
         self.unloading: str | None = None
         """Model of an accepted unload that has not been seen gone."""
+        self.unreachable_until = float("-inf")
+        """Until when it is left alone after an order that did not reach it."""
         self._report_busy = True
+        self._reserved: set[tuple[str, str]] = set()
+        self._leaving: set[tuple[str, str]] = set()
 
     @property
     def busy(self) -> bool:
@@ -51,21 +53,22 @@
 
     @property
     def adapter_count(self) -> int:
-        """Return the adapters that take a place."""
-        return sum(len(names) for names in self.adapters.values())
+        """Return the adapters that take a place or are about to."""
+        return len(self._held_adapters() | self._reserved)
 
     def used_mb(self) -> float:
         """Return the memory that is taken or may come to be."""
         models = set(self.models)
         if self.loading is not None:
             models.add(self.loading)
-        weights = sum(self._model_mb(model) for model in models)
-        return weights + sum(self._adapters_mb(model) for model in self.adapters)
+        weights = sum(self.size_mb(model) for model in models)
+        adapters = self._held_adapters() | self._reserved
+        return weights + sum(self.spec.adapter_mb.get(m, 0.0) for m, _ in adapters)
 
     def fits_model(self, model: str, without: frozenset[str] = frozenset()) -> bool:
         """Return whether a model fits once some others are gone."""
-        freed = sum(self._model_mb(name) + self._adapters_mb(name) for name in without)
-        return self.used_mb() - freed + self._model_mb(model) <= self.spec.memory_mb
+        freed = sum(self.size_mb(name) + self.adapters_mb(name) for name in without)
+        return self.used_mb() - freed + self.size_mb(model) <= self.spec.memory_mb
 
     def fits_adapter(self, model: str) -> bool:
         """Return whether one more adapter of a model fits."""
@@ -75,6 +78,39 @@
             and memory <= self.spec.memory_mb
         )
 
+    def reserve(self, model: str, adapter: str) -> None:
+        """Keep a place for an adapter whose load is about to be ordered."""
+        self._reserved.add((model, adapter))
+
+    def unreserve(self, model: str, adapter: str) -> None:
+        """Give a place back once its load was accepted or has failed."""
+        self._reserved.discard((model, adapter))
+
+    def begin_eviction(self, model: str, adapter: str) -> None:
+        """Keep an adapter from being chosen to make room a second time."""
+        self._leaving.add((model, adapter))
+
+    def end_eviction(self, model: str, adapter: str) -> None:
+        """Note that the unload of an adapter has ended."""
+        self._leaving.discard((model, adapter))
+
+    def evictable(self) -> list[tuple[str, str]]:
+        """Return the adapters that may make room, by model and name."""
+        return sorted(self._held_adapters() - self._leaving)
+
+    def holds(self, order: Order) -> bool:
+        """Return whether the adapter that an order names is resident."""
+        return order.adapter in self.adapters.get(order.model, ())
+
+    def admits(self, order: Order) -> bool:
+        """Return whether memory has room for what an order loads."""
+        if order.kind is OrderKind.UNLOAD:
+            return True
+        if not order.adapter:
+            return self.fits_model(order.model)
+        own = (order.model, order.adapter) in self._reserved
+        return own or self.fits_adapter(order.model)
+
     def sync(self, record: BackendRecord) -> None:
         """Take a newer record of the same incarnation.
 
@@ -109,6 +145,9 @@
         else:
             self.unloading = order.model
 
+    def _held_adapters(self) -> set[tuple[str, str]]:
+        return {(model, a) for model, names in self.adapters.items() for a in names}
+
     def _keep_resident_adapters(self) -> None:
         # The adapters of an unloaded model went with it.
         for model in set(self.adapters) - self.models:
@@ -120,10 +159,12 @@
         if self.unloading is not None and self.unloading not in self.models:
             self.unloading = None
 
-    def _model_mb(self, model: str) -> float:
+    def size_mb(self, model: str) -> float:
+        """Return the size of a model's weights."""
         # A model that is not configured can't be sized: nothing fits beside it.
         spec = self.spec.models.get(model)
         return spec.memory_mb if spec else self.spec.memory_mb
 
-    def _adapters_mb(self, model: str) -> float:
+    def adapters_mb(self, model: str) -> float:
+        """Return the memory of a model's resident adapters."""
         return len(self.adapters.get(model, ())) * self.spec.adapter_mb.get(model, 0.0)
--- a/packages/guavajunction/src/guavajunction/swapping/_order_desk.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_order_desk.py
@@ -19,6 +19,8 @@
 
     TRIES = 3
     """Sends of one order before it is given up."""
+    PAUSE_SECONDS = 1.0
+    """A backend server that an order did not reach is left alone this long."""
     REPORT_LAG_SECONDS = 0.4
     """A report tells how things were some hundred milliseconds ago."""
 
@@ -93,15 +95,22 @@
             await self._resync(ledger)
 
     async def _attempt(self, ledger: BackendLedger, order: Order) -> bool:
+        if not ledger.admits(order):
+            raise OrderRefused(
+                f"backend server {ledger.record.name!r} has no room for "
+                f"{order.model}/{order.adapter}: {ledger.used_mb():g} of "
+                f"{ledger.spec.memory_mb:g} MB and {ledger.adapter_count} of "
+                f"{ledger.spec.adapter_slots} adapter slots are used"
+            )
         order = order._replace(fence=self._fence())
         self._ordered_at[ledger.record.name] = self._clock.monotonic()
         try:
             outcome = await self._sender.send(ledger.record, order)
-        except NotSent as exc:
-            self._log_failure(ledger, order, exc.message)
-            return False
-        except OutcomeUnknown as exc:
+        except (NotSent, OutcomeUnknown) as exc:
+            ledger.unreachable_until = self._clock.monotonic() + self.PAUSE_SECONDS
             self._log_failure(ledger, order, exc.message)
+            if isinstance(exc, NotSent):
+                raise OrderRefused(exc.message) from exc
             return False
         events.ORDERED.log(
             backend=ledger.record.name,
@@ -112,7 +121,8 @@
             fence=order.fence,
             outcome=outcome,
         )
-        if outcome is OrderOutcome.ACCEPTED:
+        unloaded = outcome is OrderOutcome.HOLDS and order.kind is OrderKind.UNLOAD
+        if outcome is OrderOutcome.ACCEPTED or (unloaded and ledger.holds(order)):
             ledger.accepted(order)
             return True
         return await self._settle(ledger, order, outcome)
--- a/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
@@ -69,6 +69,8 @@
     on_disk: frozenset[str]
     running: Mapping[str, int]
     """Requests that it works on, by model."""
+    free_in: float
+    """Seconds until it takes an order for a model; 0 if it does now."""
 
 
 class Move(NamedTuple):
@@ -85,13 +87,14 @@
 class _Option(NamedTuple):
     price: float
     eviction_cost: float
+    waits: bool
+    """Whether the backend server has to end something else first."""
     move: Move
 
 
 def plan(
     spec: EngineSpec,
     holdings: Sequence[Holding],
-    coming: Mapping[str, int],
     demand: Mapping[str, Demand],
     now: float,
 ) -> Move | None:
@@ -99,12 +102,11 @@
 
     Args:
         spec: Models of the service.
-        holdings: Backend servers that take orders now.
-        coming: Copies of each model elsewhere: on busy backend servers, or loading.
+        holdings: Backend servers, those that are busy with a model as they will be.
         demand: What is asked of each model, fleet-wide.
         now: Monotonic time in seconds.
     """
-    copies = Counter(coming)
+    copies: Counter[str] = Counter()
     for holding in holdings:
         copies.update(holding.resident.keys())
     for model in _by_urgency(spec, copies, demand):
@@ -131,7 +133,7 @@
         and (option := _option(spec, holding, model, copies, demand, now))
     ]
     best = min(options, key=lambda option: option.price, default=None)
-    if best is None or gain <= best.eviction_cost * GAIN_FACTOR:
+    if best is None or gain <= best.eviction_cost * GAIN_FACTOR or best.waits:
         return None
     return best.move
 
@@ -222,7 +224,7 @@
         cost + seconds * SECONDS_WEIGHT + sum(holding.running.values()) * CROWDED_WEIGHT
     )
     move = Move(holding.name, model, tuple(evicted), from_store, seconds)
-    return _Option(price, cost, move)
+    return _Option(price, cost, holding.free_in > 0, move)
 
 
 def _waited_for(model: str, demand: Mapping[str, Demand]) -> bool:
--- a/packages/guavajunction/src/guavajunction/swapping/_term.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_term.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -22,7 +21,7 @@
 
 from . import _events as events
 from . import _rare_models
-from ._adapter_demand import choose_place
+from ._adapter_demand import AdapterPlace, choose_place
 from ._ledger import BackendLedger
 from ._load_ceiling import LoadCeiling
 from ._messages import AdapterReady, AdapterWanted
@@ -51,6 +50,8 @@
     """Plans moves and carries them out, one a backend server at a time."""
 
     TICK_SECONDS = 0.1
+    BUSY_SECONDS = 2.0
+    """Expected end of an order that another author gave."""
     SURVEY_SECONDS = 0.5
     """Between looks for backend servers that have to be asked what they do."""
     RETIRE_SECONDS = 0.08
@@ -141,8 +142,8 @@
         now = self._parts.clock.monotonic()
         demand = self._parts.demand()
         while True:
-            free, coming = self._holdings(service)
-            move = _rare_models.plan(spec, free, coming, demand, now)
+            holdings = self._holdings(service)
+            move = _rare_models.plan(spec, holdings, demand, now)
             if move is None:
                 return
             if move.from_store and not self._parts.ceiling.take(
@@ -151,34 +152,42 @@
                 return
             self._begin(move, demand, tasks)
 
-    def _holdings(self, service: str) -> tuple[list[Holding], Counter[str]]:
-        """Return the backend servers that are free for a move, and copies elsewhere."""
-        free: list[Holding] = []
-        coming: Counter[str] = Counter(m.model for m in self._moves.values())
-        for ledger in self._desk.ledgers():
-            if ledger.record.service != service:
-                continue
-            name = ledger.record.name
-            if name not in self._moves and not ledger.busy:
-                free.append(self._holding(ledger))
-                continue
-            leaving = self._moves[name].evict if name in self._moves else ()
-            coming.update(ledger.models - set(leaving))
-        return free, coming
+    def _holdings(self, service: str) -> list[Holding]:
+        return [
+            self._holding(ledger)
+            for ledger in self._desk.ledgers()
+            if ledger.record.service == service
+        ]
 
     def _holding(self, ledger: BackendLedger) -> Holding:
+        """Return what a backend server holds, or will hold after its move."""
         record = ledger.record
+        now = self._parts.clock.monotonic()
+        move = self._moves.get(record.name)
+        leaving = move.evict if move else ()
+        resident = {
+            model: self._resident_since[record.name, model]
+            for model in ledger.models
+            if model not in leaving
+        }
+        if move is not None:
+            resident[move.model] = now
+        free_in = 0.0
+        if move is not None:
+            free_in = max(self.TICK_SECONDS, self._due.get(move.model, now) - now)
+        elif ledger.busy or ledger.unreachable_until > now:
+            free_in = self.BUSY_SECONDS
         return Holding(
             name=record.name,
-            resident={m: self._resident_since[record.name, m] for m in ledger.models},
-            used_mb=ledger.used_mb(),
-            adapters_mb={
-                m: len(names) * ledger.spec.adapter_mb.get(m, 0.0)
-                for m, names in ledger.adapters.items()
-            },
+            resident=resident,
+            used_mb=sum(
+                ledger.size_mb(model) + ledger.adapters_mb(model) for model in resident
+            ),
+            adapters_mb={model: ledger.adapters_mb(model) for model in resident},
             in_memory=record.in_memory,
             on_disk=record.on_disk,
             running=self._parts.loads.of(record.name).models,
+            free_in=free_in,
         )
 
     def _begin(
@@ -284,22 +293,33 @@
             self._announce(held[0])
             return held[0].record.name
         loads = {le.record.name: self._parts.loads.of(le.record.name) for le in ledgers}
-        idle = [ledger for ledger in ledgers if not ledger.busy]
+        now = self._parts.clock.monotonic()
+        idle = [le for le in ledgers if not le.busy and le.unreachable_until <= now]
         place = choose_place(idle, loads, wanted.model, self._parts.demand())
         if place is None:
             raise OrderRefused(
                 f"no backend server with {wanted.model!r} has a place for an adapter"
             )
-        if place.evict is not None:
-            await self._desk.order(place.ledger, OrderKind.UNLOAD, *place.evict)
-            self._announce(place.ledger)
-        await self._desk.order(
-            place.ledger, OrderKind.LOAD, wanted.model, wanted.adapter
-        )
+        await self._fill(place, wanted)
         await self._parts.clock.sleep(self.ADAPTER_SETTLE_SECONDS)
         self._announce(place.ledger)
         return place.ledger.record.name
 
+    async def _fill(self, place: AdapterPlace, wanted: AdapterWanted) -> None:
+        ledger = place.ledger
+        if place.evict is not None:
+            ledger.begin_eviction(*place.evict)
+            try:
+                await self._desk.order(ledger, OrderKind.UNLOAD, *place.evict)
+            finally:
+                ledger.end_eviction(*place.evict)
+            self._announce(ledger)
+        ledger.reserve(wanted.model, wanted.adapter)
+        try:
+            await self._desk.order(ledger, OrderKind.LOAD, wanted.model, wanted.adapter)
+        finally:
+            ledger.unreserve(wanted.model, wanted.adapter)
+
     def _announce(self, ledger: BackendLedger) -> None:
         notice = AdapterNotice(
             backend=ledger.record.name,
