--- a/packages/guavajunction/src/guavajunction/gateway/_backend_book.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_book.py
@@ -35,6 +35,9 @@
 
     RETIRED_SECONDS = 12.0
     """A notice lapses if the unload that it tells of does not follow."""
+    UNREACHABLE_SECONDS = 1.5
+    """How long a backend server that refuses connections is left out: its record
+    stays for some heartbeats after it has crashed."""
     MISSING_SECONDS = 1.0
     """How long a refusal for want of a model is believed against the record."""
 
@@ -44,6 +47,7 @@
         self._notices: dict[str, AdapterNotice] = {}
         self._retired: dict[tuple[str, int, str], float] = {}
         self._missing: dict[tuple[str, str], float] = {}
+        self._unreachable: dict[tuple[str, int], float] = {}
 
     def records(self) -> Iterable[BackendRecord]:
         """Return every known backend server."""
@@ -108,6 +112,25 @@
         until = self._clock.monotonic() + self.MISSING_SECONDS
         self._missing[backend, artifact] = until
 
+    def note_unreachable(self, record: BackendRecord) -> None:
+        """Leave a backend server out that refuses connections."""
+        until = self._clock.monotonic() + self.UNREACHABLE_SECONDS
+        if not self.is_unreachable(record):
+            events.BACKEND_UNREACHABLE.log(backend=record.name, address=record.address)
+        self._unreachable[record.identity] = until
+
+    def is_unreachable(self, record: BackendRecord) -> bool:
+        """Return whether a backend server lately refused a connection."""
+        return self._unreachable.get(record.identity, 0.0) > self._clock.monotonic()
+
+    def unreachable(self) -> list[str]:
+        """Return the backend servers that are left out, to be told to peers."""
+        return [r.name for r in self._records.values() if self.is_unreachable(r)]
+
+    def reachable(self, service: str) -> list[BackendRecord]:
+        """Return the backend servers of a service that may be sent something."""
+        return [r for r in self.of_service(service) if not self.is_unreachable(r)]
+
     def adapters(self, record: BackendRecord, model: str) -> frozenset[str]:
         """Return the adapters of a model that a backend server holds."""
         notice = self._notices.get(record.name)
--- a/packages/guavajunction/src/guavajunction/gateway/_events.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_events.py
@@ -28,6 +28,9 @@
 BACKEND_SUSPECT = LogEvent(
     1013, "gateway:backend_suspect", "A backend server failed several requests."
 )
+BACKEND_UNREACHABLE = LogEvent(
+    1014, "gateway:backend_unreachable", "A backend server refuses connections."
+)
 CONFIGURED = LogEvent(
     1020, "gateway:configured", "A newer configuration is in force here."
 )
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -69,6 +69,9 @@
     heartbeat."""
     NOT_READY_SECONDS = 1.0
     """Told while no configuration is known."""
+    PATIENCE_SECONDS = 0.7
+    """A request that had less time than this doesn't count against a backend server
+    that did not answer it."""
     MAX_UNREACHABLE = 3
     """Backend servers that may prove unreachable before a request is refused."""
     MAX_ENGINE_PRIORITY = 9
@@ -236,7 +239,7 @@
                 self._parts.room.read(req, backend)
                 await self._relay(flight, backend, answer, sink)
         except (BackendFailed, OutcomeUnknown, AnswerCut, NotSent) as exc:
-            self._blame(backend, exc)
+            self._blame(backend, exc, left)
             raise
         finally:
             self._parts.room.release(req, backend, unread=unread)
@@ -310,7 +313,15 @@
             retry_after=self.RETRY_AFTER_SECONDS,
         )
 
-    def _blame(self, backend: BackendRecord, exc: Exception) -> None:
+    def _blame(
+        self, backend: BackendRecord, exc: RequestError | NotSent, seconds: float
+    ) -> None:
+        if isinstance(exc, NotSent):
+            self._parts.book.note_unreachable(backend)
+            return
+        if isinstance(exc, OutcomeUnknown) and seconds < self.PATIENCE_SECONDS:
+            # A caller in a hurry says little about the backend server.
+            return
         if self._parts.health.note_failure(backend.name):
             events.BACKEND_SUSPECT.log(
                 backend=backend.name, reason=type(exc).__name__, detail=str(exc)
--- a/packages/guavajunction/src/guavajunction/gateway/_waiting_room.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_waiting_room.py
@@ -200,7 +200,7 @@
         return best[0] if best else None
 
     def _holders(self, ticket: Ticket) -> list[BackendRecord]:
-        backends = self._book.of_service(ticket.service.name)
+        backends = self._book.reachable(ticket.service.name)
         size = ticket.req.size
         if size is None or ticket.service.engine is None:
             return backends
@@ -214,12 +214,12 @@
     def _model_ready(self, ticket: Ticket) -> bool:
         size = ticket.req.size
         assert size is not None
-        backends = self._book.of_service(ticket.service.name)
+        backends = self._book.reachable(ticket.service.name)
         return any(self._book.holds_model(b, size.model) for b in backends)
 
     def _outlook(self, ticket: Ticket, ahead: Counter[str], now: float) -> Outlook:
         size, engine = ticket.req.size, ticket.service.engine
-        if not self._book.of_service(ticket.service.name):
+        if not self._book.reachable(ticket.service.name):
             return Outlook(self.NO_BACKEND_SECONDS, "a backend server")
         if size is None or engine is None:
             return self._slot_outlook(ticket, ticket.service.name, ahead)
@@ -251,7 +251,7 @@
         return Outlook(max(load, load + self.SWAP_SECONDS - (now - since)), "a model")
 
     def _load_seconds(self, service: str, spec: ModelSpec) -> float:
-        backends = self._book.of_service(service)
+        backends = self._book.reachable(service)
         if any(spec.name in backend.in_memory for backend in backends):
             return spec.memory_load_seconds
         if any(spec.name in backend.on_disk for backend in backends):
--- a/packages/guavajunction/src/guavajunction/swapping/_load_ceiling.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_load_ceiling.py
@@ -13,23 +13,21 @@
     """Counts the loads of the last window.
 
     >>> ceiling = LoadCeiling(window_seconds=5.0)
-    >>> [ceiling.take(0.4, now) for now in (0.0, 1.0, 2.0, 6.0)]
-    [True, True, False, True]
+    >>> ceiling.count(0.0)
+    >>> ceiling.left(0.4, 1.0), ceiling.left(0.4, 6.0)
+    (1, 2)
     """
 
     def __init__(self, window_seconds: float) -> None:
         self._window = window_seconds
         self._begun: deque[float] = deque()
 
-    def has_room(self, loads_per_second: float, now: float) -> bool:
-        """Return whether a load may begin now."""
+    def left(self, loads_per_second: float, now: float) -> int:
+        """Return how many loads may begin now."""
         while self._begun and self._begun[0] <= now - self._window:
             self._begun.popleft()
-        return len(self._begun) + 1 <= loads_per_second * self._window
+        return max(0, int(loads_per_second * self._window) - len(self._begun))
 
-    def take(self, loads_per_second: float, now: float) -> bool:
-        """Count a load, and return whether it may begin."""
-        if not self.has_room(loads_per_second, now):
-            return False
+    def count(self, now: float) -> None:
+        """Count a load that begins."""
         self._begun.append(now)
-        return True
--- a/packages/guavajunction/src/guavajunction/swapping/_order_desk.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_order_desk.py
@@ -17,8 +17,8 @@
 class OrderDesk:
     """One term of an author: its ledgers begin with the records at its start."""
 
-    TRIES = 3
-    """Sends of one order before it is given up."""
+    TRIES = 5
+    """Sends of one order before it is given up: a third of them may go unanswered."""
     PAUSE_SECONDS = 1.0
     """A backend server that an order did not reach is left alone this long."""
     REPORT_LAG_SECONDS = 0.4
@@ -107,11 +107,11 @@
         try:
             outcome = await self._sender.send(ledger.record, order)
         except (NotSent, OutcomeUnknown) as exc:
-            ledger.unreachable_until = self._clock.monotonic() + self.PAUSE_SECONDS
             self._log_failure(ledger, order, exc.message)
-            if isinstance(exc, NotSent):
-                raise OrderRefused(exc.message) from exc
-            return False
+            if isinstance(exc, OutcomeUnknown):
+                return False
+            ledger.unreachable_until = self._clock.monotonic() + self.PAUSE_SECONDS
+            raise OrderRefused(exc.message) from exc
         events.ORDERED.log(
             backend=ledger.record.name,
             order=order.kind,
--- a/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
@@ -34,6 +34,9 @@
 SURPLUS_COPY_WEIGHT = 0.2
 """The same for one of several copies, whose requests go to the others."""
 
+STORE_LOADS_KEPT = 3
+"""Loads from the weight store that are kept for models that are asked for."""
+
 IDLE_SINGLE_COPY = 0.08
 """Price of evicting the only copy of a model that nobody asks for now."""
 
@@ -97,6 +100,8 @@
     holdings: Sequence[Holding],
     demand: Mapping[str, Demand],
     now: float,
+    *,
+    store_loads: int,
 ) -> Move | None:
     """Return the move that is worth most now, or None if none is worth it.
 
@@ -105,6 +110,7 @@
         holdings: Backend servers, those that are busy with a model as they will be.
         demand: What is asked of each model, fleet-wide.
         now: Monotonic time in seconds.
+        store_loads: Loads from the weight store that may begin now.
     """
     copies: Counter[str] = Counter()
     for holding in holdings:
@@ -112,8 +118,10 @@
     for model in _by_urgency(spec, copies, demand):
         gain = _gain(model, copies, demand)
         move = _best_move(spec, holdings, model, copies, demand, now, gain)
-        if move is not None:
+        if move is not None and (store_loads or not move.from_store):
             return move
+    if store_loads <= STORE_LOADS_KEPT:
+        return None
     return _prefetch(spec, holdings, copies, demand, now)
 
 
--- a/packages/guavajunction/src/guavajunction/swapping/_term.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_term.py
@@ -128,7 +128,7 @@
         engines = self._engines()
         records: dict[str, tuple[BackendRecord, EngineSpec]] = {}
         for service, spec in engines.items():
-            for record in self._parts.book.of_service(service):
+            for record in self._parts.book.reachable(service):
                 records[record.name] = record, spec
         self._desk.sync(records)
         now = self._parts.clock.monotonic()
@@ -143,13 +143,12 @@
         demand = self._parts.demand()
         while True:
             holdings = self._holdings(service)
-            move = _rare_models.plan(spec, holdings, demand, now)
+            left = self._parts.ceiling.left(spec.loads_per_second, now)
+            move = _rare_models.plan(spec, holdings, demand, now, store_loads=left)
             if move is None:
                 return
-            if move.from_store and not self._parts.ceiling.take(
-                spec.loads_per_second, now
-            ):
-                return
+            if move.from_store:
+                self._parts.ceiling.count(now)
             self._begin(move, demand, tasks)
 
     def _holdings(self, service: str) -> list[Holding]:
