--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -13,13 +13,13 @@
 from guavajunction.errors import DocumentInvalid
 from guavajunction.fleet import InstanceEntry, Member, Roster, StoreRoster, obtain_keys
 from guavajunction.gateway import (
-    AdapterNotice,
     Allowances,
     BackendBook,
     BackendRecord,
     Demand,
     Gateway,
     GatewayParts,
+    HoldingNotice,
     Load,
     LoadView,
     ModelDemand,
@@ -59,6 +59,8 @@
     """Short, so that callers leave a lost instance soon; a question is cheap."""
     STOP_SLACK_SECONDS = 0.7
     """Before the forced end, the process ends by itself."""
+    STREAMS_SECONDS = 1.0
+    """How long streams are still taken after the stop signal."""
     LINGER_SECONDS = 2.5
     """Least time from the stop signal to the end: callers keep the directory's
     answer for a while."""
@@ -113,7 +115,10 @@
     def stop(self) -> None:
         """Begin a planned stop."""
         if self._stopping_since is None:
-            self._stopping_since = self._clock.monotonic()
+            now = self._stopping_since = self._clock.monotonic()
+            self._gateway.streams_until = now + self.STREAMS_SECONDS
+            self._room.closes_at = self._last_moment(now)
+            self._room.wake()
             events.STOPPING.log(in_flight=self._gateway.in_flight)
             if self._author is not None:
                 self._author.stopping = True
@@ -229,7 +234,7 @@
         mesh.share("spent", self._allowances.spent, self._hear_spent, dict[str, float])
         mesh.share("demand", self._own_demand, self._hear_demand, dict[str, Demand])
         mesh.share("author", self._author.beat, self._author.hear, AuthorBeat)
-        mesh.handle(AdapterNotice, self._on_adapters)
+        mesh.handle(HoldingNotice, self._on_holding)
         mesh.handle(RetireNotice, self._on_retired)
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(mesh.run())
@@ -303,8 +308,8 @@
     def _fleet_demand(self) -> dict[str, Demand]:
         return self._demand.fleet(self._own_demand(), self._roster.peers())
 
-    async def _on_adapters(self, _: PeerId, notice: AdapterNotice) -> None:
-        self._book.note_adapters(notice)
+    async def _on_holding(self, _: PeerId, notice: HoldingNotice) -> None:
+        self._book.note_holding(notice)
         self._room.wake()
 
     async def _on_retired(self, _: PeerId, notice: RetireNotice) -> None:
@@ -353,13 +358,16 @@
         """Wait until callers have left and their requests have ended."""
         assert self._stopping_since is not None
         since = self._stopping_since
-        last = since + self._settings.grace_seconds - self.STOP_SLACK_SECONDS
+        last = self._last_moment(since)
         earliest = since + self.LINGER_SECONDS
         while (now := self._clock.monotonic()) < last:
             if now >= earliest and not self._gateway.in_flight:
                 return
             await self._clock.sleep(0.05)
 
+    def _last_moment(self, since: float) -> float:
+        return since + self._settings.grace_seconds - self.STOP_SLACK_SECONDS
+
     def _entry(self) -> InstanceEntry:
         settings = self._settings
         return InstanceEntry(
--- a/packages/guavajunction/src/guavajunction/gateway/__init__.py
+++ b/packages/guavajunction/src/guavajunction/gateway/__init__.py
@@ -4,7 +4,7 @@
 
 from ._allowances import AllowanceBounds, Allowances
 from ._backend import BackendRecord
-from ._backend_book import AdapterNotice, BackendBook, RetireNotice
+from ._backend_book import BackendBook, HoldingNotice, RetireNotice
 from ._catalogue import (
     Catalogue,
     Customer,
@@ -26,7 +26,7 @@
 from ._waiting_room import Ticket, WaitingRoom
 
 __all__ = [
-    "AdapterNotice",
+    "HoldingNotice",
     "AllowanceBounds",
     "Allowances",
     "AnswerHead",
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_book.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_book.py
@@ -11,15 +11,15 @@
 from ._backend import BackendRecord
 
 
-class AdapterNotice(NamedTuple):
-    """What the author of orders made a backend server hold."""
+class HoldingNotice(NamedTuple):
+    """What a backend server holds by the orders that it was given."""
 
     backend: str
     incarnation: int
     orders_accepted: int
     """Orders accepted by then; a notice with fewer is older."""
-    adapters: dict[str, tuple[str, ...]]
-    """By model."""
+    models: dict[str, tuple[str, ...]]
+    """Adapters by resident model."""
 
 
 class RetireNotice(NamedTuple):
@@ -44,7 +44,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._records: dict[str, BackendRecord] = {}
-        self._notices: dict[str, AdapterNotice] = {}
+        self._notices: dict[str, HoldingNotice] = {}
         self._retired: dict[tuple[str, int, str], float] = {}
         self._missing: dict[tuple[str, str], float] = {}
         self._unreachable: dict[tuple[str, int], float] = {}
@@ -89,8 +89,8 @@
         for record in listed.values():
             self.put(record)
 
-    def note_adapters(self, notice: AdapterNotice) -> None:
-        """Take the newest word of what adapters a backend server holds."""
+    def note_holding(self, notice: HoldingNotice) -> None:
+        """Take the author's newest word of what a backend server holds."""
         known = self._notices.get(notice.backend)
         if (
             known is None
@@ -98,7 +98,7 @@
             or known.orders_accepted <= notice.orders_accepted
         ):
             self._notices[notice.backend] = notice
-            for model, adapters in notice.adapters.items():
+            for model, adapters in notice.models.items():
                 for adapter in adapters:
                     self._missing.pop((notice.backend, f"{model}/{adapter}"), None)
 
@@ -135,12 +135,15 @@
         """Return the adapters of a model that a backend server holds."""
         notice = self._notices.get(record.name)
         if notice is not None and notice.incarnation == record.incarnation:
-            return frozenset(notice.adapters.get(model, ()))
+            return frozenset(notice.models.get(model, ()))
         return record.models.get(model, frozenset())
 
     def holds_model(self, record: BackendRecord, model: str) -> bool:
         """Return whether requests for a model may be sent to a backend server."""
-        if model not in record.models:
+        notice = self._notices.get(record.name)
+        told = notice is not None and notice.incarnation == record.incarnation
+        # Records stand still while the store is away, notices without an author.
+        if model not in record.models and not (told and model in notice.models):
             return False
         now = self._clock.monotonic()
         retired = self._retired.get((record.name, record.incarnation, model), 0.0)
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -82,6 +82,8 @@
         self._routes: RouteTable | None = None
         self.instances = 1
         """Instances that may be serving, this one included."""
+        self.streams_until = float("inf")
+        """When this instance stops taking streams, as they would outlast it."""
         self.in_flight = 0
         """Requests that have not ended."""
 
@@ -165,6 +167,11 @@
         service = self._routes.catalogue.services[self._split(route)]
         if customer is not None:
             self._charge(customer, req)
+        if self._parts.clock.monotonic() > self.streams_until and req.size is not None:
+            raise InstanceNotReady(
+                "the instance is about to stop",
+                retry_after=WaitingRoom.ELSEWHERE_SECONDS,
+            )
         ranked = customer is not None and customer.priority is not None
         return _Flight(
             req=req,
--- a/packages/guavajunction/src/guavajunction/gateway/_waiting_room.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_waiting_room.py
@@ -9,7 +9,7 @@
 
 from guavajunction.backends import PassiveHealth
 from guavajunction.clock import Clock
-from guavajunction.errors import NoReplica, Overloaded
+from guavajunction.errors import InstanceNotReady, NoReplica, Overloaded
 
 from . import _mixed_prompts, _overload
 from ._backend import BackendRecord
@@ -66,6 +66,8 @@
     """Outlook while no backend server of the service takes work: two heartbeats."""
     ADAPTER_SECONDS = 0.1
     """Outlook for an adapter that is being loaded."""
+    ELSEWHERE_SECONDS = 0.05
+    """Told when another instance can serve the request at once."""
     SWAP_SECONDS = 2.0
     """Time until a load begins: its place has to be emptied first."""
 
@@ -81,6 +83,8 @@
         self._wanted_since: dict[str, float] = {}
         self.on_adapter_wanted: Callable[[GenerationSize, str], None] = lambda *_: None
         """Called with size and service when only the adapter is missing."""
+        self.closes_at = float("inf")
+        """When this instance stops; what can't end before is refused at once."""
         self.loads_due: dict[str, float] = {}
         """When models that are being loaded are expected, monotonic."""
 
@@ -163,6 +167,14 @@
             return
         now = self._clock.monotonic()
         outlook = self._outlook(ticket, ahead, now)
+        if self._must_leave(ticket, outlook, now):
+            ticket.fut.set_exception(
+                InstanceNotReady(
+                    "the instance is about to stop",
+                    retry_after=self.ELSEWHERE_SECONDS,
+                )
+            )
+            return
         refusal = _overload.judge(
             outlook,
             ticket.req.size,
@@ -180,6 +192,11 @@
             )
         )
 
+    def _must_leave(self, ticket: Ticket, outlook: Outlook, now: float) -> bool:
+        """Return whether a waiting request would outlast this instance."""
+        ends = now + outlook.seconds + _overload.service_seconds(ticket.req.size)
+        return ends > self.closes_at
+
     def _choose(self, ticket: Ticket) -> BackendRecord | None:
         options = [
             (backend, self._loads.of(backend.name))
--- a/packages/guavajunction/src/guavajunction/swapping/_ledger.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_ledger.py
@@ -114,22 +114,23 @@
     def sync(self, record: BackendRecord) -> None:
         """Take a newer record of the same incarnation.
 
-        It tells models as they change; adapters are better known from the orders.
+        It shows the end of an order. What is resident otherwise follows from the
+        orders alone, as a record may be late.
         """
         self.record = record
-        self.models = set(record.models)
-        self._keep_resident_adapters()
-        self._note_done()
+        loaded = self.loading in record.models
+        unloaded = self.unloading and self.unloading not in record.models
+        if loaded or unloaded:
+            self._end_order()
 
     def resync(self, report: EngineReport) -> None:
         """Take what the backend server says it holds now."""
         self.orders_accepted = report.orders_accepted
+        self.models = set(report.models)
         self.adapters = {m: set(names) for m, names in report.models.items()}
         self._report_busy = report.busy
         if not report.busy:
             self.loading = self.unloading = None
-        self._keep_resident_adapters()
-        self._note_done()
 
     def accepted(self, order: Order) -> None:
         """Note that an order was accepted."""
@@ -148,16 +149,14 @@
     def _held_adapters(self) -> set[tuple[str, str]]:
         return {(model, a) for model, names in self.adapters.items() for a in names}
 
-    def _keep_resident_adapters(self) -> None:
-        # The adapters of an unloaded model went with it.
-        for model in set(self.adapters) - self.models:
-            del self.adapters[model]
-
-    def _note_done(self) -> None:
-        if self.loading in self.models:
-            self.loading = None
-        if self.unloading is not None and self.unloading not in self.models:
-            self.unloading = None
+    def _end_order(self) -> None:
+        if self.loading is not None:
+            self.models.add(self.loading)
+        if self.unloading is not None:
+            self.models.discard(self.unloading)
+            self.adapters.pop(self.unloading, None)
+        self.loading = self.unloading = None
+        self._report_busy = False
 
     def size_mb(self, model: str) -> float:
         """Return the size of a model's weights."""
--- a/packages/guavajunction/src/guavajunction/swapping/_term.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_term.py
@@ -9,12 +9,12 @@
 from guavajunction.clock import Clock
 from guavajunction.errors import GuavaError, OrderRefused
 from guavajunction.gateway import (
-    AdapterNotice,
     BackendBook,
     BackendRecord,
     Catalogue,
     Demand,
     EngineSpec,
+    HoldingNotice,
     LoadView,
     RetireNotice,
 )
@@ -57,6 +57,8 @@
     RETIRE_SECONDS = 0.08
     """From the notice to the unload: other instances have heard it by then."""
     POLL_SECONDS = 0.02
+    ASK_SECONDS = 3.0
+    """A backend server whose record shows no end of an order is asked this often."""
     UNLOAD_SECONDS = 15.0
     """Longest wait for the runs of a model that is unloaded."""
     LOAD_FACTOR = 4.0
@@ -236,6 +238,7 @@
         for model in move.evict:
             await self._desk.order(ledger, OrderKind.UNLOAD, model)
             await self._until(ledger, model, resident=False, within=self.UNLOAD_SECONDS)
+            self._announce(ledger)
         if not ledger.fits_model(move.model):
             raise OrderRefused(
                 f"backend server {move.backend!r} has no room for {move.model!r}: "
@@ -260,6 +263,7 @@
             TimeoutError: It took too long, or the backend server is gone.
         """
         ends_at = self._parts.clock.monotonic() + within
+        ask_at = self._parts.clock.monotonic() + self.ASK_SECONDS
         while (model in ledger.models) is not resident:
             gone = ledger not in self._desk.ledgers()
             if gone or self._parts.clock.monotonic() > ends_at:
@@ -271,6 +275,10 @@
                 )
             await self._parts.clock.sleep(self.POLL_SECONDS)
             self._sync()
+            if self._parts.clock.monotonic() > ask_at:
+                # Its record may be late: the store may be away.
+                await self._desk.refresh(ledger)
+                ask_at = self._parts.clock.monotonic() + self.ASK_SECONDS
 
     async def _load_adapter(self, wanted: AdapterWanted) -> str:
         self._sync()
@@ -320,12 +328,12 @@
             ledger.unreserve(wanted.model, wanted.adapter)
 
     def _announce(self, ledger: BackendLedger) -> None:
-        notice = AdapterNotice(
+        notice = HoldingNotice(
             backend=ledger.record.name,
             incarnation=ledger.record.incarnation,
             orders_accepted=ledger.orders_accepted or 0,
-            adapters={m: tuple(sorted(names)) for m, names in ledger.adapters.items()},
+            models={m: tuple(ledger.adapters.get(m, ())) for m in ledger.models},
         )
-        self._parts.book.note_adapters(notice)
+        self._parts.book.note_holding(notice)
         self._parts.tell_all(notice)
         self._parts.wake()
