--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -131,6 +131,8 @@
         self._parts.retries.note_request(flight.service.name, req.arrived_at)
         if req.size is not None:
             self._parts.demand.note(req.size.model, req.arrived_at)
+            if req.size.adapter:
+                self._parts.demand.note(req.size.artifact, req.arrived_at)
         sent: list[str] = []
         unreachable: list[str] = []
         while True:
--- a/packages/guavajunction/src/guavajunction/gateway/_load_view.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_load_view.py
@@ -17,19 +17,26 @@
     """Requests that were sent and have not ended."""
     unread_tokens: int
     """Prompt tokens of those whose first event has not come."""
-    models: dict[str, int] = {}
-    """Those that run, by model."""
+    artifacts: dict[str, int] = {}
+    """Those that run, by model or adapter."""
 
     def plus(self, other: Load) -> Load:
         """Return the sum of two loads."""
-        models = Counter(self.models)
-        models.update(other.models)
+        artifacts = Counter(self.artifacts)
+        artifacts.update(other.artifacts)
         return Load(
             self.running + other.running,
             self.unread_tokens + other.unread_tokens,
-            {model: count for model, count in models.items() if count},
+            {name: count for name, count in artifacts.items() if count},
         )
 
+    def by_model(self) -> dict[str, int]:
+        """Return the requests that run, by model."""
+        models: Counter[str] = Counter()
+        for name, count in self.artifacts.items():
+            models[name.partition("/")[0]] += count
+        return dict(models)
+
 
 NO_LOAD = Load(0, 0)
 
@@ -53,8 +60,8 @@
     def begin(self, backend: str, size: GenerationSize | None) -> None:
         """Count a request that this instance gives to a backend server."""
         tokens = size.prompt_tokens if size else 0
-        models = {size.model: 1} if size else {}
-        self._add(backend, Load(1, tokens, models))
+        artifacts = {size.artifact: 1} if size else {}
+        self._add(backend, Load(1, tokens, artifacts))
 
     def read(self, backend: str, size: GenerationSize) -> None:
         """Take a prompt whose first event came off the unread work."""
@@ -63,8 +70,8 @@
     def end(self, backend: str, size: GenerationSize | None, *, unread: bool) -> None:
         """Take a request that ended off the work."""
         tokens = size.prompt_tokens if size and unread else 0
-        models = {size.model: -1} if size else {}
-        self._add(backend, Load(-1, -tokens, models))
+        artifacts = {size.artifact: -1} if size else {}
+        self._add(backend, Load(-1, -tokens, artifacts))
 
     def _add(self, backend: str, change: Load) -> None:
         self._own[backend] = self._own[backend].plus(change)
--- a/packages/guavajunction/src/guavajunction/swapping/_adapter_demand.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_adapter_demand.py
@@ -28,6 +28,7 @@
     loads: Mapping[str, Load],
     model: str,
     demand: Mapping[str, Demand],
+    now: float,
 ) -> AdapterPlace | None:
     """Return the best place for an adapter of a model, or None if there is none.
 
@@ -36,13 +37,15 @@
         loads: Work of each backend server.
         model: The adapter's model.
         demand: What is asked of each artifact, fleet-wide.
+        now: Monotonic time in seconds.
     """
     free = [ledger for ledger in ledgers if ledger.fits_adapter(model)]
     if free:
         return AdapterPlace(min(free, key=lambda le: _work(loads, le)), None)
     options = []
     for ledger in ledgers:
-        victim = _least_asked(ledger, demand)
+        running = loads[ledger.record.name].artifacts
+        victim = _least_asked(ledger, running, demand, now)
         if victim is not None:
             rate = _rate(demand, *victim)
             options.append((rate, _work(loads, ledger), ledger, victim))
@@ -60,9 +63,13 @@
 
 
 def _least_asked(
-    ledger: _ledger.BackendLedger, demand: Mapping[str, Demand]
+    ledger: _ledger.BackendLedger,
+    running: Mapping[str, int],
+    demand: Mapping[str, Demand],
+    now: float,
 ) -> tuple[str, str] | None:
-    held = ledger.evictable()
+    # The unload of an adapter in use keeps its backend server busy until it is idle.
+    held = [pair for pair in ledger.evictable(now) if not running.get("/".join(pair))]
     return min(held, key=lambda pair: _rate(demand, *pair), default=None)
 
 
--- a/packages/guavajunction/src/guavajunction/swapping/_ledger.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_ledger.py
@@ -16,6 +16,9 @@
     next is accepted.
     """
 
+    ADAPTER_STAY_SECONDS = 0.5
+    """Least time from the order to load an adapter until it may be evicted."""
+
     def __init__(self, record: BackendRecord, spec: EngineSpec) -> None:
         self.record = record
         """Newest record of the backend server."""
@@ -38,6 +41,7 @@
         self._report_busy = True
         self._reserved: set[tuple[str, str]] = set()
         self._leaving: set[tuple[str, str]] = set()
+        self._loaded_at: dict[tuple[str, str], float] = {}
 
     @property
     def busy(self) -> bool:
@@ -94,9 +98,17 @@
         """Note that the unload of an adapter has ended."""
         self._leaving.discard((model, adapter))
 
-    def evictable(self) -> list[tuple[str, str]]:
-        """Return the adapters that may make room, by model and name."""
-        return sorted(self._held_adapters() - self._leaving)
+    def evictable(self, now: float) -> list[tuple[str, str]]:
+        """Return the adapters that may make room, by model and name.
+
+        An adapter on its way can't be unloaded, so new ones are left alone.
+        """
+        new = {
+            pair
+            for pair, loaded_at in self._loaded_at.items()
+            if now - loaded_at < self.ADAPTER_STAY_SECONDS
+        }
+        return sorted(self._held_adapters() - self._leaving - new)
 
     def holds(self, order: Order) -> bool:
         """Return whether the adapter that an order names is resident."""
@@ -108,8 +120,13 @@
             return True
         if not order.adapter:
             return self.fits_model(order.model)
-        own = (order.model, order.adapter) in self._reserved
-        return own or self.fits_adapter(order.model)
+        if (order.model, order.adapter) not in self._reserved:
+            return self.fits_adapter(order.model)
+        # Its own place is counted; a report may have changed the rest since.
+        return (
+            self.adapter_count <= self.spec.adapter_slots
+            and self.used_mb() <= self.spec.memory_mb
+        )
 
     def sync(self, record: BackendRecord) -> None:
         """Take a newer record of the same incarnation.
@@ -132,15 +149,17 @@
         if not report.busy:
             self.loading = self.unloading = None
 
-    def accepted(self, order: Order) -> None:
+    def accepted(self, order: Order, now: float) -> None:
         """Note that an order was accepted."""
         self.orders_accepted = order.expected_orders + 1
         if order.adapter:
             names = self.adapters.setdefault(order.model, set())
             if order.kind is OrderKind.LOAD:
                 names.add(order.adapter)
+                self._loaded_at[order.model, order.adapter] = now
             else:
                 names.discard(order.adapter)
+                self._loaded_at.pop((order.model, order.adapter), None)
         elif order.kind is OrderKind.LOAD:
             self.loading = order.model
         else:
--- a/packages/guavajunction/src/guavajunction/swapping/_order_desk.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_order_desk.py
@@ -123,7 +123,7 @@
         )
         unloaded = outcome is OrderOutcome.HOLDS and order.kind is OrderKind.UNLOAD
         if outcome is OrderOutcome.ACCEPTED or (unloaded and ledger.holds(order)):
-            ledger.accepted(order)
+            ledger.accepted(order, self._clock.monotonic())
             return True
         return await self._settle(ledger, order, outcome)
 
--- a/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
@@ -12,7 +12,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Container, Mapping, Sequence
 from typing import NamedTuple
 
 from guavajunction.gateway import Demand, EngineSpec
@@ -37,8 +37,15 @@
 STORE_LOADS_KEPT = 3
 """Loads from the weight store that are kept for models that are asked for."""
 
-IDLE_SINGLE_COPY = 0.08
-"""Price of evicting the only copy of a model that nobody asks for now."""
+RARE_RATE = 1.0
+"""Requests a second below which a model counts as rare."""
+
+SILENT_COPY = 0.08
+"""Price of evicting the only copy of a model that demand has moved away from."""
+
+UNASKED_COPY = 0.3
+"""The same for one that was resident from the start and not asked for yet: it was
+placed because it is popular at times."""
 
 GAIN_FACTOR = 1.5
 """A move must gain this much more than it costs, so that models don't swap to and
@@ -102,6 +109,8 @@
     now: float,
     *,
     store_loads: int,
+    rare_store_loads: int,
+    asked_before: Container[str],
 ) -> Move | None:
     """Return the move that is worth most now, or None if none is worth it.
 
@@ -111,18 +120,26 @@
         demand: What is asked of each model, fleet-wide.
         now: Monotonic time in seconds.
         store_loads: Loads from the weight store that may begin now.
+        rare_store_loads: Those that are under way for rare models.
+        asked_before: Models that somebody has asked for so far.
     """
     copies: Counter[str] = Counter()
     for holding in holdings:
         copies.update(holding.resident.keys())
     for model in _by_urgency(spec, copies, demand):
         gain = _gain(model, copies, demand)
-        move = _best_move(spec, holdings, model, copies, demand, now, gain)
-        if move is not None and (store_loads or not move.from_store):
+        move = _best_move(
+            spec, holdings, model, copies, demand, now, gain, asked_before
+        )
+        if move is None:
+            continue
+        rare = demand[model].rate < RARE_RATE
+        crowded = rare and rare_store_loads >= max_rare_store_loads(len(holdings))
+        if not move.from_store or (store_loads and not crowded):
             return move
     if store_loads <= STORE_LOADS_KEPT:
         return None
-    return _prefetch(spec, holdings, copies, demand, now)
+    return _prefetch(spec, holdings, copies, demand, now, asked_before)
 
 
 def _best_move(
@@ -133,12 +150,13 @@
     demand: Mapping[str, Demand],
     now: float,
     gain: float,
+    asked_before: Container[str],
 ) -> Move | None:
     options = [
         option
         for holding in holdings
         if model not in holding.resident
-        and (option := _option(spec, holding, model, copies, demand, now))
+        and (option := _option(spec, holding, model, copies, demand, now, asked_before))
     ]
     best = min(options, key=lambda option: option.price, default=None)
     if best is None or gain <= best.eviction_cost * GAIN_FACTOR or best.waits:
@@ -152,6 +170,7 @@
     copies: Counter[str],
     demand: Mapping[str, Demand],
     now: float,
+    asked_before: Container[str],
 ) -> Move | None:
     """Bring weights to a disk that has none yet, in place of a surplus copy."""
     at_hand = {
@@ -160,12 +179,26 @@
     for model in spec.models:
         if copies[model] or model in at_hand:
             continue
-        move = _best_move(spec, holdings, model, copies, demand, now, PREFETCH_GAIN)
+        move = _best_move(
+            spec, holdings, model, copies, demand, now, PREFETCH_GAIN, asked_before
+        )
         if move is not None and all(copies[name] > 1 for name in move.evict):
             return move
     return None
 
 
+def max_rare_store_loads(backends: int) -> int:
+    """Return how many backend servers may load rare models from the weight store.
+
+    Such a load takes many seconds, in which its backend server can't swap a model
+    that demand shifts to.
+
+    >>> [max_rare_store_loads(backends) for backends in (2, 9, 56)]
+    [1, 2, 14]
+    """
+    return max(1, backends // 4)
+
+
 def copies_needed(demand: Demand | None) -> int:
     """Return how many copies of a model its demand is worth.
 
@@ -203,6 +236,7 @@
     copies: Counter[str],
     demand: Mapping[str, Demand],
     now: float,
+    asked_before: Container[str],
 ) -> _Option | None:
     evicted: list[str] = []
     cost = 0.0
@@ -210,7 +244,7 @@
     victims = sorted(
         (
             (
-                _eviction_cost(name, copies, demand)
+                _eviction_cost(name, copies, demand, asked_before)
                 + holding.running.get(name, 0) * RUNNING_WEIGHT,
                 name,
             )
@@ -241,12 +275,16 @@
 
 
 def _eviction_cost(
-    model: str, copies: Counter[str], demand: Mapping[str, Demand]
+    model: str,
+    copies: Counter[str],
+    demand: Mapping[str, Demand],
+    asked_before: Container[str],
 ) -> float:
     asked = demand.get(model)
     if asked is None:
-        # Nobody asks for it now: a single copy is worth a little more than a second.
-        return 0.0 if copies[model] > 1 else IDLE_SINGLE_COPY
+        if copies[model] > 1:
+            return 0.0
+        return SILENT_COPY if model in asked_before else UNASKED_COPY
     if copies[model] <= 1:
         return asked.rate * SINGLE_COPY_WEIGHT
     if copies[model] <= copies_needed(asked):
--- a/packages/guavajunction/src/guavajunction/swapping/_term.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_term.py
@@ -75,6 +75,7 @@
         self._desk = desk
         self._moves: dict[str, Move] = {}
         self._due: dict[str, float] = {}
+        self._asked_before: set[str] = set()
         self._resident_since: dict[tuple[str, str], float] = {}
         self._adapters: dict[AdapterWanted, asyncio.Future[str]] = {}
 
@@ -143,16 +144,34 @@
     def _plan(self, service: str, spec: EngineSpec, tasks: asyncio.TaskGroup) -> None:
         now = self._parts.clock.monotonic()
         demand = self._parts.demand()
+        self._asked_before.update(demand)
         while True:
             holdings = self._holdings(service)
             left = self._parts.ceiling.left(spec.loads_per_second, now)
-            move = _rare_models.plan(spec, holdings, demand, now, store_loads=left)
+            move = _rare_models.plan(
+                spec,
+                holdings,
+                demand,
+                now,
+                store_loads=left,
+                rare_store_loads=self._rare_store_loads(demand),
+                asked_before=self._asked_before,
+            )
             if move is None:
                 return
             if move.from_store:
                 self._parts.ceiling.count(now)
             self._begin(move, demand, tasks)
 
+    def _rare_store_loads(self, demand: dict[str, Demand]) -> int:
+        moves = [move for move in self._moves.values() if move.from_store]
+        return sum(
+            1
+            for move in moves
+            if move.model not in demand
+            or demand[move.model].rate < _rare_models.RARE_RATE
+        )
+
     def _holdings(self, service: str) -> list[Holding]:
         return [
             self._holding(ledger)
@@ -187,7 +206,7 @@
             adapters_mb={model: ledger.adapters_mb(model) for model in resident},
             in_memory=record.in_memory,
             on_disk=record.on_disk,
-            running=self._parts.loads.of(record.name).models,
+            running=self._parts.loads.of(record.name).by_model(),
             free_in=free_in,
         )
 
@@ -302,7 +321,7 @@
         loads = {le.record.name: self._parts.loads.of(le.record.name) for le in ledgers}
         now = self._parts.clock.monotonic()
         idle = [le for le in ledgers if not le.busy and le.unreachable_until <= now]
-        place = choose_place(idle, loads, wanted.model, self._parts.demand())
+        place = choose_place(idle, loads, wanted.model, self._parts.demand(), now)
         if place is None:
             raise OrderRefused(
                 f"no backend server with {wanted.model!r} has a place for an adapter"
