--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -120,7 +120,10 @@
             raise
         except asyncio.CancelledError:
             events.CALLER_LEFT.log(
-                request_id=req.request_id, after_ms=self._age_ms(req)
+                request_id=req.request_id,
+                after_ms=self._age_ms(req),
+                artifact=req.size.artifact if req.size else None,
+                waiting_for=self._parts.room.waited_for(req.request_id),
             )
             raise
         finally:
--- a/packages/guavajunction/src/guavajunction/gateway/_waiting_room.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_waiting_room.py
@@ -9,7 +9,7 @@
 
 from guavajunction.backends import PassiveHealth
 from guavajunction.clock import Clock
-from guavajunction.errors import InstanceNotReady, NoReplica, Overloaded
+from guavajunction.errors import InstanceNotReady, NoReplica, Overloaded, RequestError
 
 from . import _mixed_prompts, _overload
 from ._backend import BackendRecord
@@ -81,6 +81,7 @@
         self._tickets: list[Ticket] = []
         self._pump_timer: asyncio.TimerHandle | None = None
         self._wanted_since: dict[str, float] = {}
+        self._waited_for: dict[str, str] = {}
         self.on_adapter_wanted: Callable[[GenerationSize, str], None] = lambda *_: None
         """Called with size and service when only the adapter is missing."""
         self.closes_at = float("inf")
@@ -88,6 +89,10 @@
         self.loads_due: dict[str, float] = {}
         """When models that are being loaded are expected, monotonic."""
 
+    def waited_for(self, request_id: str) -> str | None:
+        """Return what a request that left waited for; None if it was sent."""
+        return self._waited_for.pop(request_id, None)
+
     def __len__(self) -> int:
         return len(self._tickets)
 
@@ -112,6 +117,9 @@
         self._pump()
         try:
             return await ticket.fut
+        except RequestError:
+            self._waited_for.pop(ticket.req.request_id, None)
+            raise
         except asyncio.CancelledError:
             if ticket.fut.done() and not ticket.fut.cancelled():
                 self.release(ticket.req, ticket.fut.result(), unread=True)
@@ -163,10 +171,12 @@
         backend = self._choose(ticket)
         if backend is not None:
             self._loads.begin(backend.name, ticket.req.size)
+            self._waited_for.pop(ticket.req.request_id, None)
             ticket.fut.set_result(backend)
             return
         now = self._clock.monotonic()
         outlook = self._outlook(ticket, ahead, now)
+        self._waited_for[ticket.req.request_id] = outlook.reason
         if self._must_leave(ticket, outlook, now):
             ticket.fut.set_exception(
                 InstanceNotReady(
