Add stand-ins of the platform and tests of real instances on them

The lease margin follows the lease, an instance that gave the lease up may try again, and models leave room for adapters: three findings of these tests.

--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,13 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 STAMP := $(VENV)/.installed
 
 .PHONY: install check format test docs demo bench proofs clean
 
 install: $(STAMP)
 
-$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.lock
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps \
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -40,8 +40,8 @@
     TermParts,
 )
 from guavajunction_entry import _events as events
-from guavajunction_entry.gateway import _gateway_events as gateway_events
 
+from . import _events as gateway_events
 from ._deployment import Deployment, FrontParts
 from ._settings import GatewaySettings
 
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -0,0 +1,246 @@
+"""A runner: serves requests, holds models and adapters, carries out orders."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import NamedTuple
+
+from aiohttp import web
+
+from guavajunction_fakes._server import FakeServer
+
+from . import _wire as wire
+from ._store import FakeStore
+from ._wire import HEADERS
+
+
+class RunnerSpec(NamedTuple):
+    """What a runner is."""
+
+    name: str
+    service: str
+    models: tuple[str, ...] = ()
+    """Resident at the start; empty for a plain service."""
+    engine: bool = False
+    slots: int = 8
+    sizes: dict[str, float] = {}
+    """Size of each model's weights in MB."""
+    memory_mb: float = 100.0
+    adapter_slots: int = 2
+    work_seconds: float = 0.005
+    events: int = 3
+    """Events of a stream."""
+    load_seconds: float = 0.1
+
+
+class Run(NamedTuple):
+    """A request that a runner ran."""
+
+    request_id: str
+    target: str
+    customer: str | None
+    headers: tuple[str, ...]
+    """Names, in lower case."""
+    body: bytes
+    deadline_ms: int
+
+
+class FakeRunner(FakeServer):
+    """One runner; enters itself in the store while it serves."""
+
+    CANCEL_ON_DISCONNECT = True
+
+    def __init__(self, spec: RunnerSpec, store: FakeStore) -> None:
+        super().__init__()
+        self.spec = spec
+        """What it is."""
+        self.runs: list[Run] = []
+        """Requests that it began, in order."""
+        self.ended: list[str] = []
+        """Ids of those that it ended."""
+        self.overloads: list[str] = []
+        """Orders that would have exceeded its memory or adapter slots."""
+        self.crossed = False
+        """Whether answers carry another request's id."""
+        self.fail_with = 0
+        """Status of every answer, if not 0."""
+        self.cut_after = -1
+        """Events after which streams are cut; -1 for never."""
+        self._store = store
+        self._models: dict[str, set[str]] = {model: set() for model in spec.models}
+        self._at_hand: set[str] = set(spec.models)
+        self._orders = 0
+        self._fence = 0
+        self._busy = False
+        self._running = 0
+        self._heartbeat = 0
+        self._draining = False
+        self._born = int(time.time() * 1000)
+        self._address = ""
+
+    @property
+    def models(self) -> dict[str, set[str]]:
+        """Return the adapters by resident model."""
+        return self._models
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of a runner; every other path is a request."""
+        return [
+            web.get("/report", self._handle_report),
+            web.post("/order", self._handle_order),
+            web.route("*", "/{tail:.*}", self._handle_request),
+        ]
+
+    def enter(self, url: str) -> None:
+        """Enter the runner in the store.
+
+        Args:
+            url: Where it listens.
+        """
+        self._address = url.removeprefix("http://")
+        self._write_entry()
+
+    def drain(self) -> None:
+        """Say that it is about to leave."""
+        self._draining = True
+        self._write_entry()
+
+    def leave(self) -> None:
+        """Remove its entry."""
+        self._store.write("servers", self.spec.name, None)
+
+    def _write_entry(self) -> None:
+        self._heartbeat += 1
+        entry = wire.runner_entry(
+            service=self.spec.service,
+            address=self._address,
+            slots=self.spec.slots,
+            draining=self._draining,
+            born=self._born,
+            heartbeat=self._heartbeat,
+            models=self._wire_models(),
+            at_hand=sorted(self._at_hand),
+        )
+        self._store.write("servers", self.spec.name, entry)
+
+    def _wire_models(self) -> list[dict]:
+        return [
+            wire.model_entry(m, list(names))
+            for m, names in sorted(self._models.items())
+        ]
+
+    async def _handle_report(self, _: web.Request) -> web.Response:
+        report = wire.runner_report(
+            orders=self._orders,
+            busy=self._busy,
+            running=self._running,
+            models=self._wire_models(),
+        )
+        return web.json_response(report)
+
+    async def _handle_order(self, req: web.Request) -> web.Response:
+        if req.headers.get(HEADERS.target) != self.spec.name:
+            return web.Response(status=421)
+        order = wire.order_body(await req.json())
+        if order.fence < self._fence:
+            return web.Response(status=412)
+        if self._busy or order.expected not in (None, self._orders):
+            return web.Response(status=409)
+        self._fence = order.fence
+        self._orders += 1
+        if order.adapter:
+            return self._change_adapter(order)
+        if order.operation == "load" and not self._fits(order.model):
+            self.overloads.append(order.model)
+        self._busy = True
+        self.spawn(self._change_model(order))
+        return web.Response(status=202)
+
+    def _change_adapter(self, order: wire.OrderBody) -> web.Response:
+        names = self._models.setdefault(order.model, set())
+        if order.operation == "unload":
+            names.discard(order.adapter)
+            return web.Response(status=200)
+        held = sum(len(adapters) for adapters in self._models.values())
+        if held >= self.spec.adapter_slots:
+            self.overloads.append(f"{order.model}/{order.adapter}")
+        names.add(order.adapter)
+        return web.Response(status=202)
+
+    async def _change_model(self, order: wire.OrderBody) -> None:
+        if order.operation == "load":
+            await asyncio.sleep(self.spec.load_seconds)
+            self._models.setdefault(order.model, set())
+            self._at_hand.add(order.model)
+        else:
+            self._models.pop(order.model, None)
+        self._busy = False
+        self._write_entry()
+
+    def _fits(self, model: str) -> bool:
+        held = sum(self.spec.sizes.get(name, 0.0) for name in self._models)
+        return held + self.spec.sizes.get(model, 0.0) <= self.spec.memory_mb
+
+    async def _handle_request(self, req: web.Request) -> web.StreamResponse:
+        refusal = self._refusal(req)
+        if refusal is not None:
+            return refusal
+        request_id = req.headers[HEADERS.request_id]
+        self.runs.append(
+            Run(
+                request_id=request_id,
+                target=req.raw_path,
+                customer=req.headers.get(HEADERS.customer),
+                headers=tuple(name.lower() for name in req.headers),
+                body=await req.read(),
+                deadline_ms=int(req.headers[HEADERS.deadline]),
+            )
+        )
+        self._running += 1
+        try:
+            await asyncio.sleep(self.spec.work_seconds)
+            answer = self._stream if self.spec.engine else self._whole
+            resp = await answer(req, "crossed" if self.crossed else request_id)
+            self.ended.append(request_id)
+            return resp
+        finally:
+            self._running -= 1
+
+    def _refusal(self, req: web.Request) -> web.Response | None:
+        if req.headers.get(HEADERS.target) != self.spec.name:
+            return web.Response(status=421)
+        if HEADERS.model in req.headers:
+            model, _, adapter = req.headers[HEADERS.model].partition("/")
+            held = self._models.get(model)
+            if held is None or (adapter and adapter not in held):
+                return web.Response(status=421, headers={HEADERS.not_run: "1"})
+        if self._running >= self.spec.slots:
+            return web.Response(status=503, headers={HEADERS.not_run: "1"})
+        return None
+
+    async def _whole(self, _: web.Request, request_id: str) -> web.Response:
+        headers = {HEADERS.request_id: request_id, HEADERS.seal: "sealed"}
+        status = self.fail_with or 200
+        return web.Response(
+            status=status, body=b"done by " + request_id.encode(), headers=headers
+        )
+
+    async def _stream(self, req: web.Request, request_id: str) -> web.StreamResponse:
+        headers = {
+            HEADERS.request_id: request_id,
+            HEADERS.seal: "sealed",
+            "Content-Type": "text/event-stream",
+        }
+        resp = web.StreamResponse(headers=headers)
+        await resp.prepare(req)
+        first = int(req.headers.get(HEADERS.last_event, 0)) + 1
+        for number in range(first, self.spec.events + 1):
+            if self.cut_after >= 0 and number > self.cut_after:
+                assert req.transport is not None
+                req.transport.abort()
+                break
+            await resp.write(f"id: {number}\ndata: token {number}\n\n".encode())
+            await asyncio.sleep(self.spec.work_seconds)
+        await resp.write_eof()
+        return resp
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_store.py
@@ -0,0 +1,124 @@
+"""The metadata store: rows with conditions, and a feed of changes."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import time
+from typing import Any, NamedTuple
+
+from aiohttp import web
+
+from guavajunction_fakes._server import FakeServer
+
+MILLISECONDS = 1000.0
+
+
+class _Row(NamedTuple):
+    ver: int
+    value: str | None
+    """Base64; None for a removed row, kept for the feed."""
+
+
+class FakeStore(FakeServer):
+    """Keeps rows in memory; one counter of versions for all tables."""
+
+    CANCEL_ON_DISCONNECT = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._tables: dict[str, dict[str, _Row]] = {}
+        self._ver = 0
+        self._oldest = 0
+        self._changed = asyncio.Event()
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the store."""
+        return [
+            web.post("/rows-tx", self._handle_transaction),
+            web.get("/rows-get", self._handle_rows),
+            web.get("/rows-feed", self._handle_feed),
+        ]
+
+    def write(self, table: str, key: str, content: Any) -> int:
+        """Write a row as an operator or runner does; None removes it."""
+        text = content if isinstance(content, bytes) else json.dumps(content).encode()
+        value = None if content is None else base64.b64encode(text).decode()
+        self._ver += 1
+        self._tables.setdefault(table, {})[key] = _Row(self._ver, value)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self._ver
+
+    def forget_history(self) -> None:
+        """Answer 410 to whoever does not know the newest version."""
+        self._ver += 1
+        self._oldest = self._ver
+
+    def rows(self, table: str) -> dict[str, bytes]:
+        """Return the rows of a table."""
+        rows = self._tables.get(table, {})
+        return {k: base64.b64decode(r.value) for k, r in rows.items() if r.value}
+
+    async def _handle_transaction(self, req: web.Request) -> web.Response:
+        body = await req.json()
+        for cond in body["precondition"]:
+            row = self._tables.get(cond["table"], {}).get(cond["key"])
+            if (row.ver if row and row.value is not None else 0) != cond["ver"]:
+                return web.json_response({"rows": []}, status=412)
+        for entry in body["writes"]:
+            content = base64.b64decode(entry["value"])
+            self.write(entry["table"], entry["key"], content)
+        for entry in body["remove"]:
+            self.write(entry["table"], entry["key"], None)
+        return web.json_response({"ver": self._ver, "nowMs": self._now_ms()})
+
+    async def _handle_rows(self, req: web.Request) -> web.Response:
+        rows = self._tables.get(req.query["table"], {})
+        first, last = req.query.get("from", ""), req.query.get("to")
+        picked = [
+            self._wire_row(req.query["table"], key, row)
+            for key, row in sorted(rows.items())
+            if row.value is not None and key >= first and (last is None or key < last)
+        ]
+        return self._answer(picked) if picked else self._answer([])
+
+    async def _handle_feed(self, req: web.Request) -> web.Response:
+        table, after = req.query["table"], int(req.query["after"])
+        ends_at = time.monotonic() + float(req.query["waitMs"]) / MILLISECONDS
+        while True:
+            if after < self._oldest:
+                return web.json_response({}, status=410)
+            rows = [
+                self._wire_row(table, key, row)
+                for key, row in self._tables.get(table, {}).items()
+                if row.ver > after
+            ]
+            left = ends_at - time.monotonic()
+            if rows or left <= 0:
+                return self._answer(sorted(rows, key=lambda row: row["ver"]))
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except TimeoutError:
+                continue
+
+    def _answer(self, rows: list[dict[str, Any]]) -> web.Response:
+        return web.json_response(
+            {
+                "rows": rows,
+                "truncated": False,
+                "ver": self._ver,
+                "nowMs": self._now_ms(),
+            }
+        )
+
+    def _wire_row(self, table: str, key: str, row: _Row) -> dict[str, Any]:
+        wire = {"table": table, "part": "", "key": key, "ver": row.ver}
+        if row.value is None:
+            return {**wire, "tombstone": True}
+        return {**wire, "value": row.value}
+
+    def _now_ms(self) -> int:
+        return int(time.monotonic() * MILLISECONDS)
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
@@ -0,0 +1,240 @@
+"""The platform's names as the stand-ins speak them; headers come from the adapter."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from guavajunction_platform import _names as names
+
+
+class Headers(NamedTuple):
+    """Header names."""
+
+    request_id: str = names.REQUEST_ID
+    deadline: str = names.DEADLINE
+    model: str = names.MODEL
+    tokens: str = names.TOKENS
+    parts: str = names.PROMPT_PARTS
+    customer: str = names.CUSTOMER
+    target: str = names.TARGET
+    not_run: str = names.NOT_RUN
+    priority: str = names.PRIORITY
+    last_event: str = names.LAST_EVENT
+    seal: str = "X-Server-Seal"
+    key: str = names.AUTHORIZATION
+
+
+HEADERS = Headers()
+KEY_SCHEME = names.KEY_SCHEME
+
+
+def model_entry(name: str, adapters: list[str]) -> dict[str, Any]:
+    """Return how a runner lists a resident model."""
+    return {"name": name, "version": 1, "adapters": sorted(adapters)}
+
+
+def runner_entry(
+    *,
+    service: str,
+    address: str,
+    slots: int,
+    draining: bool,
+    born: int,
+    heartbeat: int,
+    models: list[dict[str, Any]],
+    at_hand: list[str],
+) -> dict[str, Any]:
+    """Return what a runner says of itself in the store."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "here",
+        "version": "v1",
+        "slots": slots,
+        "state": "draining" if draining else "ready",
+        "coldRemainingMs": 0,
+        "models": models,
+        "atHand": {"inMemory": at_hand, "onDisk": at_hand},
+        "sequence": heartbeat,
+        "born": born,
+    }
+
+
+def runner_report(
+    *, orders: int, busy: bool, running: int, models: list[dict[str, Any]]
+) -> dict[str, Any]:
+    """Return what a runner answers when it is asked what it holds."""
+    return {
+        "stage": "colocated",
+        "models": models,
+        "busy": busy,
+        "sequence": orders,
+        "waiting": 0,
+        "running": running,
+        "kvUsed": 0,
+        "kvTotal": 1,
+        "handles": 0,
+        "coming": [],
+    }
+
+
+class OrderBody(NamedTuple):
+    """An order as it arrives."""
+
+    operation: str
+    model: str
+    adapter: str
+    fence: int
+    expected: int | None
+
+
+def order_body(body: dict[str, Any]) -> OrderBody:
+    """Decode an order."""
+    return OrderBody(
+        body["operation"],
+        body["model"],
+        body.get("adapter", ""),
+        body["fencingToken"],
+        body.get("precondition"),
+    )
+
+
+def settings(
+    *, name: str, ip: str, store: str, grace_seconds: float, ports: list[int]
+) -> dict[str, Any]:
+    """Return the settings of one instance."""
+    front, ready, directory, peer = ports
+    return {
+        "node": name,
+        "role": "gateway",
+        "machineClass": "front",
+        "serves": ["front", "directory"],
+        "ip": ip,
+        "zone": "here",
+        "region": "here",
+        "listen": {
+            "front": f"{ip}:{front}",
+            "ready": f"{ip}:{ready}",
+            "directory": f"{ip}:{directory}",
+        },
+        "internalPortRange": [peer, peer + 1],
+        "bounds": {
+            "retryBudgetRatio": 0.2,
+            "budgetWindowS": 10,
+            "budgetSlack": 50,
+            "quotaWindowS": 8,
+            "quotaOvershoot": 0.1,
+            "quotaSlack": 1000,
+            "graceS": grace_seconds,
+            "leaseMs": 600,
+            "ceilingWindowS": 5,
+            "ttl_max_s": 5,
+        },
+        "platform": {"address": store},
+    }
+
+
+def route(
+    name: str,
+    prefix: str,
+    kind: str,
+    service: str,
+    *,
+    attempts: int = 1,
+    timeout_ms: int = 5000,
+    resumable: bool = False,
+) -> dict[str, Any]:
+    """Return a route of the operator's configuration."""
+    return {
+        "name": name,
+        "host": "here.example",
+        "prefix": prefix,
+        "kind": kind,
+        "timeoutMs": timeout_ms,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": attempts,
+        "anonymous": False,
+        "sessionAffinity": kind == "streaming",
+        "resumable": resumable,
+        "gapAimMs": 250,
+    }
+
+
+def engine_service(
+    name: str, models: dict[str, float], *, memory_mb: float, load_seconds: float
+) -> dict[str, Any]:
+    """Return a service of model runners.
+
+    Args:
+        name: Name of the service.
+        models: Size of each model's weights in MB.
+        memory_mb: Accelerator memory of one runner.
+        load_seconds: Time of a load from the weight store.
+    """
+    return {
+        "name": name,
+        "healthCheck": "/health",
+        "maxConnections": 100,
+        "engine": {
+            "slots": 8,
+            "kvCapacityTokens": 100000,
+            "models": [
+                {
+                    "name": model,
+                    "weightsMb": size,
+                    "loadS": load_seconds,
+                    "adapters": 4,
+                    "adapterMb": 10.0,
+                    "warmS": load_seconds / 2,
+                    "diskS": load_seconds,
+                }
+                for model, size in models.items()
+            ],
+            "weightsMb": memory_mb,
+            "adapterSlots": 2,
+            "loadsPerS": 5,
+        },
+    }
+
+
+def plain_service(name: str) -> dict[str, Any]:
+    """Return a service of plain runners."""
+    return {"name": name, "healthCheck": "/health", "maxConnections": 100}
+
+
+def customer(
+    name: str, keys: list[str], *, rate: float = 0, burst: float = 0
+) -> dict[str, Any]:
+    """Return a customer; a rate of 0 is no limit."""
+    return {
+        "name": name,
+        "apiKeys": keys,
+        "priority": 1,
+        "unit": "tokens",
+        "plainTokens": 100,
+        "ratePerS": rate,
+        "burst": burst,
+    }
+
+
+def configuration(
+    version: int,
+    routes: list[dict[str, Any]],
+    services: list[dict[str, Any]],
+    customers: list[dict[str, Any]],
+) -> dict[str, Any]:
+    """Return one version of the operator's configuration."""
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": customers,
+    }
--- a/packages/guavajunction/src/guavajunction/gateway/_catalogue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_catalogue.py
@@ -83,6 +83,11 @@
     """Size of one adapter, by model."""
     models: dict[str, ModelSpec]
 
+    @property
+    def adapter_room_mb(self) -> float:
+        """Return the memory that every place for an adapter may take."""
+        return self.adapter_slots * max(self.adapter_mb.values(), default=0.0)
+
 
 class Service(NamedTuple):
     """A pool of backend servers of one kind."""
--- a/packages/guavajunction/src/guavajunction/gateway/_waiting_room.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_waiting_room.py
@@ -68,7 +68,7 @@
     """Outlook for an adapter that is being loaded."""
     ELSEWHERE_SECONDS = 0.05
     """Told when another instance can serve the request at once."""
-    SWAP_SECONDS = 2.0
+    SWAP_SECONDS = 0.3
     """Time until a load begins: its place has to be emptied first."""
 
     def __init__(
--- a/packages/guavajunction/src/guavajunction/swapping/_author.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_author.py
@@ -44,8 +44,11 @@
     LOOK_SECONDS = 0.3
     TRY_SECONDS = 5.0
     """Longest wait for the lease before it is looked again who should try."""
-    ORDER_MARGIN_SECONDS = 1.5
-    """Orders stop this long before the lease runs out."""
+    ORDER_MARGIN_PART = 0.45
+    """Orders stop when this part of the least time between two authors is left of
+    the lease."""
+    AGAIN_SECONDS = 5.0
+    """After this instance gave the lease up, until it may try again."""
     ASK_SECONDS = 0.4
     """Longest wait for the author's answer about an adapter."""
     ASK_PAUSE_SECONDS = 0.15
@@ -84,6 +87,7 @@
         self._author: PeerId | None = None
         self._author_at = float("-inf")
         self._given_up = 0
+        self._again_at = float("-inf")
         self._last_order_at = float("-inf")
         self._vacancy: _Vacancy | None = None
         self._asking: dict[AdapterWanted, asyncio.Task[None]] = {}
@@ -160,9 +164,10 @@
         return await self._term.adapter(wanted)
 
     def _my_turn(self) -> bool:
-        if self.stopping or self._given_up:
+        now = self._clock.monotonic()
+        if self.stopping or now < self._again_at:
             return False
-        silent = self._clock.monotonic() - self._author_at
+        silent = now - self._author_at
         candidates = self._candidates()
         if self._vacancy is not None:
             candidates = [peer for peer in candidates if peer != self._vacancy.holder]
@@ -194,6 +199,7 @@
         finally:
             self._term = None
             self._given_up = self._lease.fence
+            self._again_at = self._clock.monotonic() + self.AGAIN_SECONDS
             events.AUTHOR_ENDED.log(fence=self._lease.fence, reason=reason)
             await self._lease.abandon()
 
@@ -219,7 +225,8 @@
             await self._clock.sleep(self.LOOK_SECONDS)
 
     def _fence(self) -> int:
-        if not self._lease.held(self._clock.monotonic() + self.ORDER_MARGIN_SECONDS):
+        margin = self._turn_seconds * self.ORDER_MARGIN_PART
+        if not self._lease.held(self._clock.monotonic() + margin):
             raise LeaseLost(f"the lease {LEASE_NAME} runs out")
         return self._lease.fence
 
--- a/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
@@ -71,10 +71,8 @@
     name: str
     resident: Mapping[str, float]
     """When each resident model was first seen there, monotonic seconds."""
-    used_mb: float
-    """Memory that is taken, adapters and pending orders included."""
-    adapters_mb: Mapping[str, float]
-    """Memory of the adapters of each resident model, which go with it."""
+    weights_mb: float
+    """Memory that the resident models take, without adapters."""
     in_memory: frozenset[str]
     on_disk: frozenset[str]
     running: Mapping[str, int]
@@ -240,7 +238,7 @@
 ) -> _Option | None:
     evicted: list[str] = []
     cost = 0.0
-    free = spec.memory_mb - holding.used_mb
+    free = spec.memory_mb - spec.adapter_room_mb - holding.weights_mb
     victims = sorted(
         (
             (
@@ -257,8 +255,7 @@
             break
         evicted.append(name)
         cost += victim_cost
-        size = spec.models[name].memory_mb if name in spec.models else 0.0
-        free += size + holding.adapters_mb.get(name, 0.0)
+        free += spec.models[name].memory_mb if name in spec.models else 0.0
     if free < spec.models[model].memory_mb:
         return None
     seconds, from_store = _load(spec, holding, model)
--- a/packages/guavajunction/src/guavajunction/swapping/_term.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_term.py
@@ -200,10 +200,7 @@
         return Holding(
             name=record.name,
             resident=resident,
-            used_mb=sum(
-                ledger.size_mb(model) + ledger.adapters_mb(model) for model in resident
-            ),
-            adapters_mb={model: ledger.adapters_mb(model) for model in resident},
+            weights_mb=sum(ledger.size_mb(model) for model in resident),
             in_memory=record.in_memory,
             on_disk=record.on_disk,
             running=self._parts.loads.of(record.name).by_model(),
