--- /dev/null
+++ b/tests/fakes_gateway.py
@@ -0,0 +1,237 @@
+"""A catalogue, backend servers and requests for tests of the gateway."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from typing import NamedTuple
+
+from guavajunction.backends import PassiveHealth
+from guavajunction.clock import ManualClock
+from guavajunction.errors import AnswerCut
+from guavajunction.gateway import (
+    AllowanceBounds,
+    Allowances,
+    AnswerHead,
+    BackendBook,
+    BackendRecord,
+    Catalogue,
+    Customer,
+    EngineSpec,
+    Gateway,
+    GatewayParts,
+    GatewayRequest,
+    GenerationSize,
+    IngressLimits,
+    LoadView,
+    ModelDemand,
+    ModelSpec,
+    PromptPart,
+    RequestKind,
+    RetryAllowance,
+    RetryBounds,
+    Route,
+    RouteTable,
+    Service,
+    WaitingRoom,
+    WeightedService,
+)
+from guavajunction.metrics import MetricsRegistry
+
+ENGINES = "engines"
+BOOKINGS = "bookings"
+KEY = "key-of-atelier"
+HOST = "here.example"
+
+
+def model_spec(name, memory_mb=40.0):
+    return ModelSpec(name, memory_mb, 8.0, 1.6, 0.6)
+
+
+ENGINE = EngineSpec(
+    slots=4,
+    kv_tokens=100_000,
+    memory_mb=100.0,
+    adapter_slots=2,
+    loads_per_second=2.0,
+    adapter_mb={"m1": 1.0, "m2": 1.0, "m3": 1.0},
+    models={name: model_spec(name) for name in ("m1", "m2", "m3")},
+)
+
+
+def route(name, kind, service, **changes):
+    return Route(
+        name=name,
+        host=HOST,
+        prefix=f"/{name}/",
+        kind=kind,
+        timeout_seconds=10.0,
+        target_seconds=0.5,
+        patience_seconds=2.0 if kind is RequestKind.STREAM else float("inf"),
+        priority=1,
+        services=(WeightedService(service, 1.0),),
+        max_attempts=1,
+        open_to_all=False,
+        resumable=False,
+    )._replace(**changes)
+
+
+def customer(name="atelier", keys=(KEY,), **changes):
+    return Customer(name, tuple(keys), None, 0.0, 0.0, True, 100.0)._replace(**changes)
+
+
+def catalogue(version=1, **changes):
+    return Catalogue(
+        version=version,
+        routes=(
+            route("draft", RequestKind.STREAM, ENGINES),
+            route("book", RequestKind.UNSAFE, BOOKINGS),
+            route("look", RequestKind.SAFE, BOOKINGS, max_attempts=2),
+        ),
+        services={
+            ENGINES: Service(ENGINES, 100, ENGINE),
+            BOOKINGS: Service(BOOKINGS, 100, None),
+        },
+        customers=(customer(),),
+        limits=IngressLimits(16_384, 100_000, 3.0, 15.0),
+    )._replace(**changes)
+
+
+def backend(name, service=ENGINES, models=(), **changes):
+    return BackendRecord(
+        name=name,
+        service=service,
+        address=f"{name}:1",
+        data_centre="a",
+        slots=4,
+        draining=False,
+        incarnation=1,
+        report_number=1,
+        models={model: frozenset() for model in models},
+        in_memory=frozenset(models),
+        on_disk=frozenset(models),
+    )._replace(**changes)
+
+
+def size(model="m1", adapter="", prompt=1000, output=50, parts=()):
+    return GenerationSize(
+        model, adapter, prompt, output, tuple(PromptPart(*part) for part in parts)
+    )
+
+
+def request(path="/draft/x", *, at=1000.0, key=KEY, seconds=8.0, **changes):
+    generation = changes.pop("size", size() if path.startswith("/draft") else None)
+    return GatewayRequest(
+        request_id=changes.pop("request_id", f"r{random.random()}"),
+        method="POST",
+        target=path,
+        host=HOST,
+        headers=(),
+        body=b"",
+        key=key,
+        caller_seconds=seconds,
+        arrived_at=at,
+        size=generation,
+    )
+
+
+class Sent(NamedTuple):
+    """One send that a backend server got."""
+
+    backend: str
+    request_id: str
+    customer: str | None
+    seconds_left: float
+
+
+class FakeAnswer:
+    """An answer with fixed chunks; `cut` breaks it off."""
+
+    def __init__(self, status=200, chunks=(b"done",), *, not_run=False, cut=False):
+        self.head = AnswerHead(status, "", (), not_run, status == 421, None)
+        self._chunks = chunks
+        self._cut = cut
+
+    async def chunks(self):
+        for chunk in self._chunks:
+            yield chunk
+        if self._cut:
+            raise AnswerCut("cut")
+
+
+class FakeCaller:
+    """Answers sends from a script: an answer or an exception for each."""
+
+    def __init__(self):
+        self.sent = []
+        self.script = []
+
+    @contextlib.asynccontextmanager
+    async def send(self, backend, req, *, customer, priority, seconds_left):
+        self.sent.append(Sent(backend.name, req.request_id, customer, seconds_left))
+        step = self.script.pop(0) if self.script else FakeAnswer()
+        if isinstance(step, Exception):
+            raise step
+        yield step
+
+
+class FakeSink:
+    """Collects an answer."""
+
+    def __init__(self):
+        self.head = None
+        self.body = b""
+        self.finished = False
+        self.aborted = False
+
+    @property
+    def started(self):
+        return self.head is not None
+
+    async def start(self, head):
+        self.head = head
+
+    async def write(self, chunk):
+        self.body += chunk
+
+    async def finish(self):
+        self.finished = True
+
+    def abort(self):
+        self.aborted = True
+
+
+class FakeGateway:
+    """A gateway with everything around it in memory."""
+
+    def __init__(self, *backends, document=None):
+        self.clock = ManualClock()
+        self.book = BackendBook(self.clock)
+        self.loads = LoadView()
+        self.health = PassiveHealth(self.clock)
+        self.room = WaitingRoom(self.book, self.loads, self.health, self.clock)
+        self.caller = FakeCaller()
+        self.allowances = Allowances(AllowanceBounds(8.0, 0.1, 1000.0), self.clock)
+        self.gateway = Gateway(
+            GatewayParts(
+                book=self.book,
+                room=self.room,
+                health=self.health,
+                allowances=self.allowances,
+                retries=RetryAllowance(RetryBounds(0.2, 10.0, 50.0)),
+                demand=ModelDemand(),
+                caller=self.caller,
+                metrics=MetricsRegistry(),
+                clock=self.clock,
+                rng=random.Random(1),
+            )
+        )
+        for record in backends:
+            self.book.put(record)
+        self.gateway.configure(RouteTable(document or catalogue()))
+
+    async def serve(self, path="/book/1", **changes):
+        sink = FakeSink()
+        req = request(path, at=self.clock.monotonic(), **changes)
+        await self.gateway.serve(req, sink)
+        return sink
--- /dev/null
+++ b/tests/gateway/test_gateway.py
@@ -0,0 +1,236 @@
+"""Tests of a request's way from its caller to a backend server and back."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from fakes_gateway import (
+    BOOKINGS,
+    FakeAnswer,
+    FakeGateway,
+    FakeSink,
+    backend,
+    catalogue,
+    request,
+    route,
+    size,
+)
+from guavajunction.errors import (
+    AnswerCut,
+    BackendRefused,
+    InstanceNotReady,
+    KeyRefused,
+    NoReplica,
+    NotSent,
+    OutcomeUnknown,
+    Overloaded,
+    UnknownRoute,
+)
+from guavajunction.gateway import RequestKind, RouteTable
+
+PLAIN = (backend("b1", BOOKINGS), backend("b2", BOOKINGS))
+
+
+class TestAdmission:
+    """Who may send what, by the configuration in force."""
+
+    async def test_answer_is_relayed_for_the_customer_of_the_key(self):
+        fleet = FakeGateway(*PLAIN)
+        sink = await fleet.serve("/book/1")
+        assert (sink.body, sink.finished) == (b"done", True)
+        assert fleet.caller.sent[0].customer == "atelier"
+
+    async def test_unknown_key_and_route_never_reach_a_backend_server(self):
+        fleet = FakeGateway(*PLAIN)
+        with pytest.raises(KeyRefused):
+            await fleet.serve("/book/1", key="unknown")
+        with pytest.raises(UnknownRoute):
+            await fleet.serve("/nowhere/1")
+        assert not fleet.caller.sent
+
+    async def test_longest_prefix_wins(self):
+        longer = route("book/urgent", RequestKind.SAFE, BOOKINGS)
+        table = RouteTable(catalogue(routes=(*catalogue().routes, longer)))
+        assert table.find("HERE.example", "/book/urgent/1").name == "book/urgent"
+        assert table.find("here.example", "/book/urgently").name == "book"
+
+    async def test_older_configuration_never_replaces_a_newer_one(self):
+        fleet = FakeGateway(*PLAIN, document=catalogue(version=7))
+        fleet.gateway.configure(RouteTable(catalogue(version=5, customers=())))
+        assert fleet.gateway.routes.catalogue.version == 7
+
+    async def test_without_configuration_nothing_is_denied_for_good(self):
+        fleet = FakeGateway(*PLAIN)
+        fleet.gateway._routes = None
+        with pytest.raises(InstanceNotReady) as caught:
+            await fleet.serve("/book/1")
+        assert caught.value.STATUS == 503
+        assert caught.value.retry_after
+
+    async def test_route_timeout_bounds_the_time_passed_on(self):
+        document = catalogue(
+            routes=(route("book", RequestKind.UNSAFE, BOOKINGS, timeout_seconds=0.8),)
+        )
+        fleet = FakeGateway(*PLAIN, document=document)
+        await fleet.serve("/book/1", seconds=5.0)
+        assert fleet.caller.sent[0].seconds_left == pytest.approx(0.8)
+
+
+class TestRepeats:
+    """What may be sent again, and what is told if it may not."""
+
+    async def test_unsafe_request_that_may_have_run_is_not_repeated(self):
+        fleet = FakeGateway(*PLAIN)
+        fleet.caller.script = [OutcomeUnknown("no answer")]
+        with pytest.raises(OutcomeUnknown) as caught:
+            await fleet.serve("/book/1")
+        assert caught.value.STATUS == 504
+        assert len(fleet.caller.sent) == 1
+
+    async def test_unsafe_request_that_was_not_sent_goes_elsewhere(self):
+        fleet = FakeGateway(*PLAIN)
+        fleet.caller.script = [NotSent("refused")]
+        sink = await fleet.serve("/book/1")
+        assert sink.finished
+        assert len({sent.backend for sent in fleet.caller.sent}) == 2
+
+    async def test_not_run_is_told_as_a_promise(self):
+        fleet = FakeGateway(*PLAIN)
+        fleet.caller.script = [FakeAnswer(503, not_run=True)] * 9
+        with pytest.raises(BackendRefused) as caught:
+            await fleet.serve("/book/1")
+        assert caught.value.STATUS == 503
+        assert caught.value.not_run == "true"
+
+    async def test_one_attempt_stays_with_one_backend_server(self):
+        fleet = FakeGateway(*PLAIN)
+        fleet.caller.script = [FakeAnswer(503, not_run=True)] * 9
+        with pytest.raises(BackendRefused):
+            await fleet.serve("/book/1")
+        assert len({sent.backend for sent in fleet.caller.sent}) == 1
+
+    async def test_safe_request_is_repeated_once_and_its_last_failure_told(self):
+        fleet = FakeGateway(*PLAIN)
+        fleet.caller.script = [FakeAnswer(500, (b"one",)), FakeAnswer(500, (b"two",))]
+        sink = await fleet.serve("/look/1")
+        assert (sink.head.status, sink.body) == (500, b"two")
+
+    async def test_unsafe_failure_of_a_backend_server_is_its_answer(self):
+        fleet = FakeGateway(*PLAIN)
+        fleet.caller.script = [FakeAnswer(500, (b"ran badly",))]
+        sink = await fleet.serve("/book/1")
+        assert (sink.head.status, sink.body) == (500, b"ran badly")
+
+    async def test_nothing_reachable_is_refused_as_not_run(self):
+        fleet = FakeGateway(*PLAIN)
+        fleet.caller.script = [NotSent("refused")] * 9
+        with pytest.raises((Overloaded, NoReplica)) as caught:
+            await fleet.serve("/book/1", seconds=1.0)
+        assert caught.value.STATUS == 503
+
+    async def test_cut_answer_is_never_finished(self):
+        fleet = FakeGateway(backend("e1", models=["m1"]))
+        fleet.caller.script = [FakeAnswer(200, (b"a",), cut=True)]
+        sink = FakeSink()
+        with pytest.raises(AnswerCut):
+            await fleet.gateway.serve(request(at=1000.0), sink)
+        assert sink.aborted
+        assert not sink.finished
+
+    async def test_load_is_taken_off_however_a_request_ends(self):
+        fleet = FakeGateway(*PLAIN)
+        fleet.caller.script = [FakeAnswer(), OutcomeUnknown("x"), NotSent("y")]
+        await fleet.serve("/book/1")
+        with pytest.raises(OutcomeUnknown):
+            await fleet.serve("/book/2")
+        await fleet.serve("/book/3")
+        assert [fleet.loads.of(b.name).running for b in PLAIN] == [0, 0]
+
+
+class TestWaiting:
+    """Requests wait for slots and models as long as that is of use."""
+
+    async def test_full_backend_server_makes_requests_wait_in_their_order(self):
+        fleet = FakeGateway(backend("e1", models=["m1"], slots=1))
+        room = WaitingRoomFiller(fleet)
+        await room.fill()
+        late = asyncio.create_task(fleet.serve("/draft/late"))
+        await asyncio.sleep(0)
+        assert len(fleet.room) == 1
+        room.release_one()
+        assert (await asyncio.wait_for(late, 1)).finished
+
+    async def test_caller_that_leaves_gives_its_place_up(self):
+        fleet = FakeGateway(backend("e1", models=["m1"], slots=1))
+        await WaitingRoomFiller(fleet).fill()
+        task = asyncio.create_task(fleet.serve("/draft/late"))
+        await asyncio.sleep(0)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        assert len(fleet.room) == 0
+
+    async def test_model_that_takes_longer_than_the_patience_is_refused_at_once(self):
+        fleet = FakeGateway(backend("e1", models=["m1"]))
+        with pytest.raises(NoReplica) as caught:
+            await fleet.serve("/draft/x", size=size("m2"))
+        assert caught.value.retry_after >= 8.0
+
+    async def test_model_whose_weights_are_at_hand_is_waited_for(self):
+        holder = backend("e1", models=["m1"])
+        fleet = FakeGateway(holder._replace(in_memory=frozenset({"m1", "m2"})))
+        task = asyncio.create_task(fleet.serve("/draft/x", size=size("m2")))
+        await asyncio.sleep(0)
+        assert fleet.room.models_waited_for() == {"m2": 1}
+        fleet.book.put(backend("e1", models=["m1", "m2"]))
+        fleet.room.wake()
+        assert (await asyncio.wait_for(task, 1)).finished
+
+    async def test_missing_adapter_is_asked_for(self):
+        fleet = FakeGateway(backend("e1", models=["m1"]))
+        asked = []
+        fleet.room.on_adapter_wanted = lambda size, service: asked.append(
+            (size.artifact, service)
+        )
+        task = asyncio.create_task(fleet.serve("/draft/x", size=size("m1", "a1")))
+        await asyncio.sleep(0)
+        assert asked == [("m1/a1", "engines")]
+        held = backend("e1")._replace(models={"m1": frozenset({"a1"})})
+        fleet.book.put(held)
+        fleet.room.wake()
+        assert (await asyncio.wait_for(task, 1)).finished
+
+    async def test_leaving_backend_server_gets_nothing_new(self):
+        fleet = FakeGateway(*PLAIN)
+        fleet.book.put(PLAIN[0]._replace(draining=True))
+        for _ in range(4):
+            await fleet.serve("/book/1")
+        assert {sent.backend for sent in fleet.caller.sent} == {"b2"}
+
+    async def test_stopping_instance_refuses_what_would_outlast_it(self):
+        fleet = FakeGateway(backend("e1", models=["m1"], slots=1))
+        await WaitingRoomFiller(fleet).fill()
+        task = asyncio.create_task(fleet.serve("/draft/x"))
+        await asyncio.sleep(0)
+        fleet.room.closes_at = fleet.clock.monotonic() + 0.1
+        fleet.room.wake()
+        with pytest.raises(InstanceNotReady) as caught:
+            await asyncio.wait_for(task, 1)
+        assert caught.value.retry_after < 0.1
+
+
+class WaitingRoomFiller:
+    """Takes every place of the only backend server."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._backend = next(iter(fleet.book.records()))
+
+    async def fill(self):
+        for _ in range(self._backend.slots + self._fleet.room.ENGINE_QUEUE):
+            self._fleet.loads.begin(self._backend.name, size())
+
+    def release_one(self):
+        self._fleet.room.release(request(), self._backend, unread=True)
