--- /dev/null
+++ b/tests/swapping/test_orders.py
@@ -0,0 +1,279 @@
+"""Tests of orders that are lost, late or refused."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from fakes_gateway import ENGINE, backend
+from guavajunction.clock import ManualClock
+from guavajunction.errors import LeaseLost, NotSent, OrderRefused, OutcomeUnknown
+from guavajunction.swapping import (
+    BackendLedger,
+    EngineReport,
+    Order,
+    OrderDesk,
+    OrderKind,
+    OrderOutcome,
+)
+
+LOAD, UNLOAD = OrderKind.LOAD, OrderKind.UNLOAD
+
+
+class FakeEngine:
+    """Accepts orders as a backend server does, some without an answer or late."""
+
+    def __init__(self, models=("m1",), *, seed=0, unanswered=0.0):
+        self.models = {model: set() for model in models}
+        self.orders = 0
+        self.busy = None
+        self.fence = 0
+        self.overloaded = []
+        self.reachable = True
+        self._rng = random.Random(seed)
+        self._unanswered = unanswered
+        self._late = []
+
+    async def send(self, _, order):
+        if not self.reachable:
+            raise NotSent("refused")
+        if self._rng.random() < self._unanswered:
+            if self._rng.random() < 0.5:
+                self._late.append(order)
+            else:
+                self._meet(order)
+            raise OutcomeUnknown("no answer")
+        return self._meet(order)
+
+    async def report(self, _):
+        models = {model: frozenset(names) for model, names in self.models.items()}
+        return EngineReport(self.orders, models, self.busy is not None)
+
+    def carry_out_late(self):
+        while self._late:
+            self._meet(self._late.pop(0))
+
+    def end_order(self):
+        if self.busy is None:
+            return
+        kind, model = self.busy
+        if kind is LOAD:
+            self.models.setdefault(model, set())
+        else:
+            self.models.pop(model, None)
+        self.busy = None
+
+    def used_mb(self):
+        loading = self.busy[1] if self.busy and self.busy[0] is LOAD else None
+        names = set(self.models) | ({loading} if loading else set())
+        adapters = sum(len(held) for held in self.models.values())
+        return sum(ENGINE.models[name].memory_mb for name in names) + adapters
+
+    def _meet(self, order):
+        if order.fence < self.fence:
+            return OrderOutcome.STALE
+        if self.busy or order.expected_orders != self.orders:
+            return OrderOutcome.CONFLICT
+        self.fence = order.fence
+        self.orders += 1
+        if order.adapter:
+            outcome = self._change_adapter(order)
+        else:
+            self.busy = (order.kind, order.model)
+            outcome = OrderOutcome.ACCEPTED
+        adapters = sum(len(held) for held in self.models.values())
+        if self.used_mb() > ENGINE.memory_mb or adapters > ENGINE.adapter_slots:
+            self.overloaded.append(order)
+        return outcome
+
+    def _change_adapter(self, order):
+        held = self.models.setdefault(order.model, set())
+        if order.kind is UNLOAD:
+            held.discard(order.adapter)
+            return OrderOutcome.HOLDS
+        held.add(order.adapter)
+        return OrderOutcome.ACCEPTED
+
+
+class QuickClock(ManualClock):
+    """A manual clock whose sleepers move it on."""
+
+    async def sleep(self, seconds):
+        self.advance(seconds)
+        await asyncio.sleep(0)
+
+
+def desk_on(engine, *, fence=lambda: 1, models=("m1",)):
+    clock = QuickClock()
+    desk = OrderDesk(engine, "front-1", fence, clock)
+    record = backend("e1", models=models)
+    desk.sync({"e1": (record, ENGINE)})
+    return desk, desk.ledgers()[0]
+
+
+def show(desk, engine):
+    """Tell the desk what the engine holds, as its record does."""
+    record = backend("e1", models=sorted(engine.models), report_number=9)
+    desk.sync({"e1": (record, ENGINE)})
+
+
+class TestOrders:
+    """One order after the other, each on the state that it was planned on."""
+
+    async def test_accepted_load_counts_before_it_is_seen(self):
+        engine = FakeEngine()
+        desk, ledger = desk_on(engine)
+        await desk.order(ledger, LOAD, "m2")
+        assert ledger.busy
+        assert ledger.used_mb() == 80.0
+        engine.end_order()
+        show(desk, engine)
+        assert not ledger.busy
+        assert ledger.models == {"m1", "m2"}
+
+    async def test_load_without_room_is_never_sent(self):
+        engine = FakeEngine(("m1", "m2"))
+        desk, ledger = desk_on(engine, models=("m1", "m2"))
+        with pytest.raises(OrderRefused, match="no room"):
+            await desk.order(ledger, LOAD, "m3")
+        assert engine.orders == 0
+
+    async def test_late_record_frees_no_memory(self):
+        engine = FakeEngine(("m1", "m2"))
+        desk, ledger = desk_on(engine, models=("m1", "m2"))
+        await desk.refresh(ledger)
+        # The store was away: its record is from before m2 was loaded.
+        desk.sync({"e1": (backend("e1", models=["m1"], report_number=2), ENGINE)})
+        assert ledger.used_mb() == 80.0
+
+    async def test_order_of_an_earlier_author_is_waited_for(self):
+        engine = FakeEngine()
+        engine.busy = (LOAD, "m2")
+        desk, ledger = desk_on(engine)
+        await desk.survey()
+        assert ledger.busy
+        engine.end_order()
+        await desk.survey()
+        assert not ledger.busy
+        assert ledger.models == {"m1", "m2"}
+
+    async def test_stale_fence_ends_the_term(self):
+        engine = FakeEngine()
+        engine.fence = 5
+        desk, ledger = desk_on(engine)
+        with pytest.raises(LeaseLost):
+            await desk.order(ledger, LOAD, "m2")
+
+    async def test_unreachable_backend_server_is_left_alone(self):
+        engine = FakeEngine()
+        desk, ledger = desk_on(engine)
+        await desk.refresh(ledger)
+        engine.reachable = False
+        with pytest.raises(OrderRefused):
+            await desk.order(ledger, LOAD, "m2")
+        assert ledger.unreachable_until > 0
+
+    async def test_lost_lease_sends_nothing(self):
+        def fence():
+            raise LeaseLost("gone")
+
+        engine = FakeEngine()
+        desk, ledger = desk_on(engine, fence=fence)
+        with pytest.raises(LeaseLost):
+            await desk.order(ledger, LOAD, "m2")
+        assert engine.orders == 0
+
+
+class TestLateOrders:
+    """Orders without an answer, carried out at any later moment."""
+
+    STEPS = 300
+
+    @pytest.mark.parametrize("seed", range(40))
+    async def test_memory_and_places_are_never_exceeded(self, seed):
+        rng = random.Random(seed)
+        engine = FakeEngine(("m1",), seed=seed, unanswered=0.4)
+        desk, ledger = desk_on(engine)
+        for _ in range(self.STEPS):
+            await self._step(rng, engine, desk, ledger)
+        assert not engine.overloaded
+        assert engine.orders > 10
+
+    async def _step(self, rng, engine, desk, ledger):
+        model = rng.choice(["m1", "m2", "m3"])
+        step = rng.randrange(6)
+        try:
+            if step == 0:
+                engine.carry_out_late()
+            elif step == 1:
+                engine.end_order()
+                show(desk, engine)
+            elif step == 2 and not ledger.busy:
+                kind = UNLOAD if model in ledger.models else LOAD
+                await desk.order(ledger, kind, model)
+            elif step == 3 and model in ledger.models and not ledger.busy:
+                await self._adapter(rng, desk, ledger, model)
+            elif step == 4:
+                await desk.survey()
+        except OrderRefused:
+            pass
+
+    async def _adapter(self, rng, desk, ledger, model):
+        adapter = f"a{rng.randrange(4)}"
+        if adapter in ledger.adapters.get(model, ()):
+            await desk.order(ledger, UNLOAD, model, adapter)
+        elif ledger.fits_adapter(model):
+            ledger.reserve(model, adapter)
+            try:
+                await desk.order(ledger, LOAD, model, adapter)
+            finally:
+                ledger.unreserve(model, adapter)
+
+    async def test_order_sent_without_its_expected_number_would_exceed(self):
+        """The rule is what keeps it: a mutant without it overloads some seed."""
+        overloaded = 0
+        for seed in range(40):
+            engine = FakeEngine(("m1",), seed=seed, unanswered=0.4)
+            engine._meet = lambda order, engine=engine, meet=engine._meet: meet(
+                order._replace(expected_orders=engine.orders)
+            )
+            desk, ledger = desk_on(engine)
+            rng = random.Random(seed)
+            for _ in range(self.STEPS):
+                await self._step(rng, engine, desk, ledger)
+            overloaded += bool(engine.overloaded)
+        assert overloaded
+
+
+class TestAdapterPlaces:
+    """Places of adapters when many are asked for at once."""
+
+    def test_reserved_place_is_taken(self):
+        ledger = BackendLedger(backend("e1", models=["m1"]), ENGINE)
+        ledger.reserve("m1", "a1")
+        ledger.reserve("m1", "a2")
+        assert not ledger.fits_adapter("m1")
+        ledger.unreserve("m1", "a2")
+        assert ledger.fits_adapter("m1")
+
+    def test_reservation_does_not_outlive_a_report_that_fills_the_places(self):
+        ledger = BackendLedger(backend("e1", models=["m1"]), ENGINE)
+        ledger.reserve("m1", "a1")
+        ledger.resync(EngineReport(7, {"m1": frozenset({"a3", "a4"})}, busy=False))
+        order = Order(LOAD, "m1", "a1", 7, "front-1", 1)
+        assert not ledger.admits(order)
+
+    def test_adapter_on_its_way_is_not_evicted(self):
+        ledger = BackendLedger(backend("e1", models=["m1"]), ENGINE)
+        ledger.accepted(Order(LOAD, "m1", "a1", 0, "front-1", 1), now=10.0)
+        assert not ledger.evictable(10.1)
+        assert ledger.evictable(11.0) == [("m1", "a1")]
+
+    def test_adapters_go_with_their_model(self):
+        ledger = BackendLedger(backend("e1", models=["m1"]), ENGINE)
+        ledger.accepted(Order(LOAD, "m1", "a1", 0, "front-1", 1), now=10.0)
+        ledger.accepted(Order(UNLOAD, "m1", "", 1, "front-1", 1), now=11.0)
+        ledger.sync(backend("e1", models=[], report_number=2))
+        assert ledger.adapter_count == 0
