--- /dev/null
+++ b/tests/fleet/test_roster.py
@@ -0,0 +1,56 @@
+"""Tests of which instances are taken to serve."""
+
+from __future__ import annotations
+
+import pytest
+
+from guavajunction.clock import ManualClock
+from guavajunction.fleet import Member, Roster
+from guavajunction.peers import PeerId
+
+ME, A, B = PeerId("me", "1"), PeerId("a", "1"), PeerId("b", "1")
+
+
+def member(name, *, ready=True, sees_store=True):
+    return Member(f"{name}:1", "here", ready, sees_store)
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def roster(clock):
+    roster = Roster(ME, clock)
+    roster.hear(A, member("a"))
+    roster.hear(B, member("b", sees_store=False))
+    return roster
+
+
+class TestRoster:
+    """Heartbeats alone decide, on two bounds."""
+
+    def test_silent_instance_is_not_given_to_callers(self, roster, clock):
+        clock.advance(0.8)
+        roster.hear(A, member("a"))
+        clock.advance(0.5)
+        assert [m.front for m in roster.members()] == ["a:1"]
+
+    def test_silent_instance_may_still_be_spending(self, roster, clock):
+        clock.advance(Roster.LIVE_SECONDS + 0.1)
+        roster.hear(A, member("a"))
+        roster.expire()
+        assert (roster.serving, roster.heard_part) == (3, pytest.approx(2 / 3))
+        clock.advance(Roster.SERVING_SECONDS)
+        roster.hear(A, member("a"))
+        roster.expire()
+        assert (roster.serving, roster.heard_part) == (2, 1.0)
+
+    def test_restarted_instance_is_counted_once(self, roster):
+        roster.hear(PeerId("a", "2"), member("a"))
+        assert roster.serving == 3
+        assert PeerId("a", "1") not in roster.peers()
+
+    def test_peers_are_picked_by_what_they_say(self, roster):
+        assert roster.peers_that(lambda m: m.sees_store) == [A]
--- a/tests/membership/test_lease.py
+++ b/tests/membership/test_lease.py
@@ -143,3 +143,28 @@
         with pytest.raises(LeaseLost):
             a.check()
         await a.release()
+
+
+class TestHandOver:
+    """A holder that is cut from the store gives the lease up to its peers."""
+
+    async def test_promised_lease_is_taken_at_once_with_a_higher_fence(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a, b = lease(table, "a", clock), lease(table, "b", clock)
+        assert await a.try_acquire()
+        fence = a.fence
+        await a.abandon()
+        assert not a.held(clock.monotonic())
+        assert await b.take_over(PeerId("a", "a-1"), fence)
+        assert b.fence == fence + 1
+        await b.abandon()
+
+    async def test_promise_of_an_older_fence_takes_nothing(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a, b = lease(table, "a", clock), lease(table, "b", clock)
+        assert await a.try_acquire()
+        assert not await b.take_over(PeerId("a", "a-1"), a.fence - 1)
+        assert not await b.take_over(PeerId("c", "c-1"), a.fence)
+        assert a.held(clock.monotonic())
--- /dev/null
+++ b/tests/platform/test_translation.py
@@ -0,0 +1,196 @@
+"""Tests of what the adapter decodes, and that its names stay inside it."""
+
+from __future__ import annotations
+
+import json
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from guavajunction.errors import DocumentInvalid, SettingsInvalid
+from guavajunction.gateway import RequestKind
+from guavajunction_fakes.deployment import _wire as wire
+from guavajunction_platform._backend_records import decode_backend
+from guavajunction_platform._configuration import decode_configuration
+from guavajunction_platform._settings import decode_settings
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+def settings(**changes):
+    content = wire.settings(
+        name="front-1",
+        ip="127.0.0.1",
+        store="127.0.0.1:1",
+        grace_seconds=8,
+        ports=[1] * 4,
+    )
+    return json.dumps(content | changes).encode()
+
+
+class TestSettings:
+    """The platform's settings file is checked field by field."""
+
+    def test_known_fields_are_decoded_and_unknown_ones_ignored(self):
+        decoded = decode_settings(settings(somethingNew={"a": 1}), "boot.json")
+        assert decoded.instance == "front-1"
+        assert str(decoded.front) == "127.0.0.1:1"
+        assert decoded.grace_seconds == 8
+
+    @pytest.mark.parametrize(
+        ("changes", "message"),
+        [
+            ({"node": 7}, r"boot.json: .*str.*int.*\$\.node"),
+            ({"listen": {"front": "a:1"}}, r"boot.json: .*ready"),
+            (
+                {"listen": {"front": "a", "ready": "a:1"}},
+                r"boot.json: field 'listen.front': expected `host:port`, found 'a'",
+            ),
+        ],
+    )
+    def test_malformed_field_is_named(self, changes, message):
+        with pytest.raises(SettingsInvalid, match=message):
+            decode_settings(settings(**changes), "boot.json")
+
+    @pytest.mark.parametrize("text", ["", "{", "[]", "null"])
+    def test_anything_else_is_a_typed_error(self, text):
+        with pytest.raises(SettingsInvalid):
+            decode_settings(text.encode(), "boot.json")
+
+    @pytest.mark.parametrize("content", [None, "{"])
+    def test_program_ends_with_2_and_one_line(self, tmp_path, content):
+        path = tmp_path / "boot.json"
+        if content is not None:
+            path.write_text(content)
+        done = subprocess.run(
+            [sys.executable, str(ROOT / "platform" / "serve.py")],
+            env={"GUAVAJUNCTION_NODE_FILE": str(path)},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert done.returncode == 2
+        assert done.stderr.count("\n") == 1
+        assert str(path) in done.stderr
+
+
+class TestConfiguration:
+    """The operator's configuration becomes a catalogue."""
+
+    def _document(self, **changes):
+        content = wire.configuration(
+            7,
+            [wire.route("draft", "/draft/", "streaming", "engines")],
+            [
+                wire.engine_service(
+                    "engines", {"m1": 60.0}, memory_mb=100, load_seconds=8
+                )
+            ],
+            [wire.customer("atelier", ["k"], rate=5, burst=6)],
+        )
+        return json.dumps(content | changes).encode()
+
+    def test_routes_services_and_customers(self):
+        catalogue = decode_configuration(self._document())
+        (route,) = catalogue.routes
+        assert route.kind is RequestKind.STREAM
+        assert (route.timeout_seconds, route.target_seconds) == (5.0, 0.5)
+        assert route.patience_seconds == 2.0
+        engine = catalogue.services["engines"].engine
+        assert engine.models["m1"].memory_load_seconds == 4.0
+        assert (catalogue.customers[0].rate, catalogue.customers[0].burst) == (5, 6)
+
+    def test_long_objective_means_patient_callers(self):
+        route = wire.route("draft", "/draft/", "streaming", "engines")
+        route["targetLatencyMs"] = 6000
+        catalogue = decode_configuration(self._document(routes=[route]))
+        assert catalogue.routes[0].patience_seconds == 24.0
+
+    def test_split_routes_name_several_services(self):
+        route = wire.route("draft", "/draft/", "safe", "engines")
+        route["trafficSplit"] = [
+            {"service": "a", "weight": 90},
+            {"service": "b", "weight": 10},
+        ]
+        (decoded,) = decode_configuration(self._document(routes=[route])).routes
+        assert [(s.service, s.weight) for s in decoded.services] == [
+            ("a", 90),
+            ("b", 10),
+        ]
+
+    @pytest.mark.parametrize("body", [b"", b"{", b"{}", b'{"version": "7"}'])
+    def test_malformed_configuration_is_a_typed_error(self, body):
+        with pytest.raises(DocumentInvalid):
+            decode_configuration(body)
+
+
+class TestBackendRecords:
+    """Entries of backend servers, their own and those of other writers."""
+
+    def _entry(self, **changes):
+        entry = wire.runner_entry(
+            service="engines",
+            address="a:1",
+            slots=4,
+            draining=False,
+            born=17,
+            heartbeat=12,
+            models=[wire.model_entry("m1", ["a1"])],
+            at_hand=["m1", "m2"],
+        )
+        return json.dumps(entry | changes).encode()
+
+    def test_fields_say_what_they_hold(self):
+        record = decode_backend("e1", self._entry())
+        assert (record.incarnation, record.report_number) == (17, 12)
+        assert record.models == {"m1": frozenset({"a1"})}
+        assert record.on_disk == {"m1", "m2"}
+
+    @pytest.mark.parametrize(
+        "changes",
+        [{"state": "odd"}, {"slots": "4"}, {"address": None}, {"born": 1.5}],
+    )
+    def test_entry_of_another_writer_names_no_backend_server(self, changes):
+        with pytest.raises(DocumentInvalid, match="'e1'"):
+            decode_backend("e1", self._entry(**changes))
+
+    def test_bytes_that_cannot_be_read(self):
+        with pytest.raises(DocumentInvalid):
+            decode_backend("e1", b"\xff\x00")
+
+
+class TestBoundary:
+    """Nothing outside the adapter knows the platform's names."""
+
+    WIRE_NAMES = re.compile(
+        r"x-attempt-id|x-server-seal|x-target-instance|x-not-executed|x-token-count"
+        r"|x-prompt-prefix|rows-tx|rows-feed|rows-get|fencingToken|coldRemainingMs"
+        r"|trafficSplit|maxAttempts|targetLatencyMs|heartbeatMs|ratePerS|apiKeys",
+        re.IGNORECASE,
+    )
+    EXEMPT = "guavajunction-fakes/src/guavajunction_fakes/deployment/"
+
+    def test_wire_names_stand_only_in_the_adapter(self):
+        places = [
+            f"{path.relative_to(ROOT)}:{number}"
+            for path in sorted((ROOT / "packages").rglob("*.py"))
+            if self.EXEMPT not in path.as_posix()
+            for number, line in enumerate(path.read_text().splitlines(), 1)
+            if self.WIRE_NAMES.search(line)
+        ]
+        assert not places
+
+    def test_adapter_imports_no_decision(self):
+        """It may build what policies work on, never call one."""
+        policies = re.compile(
+            r"import .*(WaitingRoom|RetryAllowance\b|PooledAllowance|choose|plan\b)"
+        )
+        places = [
+            path.name
+            for path in (ROOT / "platform").rglob("*.py")
+            if policies.search(path.read_text())
+        ]
+        assert not places
