--- a/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
@@ -200,7 +200,7 @@
 def copies_needed(demand: Demand | None) -> int:
     """Return how many copies of a model its demand is worth.
 
-    >>> [copies_needed(Demand(rate, 0)) for rate in (0.0, 0.2, 5.0, 5.1)]
+    >>> [copies_needed(Demand(rate, 0)) for rate in (0.0, 0.2, 8.0, 8.1)]
     [0, 1, 1, 2]
     """
     if demand is None or (demand.rate < ASKED_FOR_RATE and not demand.waiting):
