--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 demo: install
 	$(VENV)/bin/guavafakes demo
+	$(VENV)/bin/guavafakes demo --profile platform
 
 bench: install
 	$(PYTHON) bench/path.py
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import secrets
 from contextlib import AsyncExitStack
@@ -10,7 +11,7 @@
 
 from guavajunction.backends import PassiveHealth
 from guavajunction.clock import Clock, SystemClock
-from guavajunction.errors import DocumentInvalid
+from guavajunction.errors import DocumentInvalid, SettingsInvalid
 from guavajunction.fleet import InstanceEntry, Member, Roster, StoreRoster, obtain_keys
 from guavajunction.gateway import (
     Allowances,
@@ -65,6 +66,8 @@
     """Least time from the stop signal to the end: callers keep the directory's
     answer for a while."""
     MAINTENANCE_SECONDS = 0.2
+    SETTINGS_SECONDS = 1.0
+    """How often the settings are looked at without a signal."""
 
     def __init__(
         self, settings: GatewaySettings, deployment: Deployment, clock: Clock
@@ -83,6 +86,9 @@
         self._loads = LoadView()
         self._demand = ModelDemand()
         self._allowances = Allowances(settings.allowances, clock)
+        self._retries = RetryAllowance(settings.retries)
+        self._reload = asyncio.Event()
+        self._settings_fault: str | None = None
         self._roster = Roster(self._me, clock)
         self._room = WaitingRoom(self._book, self._loads, self._health, clock)
         self._gateway = Gateway(
@@ -91,7 +97,7 @@
                 room=self._room,
                 health=self._health,
                 allowances=self._allowances,
-                retries=RetryAllowance(settings.retries),
+                retries=self._retries,
                 demand=self._demand,
                 caller=deployment.caller,
                 metrics=self.metrics,
@@ -158,6 +164,7 @@
             "links": self._run_links,
             "roster": self._store_roster.run,
             "maintenance": self._maintain,
+            "settings": self._follow_settings,
         }
 
     async def _keep_running(self, duty: Any, name: str) -> None:
@@ -170,6 +177,39 @@
                 events.log_traceback()
             await self._clock.sleep(self.MAINTENANCE_SECONDS)
 
+    def reload(self) -> None:
+        """Read the settings again soon."""
+        self._reload.set()
+
+    async def _follow_settings(self) -> None:
+        """Apply changed settings, with or without a signal."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._reload.wait(), self.SETTINGS_SECONDS)
+            self._reload.clear()
+            try:
+                settings = self._deployment.read_settings()
+            except SettingsInvalid as exc:
+                if exc.message != self._settings_fault:
+                    gateway_events.SETTINGS_REFUSED.log(reason=exc.message)
+                self._settings_fault = exc.message
+                continue
+            self._settings_fault = None
+            if settings != self._settings:
+                self._apply(settings)
+
+    def _apply(self, settings: GatewaySettings) -> None:
+        """Put bounds in force; addresses stay until the next start."""
+        changed = [
+            name
+            for name in settings._fields
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        self._settings = settings
+        self._retries.change_bounds(settings.retries)
+        self._allowances.change_bounds(settings.allowances)
+        gateway_events.RELOADED.log(changed=changed)
+
     async def _follow_configuration(self) -> None:
         sort = self._deployment.configuration_row.sort
         async for changes in self._configuration:
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_deployment.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_deployment.py
@@ -11,6 +11,8 @@
 from guavajunction.storage import ChangeFeed, TableService
 from guavajunction.swapping import OrderSender
 
+from ._settings import GatewaySettings
+
 
 class RowAddress(NamedTuple):
     """Where a row lies in the store."""
@@ -82,6 +84,14 @@
         """
         ...
 
+    def read_settings(self) -> GatewaySettings:
+        """Read this instance's settings as they are now.
+
+        Raises:
+            SettingsInvalid: They can't be read.
+        """
+        ...
+
     def listen(self, parts: FrontParts) -> AbstractAsyncContextManager[None]:
         """Answer callers, directory and readiness checks while entered."""
         ...
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
@@ -10,4 +10,7 @@
 DOCUMENT_REFUSED = LogEvent(
     121, "process:document_refused", "A row of the store could not be decoded."
 )
-RELOADED = LogEvent(122, "process:reloaded", "The settings file was read again.")
+RELOADED = LogEvent(122, "process:reloaded", "Changed settings are in force.")
+SETTINGS_REFUSED = LogEvent(
+    123, "process:settings_refused", "Changed settings are wrong; the old ones stay."
+)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/commands/demo.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/demo.py
@@ -9,20 +9,26 @@
 from absl import flags
 
 from guavajunction_fakes._errors import FakesError
-from guavajunction_fakes.demo import Demo
+from guavajunction_fakes.demo import Demo, PlatformDemo
 
 EXIT_FAILED = 1
 
+DEMOS = {"own": Demo, "platform": PlatformDemo}
+"""Demos by profile: the product's own interface, and the users' platform."""
+
 
 def define(values: flags.FlagValues) -> None:
     """Declare the flags."""
     flags.DEFINE_string("var", "var/demo", "folder to write", flag_values=values)
+    flags.DEFINE_enum(
+        "profile", "own", sorted(DEMOS), "which demo to run", flag_values=values
+    )
 
 
 def run(values: flags.FlagValues) -> int:
     """Run the demo."""
     try:
-        failed = uvloop.run(Demo(Path(values.var)).run())
+        failed = uvloop.run(DEMOS[values.profile](Path(values.var)).run())
     except FakesError as exc:
         print(f"{type(exc).__name__}: {exc}", file=sys.stderr)
         return EXIT_FAILED
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/demo/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/demo/__init__.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from ._demo import Demo
+from ._platform_demo import PlatformDemo
 
-__all__ = ["Demo"]
+__all__ = ["Demo", "PlatformDemo"]
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/demo/_platform_demo.py
@@ -0,0 +1,96 @@
+"""Serves requests on stand-ins of the users' platform and checks what comes back."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+from typing import NamedTuple
+
+import aiohttp
+
+from guavajunction_fakes.deployment import HEADERS, LocalDeployment
+
+
+class _Reply(NamedTuple):
+    status: int
+    body: bytes
+
+
+class PlatformDemo:
+    """Each step prints what was asked, what came back, and whether it is right."""
+
+    PORTS = [28221, 28224, 28220, 27600]
+    """Front, readiness, directory and peer port; each instance has an address."""
+    CHANGE_SECONDS = 0.5
+    """After a change of the operator, until it is tried."""
+    STOP_SECONDS = 5.0
+
+    def __init__(self, var: Path) -> None:
+        """Create a demo.
+
+        Args:
+            var: Folder for settings files and logs.
+        """
+        self._deployment = LocalDeployment(var, instances=3, ports=self.PORTS)
+        self._requests = 0
+        self._failed = 0
+
+    async def run(self) -> int:
+        """Run every step.
+
+        Returns:
+            The number of checks that failed.
+        """
+        async with self._deployment as deployment:
+            addresses = await deployment.addresses("front-1")
+            self._check(f"the directory names {addresses}", len(addresses) == 3)
+            reply = await self._call("/book/1")
+            self._check("a booking is answered once", reply.status == 200)
+            reply = await self._call("/draft/1", model="m1")
+            self._check("a stream arrives whole", reply.body.count(b"data:") == 3)
+            reply = await self._call("/draft/2", model="m1/a1")
+            self._check("an adapter is loaded on demand", reply.status == 200)
+            reply = await self._call("/long/1", model="m3")
+            self._check("a rare model is loaded on demand", reply.status == 200)
+            await self._withdraw_key()
+            await self._stop_one()
+        return self._failed
+
+    async def _withdraw_key(self) -> None:
+        operator = self._deployment.operator
+        operator.add_customer("atelier", ["another-key"])
+        operator.write()
+        await asyncio.sleep(self.CHANGE_SECONDS)
+        reply = await self._call("/book/2")
+        self._check("a withdrawn key is refused", reply.status == 401)
+
+    async def _stop_one(self) -> None:
+        process = self._deployment.instances["front-2"]
+        process.signal(signal.SIGTERM)
+        await asyncio.sleep(self.CHANGE_SECONDS)
+        addresses = await self._deployment.addresses("front-1")
+        self._check("a stopping instance leaves the directory", len(addresses) == 2)
+        status = await process.stop(within=self.STOP_SECONDS)
+        self._check("it ends by itself with status 0", status == 0)
+
+    async def _call(self, path: str, *, model: str | None = None) -> _Reply:
+        self._requests += 1
+        headers = {
+            "Host": "here.example",
+            HEADERS.request_id: f"demo-{self._requests}",
+            HEADERS.deadline: "4000",
+            HEADERS.key: "Token key-of-atelier",
+        }
+        if model is not None:
+            headers |= {HEADERS.model: model, HEADERS.tokens: "100,20"}
+        url = self._deployment.front("front-1") + path
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, headers=headers, data=b"a body") as resp,
+        ):
+            return _Reply(resp.status, await resp.read())
+
+    def _check(self, what: str, right: bool) -> None:
+        self._failed += not right
+        print(f"{'ok ' if right else 'NOT'} {what}", flush=True)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
@@ -6,8 +6,10 @@
 import json
 import os
 import sys
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 
@@ -102,6 +104,14 @@
         self.instances[name].start()
         return self.instances[name]
 
+    def change_settings(
+        self, name: str, change: Callable[[dict[str, Any]], dict[str, Any]]
+    ) -> None:
+        """Change the bounds in an instance's settings file while it runs."""
+        path = self._var / f"{name}.json"
+        content = json.loads(path.read_text())
+        path.write_text(json.dumps(content | {"bounds": change(content["bounds"])}))
+
     def front(self, name: str) -> str:
         """Return where an instance takes requests."""
         return f"http://{self._addresses[name]}:{self._ports[0]}"
--- a/packages/guavajunction/src/guavajunction/gateway/_allowances.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_allowances.py
@@ -29,9 +29,16 @@
         self._bounds = bounds
         self._clock = clock
         self._pools: dict[str, PooledAllowance] = {}
+        self._customers: tuple[Customer, ...] = ()
+
+    def change_bounds(self, bounds: AllowanceBounds) -> None:
+        """Follow changed settings."""
+        self._bounds = bounds
+        self.configure(self._customers)
 
     def configure(self, customers: tuple[Customer, ...]) -> None:
         """Follow a configuration; pools of customers that stay keep their level."""
+        self._customers = customers
         now = self._clock.monotonic()
         limited = {c.name: self._terms(c) for c in customers if c.rate > 0}
         for name in set(self._pools) - set(limited):
--- a/packages/guavajunction/src/guavajunction/gateway/_retry_allowance.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_retry_allowance.py
@@ -39,6 +39,10 @@
         self._requests: defaultdict[str, deque[float]] = defaultdict(deque)
         self._repeats: defaultdict[str, deque[float]] = defaultdict(deque)
 
+    def change_bounds(self, bounds: RetryBounds) -> None:
+        """Follow changed settings."""
+        self._bounds = bounds
+
     def note_request(self, service: str, now: float) -> None:
         """Count the first send of a request."""
         self._requests[service].append(now)
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -230,6 +230,26 @@
         assert statuses.count(429) == len(statuses) - passed
 
 
+class TestSettings:
+    """Changed settings are applied, wrong ones change nothing."""
+
+    @pytest.mark.parametrize("signalled", [True, False])
+    async def test_changed_bounds_are_applied(self, deployment, signalled):
+        process = deployment.instances["front-1"]
+        deployment.change_settings("front-1", lambda bounds: bounds | {"graceS": 7})
+        if signalled:
+            process.signal(signal.SIGHUP)
+        await until(lambda: "process:reloaded" in process.log_path.read_text(), 3.0)
+        assert (await call(deployment, "/book/1")).status == 200
+
+    async def test_wrong_settings_leave_the_old_ones_in_force(self, deployment):
+        process = deployment.instances["front-1"]
+        deployment.change_settings("front-1", lambda _: {})
+        process.signal(signal.SIGHUP)
+        await until(lambda: "settings_refused" in process.log_path.read_text(), 3.0)
+        assert (await call(deployment, "/book/1")).status == 200
+
+
 class TestOutages:
     """Instances serve on through outages and are replaced at any time."""
 
