--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -65,6 +65,9 @@
     LINGER_SECONDS = 2.5
     """Least time from the stop signal to the end: callers keep the directory's
     answer for a while."""
+    BACKENDS_REST_SECONDS = 0.4
+    """Well below the time in which a leaving backend server must be known; what
+    models it holds is told by the author at once."""
     MAINTENANCE_SECONDS = 0.2
     SETTINGS_SECONDS = 1.0
     """How often the settings are looked at without a signal."""
@@ -109,7 +112,11 @@
             deployment.feed, deployment.configuration_row.partition, clock, self._rng
         )
         self._backends = PartitionWatcher(
-            deployment.feed, deployment.backends_partition, clock, self._rng
+            deployment.feed,
+            deployment.backends_partition,
+            clock,
+            self._rng,
+            rest=self._backends_rest,
         )
         self._backends_known = False
         self._mesh: PeerMesh | None = None
@@ -314,6 +321,11 @@
         author.stopping = self._stopping_since is not None
         return author
 
+    def _backends_rest(self) -> float:
+        """Let changes of backend servers gather, unless orders wait for them."""
+        author = self._author is not None and self._author.in_office
+        return 0.0 if author else self.BACKENDS_REST_SECONDS
+
     def _candidates(self) -> list[PeerId]:
         peers = self._roster.peers_that(lambda member: member.sees_store)
         return [*peers, self._me] if self._sees_store() else peers
--- a/packages/guavajunction/src/guavajunction/customers/_pooled_allowance.py
+++ b/packages/guavajunction/src/guavajunction/customers/_pooled_allowance.py
@@ -81,7 +81,7 @@
 
     def seconds_until(self, units: float, now: float) -> float:
         """Return how long a request of some units would have to wait."""
-        missing = units - self._lent() - self.level(now)
+        missing = units + self._unseen(now) - self._lent() - self.level(now)
         return max(0.0, missing / max(self._terms.rate * self._part, 1e-9))
 
     def change_terms(self, terms: AllowanceTerms, now: float) -> None:
--- a/packages/guavajunction/src/guavajunction/storage/_watcher.py
+++ b/packages/guavajunction/src/guavajunction/storage/_watcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from guavajunction.clock import Clock
 from guavajunction.errors import HistoryGone, PlatformError
@@ -22,12 +22,29 @@
     """Mean pause after a failed call, with jitter of a half either way."""
 
     def __init__(
-        self, feed: ChangeFeed, partition: str, clock: Clock, rng: random.Random
+        self,
+        feed: ChangeFeed,
+        partition: str,
+        clock: Clock,
+        rng: random.Random,
+        *,
+        rest: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        """Create a watcher.
+
+        Args:
+            feed: Tells of changes.
+            partition: Partition to follow.
+            clock: Source of time.
+            rng: Spreads the calls of instances that lost the store together.
+            rest: Seconds from a change to the next call, in which further changes
+                gather: a call for each would be most of the store's load.
+        """
         self._feed = feed
         self._partition = partition
         self._clock = clock
         self._rng = rng
+        self._rest = rest
         self._version: int | None = None
         self._lost_at: float | None = None
         self.read_at = float("-inf")
@@ -52,6 +69,7 @@
             self._version = changes.version
             if changes.rows or changes.complete:
                 yield changes
+                await self._clock.sleep(self._rest())
 
     async def _next(self) -> Changes:
         if self._version is None:
--- a/packages/guavajunction/src/guavajunction/swapping/_author.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_author.py
@@ -97,6 +97,11 @@
         """When the models that are being loaded are expected, monotonic."""
         links.handle(AdapterWanted, self._on_adapter_wanted)
 
+    @property
+    def in_office(self) -> bool:
+        """Return whether this instance gives orders now."""
+        return self._term is not None
+
     def beat(self) -> AuthorBeat:
         """Return what this instance says in its heartbeat."""
         if self._term is None:
