Weigh the delay of a load by the rate that asks; hand orders over runner by runner

Cause: a model with 10 requests a second waited 8 s for a busy runner that had its weights; unloads waited up to 8 s for streams on the victim; a successor waited 3 s for all runners though most had no recent order.

--- a/packages/guavajunction/src/guavajunction/gateway/__init__.py
+++ b/packages/guavajunction/src/guavajunction/gateway/__init__.py
@@ -18,7 +18,7 @@
 )
 from ._gateway import Gateway, GatewayParts
 from ._load_view import Load, LoadView
-from ._model_demand import Demand, ModelDemand
+from ._model_demand import NO_DEMAND, Demand, ModelDemand
 from ._protocols import AnswerHead, AnswerSink, BackendAnswer, BackendCaller
 from ._request import GatewayRequest, GenerationSize, PromptPart
 from ._retry_allowance import RetryAllowance, RetryBounds
@@ -26,6 +26,7 @@
 from ._waiting_room import Ticket, WaitingRoom
 
 __all__ = [
+    "NO_DEMAND",
     "HoldingNotice",
     "AllowanceBounds",
     "Allowances",
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_book.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_book.py
@@ -70,6 +70,8 @@
                 address=record.address,
                 incarnation=record.incarnation,
                 models=sorted(record.models),
+                in_memory=sorted(record.in_memory),
+                on_disk=sorted(record.on_disk),
             )
         elif record.draining and not before.draining:
             events.BACKEND_DRAINING.log(backend=record.name, address=record.address)
--- a/packages/guavajunction/src/guavajunction/swapping/_author.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_author.py
@@ -26,8 +26,8 @@
 
     holder: PeerId
     fence: int
-    quiet_since: float
-    """After its last order, monotonic."""
+    ordered_at: dict[str, float]
+    """When each backend server got its latest order, monotonic."""
 
 
 class OrderAuthor:
@@ -88,8 +88,9 @@
         self._author_at = float("-inf")
         self._given_up = 0
         self._again_at = float("-inf")
-        self._last_order_at = float("-inf")
+        self._ordered_at: dict[str, float] = {}
         self._vacancy: _Vacancy | None = None
+        self._not_before: dict[str, float] = {}
         self._asking: dict[AdapterWanted, asyncio.Task[None]] = {}
         self.stopping = False
         """Whether this instance is about to leave and must not begin a term."""
@@ -105,8 +106,9 @@
     def beat(self) -> AuthorBeat:
         """Return what this instance says in its heartbeat."""
         if self._term is None:
-            idle = self._clock.monotonic() - self._last_order_at
-            return AuthorBeat(given_up=self._given_up, idle_seconds=idle)
+            now = self._clock.monotonic()
+            ordered = {name: now - at for name, at in self._ordered_at.items()}
+            return AuthorBeat(given_up=self._given_up, ordered_seconds=ordered)
         due = self._term.loads_due()
         self._note_due(due)
         return AuthorBeat(self._lease.fence, loads_due=due)
@@ -115,8 +117,10 @@
         """Take what another instance says in its heartbeat."""
         now = self._clock.monotonic()
         if beat.given_up:
-            quiet_since = now - beat.idle_seconds
-            self._vacancy = _Vacancy(peer, beat.given_up, quiet_since)
+            ordered_at = {
+                name: now - seconds for name, seconds in beat.ordered_seconds.items()
+            }
+            self._vacancy = _Vacancy(peer, beat.given_up, ordered_at)
         if not beat.fence:
             return
         if beat.fence > self._given_up:
@@ -189,7 +193,11 @@
         except TimeoutError:
             return
         desk = OrderDesk(
-            self._sender, self._links.me.name, self._order_fence, self._clock
+            self._sender,
+            self._links.me.name,
+            self._fence,
+            self._clock,
+            not_before=self._not_before,
         )
         self._term = Term(self._parts, desk)
         events.AUTHOR_BEGAN.log(fence=self._lease.fence)
@@ -200,8 +208,9 @@
                 tasks.create_task(self._term.run())
                 tasks.create_task(self._watch_lease())
         except* LeaseLost as group:
-            reason = str(group.exceptions[0])
+            reason = _first(group).message
         finally:
+            self._ordered_at = desk.ordered_lately(self._turn_seconds)
             self._term = None
             self._given_up = self._lease.fence
             self._again_at = self._clock.monotonic() + self.AGAIN_SECONDS
@@ -210,11 +219,14 @@
 
     async def _acquire(self) -> None:
         vacancy = self._vacancy
+        self._not_before = {}
         if vacancy is not None:
             try:
                 if await self._lease.take_over(vacancy.holder, vacancy.fence):
-                    quiet = self._clock.monotonic() - vacancy.quiet_since
-                    await self._clock.sleep(max(0.0, self._turn_seconds - quiet))
+                    self._not_before = {
+                        name: at + self._turn_seconds
+                        for name, at in vacancy.ordered_at.items()
+                    }
                     return
             except PlatformError as exc:
                 events.TAKE_OVER_FAILED.log(
@@ -235,12 +247,13 @@
             raise LeaseLost(f"the lease {LEASE_NAME} runs out")
         return self._lease.fence
 
-    def _order_fence(self) -> int:
-        fence = self._fence()
-        self._last_order_at = self._clock.monotonic()
-        return fence
-
     def _note_due(self, due: dict[str, float]) -> None:
         now = self._clock.monotonic()
         self.loads_due.clear()
         self.loads_due.update((model, now + seconds) for model, seconds in due.items())
+
+
+def _first(group: ExceptionGroup[LeaseLost]) -> LeaseLost:
+    """Return the first failure of a group whose tasks have groups of their own."""
+    exc = group.exceptions[0]
+    return _first(exc) if isinstance(exc, ExceptionGroup) else exc
--- a/packages/guavajunction/src/guavajunction/swapping/_messages.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_messages.py
@@ -29,7 +29,7 @@
     """Its fencing number; 0 from an instance that is not the author."""
     given_up: int = 0
     """Fencing number that this instance promises never to use again."""
-    idle_seconds: float = 0.0
-    """Least time since its last order under that number."""
+    ordered_seconds: dict[str, float] = {}
+    """Time since the latest order to each backend server, under that number."""
     loads_due: dict[str, float] = {}
     """Seconds until the models that are being loaded are expected."""
--- a/packages/guavajunction/src/guavajunction/swapping/_order_desk.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_order_desk.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from guavajunction.clock import Clock
 from guavajunction.errors import LeaseLost, NotSent, OrderRefused, OutcomeUnknown
@@ -25,7 +25,13 @@
     """A report tells how things were some hundred milliseconds ago."""
 
     def __init__(
-        self, sender: OrderSender, author: str, fence: Callable[[], int], clock: Clock
+        self,
+        sender: OrderSender,
+        author: str,
+        fence: Callable[[], int],
+        clock: Clock,
+        *,
+        not_before: Mapping[str, float] | None = None,
     ) -> None:
         """Create a desk.
 
@@ -34,11 +40,14 @@
             author: This instance.
             fence: Returns the fencing number, or raises `LeaseLost`.
             clock: Source of time.
+            not_before: When backend servers that had an order of the author before
+                may get the first of this one, monotonic.
         """
         self._sender = sender
         self._author = author
         self._fence = fence
         self._clock = clock
+        self._not_before = not_before or {}
         self._ordered_at: dict[str, float] = {}
         self._ledgers: dict[str, BackendLedger] = {}
         self._locks: dict[str, asyncio.Lock] = {}
@@ -47,6 +56,11 @@
         """Return the ledgers of all backend servers that take orders."""
         return list(self._ledgers.values())
 
+    def ordered_lately(self, seconds: float) -> dict[str, float]:
+        """Return when backend servers got an order in the last seconds, monotonic."""
+        since = self._clock.monotonic() - seconds
+        return {name: at for name, at in self._ordered_at.items() if at > since}
+
     def sync(self, records: dict[str, tuple[BackendRecord, EngineSpec]]) -> None:
         """Follow the records of the backend servers that run engines."""
         for name in set(self._ledgers) - set(records):
@@ -54,7 +68,8 @@
         for name, (record, spec) in records.items():
             known = self._ledgers.get(name)
             if known is None or known.record.identity != record.identity:
-                self._ledgers[name] = BackendLedger(record, spec)
+                ledger = self._ledgers[name] = BackendLedger(record, spec)
+                ledger.unreachable_until = self._not_before.get(name, float("-inf"))
                 self._locks[name] = asyncio.Lock()
                 continue
             known.spec = spec
@@ -102,6 +117,13 @@
                 f"{ledger.spec.memory_mb:g} MB and {ledger.adapter_count} of "
                 f"{ledger.spec.adapter_slots} adapter slots are used"
             )
+        if self._clock.monotonic() < self._not_before.get(
+            ledger.record.name, float("-inf")
+        ):
+            raise OrderRefused(
+                f"backend server {ledger.record.name!r} had an order of another "
+                "author a moment ago"
+            )
         order = order._replace(fence=self._fence())
         self._ordered_at[ledger.record.name] = self._clock.monotonic()
         try:
--- a/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
@@ -15,7 +15,7 @@
 from collections.abc import Container, Mapping, Sequence
 from typing import NamedTuple
 
-from guavajunction.gateway import Demand, EngineSpec
+from guavajunction.gateway import NO_DEMAND, Demand, EngineSpec
 
 REQUESTS_PER_COPY = 8.0
 """Requests a second that one copy is to take: a backend server reads about 17 prompts
@@ -52,10 +52,14 @@
 fro."""
 
 SECONDS_WEIGHT = 0.3
-"""Price of a second of loading when backend servers are compared."""
+"""Price of a second until the model is there, for each request a second that asks
+for it, and at least for one."""
 
-RUNNING_WEIGHT = 0.2
-"""Price of a request that has to end before its model can be unloaded."""
+UNLOAD_SECONDS = 0.15
+"""Time of an unload of an idle model."""
+
+UNLOAD_RUNNING_SECONDS = 3.0
+"""The same while requests run on it: about what is left of a stream."""
 
 CROWDED_WEIGHT = 0.02
 """Price of each request that the new model would run beside."""
@@ -242,26 +246,29 @@
     victims = sorted(
         (
             (
-                _eviction_cost(name, copies, demand, asked_before)
-                + holding.running.get(name, 0) * RUNNING_WEIGHT,
+                bool(holding.running.get(name)),
+                _eviction_cost(name, copies, demand, asked_before),
                 name,
             )
             for name, since in holding.resident.items()
             if now - since >= MIN_STAY_SECONDS and not _waited_for(name, demand)
         ),
     )
-    for victim_cost, name in victims:
+    unload = 0.0
+    for running, victim_cost, name in victims:
         if free >= spec.models[model].memory_mb:
             break
         evicted.append(name)
         cost += victim_cost
+        unload = max(unload, UNLOAD_RUNNING_SECONDS if running else UNLOAD_SECONDS)
         free += spec.models[name].memory_mb if name in spec.models else 0.0
     if free < spec.models[model].memory_mb:
         return None
     seconds, from_store = _load(spec, holding, model)
-    price = (
-        cost + seconds * SECONDS_WEIGHT + sum(holding.running.values()) * CROWDED_WEIGHT
-    )
+    urgency = SECONDS_WEIGHT * max(1.0, demand.get(model, NO_DEMAND).rate)
+    delay = seconds + unload + holding.free_in
+    crowding = sum(holding.running.values()) * CROWDED_WEIGHT
+    price = cost + delay * urgency + crowding
     move = Move(holding.name, model, tuple(evicted), from_store, seconds)
     return _Option(price, cost, holding.free_in > 0, move)
 
