Choose victims by their price, with a part for what still runs on them

Cause: idle models were evicted before cheaper ones that a stream ran on, so busy models between two requests went first.

--- a/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
@@ -55,6 +55,9 @@
 """Price of a second until the model is there, for each request a second that asks
 for it, and at least for one."""
 
+RUNNING_WEIGHT = 0.2
+"""Price of a request that has to end before its model can be unloaded."""
+
 UNLOAD_SECONDS = 0.15
 """Time of an unload of an idle model."""
 
@@ -246,8 +249,8 @@
     victims = sorted(
         (
             (
-                bool(holding.running.get(name)),
-                _eviction_cost(name, copies, demand, asked_before),
+                _eviction_cost(name, copies, demand, asked_before)
+                + holding.running.get(name, 0) * RUNNING_WEIGHT,
                 name,
             )
             for name, since in holding.resident.items()
@@ -255,11 +258,12 @@
         ),
     )
     unload = 0.0
-    for running, victim_cost, name in victims:
+    for victim_cost, name in victims:
         if free >= spec.models[model].memory_mb:
             break
         evicted.append(name)
         cost += victim_cost
+        running = holding.running.get(name)
         unload = max(unload, UNLOAD_RUNNING_SECONDS if running else UNLOAD_SECONDS)
         free += spec.models[name].memory_mb if name in spec.models else 0.0
     if free < spec.models[model].memory_mb:
