Split the planner's inputs from its steps; a successor goes on with the count of loads

Cause: a new author began with an empty count of loads from the weight store, so two terms within one window could begin more than the ceiling allows; found by reading, with a test that failed first. The rest changes no behaviour: typed handlers and duties, tests of what one send may become on the wire.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 import secrets
+from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack
 from typing import Any
 
@@ -46,6 +47,9 @@
 from ._deployment import Deployment, FrontParts
 from ._settings import GatewaySettings
 
+Duty = Callable[[], Coroutine[Any, Any, None]]
+"""Work that goes on as long as the process does."""
+
 
 class GatewayDaemon:
     """Serves callers until it is asked to stop."""
@@ -163,7 +167,7 @@
             await self._store_roster.leave()
         events.STOPPED.log(in_flight=self._gateway.in_flight)
 
-    def _duties(self) -> dict[str, Any]:
+    def _duties(self) -> dict[str, Duty]:
         return {
             "configuration": self._follow_configuration,
             "backends": self._follow_backends,
@@ -174,7 +178,7 @@
             "settings": self._follow_settings,
         }
 
-    async def _keep_running(self, duty: Any, name: str) -> None:
+    async def _keep_running(self, duty: Duty, name: str) -> None:
         """Run a duty again after a failure: a process never ends by itself."""
         while True:
             try:
--- a/packages/guavajunction/src/guavajunction/swapping/__init__.py
+++ b/packages/guavajunction/src/guavajunction/swapping/__init__.py
@@ -9,7 +9,7 @@
 from ._messages import AdapterReady, AdapterWanted, AuthorBeat
 from ._order_desk import OrderDesk
 from ._protocols import EngineReport, Order, OrderKind, OrderOutcome, OrderSender
-from ._rare_models import Holding, Move, copies_needed, plan
+from ._rare_models import Holding, Move, Situation, copies_needed, plan
 from ._term import Term, TermParts
 
 __all__ = [
@@ -29,6 +29,7 @@
     "OrderKind",
     "OrderOutcome",
     "OrderSender",
+    "Situation",
     "Term",
     "TermParts",
     "choose_place",
--- a/packages/guavajunction/src/guavajunction/swapping/_author.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_author.py
@@ -111,7 +111,8 @@
             return AuthorBeat(given_up=self._given_up, ordered_seconds=ordered)
         due = self._term.loads_due()
         self._note_due(due)
-        return AuthorBeat(self._lease.fence, loads_due=due)
+        ages = self._parts.ceiling.ages(self._clock.monotonic())
+        return AuthorBeat(self._lease.fence, store_loads=ages, loads_due=due)
 
     def hear(self, peer: PeerId, beat: AuthorBeat) -> None:
         """Take what another instance says in its heartbeat."""
@@ -129,6 +130,7 @@
             self._vacancy = None
         self._author = peer
         self._author_at = now
+        self._parts.ceiling.take_over(beat.store_loads, now)
         self._note_due(beat.loads_due)
 
     async def run(self) -> None:
--- a/packages/guavajunction/src/guavajunction/swapping/_load_ceiling.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_load_ceiling.py
@@ -28,6 +28,16 @@
             self._begun.popleft()
         return max(0, int(loads_per_second * self._window) - len(self._begun))
 
+    def ages(self, now: float) -> tuple[float, ...]:
+        """Return how long ago the loads of the window began, in seconds."""
+        return tuple(
+            round(now - begun, 2) for begun in self._begun if now - begun < self._window
+        )
+
+    def take_over(self, ages: tuple[float, ...], now: float) -> None:
+        """Go on with the count of another author."""
+        self._begun = deque(now - age for age in sorted(ages, reverse=True))
+
     def count(self, now: float) -> None:
         """Count a load that begins."""
         self._begun.append(now)
--- a/packages/guavajunction/src/guavajunction/swapping/_messages.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_messages.py
@@ -31,5 +31,7 @@
     """Fencing number that this instance promises never to use again."""
     ordered_seconds: dict[str, float] = {}
     """Time since the latest order to each backend server, under that number."""
+    store_loads: tuple[float, ...] = ()
+    """Seconds since the loads from the weight store that still count began."""
     loads_due: dict[str, float] = {}
     """Seconds until the models that are being loaded are expected."""
--- a/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_rare_models.py
@@ -107,89 +107,44 @@
     move: Move
 
 
+class Situation(NamedTuple):
+    """What a plan is made from."""
+
+    spec: EngineSpec
+    """Models of the service."""
+    holdings: Sequence[Holding]
+    """Backend servers, those that are busy with a model as they will be."""
+    demand: Mapping[str, Demand]
+    """What is asked of each model, fleet-wide."""
+    asked_before: Container[str]
+    """Models that somebody has asked for so far."""
+    now: float
+    """Monotonic time in seconds."""
+
+
 def plan(
-    spec: EngineSpec,
-    holdings: Sequence[Holding],
-    demand: Mapping[str, Demand],
-    now: float,
-    *,
-    store_loads: int,
-    rare_store_loads: int,
-    asked_before: Container[str],
+    situation: Situation, *, store_loads: int, rare_store_loads: int
 ) -> Move | None:
     """Return the move that is worth most now, or None if none is worth it.
 
     Args:
-        spec: Models of the service.
-        holdings: Backend servers, those that are busy with a model as they will be.
-        demand: What is asked of each model, fleet-wide.
-        now: Monotonic time in seconds.
+        situation: What is held where, and what is asked for.
         store_loads: Loads from the weight store that may begin now.
         rare_store_loads: Those that are under way for rare models.
-        asked_before: Models that somebody has asked for so far.
     """
-    copies: Counter[str] = Counter()
-    for holding in holdings:
-        copies.update(holding.resident.keys())
-    for model in _by_urgency(spec, copies, demand):
-        gain = _gain(model, copies, demand)
-        move = _best_move(
-            spec, holdings, model, copies, demand, now, gain, asked_before
-        )
+    planner = _Planner(situation)
+    for model in planner.by_urgency():
+        move = planner.best_move(model, planner.gain(model))
         if move is None:
             continue
-        rare = demand[model].rate < RARE_RATE
-        crowded = rare and rare_store_loads >= max_rare_store_loads(len(holdings))
+        rare = situation.demand[model].rate < RARE_RATE
+        limit = max_rare_store_loads(len(situation.holdings))
+        crowded = rare and rare_store_loads >= limit
         if not move.from_store or (store_loads and not crowded):
             return move
     if store_loads <= STORE_LOADS_KEPT:
         return None
-    return _prefetch(spec, holdings, copies, demand, now, asked_before)
-
-
-def _best_move(
-    spec: EngineSpec,
-    holdings: Sequence[Holding],
-    model: str,
-    copies: Counter[str],
-    demand: Mapping[str, Demand],
-    now: float,
-    gain: float,
-    asked_before: Container[str],
-) -> Move | None:
-    options = [
-        option
-        for holding in holdings
-        if model not in holding.resident
-        and (option := _option(spec, holding, model, copies, demand, now, asked_before))
-    ]
-    best = min(options, key=lambda option: option.price, default=None)
-    if best is None or gain <= best.eviction_cost * GAIN_FACTOR or best.waits:
-        return None
-    return best.move
-
-
-def _prefetch(
-    spec: EngineSpec,
-    holdings: Sequence[Holding],
-    copies: Counter[str],
-    demand: Mapping[str, Demand],
-    now: float,
-    asked_before: Container[str],
-) -> Move | None:
-    """Bring weights to a disk that has none yet, in place of a surplus copy."""
-    at_hand = {
-        model for holding in holdings for model in holding.in_memory | holding.on_disk
-    }
-    for model in spec.models:
-        if copies[model] or model in at_hand:
-            continue
-        move = _best_move(
-            spec, holdings, model, copies, demand, now, PREFETCH_GAIN, asked_before
-        )
-        if move is not None and all(copies[name] > 1 for name in move.evict):
-            return move
-    return None
+    return planner.prefetch()
 
 
 def max_rare_store_loads(backends: int) -> int:
@@ -215,95 +170,121 @@
     return max(1, math.ceil(demand.rate / REQUESTS_PER_COPY))
 
 
-def _by_urgency(
-    spec: EngineSpec, copies: Counter[str], demand: Mapping[str, Demand]
-) -> list[str]:
-    wanted = [
-        model
-        for model in demand
-        if model in spec.models and copies[model] < copies_needed(demand[model])
-    ]
-    return sorted(wanted, key=lambda model: -_gain(model, copies, demand))
-
-
-def _gain(model: str, copies: Counter[str], demand: Mapping[str, Demand]) -> float:
-    asked = demand[model]
-    if copies[model] == 0:
-        return asked.waiting + asked.rate * SINGLE_COPY_WEIGHT
-    # Another copy takes over its part of the requests.
-    return asked.rate / (copies[model] * (copies[model] + 1)) * SURPLUS_COPY_WEIGHT
-
-
-def _option(
-    spec: EngineSpec,
-    holding: Holding,
-    model: str,
-    copies: Counter[str],
-    demand: Mapping[str, Demand],
-    now: float,
-    asked_before: Container[str],
-) -> _Option | None:
-    evicted: list[str] = []
-    cost = 0.0
-    free = spec.memory_mb - spec.adapter_room_mb - holding.weights_mb
-    victims = sorted(
-        (
+class _Planner:
+    """Prices the moves of one situation."""
+
+    def __init__(self, situation: Situation) -> None:
+        self._situation = situation
+        self._spec = situation.spec
+        self._copies: Counter[str] = Counter()
+        for holding in situation.holdings:
+            self._copies.update(holding.resident.keys())
+
+    def by_urgency(self) -> list[str]:
+        """Return the models that need another copy, most gain first."""
+        demand = self._situation.demand
+        wanted = [
+            model
+            for model in demand
+            if model in self._spec.models
+            and self._copies[model] < copies_needed(demand[model])
+        ]
+        return sorted(wanted, key=lambda model: -self.gain(model))
+
+    def gain(self, model: str) -> float:
+        """Return what one more copy of a model is worth."""
+        asked, copies = self._situation.demand[model], self._copies[model]
+        if copies == 0:
+            return asked.waiting + asked.rate * SINGLE_COPY_WEIGHT
+        # Another copy takes over its part of the requests.
+        return asked.rate / (copies * (copies + 1)) * SURPLUS_COPY_WEIGHT
+
+    def best_move(self, model: str, gain: float) -> Move | None:
+        """Return the cheapest move of a model if its gain is worth it now."""
+        options = [
+            option
+            for holding in self._situation.holdings
+            if model not in holding.resident
+            and (option := self._option(holding, model)) is not None
+        ]
+        best = min(options, key=lambda option: option.price, default=None)
+        if best is None or gain <= best.eviction_cost * GAIN_FACTOR or best.waits:
+            return None
+        return best.move
+
+    def prefetch(self) -> Move | None:
+        """Bring weights to a disk that has none yet, in place of a surplus copy."""
+        at_hand = {
+            model
+            for holding in self._situation.holdings
+            for model in holding.in_memory | holding.on_disk
+        }
+        for model in self._spec.models:
+            if self._copies[model] or model in at_hand:
+                continue
+            move = self.best_move(model, PREFETCH_GAIN)
+            if move and all(self._copies[name] > 1 for name in move.evict):
+                return move
+        return None
+
+    def _option(self, holding: Holding, model: str) -> _Option | None:
+        needed = self._spec.models[model].memory_mb
+        free = self._spec.memory_mb - self._spec.adapter_room_mb - holding.weights_mb
+        evicted: list[str] = []
+        cost = unload = 0.0
+        for victim_cost, name in self._victims(holding):
+            if free >= needed:
+                break
+            evicted.append(name)
+            cost += victim_cost
+            running = holding.running.get(name)
+            unload = max(unload, UNLOAD_RUNNING_SECONDS if running else UNLOAD_SECONDS)
+            free += self._size_mb(name)
+        if free < needed:
+            return None
+        seconds, from_store = self._load(holding, model)
+        asked = self._situation.demand.get(model, NO_DEMAND)
+        delay = seconds + unload + holding.free_in
+        price = cost + delay * SECONDS_WEIGHT * max(1.0, asked.rate)
+        price += sum(holding.running.values()) * CROWDED_WEIGHT
+        move = Move(holding.name, model, tuple(evicted), from_store, seconds)
+        return _Option(price, cost, holding.free_in > 0, move)
+
+    def _victims(self, holding: Holding) -> list[tuple[float, str]]:
+        """Return what may be evicted, cheapest first, each with its price."""
+        return sorted(
             (
-                _eviction_cost(name, copies, demand, asked_before)
+                self._eviction_cost(name)
                 + holding.running.get(name, 0) * RUNNING_WEIGHT,
                 name,
             )
             for name, since in holding.resident.items()
-            if now - since >= MIN_STAY_SECONDS and not _waited_for(name, demand)
-        ),
-    )
-    unload = 0.0
-    for victim_cost, name in victims:
-        if free >= spec.models[model].memory_mb:
-            break
-        evicted.append(name)
-        cost += victim_cost
-        running = holding.running.get(name)
-        unload = max(unload, UNLOAD_RUNNING_SECONDS if running else UNLOAD_SECONDS)
-        free += spec.models[name].memory_mb if name in spec.models else 0.0
-    if free < spec.models[model].memory_mb:
-        return None
-    seconds, from_store = _load(spec, holding, model)
-    urgency = SECONDS_WEIGHT * max(1.0, demand.get(model, NO_DEMAND).rate)
-    delay = seconds + unload + holding.free_in
-    crowding = sum(holding.running.values()) * CROWDED_WEIGHT
-    price = cost + delay * urgency + crowding
-    move = Move(holding.name, model, tuple(evicted), from_store, seconds)
-    return _Option(price, cost, holding.free_in > 0, move)
-
-
-def _waited_for(model: str, demand: Mapping[str, Demand]) -> bool:
-    asked = demand.get(model)
-    return asked is not None and asked.waiting > 0
-
-
-def _eviction_cost(
-    model: str,
-    copies: Counter[str],
-    demand: Mapping[str, Demand],
-    asked_before: Container[str],
-) -> float:
-    asked = demand.get(model)
-    if asked is None:
-        if copies[model] > 1:
-            return 0.0
-        return SILENT_COPY if model in asked_before else UNASKED_COPY
-    if copies[model] <= 1:
-        return asked.rate * SINGLE_COPY_WEIGHT
-    if copies[model] <= copies_needed(asked):
-        return asked.rate / copies[model] * SINGLE_COPY_WEIGHT
-    return asked.rate / copies[model] * SURPLUS_COPY_WEIGHT
-
-
-def _load(spec: EngineSpec, holding: Holding, model: str) -> tuple[float, bool]:
-    sizes = spec.models[model]
-    if model in holding.in_memory:
-        return sizes.memory_load_seconds, False
-    if model in holding.on_disk:
-        return sizes.disk_load_seconds, False
-    return sizes.store_load_seconds, True
+            if self._situation.now - since >= MIN_STAY_SECONDS
+            and not self._situation.demand.get(name, NO_DEMAND).waiting
+        )
+
+    def _eviction_cost(self, model: str) -> float:
+        asked, copies = self._situation.demand.get(model), self._copies[model]
+        if asked is None:
+            if copies > 1:
+                return 0.0
+            before = model in self._situation.asked_before
+            return SILENT_COPY if before else UNASKED_COPY
+        if copies <= 1:
+            return asked.rate * SINGLE_COPY_WEIGHT
+        surplus = copies > copies_needed(asked)
+        weight = SURPLUS_COPY_WEIGHT if surplus else SINGLE_COPY_WEIGHT
+        return asked.rate / copies * weight
+
+    def _load(self, holding: Holding, model: str) -> tuple[float, bool]:
+        """Return how long a load takes, and whether it is from the weight store."""
+        sizes = self._spec.models[model]
+        if model in holding.in_memory:
+            return sizes.memory_load_seconds, False
+        if model in holding.on_disk:
+            return sizes.disk_load_seconds, False
+        return sizes.store_load_seconds, True
+
+    def _size_mb(self, model: str) -> float:
+        spec = self._spec.models.get(model)
+        return spec.memory_mb if spec else 0.0
--- a/packages/guavajunction/src/guavajunction/swapping/_term.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_term.py
@@ -27,7 +27,7 @@
 from ._messages import AdapterReady, AdapterWanted
 from ._order_desk import OrderDesk
 from ._protocols import OrderKind
-from ._rare_models import Holding, Move
+from ._rare_models import Holding, Move, Situation
 
 
 class TermParts(NamedTuple):
@@ -149,13 +149,9 @@
             holdings = self._holdings(service)
             left = self._parts.ceiling.left(spec.loads_per_second, now)
             move = _rare_models.plan(
-                spec,
-                holdings,
-                demand,
-                now,
+                Situation(spec, holdings, demand, self._asked_before, now),
                 store_loads=left,
                 rare_store_loads=self._rare_store_loads(demand),
-                asked_before=self._asked_before,
             )
             if move is None:
                 return
--- /dev/null
+++ b/tests/platform/test_backend_client.py
@@ -0,0 +1,118 @@
+"""Tests of what one send to a backend server may become on the wire."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+
+from fakes_gateway import backend, request
+from guavajunction.errors import AnswerCut, NotSent, OutcomeUnknown
+from guavajunction_platform import _names as names
+from guavajunction_platform._backend_client import BackendClient
+from guavajunction_platform._deployment import _session
+
+OK = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n"
+RESET = struct.pack("ii", 1, 0)
+"""Linger that resets a connection when it is closed."""
+
+
+@contextlib.asynccontextmanager
+async def serving(*answers):
+    """Answer requests of one connection from a script; None closes without a word."""
+    seen = []
+    script = list(answers)
+
+    async def handle(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                seen.append(head.decode())
+                await script.pop(0)(writer, _id_of(head.decode()))
+        writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    async with server:
+        yield seen, server.sockets[0].getsockname()[1]
+
+
+def _id_of(head):
+    lines = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
+    return lines[names.REQUEST_ID]
+
+
+def whole(text="done"):
+    async def answer(writer, request_id):
+        head = OK.format(id=request_id) + f"Content-Length: {len(text)}\r\n\r\n"
+        writer.write(head.encode() + text.encode())
+
+    return answer
+
+
+async def close(writer, _):
+    writer.close()
+
+
+async def other(writer, _):
+    writer.write((OK.format(id="other") + "Content-Length: 0\r\n\r\n").encode())
+
+
+def unframed(*, reset):
+    async def answer(writer, request_id):
+        writer.write((OK.format(id=request_id) + "\r\npart").encode())
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if reset:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        writer.close()
+
+    return answer
+
+
+async def send(session, port, *, method="GET"):
+    record = backend("b1", "bookings", address=f"127.0.0.1:{port}")
+    req = request("/look/1")._replace(
+        method=method, headers=((names.REQUEST_ID, "mine"),), request_id="mine"
+    )
+    client = BackendClient(session)
+    sent = client.send(record, req, customer="c", priority=1, seconds_left=2.0)
+    async with sent as answer:
+        return b"".join([chunk async for chunk in answer.chunks()])
+
+
+class TestSends:
+    """One call is one send, and an answer is whole or none."""
+
+    @pytest.mark.parametrize("method", ["GET", "PUT", "POST"])
+    async def test_kept_connection_that_closes_is_not_sent_to_again(self, method):
+        async with serving(whole(), close, whole()) as (seen, port), _session() as http:
+            assert await send(http, port, method=method) == b"done"
+            with pytest.raises(OutcomeUnknown):
+                await send(http, port, method=method)
+            assert len(seen) == 2
+
+    async def test_answer_to_another_request_is_none(self):
+        async with serving(other) as (_, port), _session() as http:
+            with pytest.raises(OutcomeUnknown):
+                await send(http, port)
+
+    async def test_body_without_a_length_ends_with_its_connection(self):
+        async with serving(unframed(reset=False)) as (_, port), _session() as http:
+            assert await send(http, port) == b"part"
+
+    async def test_body_without_a_length_that_is_reset_is_cut(self):
+        async with serving(unframed(reset=True)) as (_, port), _session() as http:
+            with pytest.raises(AnswerCut):
+                await send(http, port)
+
+    async def test_refused_connection_means_not_sent(self):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = sock.getsockname()[1]
+        async with _session() as http:
+            with pytest.raises(NotSent):
+                await send(http, port)
--- a/tests/swapping/test_planning.py
+++ b/tests/swapping/test_planning.py
@@ -11,6 +11,7 @@
     EngineReport,
     Holding,
     LoadCeiling,
+    Situation,
     choose_place,
     copies_needed,
     plan,
@@ -39,13 +40,9 @@
 
 def planned(holdings, demand, *, store_loads=10, rare=0, asked=()):
     return plan(
-        SPEC,
-        holdings,
-        demand,
-        NOW,
+        Situation(SPEC, holdings, demand, set(asked), NOW),
         store_loads=store_loads,
         rare_store_loads=rare,
-        asked_before=set(asked),
     )
 
 
@@ -159,6 +156,14 @@
         for start in begun:
             assert len([t for t in begun if start <= t < start + 5.0]) <= 11
 
+    def test_successor_goes_on_with_the_count_of_the_author_before(self):
+        before, after = LoadCeiling(5.0), LoadCeiling(5.0)
+        for second in (1.0, 3.0, 4.0):
+            before.count(second)
+        after.take_over(before.ages(4.5), now=104.5)
+        assert after.left(1.0, 104.5) == before.left(1.0, 4.5) == 2
+        assert after.left(1.0, 106.1) == 3
+
 
 class TestAdapterDemand:
     """Adapters are placed where there is room, and make room where nobody asks."""
