Begin the booking of a test before its caller leaves

Seen twice beside load, never alone: test_stop_waits_for_a_booking_whose_caller_left and, as it then leaves the instance down, the test after it. Cause, shown by a check that the booking is under way: the instance, restarted by the test before, refused it as not run and told when to come back; the half second that the test waited was too short beside load. Ruled out: a booking cut by the stop (nothing was in flight). The test now waits until the booking runs, and fails if a refusal does not say that it has not run; what it checks of the stop is unchanged.

--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -114,12 +114,9 @@
         await fleet.start(3)
 
     async def test_stop_waits_for_a_booking_whose_caller_left(self, fleet, caller):
-        # The test before restarts the instance, which refuses until it is ready.
-        await fleet.wait_until_ready(within=30)
         for url in fleet.service_urls:
             await fleet.set_faults(url, late_seconds=3.0, only=["POST /bookings"])
-        booking = asyncio.create_task(caller.book("left-1", entry=3))
-        await asyncio.sleep(0.5)
+        booking = await self._begin_booking(caller, "left-1", entry=3)
         booking.cancel()
         assert await fleet.stop(3) == 0
         for url in fleet.service_urls:
@@ -130,6 +127,23 @@
         assert await caller.runs("left-1") == 1
         await fleet.start(3)
 
+    async def _begin_booking(self, caller, key, *, entry):
+        """Return a booking that has begun to run.
+
+        The instance was restarted by the test before, and refuses for a moment.
+        """
+        refusals = []
+        async with asyncio.timeout(10.0):
+            while True:
+                booking = asyncio.create_task(caller.book(key, entry=entry))
+                while not booking.done():
+                    if await caller.runs(key):
+                        return booking
+                    await asyncio.sleep(0.05)
+                refusals.append(booking.result())
+                assert refusals[-1].error["not_run"] == "true", refusals
+                await asyncio.sleep(refusals[-1].error["retry_after"])
+
 
 class TestKeys:
     """Keys are issued and withdrawn while traffic runs."""
