Ask a lost store for an answer at once; ignore heartbeats older than the newest

An older heartbeat written late would do it: nothing compared their numbers. Both have a test that failed first.

--- a/packages/guavajunction/src/guavajunction/gateway/_backend_book.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_book.py
@@ -38,6 +38,9 @@
     UNREACHABLE_SECONDS = 1.5
     """How long a backend server that refuses connections is left out: its record
     stays for some heartbeats after it has crashed."""
+    REMEMBERED = 4096
+    """Backend servers whose newest heartbeat is remembered; several times those of the
+    largest deployment."""
     MISSING_SECONDS = 1.0
     """How long a refusal for want of a model is believed against the record."""
 
@@ -47,6 +50,7 @@
         self._notices: dict[str, HoldingNotice] = {}
         self._retired: dict[tuple[str, int, str], float] = {}
         self._missing: dict[tuple[str, str], float] = {}
+        self._newest: dict[tuple[str, int], int] = {}
         self._unreachable: dict[tuple[str, int], float] = {}
 
     def records(self) -> Iterable[BackendRecord]:
@@ -62,6 +66,16 @@
         before = self._records.get(record.name)
         if before is not None and before.incarnation > record.incarnation:
             return
+        newest = self._newest.get(record.identity, record.report_number)
+        if record.report_number < newest:
+            events.RECORD_STALE.log(
+                backend=record.name,
+                report_number=record.report_number,
+                newest=newest,
+                draining=record.draining,
+            )
+            return
+        self._remember(record)
         self._records[record.name] = record
         if before is None or before.identity != record.identity:
             events.BACKEND_SEEN.log(
@@ -76,6 +90,13 @@
         elif record.draining and not before.draining:
             events.BACKEND_DRAINING.log(backend=record.name, address=record.address)
 
+    def _remember(self, record: BackendRecord) -> None:
+        """Keep the newest number, also of a backend server that is gone meanwhile."""
+        self._newest.pop(record.identity, None)
+        self._newest[record.identity] = record.report_number
+        while len(self._newest) > self.REMEMBERED:
+            self._newest.pop(next(iter(self._newest)))
+
     def drop(self, name: str) -> None:
         """Forget a backend server whose record is gone."""
         record = self._records.pop(name, None)
--- a/packages/guavajunction/src/guavajunction/gateway/_events.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_events.py
@@ -31,6 +31,9 @@
 BACKEND_UNREACHABLE = LogEvent(
     1014, "gateway:backend_unreachable", "A backend server refuses connections."
 )
+RECORD_STALE = LogEvent(
+    1015, "gateway:record_stale", "An older heartbeat came after a newer one."
+)
 CONFIGURED = LogEvent(
     1020, "gateway:configured", "A newer configuration is in force here."
 )
--- a/packages/guavajunction/src/guavajunction/storage/_watcher.py
+++ b/packages/guavajunction/src/guavajunction/storage/_watcher.py
@@ -15,7 +15,7 @@
 class PartitionWatcher:
     """Yields a partition's rows once and its changes from then on, without end."""
 
-    WAIT_SECONDS = 3.0
+    WAIT_SECONDS = 2.4
     """Longest wait of one call. A call that a silent store swallowed is noticed after
     it, so it stays below the time after which bounds hold again."""
     RETRY_SECONDS = 0.25
@@ -74,8 +74,11 @@
     async def _next(self) -> Changes:
         if self._version is None:
             return await self._feed.snapshot(self._partition)
+        # While the store is lost a call asks for an answer at once: one that waits
+        # for changes can't be told from one that is swallowed.
+        wait = 0.0 if self._lost_at is not None else self.WAIT_SECONDS
         return await self._feed.changes(
-            self._partition, self._version, wait_seconds=self.WAIT_SECONDS
+            self._partition, self._version, wait_seconds=wait
         )
 
     def _note_lost(self, exc: PlatformError) -> None:
--- a/tests/gateway/test_backend_book.py
+++ b/tests/gateway/test_backend_book.py
@@ -77,6 +77,20 @@
         book.put(backend("e1", draining=True))
         assert not book.of_service(ENGINES)
 
+    def test_older_heartbeat_takes_no_leaving_back(self, book):
+        book.put(backend("e1", draining=True, report_number=9))
+        book.put(backend("e1", report_number=8))
+        assert not book.of_service(ENGINES)
+        book.drop("e1")
+        book.put(backend("e1", report_number=8))
+        assert not book.of_service(ENGINES)
+
+    def test_entry_that_lapsed_comes_back_with_its_next_heartbeat(self, book):
+        book.put(backend("e1", report_number=9))
+        book.drop("e1")
+        book.put(backend("e1", report_number=10))
+        assert book.of_service(ENGINES)
+
     def test_refused_connection_leaves_it_out_until_it_lapses_or_restarts(
         self, book, clock
     ):
--- a/tests/storage/test_watcher.py
+++ b/tests/storage/test_watcher.py
@@ -21,6 +21,7 @@
 
     def __init__(self, *script):
         self.calls = []
+        self.waits = []
         self._script = list(script)
 
     def _step(self, call):
@@ -34,6 +35,7 @@
         return self._step("snapshot")
 
     async def changes(self, _, after, *, wait_seconds):
+        self.waits.append(wait_seconds)
         return self._step(after)
 
 
@@ -67,6 +69,14 @@
         assert feed.calls == ["snapshot", 5, 5, 5]
         assert found == [5, 7]
 
+    async def test_lost_store_is_asked_for_an_answer_at_once(self):
+        """A call that waits can't be told from one on a silent connection."""
+        down = StoreUnavailable("down")
+        feed = FakeFeed(rows(5, complete=True), down, down, rows(7), rows(8))
+        await seen(feed, 3)
+        wait = PartitionWatcher.WAIT_SECONDS
+        assert feed.waits == [wait, 0.0, 0.0, wait]
+
     async def test_lost_history_is_made_up_by_reading_everything(self):
         feed = FakeFeed(
             rows(5, complete=True), HistoryGone("gone"), rows(9, complete=True)
