Apply changes of backend servers in their order

One answer of the feed held a write and the removal of the same row; all removals were applied first, so the write brought it back. Letting changes gather for 0.4 s made such answers likely.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -243,18 +243,17 @@
             self._room.wake()
 
     def _take_backends(self, changes: Changes) -> None:
-        records: list[BackendRecord] = []
+        """Apply changes in their order: one answer may hold several of a row."""
+        if changes.complete:
+            decoded = [self._decode_backend(r.sort, r.body) for r in changes.rows]
+            self._book.replace_all([r for r in decoded if r is not None])
+            return
         for row in changes.rows:
             record = self._decode_backend(row.sort, row.body)
             if record is not None:
-                records.append(record)
-            elif not changes.complete:
+                self._book.put(record)
+            else:
                 self._book.drop(row.sort)
-        if changes.complete:
-            self._book.replace_all(records)
-            return
-        for record in records:
-            self._book.put(record)
 
     def _decode_backend(self, name: str, body: bytes | None) -> BackendRecord | None:
         if body is None:
