--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/__init__.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._daemon import GatewayDaemon, system_daemon
+from ._daemon import GatewayDaemon
 from ._deployment import Deployment, FrontParts, RowAddress
 from ._settings import GatewaySettings, ListenAddress, OrderBounds, StoreSettings
 
@@ -15,5 +15,4 @@
     "OrderBounds",
     "RowAddress",
     "StoreSettings",
-    "system_daemon",
 ]
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from guavajunction.backends import PassiveHealth
-from guavajunction.clock import Clock, SystemClock
+from guavajunction.clock import Clock
 from guavajunction.errors import DocumentInvalid, SettingsInvalid
 from guavajunction.fleet import InstanceEntry, Member, Roster, StoreRoster, obtain_keys
 from guavajunction.gateway import (
@@ -432,8 +432,3 @@
             front_port=settings.front.port,
             peer_port=settings.peer_port,
         )
-
-
-def system_daemon(settings: GatewaySettings, deployment: Deployment) -> GatewayDaemon:
-    """Return a daemon on the system's clock."""
-    return GatewayDaemon(settings, deployment, SystemClock())
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_book.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_book.py
@@ -146,10 +146,6 @@
         """Return whether a backend server lately refused a connection."""
         return self._unreachable.get(record.identity, 0.0) > self._clock.monotonic()
 
-    def unreachable(self) -> list[str]:
-        """Return the backend servers that are left out, to be told to peers."""
-        return [r.name for r in self._records.values() if self.is_unreachable(r)]
-
     def reachable(self, service: str) -> list[BackendRecord]:
         """Return the backend servers of a service that may be sent something."""
         return [r for r in self.of_service(service) if not self.is_unreachable(r)]
