Read the gateway's own settings from an INI file; name near instances first

The reader of the entry instances' file is reused, with the model as an argument.

The directory names the instances of a caller's data centre and one elsewhere for each four, if four or more are ready there; else all, as before. At most 64 are named, as callers read no more: a fleet of 80 named 80. Ruled out: near ones alone, which leaves the callers of a lost data centre without an address until the answer lapses; near ones with two a data centre, where load would double beside a lost one.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/__init__.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/__init__.py
@@ -5,6 +5,7 @@
 from ._daemon import GatewayDaemon
 from ._deployment import Deployment, FrontParts, RowAddress
 from ._settings import GatewaySettings, ListenAddress, OrderBounds, StoreSettings
+from ._tuning import Tuning, read_tuning
 
 __all__ = [
     "Deployment",
@@ -15,4 +16,6 @@
     "OrderBounds",
     "RowAddress",
     "StoreSettings",
+    "Tuning",
+    "read_tuning",
 ]
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -13,7 +13,14 @@
 from guavajunction.backends import PassiveHealth
 from guavajunction.clock import Clock
 from guavajunction.errors import DocumentInvalid, SettingsInvalid
-from guavajunction.fleet import InstanceEntry, Member, Roster, StoreRoster, obtain_keys
+from guavajunction.fleet import (
+    InstanceEntry,
+    Member,
+    Roster,
+    StoreRoster,
+    choose_fronts,
+    obtain_keys,
+)
 from guavajunction.gateway import (
     Allowances,
     BackendBook,
@@ -46,6 +53,7 @@
 from . import _events as gateway_events
 from ._deployment import Deployment, FrontParts
 from ._settings import GatewaySettings
+from ._tuning import Tuning
 
 Duty = Callable[[], Coroutine[Any, Any, None]]
 """Work that goes on as long as the process does."""
@@ -54,14 +62,11 @@
 class GatewayDaemon:
     """Serves callers until it is asked to stop."""
 
-    HEARTBEAT_SECONDS = 0.15
     LEASE_SLACK_SECONDS = 0.2
     """On top of the deployment's lease."""
     DRIFT_SECONDS = 0.1
     STORE_FRESH_SECONDS = 3.8
     """After its last answer, until an instance counts as cut from the store."""
-    DIRECTORY_TTL_SECONDS = 2.0
-    """Short, so that callers leave a lost instance soon; a question is cheap."""
     STOP_SLACK_SECONDS = 0.7
     """Before the forced end, the process ends by itself."""
     STREAMS_SECONDS = 1.0
@@ -69,17 +74,27 @@
     LINGER_SECONDS = 2.5
     """Least time from the stop signal to the end: callers keep the directory's
     answer for a while."""
-    BACKENDS_REST_SECONDS = 0.4
-    """Well below the time in which a leaving backend server must be known; what
-    models it holds is told by the author at once."""
     MAINTENANCE_SECONDS = 0.2
     SETTINGS_SECONDS = 1.0
     """How often the settings are looked at without a signal."""
 
     def __init__(
-        self, settings: GatewaySettings, deployment: Deployment, clock: Clock
+        self,
+        settings: GatewaySettings,
+        deployment: Deployment,
+        clock: Clock,
+        tuning: Tuning = Tuning(),  # noqa: B008
     ) -> None:
+        """Create a daemon; nothing is opened before `run`.
+
+        Args:
+            settings: What the deployment says of this instance.
+            deployment: What differs from one deployment to the next.
+            clock: Source of time.
+            tuning: Settings of the gateway's own.
+        """
         self._settings = settings
+        self._tuning = tuning
         self._deployment = deployment
         self._clock = clock
         self._stop = asyncio.Event()
@@ -272,7 +287,7 @@
             self._settings.peer_port,
             keys,
             self._clock,
-            heartbeat_seconds=self.HEARTBEAT_SECONDS,
+            heartbeat_seconds=self._tuning.timing.heartbeat,
         )
         self._mesh = mesh
         self._author = self._order_author(mesh)
@@ -327,7 +342,7 @@
     def _backends_rest(self) -> float:
         """Let changes of backend servers gather, unless orders wait for them."""
         author = self._author is not None and self._author.in_office
-        return 0.0 if author else self.BACKENDS_REST_SECONDS
+        return 0.0 if author else self._tuning.timing.backends_rest
 
     def _candidates(self) -> list[PeerId]:
         peers = self._roster.peers_that(lambda member: member.sees_store)
@@ -388,19 +403,20 @@
             gateway=self._gateway,
             addresses=self._addresses,
             ttl_seconds=lambda: min(
-                self.DIRECTORY_TTL_SECONDS, self._settings.directory_ttl_seconds
+                self._tuning.directory.ttl, self._settings.directory_ttl_seconds
             ),
             ready=self._ready,
             closing=lambda: self._stopping_since is not None,
             metrics=self.metrics,
         )
 
-    def _addresses(self, _: str | None) -> list[str]:
-        """Return every ready front: load spread evenly is worth more than nearness."""
-        fronts = [member.front for member in self._roster.members() if member.ready]
-        if self._ready():
-            fronts.append(str(self._settings.front))
-        return sorted(fronts)
+    def _addresses(self, data_centre: str | None) -> list[str]:
+        return choose_fronts(
+            [*self._roster.members(), self._member()],
+            data_centre,
+            near_enough=self._tuning.directory.near_enough,
+            rng=self._rng,
+        )
 
     def _ready(self) -> bool:
         return (
--- a/packages/guavajunction/src/guavajunction/fleet/__init__.py
+++ b/packages/guavajunction/src/guavajunction/fleet/__init__.py
@@ -3,7 +3,15 @@
 from __future__ import annotations
 
 from ._fleet_keys import obtain_keys
+from ._nearness import choose_fronts
 from ._roster import Member, Roster
 from ._store_roster import InstanceEntry, StoreRoster
 
-__all__ = ["InstanceEntry", "Member", "Roster", "StoreRoster", "obtain_keys"]
+__all__ = [
+    "InstanceEntry",
+    "Member",
+    "Roster",
+    "StoreRoster",
+    "choose_fronts",
+    "obtain_keys",
+]
--- a/packages/guavajunction/src/guavajunction/settings/__init__.py
+++ b/packages/guavajunction/src/guavajunction/settings/__init__.py
@@ -4,28 +4,33 @@
 
 from ._faults import SettingsFault
 from ._model import (
+    Count,
     InstanceSettings,
     LoggingSettings,
     PlacementSettings,
     PlatformSettings,
     PolicySettings,
+    Seconds,
     SecretSettings,
     ServingSettings,
     Settings,
     TimingSettings,
 )
-from ._reader import read_settings
+from ._reader import read_sections, read_settings
 
 __all__ = [
+    "Count",
     "InstanceSettings",
     "LoggingSettings",
     "PlacementSettings",
     "PlatformSettings",
     "PolicySettings",
+    "Seconds",
     "SecretSettings",
     "ServingSettings",
     "Settings",
     "SettingsFault",
     "TimingSettings",
+    "read_sections",
     "read_settings",
 ]
--- a/packages/guavajunction/src/guavajunction/settings/_reader.py
+++ b/packages/guavajunction/src/guavajunction/settings/_reader.py
@@ -4,20 +4,37 @@
 
 import configparser
 from pathlib import Path
-from typing import Any, NamedTuple, get_type_hints
+from typing import Any, NamedTuple, TypeVar, get_type_hints
 
 from guavajunction.errors import SettingsInvalid
 
 from ._faults import SettingsFault, ValueFault
 from ._model import Settings
 
+S = TypeVar("S", bound=tuple)
+"""A `NamedTuple` whose fields are sections."""
+
 
 def read_settings(path: str) -> Settings:
-    """Read and check a settings file.
+    """Read and check the settings file of an entry instance.
 
     Args:
         path: Name of an INI file.
 
+    Raises:
+        SettingsInvalid: One or more faults, a line for each.
+    """
+    return read_sections(path, Settings)
+
+
+def read_sections(path: str, model: type[S]) -> S:
+    """Read and check an INI file.
+
+    Args:
+        path: Name of the file.
+        model: A `NamedTuple` with a field for each section, itself a `NamedTuple`
+            whose annotations name the parsers of its values.
+
     Returns:
         The settings, with the content of each secret file in place of its name.
 
@@ -35,11 +52,11 @@
         faults.append(SettingsFault(path, "", "", found, "an INI file"))
     if faults:
         raise _invalid(faults)
-    return _read_sections(path, parser)
+    return _read_parsed(path, parser, model)
 
 
-def _read_sections(path: str, parser: configparser.ConfigParser) -> Settings:
-    kinds = get_type_hints(Settings)
+def _read_parsed(path: str, parser: configparser.ConfigParser, model: type[S]) -> S:
+    kinds = get_type_hints(model)
     faults = [
         SettingsFault(path, name, "", "an unknown section", f"one of {sorted(kinds)}")
         for name in parser.sections()
@@ -53,7 +70,7 @@
         faults.extend(reader.faults)
     if faults:
         raise _invalid(faults)
-    return Settings(**sections)
+    return model(**sections)
 
 
 def _invalid(faults: list[SettingsFault]) -> SettingsInvalid:
