Let hubs carry heartbeats, sums and rows of the store in large fleets

Change: above 20 instances one hub for 32 instances of a data centre (strong machines first) hears everybody's heartbeats and tells its followers the sum of loads and spent allowances, the list of instances, the author of orders, and rows of the store; versions are the store's, so a follower goes on from another hub or from the store itself where one falls silent. Only hubs give orders. A pool of an allowance bridges a change of sources by assuming that the others spent the whole rate. Ruled out: longer heartbeats (a runner's load would be 0.75 s old); gossip of whole views (over 5 Mbit/s a link).

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/__init__.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/__init__.py
@@ -4,10 +4,17 @@
 
 from ._daemon import GatewayDaemon
 from ._deployment import Deployment, FrontParts, RowAddress
-from ._settings import GatewaySettings, ListenAddress, OrderBounds, StoreSettings
+from ._settings import (
+    Capacity,
+    GatewaySettings,
+    ListenAddress,
+    OrderBounds,
+    StoreSettings,
+)
 from ._tuning import Tuning, read_tuning
 
 __all__ = [
+    "Capacity",
     "Deployment",
     "FrontParts",
     "GatewayDaemon",
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -16,6 +16,8 @@
 from guavajunction.fleet import (
     InstanceEntry,
     Member,
+    ReadRows,
+    RelayedFeed,
     Roster,
     StoreRoster,
     choose_fronts,
@@ -25,33 +27,22 @@
     Allowances,
     BackendBook,
     BackendRecord,
-    Demand,
     Gateway,
     GatewayParts,
-    HoldingNotice,
-    Load,
     LoadView,
     ModelDemand,
-    RetireNotice,
     RetryAllowance,
     RouteTable,
     WaitingRoom,
 )
-from guavajunction.membership import Lease
 from guavajunction.metrics import MetricsRegistry
-from guavajunction.peers import PeerId, PeerMesh
-from guavajunction.storage import Changes, InstanceRecord, PartitionWatcher
-from guavajunction.swapping import (
-    LEASE_NAME,
-    AuthorBeat,
-    LoadCeiling,
-    OrderAuthor,
-    TermParts,
-)
+from guavajunction.peers import PeerId
+from guavajunction.storage import Changes, PartitionWatcher
 from guavajunction_entry import _events as events
 
 from . import _events as gateway_events
 from ._deployment import Deployment, FrontParts
+from ._fleet_links import FleetLinks, LinkedParts
 from ._settings import GatewaySettings
 from ._tuning import Tuning
 
@@ -62,9 +53,12 @@
 class GatewayDaemon:
     """Serves callers until it is asked to stop."""
 
-    LEASE_SLACK_SECONDS = 0.2
-    """On top of the deployment's lease."""
-    DRIFT_SECONDS = 0.1
+    HUB_WAIT_SECONDS = 0.8
+    """Longest wait of a hub's read of the store; see `Relay.STORE_AGE_SECONDS`."""
+    AUTHOR_REST_SECONDS = 0.05
+    FEW_BACKENDS = 20
+    """Backend servers up to which the author reads every change at once; each of more
+    would cost a call."""
     STORE_FRESH_SECONDS = 3.8
     """After its last answer, until an instance counts as cut from the store."""
     STOP_SLACK_SECONDS = 0.7
@@ -127,19 +121,31 @@
                 rng=self._rng,
             )
         )
+        self._feed = RelayedFeed(deployment.feed, clock)
+        configuration = deployment.configuration_row.partition
         self._configuration = PartitionWatcher(
-            deployment.feed, deployment.configuration_row.partition, clock, self._rng
+            self._feed, configuration, clock, self._rng, wait=self._feed_wait
         )
         self._backends = PartitionWatcher(
-            deployment.feed,
+            self._feed,
             deployment.backends_partition,
             clock,
             self._rng,
             rest=self._backends_rest,
+            wait=self._feed_wait,
         )
+        self._watchers = {
+            configuration: self._configuration,
+            deployment.backends_partition: self._backends,
+        }
+        self._rows = {
+            configuration: ReadRows(configuration, matters=_differs),
+            deployment.backends_partition: ReadRows(
+                deployment.backends_partition, matters=self._backend_differs
+            ),
+        }
         self._backends_known = False
-        self._mesh: PeerMesh | None = None
-        self._author: OrderAuthor | None = None
+        self._links: FleetLinks | None = None
         self._store_roster = StoreRoster(
             deployment.table, self._me, self._entry(), clock
         )
@@ -152,8 +158,8 @@
             self._room.closes_at = self._last_moment(now)
             self._room.wake()
             events.STOPPING.log(in_flight=self._gateway.in_flight)
-            if self._author is not None:
-                self._author.stopping = True
+            if self._links is not None:
+                self._links.author.stopping = True
         self._stop.set()
 
     async def run(self) -> None:
@@ -239,6 +245,7 @@
     async def _follow_configuration(self) -> None:
         sort = self._deployment.configuration_row.sort
         async for changes in self._configuration:
+            self._publish(self._deployment.configuration_row.partition, changes)
             for row in changes.rows:
                 if row.sort == sort and row.body is not None:
                     self._configure(row.body)
@@ -253,6 +260,7 @@
 
     async def _follow_backends(self) -> None:
         async for changes in self._backends:
+            self._publish(self._deployment.backends_partition, changes)
             self._take_backends(changes)
             self._backends_known = True
             self._room.wake()
@@ -270,6 +278,16 @@
             else:
                 self._book.drop(row.sort)
 
+    def _backend_differs(self, before: bytes | None, body: bytes) -> bool:
+        """Return whether a heartbeat says more than that the server is there."""
+        if before is None:
+            return True
+        known = self._decode_backend("", before)
+        record = self._decode_backend("", body)
+        if known is None or record is None:
+            return known is not record
+        return known != record._replace(report_number=known.report_number)
+
     def _decode_backend(self, name: str, body: bytes | None) -> BackendRecord | None:
         if body is None:
             return None
@@ -281,121 +299,72 @@
 
     async def _run_links(self) -> None:
         keys = await obtain_keys(self._deployment.table, self._clock)
-        mesh = PeerMesh(
-            self._me,
-            self._settings.address,
-            self._settings.peer_port,
-            keys,
-            self._clock,
-            heartbeat_seconds=self._tuning.timing.heartbeat,
-        )
-        self._mesh = mesh
-        self._author = self._order_author(mesh)
-        self._room.loads_due = self._author.loads_due
-        self._room.on_adapter_wanted = self._author.want_adapter
-        self._store_roster.on_read = self._note_instances
-        mesh.share("member", self._member, self._roster.hear, Member)
-        mesh.share("loads", self._loads.own, self._hear_loads, dict[str, Load])
-        mesh.share("spent", self._allowances.spent, self._hear_spent, dict[str, float])
-        mesh.share("demand", self._own_demand, self._hear_demand, dict[str, Demand])
-        mesh.share("author", self._author.beat, self._author.hear, AuthorBeat)
-        mesh.handle(HoldingNotice, self._on_holding)
-        mesh.handle(RetireNotice, self._on_retired)
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(mesh.run())
-            tasks.create_task(self._author.run())
-
-    def _order_author(self, mesh: PeerMesh) -> OrderAuthor:
-        orders = self._settings.orders
-        lease = Lease(
-            self._deployment.table,
-            LEASE_NAME,
-            self._me,
-            self._clock,
-            duration=orders.lease_seconds + self.LEASE_SLACK_SECONDS,
-            drift_margin=self.DRIFT_SECONDS,
-        )
-        parts = TermParts(
+        parts = LinkedParts(
+            gateway=self._gateway,
+            room=self._room,
             book=self._book,
             loads=self._loads,
-            catalogue=lambda: (
-                self._gateway.routes.catalogue if self._gateway.routes else None
-            ),
-            demand=self._fleet_demand,
-            tell_all=mesh.tell_all,
-            wake=self._room.wake,
-            ceiling=LoadCeiling(orders.ceiling_window_seconds),
+            demand=self._demand,
+            allowances=self._allowances,
+            roster=self._roster,
             clock=self._clock,
         )
-        author = OrderAuthor(
-            mesh,
-            lease,
-            self._deployment.orders,
+        links = FleetLinks(
+            self._me,
+            self._settings,
+            self._tuning,
+            keys,
+            self._deployment,
             parts,
-            self._clock,
-            candidates=self._candidates,
-            turn_seconds=orders.lease_seconds + self.DRIFT_SECONDS,
+            self._member,
         )
-        author.stopping = self._stopping_since is not None
-        return author
+        links.author.stopping = self._stopping_since is not None
+        for partition, rows in self._rows.items():
+            links.relay.hand_on(partition, rows, self._watchers[partition].age)
+        self._feed.source = links.relay
+        self._store_roster.on_read = links.set_listed
+        self._store_roster.is_told = lambda: links.relay.hub_peer() is not None
+        self._links = links
+        await links.run()
+
+    def _publish(self, partition: str, changes: Changes) -> None:
+        notice = self._rows[partition].take(changes)
+        if notice is not None and self._links is not None:
+            self._links.relay.publish(notice)
+
+    def _feed_wait(self) -> float:
+        """Return the longest wait of one read: followers learn soon of an outage."""
+        leads = self._links is not None and self._links.relay.followers()
+        return self.HUB_WAIT_SECONDS if leads else PartitionWatcher.WAIT_SECONDS
 
     def _backends_rest(self) -> float:
         """Let changes of backend servers gather, unless orders wait for them."""
-        author = self._author is not None and self._author.in_office
-        return 0.0 if author else self._tuning.timing.backends_rest
-
-    def _candidates(self) -> list[PeerId]:
-        peers = self._roster.peers_that(lambda member: member.sees_store)
-        return [*peers, self._me] if self._sees_store() else peers
+        if self._links is None or not self._links.author.in_office:
+            return self._tuning.timing.backends_rest
+        crowded = len(list(self._book.records())) > self.FEW_BACKENDS
+        return self.AUTHOR_REST_SECONDS if crowded else 0.0
 
     def _sees_store(self) -> bool:
         now = self._clock.monotonic()
         read_at = max(self._backends.read_at, self._configuration.read_at)
         return now - read_at < self.STORE_FRESH_SECONDS
 
-    def _member(self) -> Member:
+    def _member(self, follows: str = "") -> Member:
         return Member(
             front=str(self._settings.front),
             data_centre=self._settings.data_centre,
             ready=self._ready(),
             sees_store=self._sees_store(),
+            follows=follows,
         )
 
-    def _hear_loads(self, peer: PeerId, loads: dict[str, Load]) -> None:
-        self._loads.hear(peer, loads)
-        self._room.wake()
-
-    def _hear_spent(self, peer: PeerId, spent: dict[str, float]) -> None:
-        self._allowances.hear(peer, spent)
-
-    def _own_demand(self) -> dict[str, Demand]:
-        now = self._clock.monotonic()
-        return self._demand.own(self._room.models_waited_for(), now)
-
-    def _hear_demand(self, peer: PeerId, demand: dict[str, Demand]) -> None:
-        self._demand.hear(peer, demand)
-
-    def _fleet_demand(self) -> dict[str, Demand]:
-        return self._demand.fleet(self._own_demand(), self._roster.peers())
-
-    async def _on_holding(self, _: PeerId, notice: HoldingNotice) -> None:
-        self._book.note_holding(notice)
-        self._room.wake()
-
-    async def _on_retired(self, _: PeerId, notice: RetireNotice) -> None:
-        self._book.note_retired(notice)
-
-    def _note_instances(self, records: list[InstanceRecord]) -> None:
-        if self._mesh is not None:
-            others = [r for r in records if r.name != self._me.name]
-            self._mesh.set_targets(others)
-
     async def _maintain(self) -> None:
         while True:
             self._roster.expire()
             self._loads.keep_only(self._roster.peers())
-            self._allowances.keep_to(self._roster.heard_part)
-            self._gateway.instances = self._roster.serving
+            serving = self._roster.serving
+            self._allowances.keep_to(self._roster.heard_part, serving - 1)
+            self._gateway.instances = serving
             await self._clock.sleep(self.MAINTENANCE_SECONDS)
 
     def _front_parts(self) -> FrontParts:
@@ -447,4 +416,9 @@
             address=settings.address,
             front_port=settings.front.port,
             peer_port=settings.peer_port,
+            strong=settings.capacity.strong,
         )
+
+
+def _differs(before: bytes | None, body: bytes) -> bool:
+    return before != body
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_settings.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_settings.py
@@ -33,6 +33,23 @@
     """Window in which loads from the weight store are counted."""
 
 
+class Capacity(NamedTuple):
+    """What an instance's machine gives it."""
+
+    cores: float
+    link_mbps: float
+    """Megabits a second."""
+
+    @property
+    def strong(self) -> bool:
+        """Return whether a hub's traffic leaves most of it free.
+
+        A hub of 32 followers in a fleet of 80 sends and gets about 2 Mbit/s and needs
+        about a tenth of a core.
+        """
+        return self.cores >= 1.0 and self.link_mbps >= 20.0
+
+
 class GatewaySettings(NamedTuple):
     """Settings of one instance."""
 
@@ -56,3 +73,4 @@
     retries: RetryBounds
     allowances: AllowanceBounds
     orders: OrderBounds
+    capacity: Capacity = Capacity(1.0, 100.0)
--- a/packages/guavajunction/src/guavajunction/customers/_pooled_allowance.py
+++ b/packages/guavajunction/src/guavajunction/customers/_pooled_allowance.py
@@ -1,9 +1,10 @@
 """A customer's rate and burst, spent by all instances from one pool.
 
 Answers one customer that sends many times its usual, spread over all instances: each
-counts what it let through and hears within a heartbeat what the others did, so nobody
-is refused while the pool has units, wherever they are asked for. While some instances
-are not heard, each side keeps to its part of the pool, as the other may be serving.
+counts what it let through and hears within a heartbeat or two what the others did, from
+each of them or, in a large fleet, as a sum from a hub. So nobody is refused while the
+pool has units, wherever they are asked for. While some instances are not heard, each
+side keeps to its part of the pool, as the other may be serving.
 """
 
 from __future__ import annotations
@@ -44,6 +45,11 @@
     UNSEEN_FACTOR = 0.5
     """Callers spread over the instances, so peers spend about what this one does; a
     half of that is kept back, as the rest of the tolerance covers the other half."""
+    FEW = 15
+    """Other instances up to which one's own requests tell of theirs; among more, one
+    has too few of its own."""
+    RELAYED_SECONDS = 0.45
+    """The same as `UNSEEN_SECONDS` where a hub stands between."""
 
     def __init__(self, terms: AllowanceTerms, now: float) -> None:
         """Start with an empty pool: what was spent before is not known."""
@@ -53,7 +59,12 @@
         self._part = 1.0
         self._spent = 0.0
         self._heard: dict[PeerId, float] = {}
+        self._gained: dict[PeerId, float] = {}
+        self._others = 0
+        self._heard_at: float | None = None
+        self._gap_since: float | None = None
         self._recent: deque[tuple[float, float]] = deque()
+        self._recent_heard: deque[tuple[float, float]] = deque()
 
     @property
     def spent(self) -> float:
@@ -93,23 +104,46 @@
     def hear(self, peer: PeerId, spent: float, now: float) -> None:
         """Take off what a peer let through since it was last heard.
 
-        The first word of a peer only sets where its count stands.
+        The first word of a peer only sets where its count stands. After a change of
+        sources it is also taken that the others spent the whole rate meanwhile.
         """
+        if self._gap_since is not None:
+            self._refill(now)
+            self._level -= (now - self._gap_since) * self._terms.rate * self._part
+            self._gap_since = None
+        self._heard_at = now
         before = self._heard.get(peer)
         self._heard[peer] = spent
         if before is not None and spent > before:
             self._refill(now)
             self._level -= spent - before
+            self._gained[peer] = self._gained.get(peer, 0.0) + spent - before
+            self._recent_heard.append((now, spent - before))
+
+    def spent_without(self, peer: PeerId) -> float:
+        """Return what all but one peer were heard to spend, to be told to it.
+
+        It never falls, and does not jump when a peer is first heard.
+        """
+        gained = sum(self._gained.values()) - self._gained.get(peer, 0.0)
+        return self._spent + gained
+
+    def change_sources(self) -> None:
+        """Forget where counts stand: they will be heard from others than before."""
+        self._heard.clear()
+        self._gap_since = self._heard_at
 
-    def keep_to(self, part: float, now: float) -> None:
+    def keep_to(self, part: float, others: int, now: float) -> None:
         """Keep to a part of the pool while some instances are not heard.
 
         Args:
             part: Instances that are heard, this one included, by those that may
                 be serving.
+            others: Other instances that may be serving.
             now: Monotonic time in seconds.
         """
         self._refill(now)
+        self._others = others
         if part < self._part and self._level > 0:
             self._level *= part / self._part
         self._part = part
@@ -119,10 +153,16 @@
 
     def _unseen(self, now: float) -> float:
         """Return what peers are likely to have spent since they were last heard."""
-        while self._recent and self._recent[0][0] < now - self.UNSEEN_SECONDS:
-            self._recent.popleft()
-        own = sum(units for _, units in self._recent)
-        return own * len(self._heard) * self.UNSEEN_FACTOR
+        if self._others > self.FEW:
+            return self._sum_since(self._recent_heard, now - self.RELAYED_SECONDS)
+        own = self._sum_since(self._recent, now - self.UNSEEN_SECONDS)
+        return own * self._others * self.UNSEEN_FACTOR
+
+    @staticmethod
+    def _sum_since(spent: deque[tuple[float, float]], since: float) -> float:
+        while spent and spent[0][0] < since:
+            spent.popleft()
+        return sum(units for _, units in spent)
 
     def _refill(self, now: float) -> None:
         gained = max(0.0, now - self._refilled_at) * self._terms.rate * self._part
--- a/packages/guavajunction/src/guavajunction/fleet/__init__.py
+++ b/packages/guavajunction/src/guavajunction/fleet/__init__.py
@@ -3,14 +3,28 @@
 from __future__ import annotations
 
 from ._fleet_keys import obtain_keys
+from ._handed_rows import ReadRows
+from ._hubs import Candidate, FleetShape
+from ._messages import HubWord, RowsNotice
 from ._nearness import choose_fronts
-from ._roster import Member, Roster
-from ._store_roster import InstanceEntry, StoreRoster
+from ._relay import Relay
+from ._relayed_feed import RelayedFeed
+from ._roster import KnownMember, Member, Roster
+from ._store_roster import InstanceEntry, ListedInstance, StoreRoster
 
 __all__ = [
+    "Candidate",
+    "FleetShape",
+    "HubWord",
     "InstanceEntry",
+    "KnownMember",
+    "ListedInstance",
     "Member",
+    "ReadRows",
+    "Relay",
+    "RelayedFeed",
     "Roster",
+    "RowsNotice",
     "StoreRoster",
     "choose_fronts",
     "obtain_keys",
--- a/packages/guavajunction/src/guavajunction/fleet/_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_roster.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from guavajunction.clock import Clock
@@ -21,6 +21,17 @@
     """Whether callers may be sent there."""
     sees_store: bool
     """Whether the store answered it lately."""
+    follows: str = ""
+    """Name of the hub that it follows; empty if it is a hub."""
+
+
+class KnownMember(NamedTuple):
+    """An instance that is known to have been serving lately."""
+
+    peer: PeerId
+    member: Member
+    live: bool
+    """Whether it is heard; one that is not may still be serving for a while."""
 
 
 class _Heard(NamedTuple):
@@ -33,17 +44,44 @@
 
     Two bounds: an instance silent for `LIVE_SECONDS` is not given to callers; one
     silent for `SERVING_SECONDS` is taken to have stopped serving, so what it may have
-    spent of shared limits need not be kept for it any more.
+    spent of shared limits need not be kept for it any more. Instances that are not
+    heard directly are known through a hub.
     """
 
     LIVE_SECONDS = 1.0
     SERVING_SECONDS = 8.0
+    TOLD_SECONDS = 2.0
+    """How long a hub's list holds: three of its lists, or one change of hub."""
 
     def __init__(self, me: PeerId, clock: Clock) -> None:
         self._me = me
         self._clock = clock
         self._heard: dict[str, tuple[PeerId, _Heard]] = {}
         self._live: set[str] = set()
+        self._told: dict[str, KnownMember] = {}
+        self._told_at = float("-inf")
+
+    def hear_told(self, members: Iterable[KnownMember]) -> None:
+        """Take a hub's list of the whole fleet."""
+        self._told = {
+            known.peer.name: known
+            for known in members
+            if known.peer.name != self._me.name
+        }
+        self._told_at = self._clock.monotonic()
+
+    def known(self) -> list[KnownMember]:
+        """Return the other instances that may be serving, heard or told of."""
+        now = self._clock.monotonic()
+        merged = dict(self._told) if now - self._told_at <= self.TOLD_SECONDS else {}
+        for name, (peer, heard) in self._heard.items():
+            live = now - heard.at <= self.LIVE_SECONDS
+            if live or name not in merged:
+                merged[name] = KnownMember(peer, heard.member, live)
+        return list(merged.values())
+
+    def _live_members(self) -> list[KnownMember]:
+        return [known for known in self.known() if known.live]
 
     def hear(self, peer: PeerId, member: Member) -> None:
         """Note a heartbeat."""
@@ -71,38 +109,25 @@
                 del self._heard[name]
 
     def peers(self) -> list[PeerId]:
-        """Return the incarnations that are heard, without this one."""
-        now = self._clock.monotonic()
-        return sorted(
-            peer
-            for peer, heard in self._heard.values()
-            if now - heard.at <= self.LIVE_SECONDS
-        )
+        """Return the incarnations that are live, without this one."""
+        return sorted(known.peer for known in self._live_members())
 
     def peers_that(self, test: Callable[[Member], bool]) -> list[PeerId]:
-        """Return the incarnations that are heard and say something that fits."""
-        heard = set(self.peers())
+        """Return the incarnations that are live and say something that fits."""
         return sorted(
-            peer
-            for peer, last in self._heard.values()
-            if peer in heard and test(last.member)
+            known.peer for known in self._live_members() if test(known.member)
         )
 
     def members(self) -> list[Member]:
-        """Return what the heard instances said last, without this one."""
-        now = self._clock.monotonic()
-        return [
-            heard.member
-            for _, heard in self._heard.values()
-            if now - heard.at <= self.LIVE_SECONDS
-        ]
+        """Return what the live instances said last, without this one."""
+        return [known.member for known in self._live_members()]
 
     @property
     def serving(self) -> int:
         """Return how many instances may be serving, this one included."""
-        return len(self._heard) + 1
+        return len(self.known()) + 1
 
     @property
     def heard_part(self) -> float:
-        """Return the part of those instances that are heard, this one included."""
+        """Return the part of those instances that are live, this one included."""
         return (len(self.peers()) + 1) / self.serving
--- a/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
@@ -29,6 +29,15 @@
     """Port for callers."""
     peer_port: int
     """Port for links between instances."""
+    strong: bool = False
+    """Whether its processor and link carry a hub's traffic."""
+
+
+class ListedInstance(NamedTuple):
+    """An instance that has a row."""
+
+    record: InstanceRecord
+    strong: bool
 
 
 class StoreRoster:
@@ -40,6 +49,9 @@
 
     READ_SECONDS = (0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
     """Pauses after the start; the last one repeats."""
+    TOLD_SECONDS = 30.0
+    """The same while a hub tells who is there: the rows then only serve to choose
+    another hub."""
 
     def __init__(
         self, table: TableService, me: PeerId, entry: InstanceEntry, clock: Clock
@@ -49,8 +61,10 @@
         self._entry = entry
         self._clock = clock
         self._rng = random.Random(me.incarnation)
-        self.on_read: Callable[[list[InstanceRecord]], None] = lambda _: None
+        self.on_read: Callable[[list[ListedInstance]], None] = lambda _: None
         """Called with every listed instance after each reading."""
+        self.is_told: Callable[[], bool] = lambda: False
+        """Whether a hub tells who is there."""
 
     async def run(self) -> None:
         """Enter this instance, then read the rows until cancelled."""
@@ -60,6 +74,8 @@
         while True:
             await self._attempt(self._read)
             pause = pauses.pop(0) if len(pauses) > 1 else pauses[0]
+            if self.is_told():
+                pause = max(pause, self.TOLD_SECONDS)
             await self._clock.sleep(pause * self._rng.uniform(0.8, 1.2))
 
     async def leave(self) -> None:
@@ -85,7 +101,7 @@
         )
 
     async def _read(self) -> None:
-        self.on_read([_record(row) for row in await self._table.query(PARTITION)])
+        self.on_read([_listed(row) for row in await self._table.query(PARTITION)])
 
     async def _remove_own(self) -> None:
         await self.remove(self._me.name, self._me.incarnation)
@@ -111,9 +127,9 @@
     return msgspec.msgpack.decode(row.body, type=InstanceEntry)
 
 
-def _record(row: Row) -> InstanceRecord:
+def _listed(row: Row) -> ListedInstance:
     entry = _decode(row)
-    return InstanceRecord(
+    record = InstanceRecord(
         name=row.sort,
         data_centre=entry.data_centre,
         address=entry.address,
@@ -121,3 +137,4 @@
         peer_port=entry.peer_port,
         state="live",
     )
+    return ListedInstance(record, entry.strong)
--- a/packages/guavajunction/src/guavajunction/gateway/_allowances.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_allowances.py
@@ -74,11 +74,27 @@
         for name, pool in self._pools.items():
             pool.hear(peer, spent.get(name, 0.0), now)
 
-    def keep_to(self, part: float) -> None:
-        """Keep to a part of every pool while some instances are not heard."""
+    def spent_without(self, peer: PeerId) -> dict[str, float]:
+        """Return what all but one peer let through, to be told to it."""
+        spent = {name: p.spent_without(peer) for name, p in self._pools.items()}
+        return {name: units for name, units in spent.items() if units}
+
+    def change_sources(self) -> None:
+        """Hear what others let through from others than before."""
+        for pool in self._pools.values():
+            pool.change_sources()
+
+    def keep_to(self, part: float, others: int) -> None:
+        """Keep to a part of every pool while some instances are not heard.
+
+        Args:
+            part: Instances that are heard, this one included, by those that may
+                be serving.
+            others: Other instances that may be serving.
+        """
         now = self._clock.monotonic()
         for pool in self._pools.values():
-            pool.keep_to(part, now)
+            pool.keep_to(part, others, now)
 
     def _units(self, customer: Customer, req: GatewayRequest) -> float:
         if not customer.counts_tokens:
--- a/packages/guavajunction/src/guavajunction/gateway/_load_view.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_load_view.py
@@ -30,6 +30,16 @@
             {name: count for name, count in artifacts.items() if count},
         )
 
+    def minus(self, other: Load) -> Load:
+        """Return what is left without another load."""
+        artifacts = Counter(self.artifacts)
+        artifacts.subtract(other.artifacts)
+        return Load(
+            self.running - other.running,
+            self.unread_tokens - other.unread_tokens,
+            {name: count for name, count in artifacts.items() if count},
+        )
+
     def by_model(self) -> dict[str, int]:
         """Return the requests that run, by model."""
         models: Counter[str] = Counter()
@@ -79,20 +89,36 @@
 
     def hear(self, peer: PeerId, loads: dict[str, Load]) -> None:
         """Replace what is known of a peer's work."""
+        self._take_off(self._peers.get(peer, {}))
         self._peers[peer] = loads
-        self._sum_up()
+        for name, load in loads.items():
+            self._total[name] = self._total[name].plus(load)
 
     def keep_only(self, peers: list[PeerId]) -> None:
         """Forget the work of peers that are not heard any more."""
         gone = set(self._peers) - set(peers)
         for peer in gone:
-            del self._peers[peer]
-        if gone:
-            self._sum_up()
-
-    def _sum_up(self) -> None:
-        total: dict[str, Load] = defaultdict(lambda: NO_LOAD, self._own)
-        for loads in self._peers.values():
-            for name, load in loads.items():
-                total[name] = total[name].plus(load)
-        self._total = total
+            self._take_off(self._peers.pop(peer))
+
+    def without(self, peer: PeerId) -> dict[str, Load]:
+        """Return the work of all but one peer, to be told to it.
+
+        What runs by model or adapter is left out: it only serves the author of orders.
+        """
+        part = self._peers.get(peer, {})
+        rest: dict[str, Load] = {}
+        for name, load in self._total.items():
+            own = part.get(name, NO_LOAD)
+            running = load.running - own.running
+            unread = load.unread_tokens - own.unread_tokens
+            if running or unread:
+                rest[name] = Load(running, unread)
+        return rest
+
+    def _take_off(self, loads: dict[str, Load]) -> None:
+        for name, load in loads.items():
+            left = self._total[name].minus(load)
+            if left == NO_LOAD:
+                del self._total[name]
+            else:
+                self._total[name] = left
--- a/packages/guavajunction/src/guavajunction/peers/_mesh.py
+++ b/packages/guavajunction/src/guavajunction/peers/_mesh.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import ExitStack
 from typing import Any, NamedTuple
 
@@ -32,11 +32,24 @@
     decoder: msgspec.msgpack.Decoder[Any]
 
 
+class _PersonalTopic(NamedTuple):
+    provide: Callable[[PeerId], Any]
+    accept: Callable[[PeerId, Any], None]
+    decoder: msgspec.msgpack.Decoder[Any]
+
+
 class _Sent(NamedTuple):
     sequence: int
     at: float
 
 
+TopicChoice = Callable[[PeerId | None, str], Collection[str] | None]
+"""Returns the topics for a receiver, None for no heartbeat at all.
+
+Called with the peer, None if it was not heard yet, and its address.
+"""
+
+
 class LinkTraffic(NamedTuple):
     """What went over the links of one instance, payload only."""
 
@@ -96,6 +109,8 @@
         self._peers: dict[PeerId, Peer] = {}
         self._handlers: dict[str, tuple[msgspec.msgpack.Decoder[Any], Any]] = {}
         self._topics: dict[str, _Topic] = {}
+        self._personal: dict[str, _PersonalTopic] = {}
+        self._choose_topics: TopicChoice = lambda *_: self._topics
         self._asks: dict[int, asyncio.Future[msgspec.Raw]] = {}
         self._last_ask = 0
         self._sent: deque[_Sent] = deque(maxlen=self.REMEMBERED_HEARTBEATS)
@@ -120,6 +135,11 @@
         """Where this instance listens, `host:port`."""
         return f"{self._host}:{self._port}"
 
+    @property
+    def topics(self) -> Collection[str]:
+        """Return the names of the topics that every receiver may get."""
+        return self._topics.keys()
+
     async def ready(self) -> None:
         """Wait until this instance listens."""
         await self._ready.wait()
@@ -170,11 +190,36 @@
         value_type: type[Any],
     ) -> None:
         """Add a small value to every heartbeat."""
-        if topic in self._topics:
+        if topic in self._topics or topic in self._personal:
             raise ValueError(f"the topic {topic} is shared already")
         decoder = msgspec.msgpack.Decoder(value_type)
         self._topics[topic] = _Topic(provide, accept, decoder)
 
+    def share_with(
+        self,
+        topic: str,
+        provide: Callable[[PeerId], Any],
+        accept: Callable[[PeerId, Any], None],
+        value_type: type[Any],
+    ) -> None:
+        """Add a value of its own to the heartbeats for each peer.
+
+        Args:
+            topic: Name of the value, unique among those of `share` too.
+            provide: Called with the receiver for each heartbeat that leaves; None
+                leaves the value out.
+            accept: Called with the sender and value of each heartbeat that comes.
+            value_type: Type that the value is decoded as.
+        """
+        if topic in self._topics or topic in self._personal:
+            raise ValueError(f"the topic {topic} is shared already")
+        decoder = msgspec.msgpack.Decoder(value_type)
+        self._personal[topic] = _PersonalTopic(provide, accept, decoder)
+
+    def choose_topics(self, choose: TopicChoice) -> None:
+        """Set who gets heartbeats, and which of the topics of `share`."""
+        self._choose_topics = choose
+
     def tell(self, to: PeerId, message: Any) -> None:
         """Send a message without waiting; it may be lost."""
         if not self._send(Kind.TELL, to, 0, message):
@@ -292,9 +337,16 @@
         for peer_id in fresh:
             peer = self._peers[peer_id]
             unheard.discard(peer.address)
-            self._send_beat(peer.address, peer_id.incarnation, peer.sequence, topics)
+            chosen = self._choose_topics(peer_id, peer.address)
+            if chosen is not None:
+                values = {name: topics[name] for name in chosen if name in topics}
+                values |= self._provide_personal(peer_id)
+                self._send_beat(
+                    peer.address, peer_id.incarnation, peer.sequence, values
+                )
         for address in unheard:
-            self._send_beat(address, "", 0, topics)
+            if self._choose_topics(None, address) is not None:
+                self._send_beat(address, "", 0, topics)
 
     def _provide_all(self) -> dict[str, msgspec.Raw]:
         values: dict[str, msgspec.Raw] = {}
@@ -307,6 +359,19 @@
                 events.TOPIC_FAILED.log(peer=self._me.name, topic=name, error=repr(exc))
         return values
 
+    def _provide_personal(self, peer: PeerId) -> dict[str, msgspec.Raw]:
+        values: dict[str, msgspec.Raw] = {}
+        for name, topic in self._personal.items():
+            try:
+                value = topic.provide(peer)
+                if value is not None:
+                    values[name] = msgspec.Raw(self._encoder.encode(value))
+            except Exception as exc:
+                # A defect in one topic must not end the heartbeats.
+                self.counts["topic_failed"] += 1
+                events.TOPIC_FAILED.log(peer=peer.name, topic=name, error=repr(exc))
+        return values
+
     def _send_beat(
         self, address: str, to: str, echo: int, topics: dict[str, msgspec.Raw]
     ) -> None:
@@ -401,12 +466,16 @@
         peer.sequence = beat.sequence
         peer.heard_at = self._clock.monotonic()
         for name, raw in beat.topics.items():
-            topic = self._topics.get(name)
+            topic = self._topics.get(name) or self._personal.get(name)
             if topic is not None:
                 self._accept(peer.peer_id, name, topic, raw)
 
     def _accept(
-        self, sender: PeerId, name: str, topic: _Topic, raw: msgspec.Raw
+        self,
+        sender: PeerId,
+        name: str,
+        topic: _Topic | _PersonalTopic,
+        raw: msgspec.Raw,
     ) -> None:
         try:
             topic.accept(sender, topic.decoder.decode(raw))
--- a/packages/guavajunction/src/guavajunction/storage/_watcher.py
+++ b/packages/guavajunction/src/guavajunction/storage/_watcher.py
@@ -18,6 +18,8 @@
     WAIT_SECONDS = 2.4
     """Longest wait of one call. A call that a silent store swallowed is noticed after
     it, so it stays below the time after which bounds hold again."""
+    MAX_AGE_SECONDS = 3600.0
+    """Told as the age before the first answer."""
     RETRY_SECONDS = 0.25
     """Mean pause after a failed call, with jitter of a half either way."""
 
@@ -29,6 +31,7 @@
         rng: random.Random,
         *,
         rest: Callable[[], float] = lambda: 0.0,
+        wait: Callable[[], float] = lambda: PartitionWatcher.WAIT_SECONDS,
     ) -> None:
         """Create a watcher.
 
@@ -39,17 +42,23 @@
             rng: Spreads the calls of instances that lost the store together.
             rest: Seconds from a change to the next call, in which further changes
                 gather: a call for each would be most of the store's load.
+            wait: Longest wait of one call.
         """
         self._feed = feed
         self._partition = partition
         self._clock = clock
         self._rng = rng
         self._rest = rest
+        self._wait = wait
         self._version: int | None = None
         self._lost_at: float | None = None
         self.read_at = float("-inf")
         """When the latest answer came, monotonic."""
 
+    def age(self) -> float:
+        """Return the seconds since the latest answer."""
+        return min(self._clock.monotonic() - self.read_at, self.MAX_AGE_SECONDS)
+
     async def __aiter__(self) -> AsyncIterator[Changes]:
         while True:
             try:
@@ -76,7 +85,7 @@
             return await self._feed.snapshot(self._partition)
         # While the store is lost a call asks for an answer at once: one that waits
         # for changes can't be told from one that is swallowed.
-        wait = 0.0 if self._lost_at is not None else self.WAIT_SECONDS
+        wait = 0.0 if self._lost_at is not None else self._wait()
         return await self._feed.changes(
             self._partition, self._version, wait_seconds=wait
         )
--- a/packages/guavajunction/src/guavajunction/swapping/_author.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_author.py
@@ -86,6 +86,7 @@
         self._term: Term | None = None
         self._author: PeerId | None = None
         self._author_at = float("-inf")
+        self._author_beat = AuthorBeat()
         self._given_up = 0
         self._again_at = float("-inf")
         self._ordered_at: dict[str, float] = {}
@@ -94,6 +95,8 @@
         self._asking: dict[AdapterWanted, asyncio.Task[None]] = {}
         self.stopping = False
         """Whether this instance is about to leave and must not begin a term."""
+        self.hub: Callable[[], PeerId | None] = lambda: None
+        """Returns the hub that questions to the author go through, if any."""
         self.loads_due: dict[str, float] = {}
         """When the models that are being loaded are expected, monotonic."""
         links.handle(AdapterWanted, self._on_adapter_wanted)
@@ -130,9 +133,19 @@
             self._vacancy = None
         self._author = peer
         self._author_at = now
+        self._author_beat = beat
         self._parts.ceiling.take_over(beat.store_loads, now)
         self._note_due(beat.loads_due)
 
+    def latest(self) -> tuple[PeerId, AuthorBeat] | None:
+        """Return the author and what it said last, None if there is none."""
+        if self._term is not None:
+            return self._links.me, self.beat()
+        silent = self._clock.monotonic() - self._author_at
+        if self._author is None or silent > self.SILENT_SECONDS:
+            return None
+        return self._author, self._author_beat
+
     async def run(self) -> None:
         """Try for the lease when it is this instance's turn, until cancelled."""
         await self._clock.sleep(self.SETTLE_SECONDS)
@@ -154,25 +167,35 @@
         answer = AdapterReady("")
         if self._term is not None:
             answer = await self._term.adapter(wanted)
-        elif self._author is not None:
-            try:
-                answer = await self._links.ask(
-                    self._author, wanted, AdapterReady, timeout=self.ASK_SECONDS
-                )
-            except PeerError as exc:
-                events.ADAPTER_REFUSED.log(
-                    model=wanted.model, adapter=wanted.adapter, reason=exc.message
-                )
+        else:
+            answer = await self._ask_peer(self.hub() or self._author, wanted)
         if not answer.backend:
             await self._clock.sleep(self.ASK_PAUSE_SECONDS)
         self._parts.wake()
 
+    async def _ask_peer(
+        self, peer: PeerId | None, wanted: AdapterWanted
+    ) -> AdapterReady:
+        if peer is None:
+            return AdapterReady("")
+        try:
+            return await self._links.ask(
+                peer, wanted, AdapterReady, timeout=self.ASK_SECONDS
+            )
+        except PeerError as exc:
+            events.ADAPTER_REFUSED.log(
+                model=wanted.model, adapter=wanted.adapter, reason=exc.message
+            )
+            return AdapterReady("")
+
     async def _on_adapter_wanted(
         self, _: PeerId, wanted: AdapterWanted
     ) -> AdapterReady:
-        if self._term is None:
+        if self._term is not None:
+            return await self._term.adapter(wanted._replace(passed_on=False))
+        if wanted.passed_on or self.hub() is not None:
             return AdapterReady("")
-        return await self._term.adapter(wanted)
+        return await self._ask_peer(self._author, wanted._replace(passed_on=True))
 
     def _my_turn(self) -> bool:
         now = self._clock.monotonic()
--- a/packages/guavajunction/src/guavajunction/swapping/_messages.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_messages.py
@@ -13,6 +13,8 @@
     adapter: str
     lacking: tuple[str, ...] = ()
     """Backend servers that refused it though they were to hold it."""
+    passed_on: bool = False
+    """Whether a hub sent it on; it is then not sent on again."""
 
 
 class AdapterReady(NamedTuple):
--- a/tests/customers/test_pooled_allowance.py
+++ b/tests/customers/test_pooled_allowance.py
@@ -40,7 +40,7 @@
     def keep_to_parts(self, now):
         for peer, pool in self.pools.items():
             side = [p for p in self.peers if (p in self.cut) == (peer in self.cut)]
-            pool.keep_to(len(side) / len(self.peers), now)
+            pool.keep_to(len(side) / len(self.peers), len(self.peers) - 1, now)
 
 
 def replay(fleet, *, load, seconds, seed=1, cut_at=None, units=100.0):
