Let followers take all rows of a hub before its changes; test hubs

On real instances followers went on reading the store: their reads got ahead of the hub's, whose version stood still without changes. Change: after a read of the store, after another hub or a restarted one, a follower asks for all rows first, and waits until the hub has read as far. Each answer of the store makes a hub's rows newer, also one without changes. Ruled out: telling removals of unknown rows (a change and its return between two readings stay hidden).

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import secrets
 from collections.abc import Callable, Coroutine
@@ -55,7 +56,7 @@
 
     HUB_WAIT_SECONDS = 0.8
     """Longest wait of a hub's read of the store; see `Relay.STORE_AGE_SECONDS`."""
-    AUTHOR_REST_SECONDS = 0.05
+    AUTHOR_REST_SECONDS = 0.1
     FEW_BACKENDS = 20
     """Backend servers up to which the author reads every change at once; each of more
     would cost a call."""
@@ -138,6 +139,8 @@
             configuration: self._configuration,
             deployment.backends_partition: self._backends,
         }
+        for partition, watcher in self._watchers.items():
+            watcher.on_answer = functools.partial(self._publish, partition)
         self._rows = {
             configuration: ReadRows(configuration, matters=_differs),
             deployment.backends_partition: ReadRows(
@@ -245,7 +248,6 @@
     async def _follow_configuration(self) -> None:
         sort = self._deployment.configuration_row.sort
         async for changes in self._configuration:
-            self._publish(self._deployment.configuration_row.partition, changes)
             for row in changes.rows:
                 if row.sort == sort and row.body is not None:
                     self._configure(row.body)
@@ -260,7 +262,6 @@
 
     async def _follow_backends(self) -> None:
         async for changes in self._backends:
-            self._publish(self._deployment.backends_partition, changes)
             self._take_backends(changes)
             self._backends_known = True
             self._room.wake()
@@ -307,6 +308,7 @@
             demand=self._demand,
             allowances=self._allowances,
             roster=self._roster,
+            feed=self._feed,
             clock=self._clock,
         )
         links = FleetLinks(
@@ -321,7 +323,6 @@
         links.author.stopping = self._stopping_since is not None
         for partition, rows in self._rows.items():
             links.relay.hand_on(partition, rows, self._watchers[partition].age)
-        self._feed.source = links.relay
         self._store_roster.on_read = links.set_listed
         self._store_roster.is_told = lambda: links.relay.hub_peer() is not None
         self._links = links
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -14,6 +14,7 @@
     ListedInstance,
     Member,
     Relay,
+    RelayedFeed,
     Roster,
 )
 from guavajunction.gateway import (
@@ -56,6 +57,7 @@
     demand: ModelDemand
     allowances: Allowances
     roster: Roster
+    feed: RelayedFeed
     clock: Clock
 
 
@@ -162,6 +164,7 @@
         parts, mesh, relay = self._parts, self._mesh, self.relay
         relay.must_lead = lambda: self.author.in_office
         relay.on_moved = self._forget_sources
+        parts.feed.source = relay
         self.author.hub = relay.hub_peer
         parts.room.loads_due = self.author.loads_due
         parts.room.on_adapter_wanted = self.author.want_adapter
@@ -220,6 +223,7 @@
         """Hear from others than before: sums of a hub hold what peers say as well."""
         self._parts.loads.keep_only([])
         self._parts.allowances.change_sources()
+        self._parts.feed.leave()
 
     def _hear_member(self, peer: PeerId, member: Member) -> None:
         self._parts.roster.hear(peer, member)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
@@ -35,14 +35,23 @@
     POLL_SECONDS = 0.05
     GRACE_SECONDS = 4.0
 
-    def __init__(self, var: Path, *, instances: int = 2, ports: list[int]) -> None:
+    def __init__(
+        self,
+        var: Path,
+        *,
+        instances: int = 2,
+        ports: list[int],
+        gateway_settings: Path | None = None,
+    ) -> None:
         """Create a deployment that does not run yet.
 
         Args:
             var: Folder for settings files and logs.
             instances: How many instances.
             ports: Front, readiness, directory and peer port of each instance.
+            gateway_settings: INI file of the gateway; the defaults if omitted.
         """
+        self._flags = [f"--settings={gateway_settings}"] if gateway_settings else []
         self._var = var
         self._ports = ports
         self._stack = AsyncExitStack()
@@ -98,6 +107,7 @@
                 f"GUAVAJUNCTION_NODE_FILE={path}",
                 sys.executable,
                 str(PROGRAM),
+                *self._flags,
             ]
             log = self._var / f"{name}.log"
             self.instances[name] = FleetProcess(name, argv, log)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_store.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_store.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import time
+from collections import Counter
 from typing import Any, NamedTuple
 
 from aiohttp import web
@@ -32,6 +33,8 @@
         self._ver = 0
         self._oldest = 0
         self._changed = asyncio.Event()
+        self.reads: Counter[str] = Counter()
+        """Reads by table."""
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the store."""
@@ -75,6 +78,7 @@
         return web.json_response({"ver": self._ver, "nowMs": self._now_ms()})
 
     async def _handle_rows(self, req: web.Request) -> web.Response:
+        self.reads[req.query["table"]] += 1
         rows = self._tables.get(req.query["table"], {})
         first, last = req.query.get("from", ""), req.query.get("to")
         picked = [
@@ -86,6 +90,7 @@
 
     async def _handle_feed(self, req: web.Request) -> web.Response:
         table, after = req.query["table"], int(req.query["after"])
+        self.reads[table] += 1
         ends_at = time.monotonic() + float(req.query["waitMs"]) / MILLISECONDS
         while True:
             if after < self._oldest:
--- a/packages/guavajunction/src/guavajunction/fleet/_handed_rows.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_handed_rows.py
@@ -33,7 +33,8 @@
         self._partition = partition
         self._matters = matters
         self._rows: dict[str, RowChange] = {}
-        self._version = UNREAD
+        self.version = UNREAD
+        """Version up to which the store was read."""
         self.told_version = UNREAD
         """Version of the rows that were told last."""
 
@@ -47,7 +48,7 @@
             told = self._replace(changes.rows)
         else:
             told = [row for row in changes.rows if self._apply(row)]
-        self._version = changes.version
+        self.version = changes.version
         if self.told_version == UNREAD:
             # Followers may know rows that are gone since; they ask for all rows.
             self.told_version = changes.version
@@ -59,7 +60,7 @@
 
     def answer(self) -> RowsAnswer:
         """Return all rows, for a follower that has none or missed some."""
-        return RowsAnswer(self._version, tuple(self._rows.values()))
+        return RowsAnswer(self.version, tuple(self._rows.values()))
 
     def _replace(self, rows: tuple[RowChange, ...]) -> list[RowChange]:
         listed = {row.sort for row in rows}
--- a/packages/guavajunction/src/guavajunction/fleet/_messages.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_messages.py
@@ -14,6 +14,8 @@
 
     version: int
     """Of the latest rows that it handed on; -1 before the first."""
+    read_version: int
+    """Up to which it has read; nothing that matters changed in between."""
     age: float
     """Seconds since the store last answered it."""
 
--- a/packages/guavajunction/src/guavajunction/fleet/_relay.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relay.py
@@ -89,7 +89,8 @@
         self.must_lead: Callable[[], bool] = lambda: False
         """Whether this instance has a duty that only a hub can do."""
         self.on_moved: Callable[[], None] = lambda: None
-        """Called when this instance begins to follow another hub, or none."""
+        """Called when this instance begins to follow another hub, or none, or when the
+        hub has restarted."""
         links.handle(RowsNotice, self._on_notice)
         links.handle(RowsWanted, self._on_wanted)
 
@@ -171,6 +172,9 @@
         events.HUB_CHOSEN.log(hub=hub, before=self._hub, listed=len(self._listed))
         self._hub = hub
         self._chosen_at = now
+        self._forget_hub()
+
+    def _forget_hub(self) -> None:
         self._last = None
         for handed in self._handed.values():
             handed.clear()
@@ -214,7 +218,9 @@
         if not self.leads(peer):
             return None
         stands = {
-            partition: RowsStand(offer.rows.told_version, round(offer.age(), 3))
+            partition: RowsStand(
+                offer.rows.told_version, offer.rows.version, round(offer.age(), 3)
+            )
             for partition, offer in self._offers.items()
         }
         return HubWord(stands, self._members)
@@ -223,10 +229,23 @@
         """Take what the hub that is followed tells."""
         if peer.name != self._hub:
             return
+        if self._last is not None and self._last.peer != peer:
+            self._forget_hub()
         self._last = _Word(peer, word, self._clock.monotonic())
         if word.members is not None:
             self._roster.hear_told(word.members)
 
+    def placed(self) -> bool:
+        """Return whether it is known who is there, and the hub has been heard."""
+        if not self._listed:
+            return False
+        return self._hub is None or (
+            self._last is not None
+            and any(
+                stand.version != UNREAD for stand in self._last.word.stands.values()
+            )
+        )
+
     def hub_peer(self) -> PeerId | None:
         """Return the hub's incarnation, None if there is none or it is silent."""
         word = self._fresh_word()
@@ -258,11 +277,14 @@
 
     def told_version(self, partition: str) -> int:
         """Return the version of the rows that the hub told last."""
-        if self._last is None:
-            return UNREAD
-        stand = self._last.word.stands.get(partition)
+        stand = self._stand(partition)
         return stand.version if stand else UNREAD
 
+    def read_version(self, partition: str) -> int:
+        """Return the version up to which the hub has read the store."""
+        stand = self._stand(partition)
+        return stand.read_version if stand else UNREAD
+
     def take(self, partition: str, after: int) -> Changes | None:
         """Return the changes that follow a version, None if there are none yet."""
         return self._handed[partition].take(after)
@@ -295,6 +317,9 @@
         offer = self._offers.get(wanted.partition)
         return offer.rows.answer() if offer else RowsAnswer(UNREAD, ())
 
+    def _stand(self, partition: str) -> RowsStand | None:
+        return self._last.word.stands.get(partition) if self._last else None
+
     def _fresh_word(self) -> _Word | None:
         """Return the hub's last word unless it is silent."""
         now = self._clock.monotonic()
--- a/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
@@ -90,15 +90,16 @@
             events.ROW_REMOVED.log(instance=name, incarnation=incarnation)
 
     async def _enter(self) -> None:
-        row = await self._table.get(PARTITION, self._me.name)
-        if row is not None and _decode(row).incarnation == self._me.incarnation:
-            return
-        await self._table.put(
-            PARTITION,
-            self._me.name,
-            msgspec.msgpack.encode(self._entry),
-            expected=row.version if row else 0,
-        )
+        try:
+            await self._put(expected=0)
+        except ConditionFailed:
+            row = await self._table.get(PARTITION, self._me.name)
+            if row is None or _decode(row).incarnation != self._me.incarnation:
+                await self._put(expected=row.version if row else 0)
+
+    async def _put(self, *, expected: int) -> None:
+        body = msgspec.msgpack.encode(self._entry)
+        await self._table.put(PARTITION, self._me.name, body, expected=expected)
 
     async def _read(self) -> None:
         self.on_read([_listed(row) for row in await self._table.query(PARTITION)])
--- a/packages/guavajunction/src/guavajunction/storage/_watcher.py
+++ b/packages/guavajunction/src/guavajunction/storage/_watcher.py
@@ -50,6 +50,8 @@
         self._rng = rng
         self._rest = rest
         self._wait = wait
+        self.on_answer: Callable[[Changes], None] = lambda _: None
+        """Called with each answer, also with one without changes."""
         self._version: int | None = None
         self._lost_at: float | None = None
         self.read_at = float("-inf")
@@ -76,6 +78,7 @@
                 continue
             self._note_answer()
             self._version = changes.version
+            self.on_answer(changes)
             if changes.rows or changes.complete:
                 yield changes
                 await self._clock.sleep(self._rest())
--- /dev/null
+++ b/tests/fleet/test_hubs.py
@@ -0,0 +1,68 @@
+"""Tests of which instances are hubs."""
+
+from __future__ import annotations
+
+from guavajunction.fleet import Candidate, FleetShape
+from guavajunction.fleet._hubs import hub_of, hubs
+
+SHAPE = FleetShape(full_mesh=20, followers=32)
+
+
+def fleet(counts, strong=()):
+    return [
+        Candidate(f"{place}{number}", place, f"{place}{number}" in strong)
+        for place, count in counts.items()
+        for number in range(count)
+    ]
+
+
+class TestHubs:
+    """Few instances carry the traffic of a large fleet."""
+
+    def test_small_fleet_has_no_followers(self):
+        listed = fleet({"a": 10, "b": 10})
+        by_place = hubs(listed, (), SHAPE)
+        assert all(hub_of(one, by_place) is None for one in listed)
+
+    def test_one_hub_for_so_many_followers(self):
+        by_place = hubs(fleet({"a": 20, "b": 40, "c": 75}), (), SHAPE)
+        assert {place: len(names) for place, names in by_place.items()} == {
+            "a": 1,
+            "b": 2,
+            "c": 3,
+        }
+
+    def test_strong_instances_come_first(self):
+        by_place = hubs(fleet({"a": 30, "b": 30}, strong=("a7", "b9")), (), SHAPE)
+        assert by_place == {"a": ["a7"], "b": ["b9"]}
+
+    def test_unfit_hub_has_a_successor_near(self):
+        listed = fleet({"a": 30, "b": 30})
+        (first,) = hubs(listed, (), SHAPE)["a"]
+        (second,) = hubs(listed, {first}, SHAPE)["a"]
+        assert second != first
+        assert second.startswith("a")
+
+    def test_everybody_follows_a_hub_of_its_own_data_centre(self):
+        listed = fleet({"a": 75, "b": 75})
+        by_place = hubs(listed, (), SHAPE)
+        for one in listed:
+            hub = hub_of(one, by_place)
+            if one.name in by_place[one.data_centre]:
+                assert hub is None
+            else:
+                assert hub in by_place[one.data_centre]
+
+    def test_followers_spread_over_the_hubs(self):
+        listed = fleet({"a": 96})
+        by_place = hubs(listed, (), SHAPE)
+        followed = [hub_of(one, by_place) for one in listed]
+        counts = [followed.count(name) for name in by_place["a"]]
+        assert len(counts) == 3
+        assert min(counts) > 20
+
+    def test_data_centre_without_a_fit_instance_has_no_hub(self):
+        listed = fleet({"a": 2, "b": 30})
+        by_place = hubs(listed, {"a0", "a1"}, SHAPE)
+        assert "a" not in by_place
+        assert hub_of(Candidate("a0", "a", False), by_place) is None
--- /dev/null
+++ b/tests/platform/test_hubs.py
@@ -0,0 +1,145 @@
+"""Tests of real instances that follow a hub."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+
+import pytest
+
+from guavajunction_fakes.deployment import LocalDeployment
+from platform_calls import call, listed, until
+
+PORTS = [18221, 18224, 18220, 17600]
+INSTANCES = 4
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    settings = tmp_path / "gateway.ini"
+    settings.write_text("[fleet]\nfull_mesh = 1\n")
+    async with LocalDeployment(
+        tmp_path, instances=INSTANCES, ports=PORTS, gateway_settings=settings
+    ) as running:
+        for name in running.instances:
+            await until(lambda name=name: _sees(running, name, INSTANCES), 8.0)
+        yield running
+
+
+async def _sees(deployment, name, count):
+    return await listed(deployment, name) == count
+
+
+def log_lines(deployment, name, message_type):
+    text = deployment.instances[name].log_path.read_text()
+    lines = [json.loads(line) for line in text.splitlines() if message_type in line]
+    return [line for line in lines if line.get("message_type") == message_type]
+
+
+def hub_of(deployment, name):
+    chosen = log_lines(deployment, name, "fleet:hub_chosen")
+    return chosen[-1]["hub"] if chosen else None
+
+
+def the_hub(deployment):
+    hubs = {hub_of(deployment, name) for name in deployment.instances} - {None}
+    (hub,) = hubs
+    return hub
+
+
+class TestFollowers:
+    """A follower serves as if it read the store itself."""
+
+    async def test_one_hub_and_everybody_is_known(self, deployment):
+        hub = the_hub(deployment)
+        assert hub in deployment.instances
+        followed = log_lines(deployment, hub, "fleet:followed")
+        assert len({line["instance"] for line in followed}) == INSTANCES - 1
+
+    async def test_followers_do_not_read_the_store(self, deployment):
+        await asyncio.sleep(3.0)
+        before = deployment.store.reads.copy()
+        await asyncio.sleep(2.0)
+        after = deployment.store.reads - before
+        # A hub waits 0.8 s for a change of the configuration.
+        assert 0 < after["op"] <= 4
+
+    async def test_requests_are_served_by_all(self, deployment):
+        for name in deployment.instances:
+            assert (await call(deployment, "/book/1", name=name)).status == 200
+            reply = await call(deployment, "/draft/1", name=name, model="m1/a1")
+            assert reply.status == 200
+
+    async def test_change_reaches_everybody(self, deployment):
+        deployment.operator.add_customer("atelier", ["another-key"])
+        deployment.operator.write()
+        await asyncio.sleep(0.5)
+        for name in deployment.instances:
+            assert (await call(deployment, "/book/1", name=name)).status == 401
+
+    async def test_leaving_runner_gets_nothing_new(self, deployment):
+        deployment.runners["booking-1"].drain()
+        await asyncio.sleep(0.8)
+        for name in deployment.instances:
+            assert (await call(deployment, "/book/1", name=name)).status == 200
+        assert not deployment.runners["booking-1"].runs
+
+    async def test_limit_holds_over_all_instances(self, deployment):
+        deployment.operator.add_customer("small", ["small-key"], rate=100, burst=200)
+        deployment.operator.write()
+        await asyncio.sleep(0.8)
+        statuses = [
+            (await call(deployment, "/book/1", key="small-key", name=name)).status
+            for _ in range(15)
+            for name in deployment.instances
+        ]
+        passed = statuses.count(200)
+        assert passed * 100 <= (100 * 8 + 200) * 1.1 + 1000
+        assert statuses.count(429) == len(statuses) - passed
+
+
+class TestLostHub:
+    """Another hub takes over, and nothing is missed meanwhile."""
+
+    async def test_killed_hub_is_followed_by_another(self, deployment):
+        hub = the_hub(deployment)
+        await deployment.instances[hub].kill()
+        deployment.operator.add_customer("newcomer", ["new-key"])
+        deployment.operator.write()
+        others = [name for name in deployment.instances if name != hub]
+        await asyncio.sleep(2.5)
+        for name in others:
+            reply = await call(deployment, "/book/1", name=name, key="new-key")
+            assert reply.status == 200
+            await until(lambda name=name: _sees(deployment, name, INSTANCES - 1))
+        assert {hub_of(deployment, name) for name in others} - {None, hub}
+
+    async def test_hub_cut_from_the_store_leaves_the_store_to_its_followers(
+        self, deployment
+    ):
+        hub = the_hub(deployment)
+        deployment.store.faults.set(outage="hang")
+        await asyncio.sleep(4.0)
+        deployment.store.faults.set(outage=None)
+        await asyncio.sleep(1.0)
+        deployment.operator.add_customer("newcomer", ["new-key"])
+        deployment.operator.write()
+        await asyncio.sleep(2.5)
+        for name in deployment.instances:
+            reply = await call(deployment, "/book/1", name=name, key="new-key")
+            assert reply.status == 200
+        assert re.search("feed_lost", deployment.instances[hub].log_path.read_text())
+
+    async def test_paused_hub_is_left_and_taken_up_again(self, deployment):
+        hub = the_hub(deployment)
+        process = deployment.instances[hub]
+        process.freeze()
+        others = [name for name in deployment.instances if name != hub]
+        await asyncio.sleep(2.0)
+        for name in others:
+            assert (await call(deployment, "/book/1", name=name)).status == 200
+            assert hub_of(deployment, name) != hub
+        process.resume()
+        await until(lambda: _sees(deployment, hub, INSTANCES), 8.0)
+        assert (await call(deployment, "/book/1", name=hub)).status == 200
--- /dev/null
+++ b/tests/specs/test_handed_spec.py
@@ -0,0 +1,40 @@
+"""Rows handed on stay those of the store, and don't without any one rule."""
+
+from __future__ import annotations
+
+import pytest
+from minicheck import check_safety
+
+from specs.handed_spec import Rules, handed_model
+
+ROWS = "the follower has the rows of its version"
+BACK = "its version never goes back"
+
+
+class TestHandedSpec:
+    """Checks of `guavajunction.fleet`, rows on their way through hubs."""
+
+    def test_follower_has_the_stores_rows(self, record_property) -> None:
+        result = check_safety(handed_model())
+        record_property("states", result["reachable_states"])
+        assert result["properties"][ROWS]["holds"] is True
+        assert result["properties"][BACK]["holds"] is True
+        assert result["reachable_states"] > 1_000
+
+    @pytest.mark.parametrize(
+        ("rules", "broken"),
+        [
+            (Rules(notices_connect=False), ROWS),
+            (Rules(answers_checked=False), BACK),
+            (Rules(asks_anew=False), ROWS),
+        ],
+        ids=[
+            "any notice taken",
+            "any answer taken",
+            "notices taken on rows of the store",
+        ],
+    )
+    def test_each_rule_is_needed(self, rules: Rules, broken: str) -> None:
+        result = check_safety(handed_model(rules))
+        assert result["properties"][broken]["holds"] is False
+        assert result["properties"][broken]["counterexample"]
--- /dev/null
+++ b/tests/specs/test_pool_spec.py
@@ -0,0 +1,30 @@
+"""No window of a pooled allowance exceeds its bound, and does without any one rule."""
+
+from __future__ import annotations
+
+import pytest
+from minicheck import check_safety
+
+from specs.pool_spec import Rules, pool_model
+
+PROPERTY = "no window exceeds the bound"
+
+
+class TestPoolSpec:
+    """Checks of `guavajunction.customers`, allowances spent from one pool."""
+
+    def test_no_window_exceeds_the_bound(self, record_property) -> None:
+        result = check_safety(pool_model())
+        record_property("states", result["reachable_states"])
+        assert result["properties"][PROPERTY]["holds"] is True
+        assert result["reachable_states"] > 1_000
+
+    @pytest.mark.parametrize(
+        "rules",
+        [Rules(keeps_to_parts=False), Rules(counts_heard=False)],
+        ids=["whole pool on both sides", "others' spending ignored"],
+    )
+    def test_each_rule_is_needed(self, rules: Rules) -> None:
+        result = check_safety(pool_model(rules))
+        assert result["properties"][PROPERTY]["holds"] is False
+        assert result["properties"][PROPERTY]["counterexample"]
