--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -206,7 +206,7 @@
         if peer is not None and self.relay.leads(peer):
             return (MEMBER,)
         name = peer.name if peer else self._names.get(address)
-        return self._mesh.topics if name in self.relay.targets else None
+        return self._mesh.topics if name and self.relay.beats_to(name) else None
 
     def _begin_beat(self) -> Member:
         self.relay.begin_beat()
--- a/packages/guavajunction/src/guavajunction/fleet/_relay.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relay.py
@@ -54,6 +54,11 @@
     """Longest wait for all rows of a partition."""
     MEMBERS_EVERY = 4
     """Heartbeats between two whole lists of the fleet while it does not change."""
+    FAR_EVERY = 2
+    """Heartbeats of a follower to each one that goes to hubs of others; its own hub
+    gets all."""
+    REMEMBERED = 16
+    """Answers of who is a hub that are kept."""
     SETTLE_SECONDS = 3.0
     """After the start, until an instance that is not known counts as not running."""
 
@@ -73,6 +78,7 @@
         self._shape = shape
         self._clock = clock
         self._listed: dict[str, Candidate] = {}
+        self._known_hubs: dict[frozenset[str], dict[str, list[str]]] = {}
         self._avoid: dict[str, float] = {}
         self._hub: str | None = None
         self._chosen_at = float("-inf")
@@ -110,6 +116,13 @@
         self._offers[partition] = _Offer(rows, age)
         self._handed[partition] = HandedRows()
 
+    def beats_to(self, name: str) -> bool:
+        """Return whether the present heartbeat goes to an instance."""
+        if name not in self.targets:
+            return False
+        near = self._hub is None or name == self._hub
+        return near or self._beats % self.FAR_EVERY == 0
+
     def publish(self, notice: RowsNotice) -> None:
         """Tell followers what this instance has read."""
         for follower in self.followers():
@@ -118,13 +131,14 @@
     def set_listed(self, listed: Iterable[Candidate]) -> None:
         """Take the list of all instances, this one included."""
         self._listed = {one.name: one for one in listed}
+        self._known_hubs.clear()
         self.review()
 
     def review(self) -> None:
         """Choose again whom to follow and whom to send heartbeats to."""
         now = self._clock.monotonic()
         self._drop_silent_hub(now)
-        by_place = hubs(self._listed.values(), self._unfit(now), self._shape)
+        by_place = self._hubs_without(frozenset(self._unfit(now)))
         me = self._listed.get(self._links.me.name)
         hub = hub_of(me, by_place) if me else None
         if hub is not None and (self.followers() or self.must_lead()):
@@ -133,7 +147,7 @@
             self._move(hub, now)
         # The best hubs are sent to even while they are not heard: how else would they
         # be found?
-        ideal = hubs(self._listed.values(), (), self._shape)
+        ideal = self._hubs_without(frozenset())
         wanted = {
             name for names in (*by_place.values(), *ideal.values()) for name in names
         }
@@ -146,6 +160,16 @@
             wanted.add(self._hub)
         self.targets = frozenset(wanted - {self._links.me.name})
 
+    def _hubs_without(self, unfit: frozenset[str]) -> dict[str, list[str]]:
+        """Return the hubs; the same question comes with every heartbeat."""
+        known = self._known_hubs.get(unfit)
+        if known is None:
+            if len(self._known_hubs) >= self.REMEMBERED:
+                self._known_hubs.clear()
+            known = hubs(self._listed.values(), unfit, self._shape)
+            self._known_hubs[unfit] = known
+        return known
+
     def _drop_silent_hub(self, now: float) -> None:
         if self._hub is None:
             return
--- a/packages/guavajunction/src/guavajunction/fleet/_relayed_feed.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relayed_feed.py
@@ -53,8 +53,10 @@
     the store may have shown what lay between.
     """
 
-    LOOK_SECONDS = 0.05
+    LOOK_SECONDS = 0.2
     """Between looks for rows; they wait no longer than this."""
+    START_LOOK_SECONDS = 0.05
+    """The same while nothing is known yet."""
     PLACE_SECONDS = 1.5
     """After the start, how long an instance waits to find its hub before it reads the
     store by itself: many that start together would all read it."""
@@ -83,7 +85,7 @@
             StoreUnavailable: Neither a hub nor the store answered.
         """
         while not self._placed() and self._clock.monotonic() < self._wait_until:
-            await self._clock.sleep(self.LOOK_SECONDS)
+            await self._clock.sleep(self.START_LOOK_SECONDS)
         changes = await self._all_of_hub(partition)
         if changes is None:
             self._from_hub.discard(partition)
--- a/packages/guavajunction/src/guavajunction/gateway/_waiting_room.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_waiting_room.py
@@ -60,6 +60,8 @@
     """Changes within this time are handled together."""
     REVIEW_SECONDS = 0.1
     """How often waiting requests are judged again without a change."""
+    IDLE_SECONDS = 0.3
+    """The same while nothing waits; the first that comes is judged at once."""
     MEAN_RUN_SECONDS = 1.5
     """How long a generation holds its slot, for the outlook."""
     NO_BACKEND_SECONDS = 2.0
@@ -149,7 +151,8 @@
     async def review(self) -> None:
         """Judge the waiting requests again and again until cancelled."""
         while True:
-            await self._clock.sleep(self.REVIEW_SECONDS)
+            idle = not self._tickets
+            await self._clock.sleep(self.IDLE_SECONDS if idle else self.REVIEW_SECONDS)
             self._health.expire()
             if self._tickets:
                 self._pump()
--- a/packages/guavajunction/src/guavajunction/peers/_mesh.py
+++ b/packages/guavajunction/src/guavajunction/peers/_mesh.py
@@ -72,6 +72,8 @@
     HEARD_SECONDS = 2.5
     FORGET_SECONDS = 60.0
     REMEMBERED_HEARTBEATS = 240
+    MAX_TAKEN = 100
+    """Messages taken before other work has its turn."""
     MAX_MESSAGE_BYTES = 16 * 1024 * 1024
     KEEPALIVE_IDLE_SECONDS = 30
 
@@ -408,10 +410,19 @@
     async def _receive(
         self, router: zmq.asyncio.Socket, auth: FleetAuthenticator
     ) -> None:
+        # Taking what has arrived at once saves a future for each message, which costs
+        # more than handling it.
+        plain = zmq.Socket.shadow(router)
         while True:
-            frames = await router.recv_multipart()
+            await router.poll()
             self.refused = auth.refused
-            self._take(frames[-1])
+            for _ in range(self.MAX_TAKEN):
+                try:
+                    frames = plain.recv_multipart(zmq.NOBLOCK)
+                except zmq.Again:
+                    break
+                self._take(frames[-1])
+            await asyncio.sleep(0)
 
     def _take(self, payload: bytes) -> None:
         try:
