--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -11,7 +11,6 @@
 from contextlib import AsyncExitStack
 from typing import Any
 
-from guavajunction.backends import PassiveHealth
 from guavajunction.clock import Clock
 from guavajunction.errors import DocumentInvalid, SettingsInvalid
 from guavajunction.fleet import (
@@ -36,6 +35,7 @@
     RouteTable,
     WaitingRoom,
 )
+from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.peers import PeerId
 from guavajunction.storage import Changes, PartitionWatcher
--- a/packages/guavajunction/src/guavajunction/backends/__init__.py
+++ b/packages/guavajunction/src/guavajunction/backends/__init__.py
@@ -32,7 +32,6 @@
     Resident,
 )
 from ._order_desk import OrderDesk
-from ._passive_health import PassiveHealth
 from ._protocols import BackendClient, Members
 from ._retirement import Retirement
 
@@ -66,7 +65,6 @@
     "OrderPending",
     "OrderStale",
     "OrderUnanswered",
-    "PassiveHealth",
     "Resident",
     "Retirement",
 ]
--- a/packages/guavajunction/src/guavajunction/backends/_inventory.py
+++ b/packages/guavajunction/src/guavajunction/backends/_inventory.py
@@ -9,6 +9,7 @@
 
 from guavajunction.clock import Clock
 from guavajunction.configuration import Adapter, BackendServer, Configuration
+from guavajunction.health import PassiveHealth
 from guavajunction.peers import Links, PeerId
 
 from ._digests import digest_of, fingerprint_of, load_digest_of, state_of
@@ -22,7 +23,6 @@
 )
 from ._messages import CacheNews, LoadDigest, StateDigest, StateWanted
 from ._model import BackendState
-from ._passive_health import PassiveHealth
 from ._prefix_index import PrefixIndex
 from ._protocols import BackendClient, Members
 from ._ready_index import ReadyIndex
--- a/packages/guavajunction/src/guavajunction/customers/__init__.py
+++ b/packages/guavajunction/src/guavajunction/customers/__init__.py
@@ -8,18 +8,15 @@
 from ._keys import IssuedKey, digest, issue
 from ._limits import Limits, Settleable
 from ._members import Members
-from ._pooled_allowance import AllowanceTerms, PooledAllowance
 from ._rate_limits import RateLimits
 from ._reservation import Reservation
 
 __all__ = [
-    "AllowanceTerms",
     "EqualSplit",
     "IssuedKey",
     "KeyRing",
     "Limits",
     "Members",
-    "PooledAllowance",
     "RateLimits",
     "Reservation",
     "Settleable",
--- a/packages/guavajunction/src/guavajunction/gateway/__init__.py
+++ b/packages/guavajunction/src/guavajunction/gateway/__init__.py
@@ -19,6 +19,7 @@
 from ._gateway import Gateway, GatewayParts
 from ._load_view import Load, LoadView
 from ._model_demand import NO_DEMAND, Demand, ModelDemand
+from ._pooled_allowance import AllowanceTerms, PooledAllowance
 from ._protocols import AnswerHead, AnswerSink, BackendAnswer, BackendCaller
 from ._request import GatewayRequest, GenerationSize, PromptPart
 from ._retry_allowance import RetryAllowance, RetryBounds
@@ -29,6 +30,7 @@
     "NO_DEMAND",
     "HoldingNotice",
     "AllowanceBounds",
+    "AllowanceTerms",
     "Allowances",
     "AnswerHead",
     "AnswerSink",
@@ -49,6 +51,7 @@
     "LoadView",
     "ModelDemand",
     "ModelSpec",
+    "PooledAllowance",
     "PromptPart",
     "RequestKind",
     "RetireNotice",
--- a/packages/guavajunction/src/guavajunction/gateway/_allowances.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_allowances.py
@@ -5,10 +5,10 @@
 from typing import NamedTuple
 
 from guavajunction.clock import Clock
-from guavajunction.customers import AllowanceTerms, PooledAllowance
 from guavajunction.peers import PeerId
 
 from ._catalogue import Customer
+from ._pooled_allowance import AllowanceTerms, PooledAllowance
 from ._request import GatewayRequest
 
 
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -6,7 +6,6 @@
 import random
 from typing import NamedTuple
 
-from guavajunction.backends import PassiveHealth
 from guavajunction.clock import Clock
 from guavajunction.errors import (
     AnswerCut,
@@ -19,6 +18,7 @@
     RateLimited,
     RequestError,
 )
+from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
 
 from . import _events as events
--- a/packages/guavajunction/src/guavajunction/gateway/_waiting_room.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_waiting_room.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from guavajunction.backends import PassiveHealth
 from guavajunction.clock import Clock
 from guavajunction.errors import InstanceNotReady, NoReplica, Overloaded, RequestError
+from guavajunction.health import PassiveHealth
 
 from . import _mixed_prompts, _overload
 from ._backend import BackendRecord
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -6,7 +6,6 @@
 import random
 from typing import NamedTuple
 
-from guavajunction.backends import PassiveHealth
 from guavajunction.clock import ManualClock
 from guavajunction.errors import AnswerCut
 from guavajunction.gateway import (
@@ -36,6 +35,7 @@
     WaitingRoom,
     WeightedService,
 )
+from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
 
 ENGINES = "engines"
--- a/tests/customers/test_pooled_allowance.py
+++ b/tests/gateway/test_pooled_allowance.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from guavajunction.customers import AllowanceTerms, PooledAllowance
+from guavajunction.gateway import AllowanceTerms, PooledAllowance
 from guavajunction.peers import PeerId
 
 RATE, BURST, WINDOW = 1000.0, 1000.0, 8.0
--- a/tests/specs/pool_spec.py
+++ b/tests/specs/pool_spec.py
@@ -1,6 +1,6 @@
 """Specification of a pooled allowance: what a cut between instances may cost.
 
-Describes `guavajunction.customers._pooled_allowance` and the bound on silence of
+Describes `guavajunction.gateway._pooled_allowance` and the bound on silence of
 `guavajunction.fleet.Roster`. Two instances spend one pool, in whole units and steps of
 time: a window of some steps holds `UNITS`. They exchange their counts within a step
 unless they are cut from each other; a cut is noticed after a step, and each then keeps
--- a/tests/specs/test_pool_spec.py
+++ b/tests/specs/test_pool_spec.py
@@ -12,7 +12,7 @@
 
 
 class TestPoolSpec:
-    """Checks of `guavajunction.customers`, allowances spent from one pool."""
+    """Checks of `guavajunction.gateway`, allowances spent from one pool."""
 
     def test_no_window_exceeds_the_bound(self, record_property) -> None:
         result = check_safety(pool_model())
