Add a randomized fault soak of the gateway's instances

A seed draws faults of 23 kinds, which overlap and come in series: kills, suspensions, slow processes, planned stops, reloads, the store away, slow, losing answers or its history, links silent, one way, delayed, reset or silent for good, sick runners, runners that leave, keys that change. Nine promises are checked on what callers and runners saw; each check has a test that breaks it. A short run with two seeds, with and without hubs, is part of the tests. Links between instances are not proxied: they listen on addresses of their own.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/commands/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/__init__.py
@@ -20,6 +20,7 @@
     "service": "servers of a plain service",
     "load": "callers of a running fleet",
     "fleet": "a whole fleet on this machine",
+    "soak": "instances under random faults, and what was promised",
     "demo": "a small fleet that serves requests of each kind and stops",
 }
 """What each command runs, by name."""
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/soak.py
@@ -0,0 +1,66 @@
+"""Runs real instances under random faults and checks what was promised."""
+
+from __future__ import annotations
+
+import shutil
+import sys
+from pathlib import Path
+
+import uvloop
+from absl import flags
+
+from guavajunction_fakes._errors import FakesError
+from guavajunction_fakes.soak import Soak
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+def define(values: flags.FlagValues) -> None:
+    """Declare the flags."""
+    flags.DEFINE_string("var", "var/soak", "folder to write", flag_values=values)
+    flags.DEFINE_string("seeds", "1", "one seed, or FIRST-LAST", flag_values=values)
+    flags.DEFINE_float("seconds", 8.0, "length with faults", flag_values=values)
+    flags.DEFINE_integer("faults", 6, "faults for each seed", flag_values=values)
+    flags.DEFINE_integer("instances", 4, "instances", flag_values=values)
+    flags.DEFINE_bool("hubs", False, "let instances follow hubs", flag_values=values)
+    flags.DEFINE_integer(
+        "port",
+        18300,
+        "first of four ports, on addresses of its own",
+        flag_values=values,
+    )
+
+
+def run(values: flags.FlagValues) -> int:
+    """Run the seeds; logs of those without findings are removed."""
+    first, _, last = values.seeds.partition("-")
+    if not first.isdecimal() or (last and not last.isdecimal()):
+        print(f"--seeds: found {values.seeds!r}, expected 7 or 1-50", file=sys.stderr)
+        return EXIT_USAGE
+    failed = []
+    for seed in range(int(first), int(last or first) + 1):
+        var = Path(values.var) / str(seed)
+        soak = Soak(
+            var,
+            seed,
+            seconds=values.seconds,
+            faults=values.faults,
+            instances=values.instances,
+            hubs=values.hubs,
+        )
+        try:
+            result = uvloop.run(soak.run([values.port + n for n in range(4)]))
+        except FakesError as exc:
+            print(f"seed {seed}: {type(exc).__name__}: {exc}", file=sys.stderr)
+            failed.append(seed)
+            continue
+        print(result, flush=True)
+        if result.broken:
+            failed.append(seed)
+            for line in (*map(str, result.plan), *result.broken):
+                print(f"  {line}", flush=True)
+        else:
+            shutil.rmtree(var, ignore_errors=True)
+    print(f"{len(failed)} seeds with broken promises: {failed}")
+    return EXIT_FAILED if failed else 0
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/__init__.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
-from ._local_deployment import LocalDeployment
+from ._local_deployment import Links, LocalDeployment
 from ._operator import Operator
-from ._runner import FakeRunner, RunnerSpec
+from ._runner import FakeRunner, Run, RunnerSpec
 from ._store import FakeStore
-from ._wire import HEADERS, Headers
+from ._wire import HEADERS, HOST, Headers
 
 __all__ = [
     "HEADERS",
+    "HOST",
     "FakeRunner",
     "FakeStore",
     "Headers",
+    "Links",
     "LocalDeployment",
     "Operator",
+    "Run",
     "RunnerSpec",
 ]
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 
@@ -24,6 +24,19 @@
 PROGRAM = ROOT / "platform" / "serve.py"
 
 
+class Links(Protocol):
+    """Leads instances to what they connect to."""
+
+    async def lead_to(self, name: str, address: str) -> str:
+        """Return the address under which a target is reached.
+
+        Args:
+            name: A runner's name, or `store/` and the name of an instance.
+            address: Where the target listens, `host:port`.
+        """
+        ...
+
+
 class LocalDeployment:
     """Runs a store, runners and instances while it is entered.
 
@@ -42,6 +55,7 @@
         instances: int = 2,
         ports: list[int],
         gateway_settings: Path | None = None,
+        links: Links | None = None,
     ) -> None:
         """Create a deployment that does not run yet.
 
@@ -50,7 +64,9 @@
             instances: How many instances.
             ports: Front, readiness, directory and peer port of each instance.
             gateway_settings: INI file of the gateway; the defaults if omitted.
+            links: Lead instances to the store and the runners; straight if omitted.
         """
+        self._links = links
         self._flags = [f"--settings={gateway_settings}"] if gateway_settings else []
         self._var = var
         self._ports = ports
@@ -66,16 +82,17 @@
             f"front-{n}": f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250}.{n}"
             for n in range(1, instances + 1)
         }
-        self._store_address = ""
+        self._stores: dict[str, str] = {}
 
     async def __aenter__(self) -> LocalDeployment:
         self._var.mkdir(parents=True, exist_ok=True)
-        url = await self._stack.enter_async_context(self.store.serve())
-        self._store_address = url.removeprefix("http://")
+        url_of_store = await self._stack.enter_async_context(self.store.serve())
         self.operator.write()
         for runner in self.runners.values():
-            runner.enter(await self._stack.enter_async_context(runner.serve()))
+            url = await self._stack.enter_async_context(runner.serve())
+            runner.enter(await self._lead_to(runner.spec.name, url))
         for name in self._addresses:
+            self._stores[name] = await self._lead_to(f"store/{name}", url_of_store)
             self.start(name)
         try:
             await asyncio.wait_for(self._all_ready(), self.READY_SECONDS)
@@ -89,6 +106,10 @@
             await process.kill()
         await self._stack.aclose()
 
+    async def _lead_to(self, name: str, url: str) -> str:
+        address = url.removeprefix("http://")
+        return await self._links.lead_to(name, address) if self._links else address
+
     def start(self, name: str) -> FleetProcess:
         """Start an instance, or start it again."""
         ip = self._addresses[name]
@@ -96,7 +117,7 @@
         content = wire.settings(
             name=name,
             ip=ip,
-            store=self._store_address,
+            store=self._stores[name],
             grace_seconds=self.GRACE_SECONDS,
             ports=self._ports,
         )
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -44,6 +44,8 @@
     """Names, in lower case."""
     body: bytes
     deadline_ms: int
+    at: float = 0.0
+    """When it began, monotonic, in seconds."""
 
 
 class FakeRunner(FakeServer):
@@ -106,6 +108,14 @@
         self._draining = True
         self._write_entry()
 
+    def come_back(self) -> None:
+        """Take work again, as after a start of its own."""
+        self._draining = False
+        self._born = int(time.time() * 1000)
+        self._heartbeat = 0
+        self._orders = self._fence = 0
+        self._write_entry()
+
     def leave(self) -> None:
         """Remove its entry."""
         self._store.write("servers", self.spec.name, None)
@@ -195,6 +205,7 @@
                 headers=tuple(name.lower() for name in req.headers),
                 body=await req.read(),
                 deadline_ms=int(req.headers[HEADERS.deadline]),
+                at=time.monotonic(),
             )
         )
         self._running += 1
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
@@ -24,6 +24,9 @@
     key: str = names.AUTHORIZATION
 
 
+HOST = "here.example"
+"""Of every route."""
+
 HEADERS = Headers()
 KEY_SCHEME = names.KEY_SCHEME
 
@@ -147,7 +150,7 @@
     """Return a route of the operator's configuration."""
     return {
         "name": name,
-        "host": "here.example",
+        "host": HOST,
         "prefix": prefix,
         "kind": kind,
         "timeoutMs": timeout_ms,
--- /dev/null
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_callers.py
@@ -0,0 +1,128 @@
+"""Callers of a soak: they keep connections and send until told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+import aiohttp
+from yarl import URL
+
+from guavajunction_fakes.deployment import HEADERS, HOST, LocalDeployment
+
+from ._history import Call
+
+PLAIN = ("book", "look")
+GENERATED = ("draft", "long")
+
+
+class Callers:
+    """Some callers at once, each with connections of its own."""
+
+    PAUSE_SECONDS = 0.04
+    """Mean pause of a caller between two requests."""
+    PATIENCE_SECONDS = 4.0
+    RESOLVE_SECONDS = 1.0
+    """How long a caller keeps the directory's answer; some keep it three times as
+    long."""
+    ARTIFACTS = ("m1", "m1", "m1/a1", "m1/a2", "m2", "m2/a1")
+
+    def __init__(
+        self, deployment: LocalDeployment, seed: int, key: Callable[[], str]
+    ) -> None:
+        """Create the callers.
+
+        Args:
+            deployment: Whom they call.
+            seed: Decides what they send.
+            key: Returns the key that a request carries.
+        """
+        self.calls: list[Call] = []
+        """What they saw."""
+        self._deployment = deployment
+        self._seed = seed
+        self._key = key
+        self._sent = 0
+
+    async def run(self, count: int) -> None:
+        """Send until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(count):
+                tasks.create_task(self._caller(number))
+
+    async def _caller(self, number: int) -> None:
+        rng = random.Random(f"{self._seed}/{number}")
+        keeps = self.RESOLVE_SECONDS * (3 if number % 3 == 0 else 1)
+        fronts: list[str] = []
+        asked_at = float("-inf")
+        async with aiohttp.ClientSession() as session:
+            while True:
+                if time.monotonic() - asked_at > keeps or not fronts:
+                    fronts = await self._resolve(rng) or fronts
+                    asked_at = time.monotonic()
+                if fronts:
+                    await self._call(session, rng, fronts)
+                await asyncio.sleep(rng.expovariate(1 / self.PAUSE_SECONDS))
+
+    async def _resolve(self, rng: random.Random) -> list[str]:
+        names = list(self._deployment.instances)
+        for name in rng.sample(names, len(names)):
+            try:
+                async with asyncio.timeout(1.0):
+                    if addresses := await self._deployment.addresses(name):
+                        return addresses
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                continue
+        return []
+
+    async def _call(
+        self, session: aiohttp.ClientSession, rng: random.Random, fronts: list[str]
+    ) -> None:
+        self._sent += 1
+        kind = rng.choice([*PLAIN, *GENERATED])
+        call = Call(
+            request_id=f"s{self._seed}-{self._sent}",
+            kind=kind,
+            target=f"/{kind}/x%2Fy/{rng.randrange(100)}?q=%20",
+            key=self._key(),
+            sent_at=time.monotonic(),
+        )
+        front = rng.choice(fronts)
+        try:
+            async with asyncio.timeout(self.PATIENCE_SECONDS):
+                call = await self._exchange(session, rng, front, call)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            fronts.remove(front)
+        finally:
+            self.calls.append(call)
+
+    async def _exchange(
+        self,
+        session: aiohttp.ClientSession,
+        rng: random.Random,
+        front: str,
+        call: Call,
+    ) -> Call:
+        headers = {
+            "Host": HOST,
+            HEADERS.request_id: call.request_id,
+            HEADERS.deadline: str(round(self.PATIENCE_SECONDS * 1000)),
+            HEADERS.key: f"Token {call.key}",
+        }
+        if call.kind in GENERATED:
+            headers |= {
+                HEADERS.model: rng.choice(self.ARTIFACTS),
+                HEADERS.tokens: "100,20",
+                HEADERS.parts: "aa:30,bb:70",
+            }
+        url = URL(f"http://{front}{call.target}", encoded=True)
+        method = "GET" if call.kind == "look" else "POST"
+        data = None if call.kind == "look" else b"a body"
+        async with session.request(method, url, headers=headers, data=data) as resp:
+            body = await resp.read()
+            if resp.headers.get(HEADERS.request_id) not in (None, call.request_id):
+                body = b"of another request: " + body
+            sealed = HEADERS.seal in resp.headers
+            return call._replace(status=resp.status, sealed=sealed, body=body)
--- a/tests/platform_calls.py
+++ b/tests/platform_calls.py
@@ -9,9 +9,8 @@
 import aiohttp
 from yarl import URL
 
-from guavajunction_fakes.deployment import HEADERS
+from guavajunction_fakes.deployment import HEADERS, HOST
 
-HOST = "here.example"
 KEY = "key-of-atelier"
 
 _ids = itertools.count(1)
--- /dev/null
+++ b/tests/soak/test_link_proxy.py
@@ -0,0 +1,95 @@
+"""Tests of the proxy that stands for a bad network."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from guavajunction_fakes.soak import LinkProxy
+
+
+@pytest.fixture
+async def proxy():
+    async def echo(reader, writer):
+        while chunk := await reader.read(1000):
+            writer.write(b"<" + chunk + b">")
+        writer.close()
+
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    proxy = LinkProxy(f"127.0.0.1:{port}")
+    async with proxy.listen():
+        yield proxy
+    server.close()
+
+
+@contextlib.asynccontextmanager
+async def connect(proxy):
+    host, _, port = proxy.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+
+
+async def ask(connection, word=b"hello", within=0.5):
+    reader, writer = connection
+    writer.write(word)
+    async with asyncio.timeout(within):
+        return await reader.read(1000)
+
+
+class TestLinkProxy:
+    """What passes, what is held up, and what is lost."""
+
+    async def test_passes_both_ways(self, proxy):
+        async with connect(proxy) as connection:
+            assert await ask(connection) == b"<hello>"
+
+    async def test_silence_holds_up(self, proxy):
+        async with connect(proxy) as connection:
+            await ask(connection)
+            proxy.silence()
+            with pytest.raises(TimeoutError):
+                await ask(connection, within=0.2)
+            proxy.restore()
+            async with asyncio.timeout(0.5):
+                assert await connection[0].read(1000) == b"<hello>"
+
+    async def test_one_way_still_arrives(self, proxy):
+        async with connect(proxy) as connection:
+            await ask(connection)
+            proxy.silence_back()
+            with pytest.raises(TimeoutError):
+                await ask(connection, b"on its way", within=0.2)
+            proxy.restore()
+            async with asyncio.timeout(0.5):
+                assert await connection[0].read(1000) == b"<on its way>"
+
+    async def test_muted_connections_stay_so_and_new_ones_work(self, proxy):
+        async with connect(proxy) as old:
+            await ask(old)
+            proxy.mute()
+            proxy.restore()
+            with pytest.raises(TimeoutError):
+                await ask(old, within=0.2)
+            async with connect(proxy) as new:
+                assert await ask(new) == b"<hello>"
+
+    async def test_reset(self, proxy):
+        async with connect(proxy) as connection:
+            await ask(connection)
+            proxy.reset()
+            with pytest.raises(ConnectionResetError):
+                await ask(connection)
+
+    async def test_delay(self, proxy):
+        proxy.delay_seconds = 0.1
+        loop = asyncio.get_running_loop()
+        async with connect(proxy) as connection:
+            began = loop.time()
+            await ask(connection)
+            assert loop.time() - began >= 0.2
--- /dev/null
+++ b/tests/soak/test_promises.py
@@ -0,0 +1,128 @@
+"""Each check of the soak finds what it is there for."""
+
+from __future__ import annotations
+
+import pytest
+
+from guavajunction_fakes.deployment import HEADERS, Run
+from guavajunction_fakes.soak import Call, Change, History, broken_promises
+
+
+def call(number, kind="book", *, status=200, **changes):
+    request_id = f"r{number}"
+    body = b"done by " + request_id.encode()
+    if kind == "draft":
+        body = b"".join(f"id: {n}\ndata: token {n}\n\n".encode() for n in (1, 2, 3))
+    return Call(
+        request_id, kind, f"/{kind}/x", "key", 10.0 + number, status, True, body
+    )._replace(**changes)
+
+
+def run(number, kind="book", **changes):
+    return Run(f"r{number}", f"/{kind}/x", "atelier", ("host",), b"", 1, 11.0)._replace(
+        **changes
+    )
+
+
+@pytest.fixture
+def history():
+    calls = (call(1), call(2, "draft"), call(3, status=503, sealed=False))
+    return History(
+        calls=calls,
+        runs={"booking-1": (run(1),), "engine-1": (run(2, "draft"),)},
+        changes=(),
+        disturbed=(),
+        overloads={},
+        own_ends=(),
+        bad_stops=(),
+        calm_from=10.0,
+        stream_events=3,
+        customer="atelier",
+    )
+
+
+def add(history, runner, *runs):
+    return history._replace(runs=history.runs | {runner: runs})
+
+
+class TestPromises:
+    """A kept history has no finding; each broken one has its own."""
+
+    @pytest.fixture(autouse=True)
+    def served(self, history):
+        """Let enough be served that only the tested promise is broken."""
+        more = [call(number) for number in range(100, 150)]
+        runs = tuple(run(number) for number in range(100, 150))
+        self.history = add(
+            history._replace(calls=(*history.calls, *more)), "booking-2", *runs
+        )
+
+    def only(self, history):
+        (line,) = broken_promises(history)
+        return line
+
+    def test_kept_promises(self):
+        assert broken_promises(self.history) == []
+
+    def test_ran_twice(self):
+        assert "more than once" in self.only(add(self.history, "booking-3", run(1)))
+
+    def test_refused_though_it_ran(self):
+        assert "was told 503" in self.only(add(self.history, "booking-3", run(3)))
+
+    def test_success_without_a_seal(self):
+        calls = (*self.history.calls, call(9, sealed=False))
+        history = add(self.history._replace(calls=calls), "booking-3", run(9))
+        assert "seal" in self.only(history)
+
+    @pytest.mark.parametrize(
+        "body", [b"", b"done by r8", b"id: 1\ndata: token 1\n\nid: 3\n"]
+    )
+    def test_answer_of_another_or_cut(self, body):
+        calls = (*self.history.calls, call(9, body=body))
+        history = add(self.history._replace(calls=calls), "booking-3", run(9))
+        assert "answered with" in self.only(history)
+
+    def test_run_that_nobody_sent(self):
+        assert "nobody sent" in self.only(add(self.history, "booking-3", run(77)))
+
+    @pytest.mark.parametrize(
+        ("changes", "word"),
+        [
+            ({"target": "/book/y"}, "path"),
+            ({"customer": "other"}, "customer"),
+            ({"headers": (HEADERS.key.lower(),)}, "key"),
+        ],
+    )
+    def test_run_that_was_changed(self, changes, word):
+        history = add(self.history, "booking-1", run(1, **changes))
+        assert word in self.only(history)
+
+    def test_memory(self):
+        history = self.history._replace(overloads={"engine-1": ("m3",)})
+        assert "without room" in self.only(history)
+
+    def test_leaving_runner(self):
+        change = Change(7.0, "drain", "booking-1", until=20.0)
+        history = self.history._replace(changes=(change,))
+        assert "late" in self.only(history)
+
+    def test_fault_puts_a_change_off(self):
+        change = Change(7.0, "drain", "booking-1", until=20.0)
+        history = self.history._replace(changes=(change,), disturbed=((6.0, 9.0),))
+        assert broken_promises(history) == []
+
+    def test_withdrawn_key(self):
+        calls = (*self.history.calls, call(9, key="old", sent_at=20.0))
+        history = add(self.history._replace(calls=calls), "booking-3", run(9))
+        history = history._replace(changes=(Change(12.0, "keys", "old"),))
+        assert "old key worked" in self.only(history)
+
+    def test_own_ends_and_bad_stops(self):
+        assert "by itself" in self.only(self.history._replace(own_ends=("front-1",)))
+        assert "planned stop" in self.only(self.history._replace(bad_stops=("x",)))
+
+    def test_service_that_is_not_back(self):
+        late = [call(n, status=503, sealed=False) for n in range(200, 220)]
+        history = self.history._replace(calls=(*self.history.calls, *late))
+        assert "after all faults" in self.only(history._replace(calm_from=200.0))
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,39 @@
+"""A short soak with fixed seeds, and every seed that ever failed."""
+
+from __future__ import annotations
+
+import pytest
+
+from guavajunction_fakes.soak import FaultKind, Soak, draw_plan
+
+PORTS = [18311, 18312, 18313, 18314]
+SEEDS = (3, 11)
+"""Seeds of the short run; between them most kinds of fault are drawn."""
+
+
+class TestPlan:
+    """A seed decides everything."""
+
+    def test_same_seed_same_plan(self):
+        assert draw_plan(5, 8.0, faults=6) == draw_plan(5, 8.0, faults=6)
+        assert draw_plan(5, 8.0, faults=6) != draw_plan(6, 8.0, faults=6)
+
+    def test_faults_end_in_time(self):
+        for seed in range(50):
+            assert all(fault.ends <= 8.0 for fault in draw_plan(seed, 8.0, faults=9))
+
+    def test_every_kind_is_drawn(self):
+        drawn = {f.kind for seed in range(50) for f in draw_plan(seed, 8.0, faults=6)}
+        assert drawn == set(FaultKind)
+
+
+class TestSoak:
+    """Promises are kept under faults."""
+
+    @pytest.mark.parametrize("hubs", [False, True], ids=["mesh", "hubs"])
+    @pytest.mark.parametrize("seed", SEEDS)
+    async def test_promises_are_kept(self, tmp_path, seed, hubs):
+        soak = Soak(tmp_path, seed, seconds=5.0, faults=4, instances=3, hubs=hubs)
+        result = await soak.run(PORTS)
+        assert not result.broken, [str(result), *map(str, result.plan), *result.broken]
+        assert result.answers["200"] > 100
