--- a/packages/guavajunction-ctl/src/guavajunction_ctl/_command.py
+++ b/packages/guavajunction-ctl/src/guavajunction_ctl/_command.py
@@ -51,6 +51,8 @@
     details: str
     """What the command's own help says further."""
     run: Callable[[Context, list[str]], Awaitable[Outcome]]
+    offline: bool = False
+    """Whether it asks no instance."""
 
     @property
     def usage(self) -> str:
--- a/packages/guavajunction-ctl/src/guavajunction_ctl/_flags.py
+++ b/packages/guavajunction-ctl/src/guavajunction_ctl/_flags.py
@@ -34,6 +34,8 @@
     timeout: float
     """Seconds to wait for one answer."""
     help: bool
+    logs: list[str]
+    """Names of log files."""
 
 
 def new_flags() -> flags.FlagValues:
@@ -76,6 +78,9 @@
         lower_bound=0.1,
         flag_values=values,
     )
+    flags.DEFINE_multi_string(
+        "log", [], "Log of an instance, for trace.", flag_values=values
+    )
     flags.DEFINE_bool("help", False, "Print help.", flag_values=values)
     return values
 
@@ -104,6 +109,7 @@
         values.wait,
         values.timeout,
         values.help,
+        values.log,
     )
 
 
--- /dev/null
+++ b/packages/guavajunction-ctl/src/guavajunction_ctl/_log_commands.py
@@ -0,0 +1,46 @@
+"""Commands that work on logs, without an instance."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from ._command import Command, Context, Outcome
+from ._errors import NotFoundAnywhere, UsageError
+from ._trace import LogRecord, read_records, render, trace
+
+
+async def trace_request(context: Context, args: list[str]) -> Outcome:
+    """Show what led to the outcome of a request."""
+    if not context.line.logs:
+        raise UsageError("No log is named. Give --log=FILE for each instance.")
+    records = [record for path in context.line.logs for record in _read(path)]
+    found = trace(records, args[0])
+    if not found.own:
+        count = len(context.line.logs)
+        raise NotFoundAnywhere(f"None of {count} logs knows request {args[0]}.")
+    data = {
+        "own": [record.fields for record in found.own],
+        "related": [record.fields for record in found.related],
+        "notes": found.notes,
+    }
+    return Outcome(render(found), data)
+
+
+def _read(path: str) -> list[LogRecord]:
+    try:
+        with Path(path).open(encoding="utf-8", errors="replace") as file:
+            return list(read_records(Path(path).stem, file))
+    except OSError as exc:
+        raise UsageError(f"The log {path!r} cannot be read: {exc.strerror}") from exc
+
+
+LOG_COMMANDS = [
+    Command(
+        "trace",
+        ("REQUEST_ID",),
+        "Show from logs what led to the outcome of a request.",
+        "Give --log=FILE for each instance. Its own lines are marked with >.",
+        trace_request,
+        offline=True,
+    ),
+]
--- a/packages/guavajunction-ctl/src/guavajunction_ctl/main.py
+++ b/packages/guavajunction-ctl/src/guavajunction_ctl/main.py
@@ -19,9 +19,15 @@
 from ._fleet_commands import FLEET_COMMANDS
 from ._help import command_help, general_help
 from ._key_commands import KEY_COMMANDS
+from ._log_commands import LOG_COMMANDS
 from ._table import render_table
 
-COMMANDS: list[Command] = [*DOCUMENT_COMMANDS, *KEY_COMMANDS, *FLEET_COMMANDS]
+COMMANDS: list[Command] = [
+    *DOCUMENT_COMMANDS,
+    *KEY_COMMANDS,
+    *FLEET_COMMANDS,
+    *LOG_COMMANDS,
+]
 
 
 def run() -> NoReturn:
@@ -75,9 +81,9 @@
 
 
 async def _call(line: CommandLine, command: Command, args: list[str]) -> Outcome:
-    if not line.instances:
+    if not line.instances and not command.offline:
         raise UsageError("No instance is named. Give --instance=URL.")
-    token = _read_token(line.token_file)
+    token = "" if command.offline else _read_token(line.token_file)
     connector = aiohttp.TCPConnector(force_close=True)
     async with aiohttp.ClientSession(connector=connector) as session:
         client = OperatorClient(session, line.instances, token, timeout=line.timeout)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
@@ -22,6 +22,8 @@
         self._store = store
         self.version = 0
         """Version written last."""
+        self.load_seconds = 0.1
+        """Time that a model takes from the weight store, in the next version."""
         self.customers: dict[str, dict[str, Any]] = {
             "atelier": wire.customer("atelier", ["key-of-atelier"])
         }
@@ -47,7 +49,10 @@
         self.version += 3
         services = [
             wire.engine_service(
-                ENGINES, MODEL_SIZES, memory_mb=MEMORY_MB, load_seconds=0.1
+                ENGINES,
+                MODEL_SIZES,
+                memory_mb=MEMORY_MB,
+                load_seconds=self.load_seconds,
             ),
             wire.plain_service(BOOKINGS),
         ]
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -126,3 +126,12 @@
         late = [call(n, status=503, sealed=False) for n in range(200, 220)]
         history = self.history._replace(calls=(*self.history.calls, *late))
         assert "after all faults" in self.only(history._replace(calm_from=200.0))
+
+    def test_withdrawn_key_is_not_owed_service(self):
+        late = [call(n, status=401, sealed=False, key="old") for n in range(200, 220)]
+        history = self.history._replace(
+            calls=(*self.history.calls, *late, call(220)),
+            changes=(Change(12.0, "keys", "old"),),
+            calm_from=200.0,
+        )
+        assert broken_promises(add(history, "booking-3", run(220))) == []
