Drop what an allowance does not count any more

Cause: found by reading: what was asked, spent or heard lately was only dropped where it was added up, which small fleets do for one of three lists and large ones for others; a process would have kept an entry for each request. A test over 5,000 requests failed first (5,000 entries kept).

--- a/packages/guavajunction/src/guavajunction/gateway/_pooled_allowance.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_pooled_allowance.py
@@ -102,11 +102,11 @@
         Returns:
             Whether the pool had them.
         """
-        self._asked.append(_Spent(now, units))
+        _note(self._asked, _Spent(now, units), keep=self.ASKED_SECONDS)
         if self._available(now) < units:
             return False
         self._count(units, now)
-        self._recent.append(_Spent(now, units))
+        _note(self._recent, _Spent(now, units), keep=self.UNSEEN_SECONDS)
         self._spent += units
         return True
 
@@ -146,7 +146,8 @@
         if before is not None and spent > before:
             self._count(spent - before, now)
             self._gained[peer] = self._gained.get(peer, 0.0) + spent - before
-            self._recent_heard.append(_Spent(now, spent - before))
+            heard = _Spent(now, spent - before)
+            _note(self._recent_heard, heard, keep=self.RELAYED_SECONDS)
 
     def spent_without(self, peer: PeerId) -> float:
         """Return what all but one peer were heard to spend, to be told to it.
@@ -230,7 +231,12 @@
             self._window.append(_Spent(at, units / self.STEPS))
 
 
-def _sum_since(spent: deque[_Spent], since: float) -> float:
-    while spent and spent[0].at < since:
+def _note(spent: deque[_Spent], entry: _Spent, *, keep: float) -> None:
+    """Add an entry and drop those older than some seconds."""
+    spent.append(entry)
+    while spent[0].at < entry.at - keep:
         spent.popleft()
-    return sum(entry.units for entry in spent)
+
+
+def _sum_since(spent: deque[_Spent], since: float) -> float:
+    return sum(entry.units for entry in spent if entry.at >= since)
--- a/tests/gateway/test_pooled_allowance.py
+++ b/tests/gateway/test_pooled_allowance.py
@@ -190,6 +190,17 @@
 class TestPool:
     """Levels, terms and restarts."""
 
+    @pytest.mark.parametrize("others", [1, 40])
+    def test_nothing_is_kept_for_longer_than_it_counts(self, others):
+        pool = PooledAllowance(TERMS, 0.0)
+        pool.keep_to(1.0, others, 0.0)
+        for step in range(5000):
+            now = step / 50
+            pool.spend(100.0, now)
+            pool.hear(PeerId("p", "1"), step * 1.0, now)
+        kept = [pool._asked, pool._recent, pool._recent_heard, pool._window]
+        assert max(map(len, kept)) <= 101
+
     def test_restarted_instance_starts_empty(self):
         pool = PooledAllowance(AllowanceTerms(100.0, 200.0, 2.0, 0.0), now=50.0)
         assert not pool.spend(100.0, 50.0)
