Do not wait for an author of orders that is about to stop

Instances stop one after another; the author left at 13.2 s, the next began at 18.3 s. Cause: the turn fell to an instance that had been told to stop at 11.0 s; it sees the store until its end at 17.3 s, so all others took it for the next author. Ruled out: the lease (given up at once, taken within 0.1 s of the turn's change). Change: an instance that is not ready is no candidate; the rule is a property of what instances say of themselves.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -260,11 +260,8 @@
         return self._parts.demand.fleet(self._own_demand(), peers)
 
     def _candidates(self) -> list[PeerId]:
-        """Return the hubs that see the store: only they hear what everybody needs."""
-        peers = self._parts.roster.peers_that(
-            lambda member: member.sees_store and not member.follows
-        )
-        if not self.relay.follows and self._member("").sees_store:
+        peers = self._parts.roster.peers_that(lambda member: member.may_give_orders)
+        if self._member(self.relay.follows).may_give_orders:
             peers.append(self._me)
         return peers
 
--- a/packages/guavajunction/src/guavajunction/fleet/_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_roster.py
@@ -24,6 +24,15 @@
     follows: str = ""
     """Name of the hub that it follows; empty if it is a hub."""
 
+    @property
+    def may_give_orders(self) -> bool:
+        """Return whether it sees the store, is not about to stop, and hears the fleet.
+
+        One that is about to stop still sees the store for seconds; the others would
+        wait for it to try.
+        """
+        return self.ready and self.sees_store and not self.follows
+
 
 class KnownMember(NamedTuple):
     """An instance that is known to have been serving lately."""
