--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -172,6 +172,8 @@
         if order.operation == "unload":
             names.discard(order.adapter)
             return web.Response(status=200)
+        if order.adapter in names:
+            return web.Response(status=200)
         held = sum(len(adapters) for adapters in self._models.values())
         if held >= self.spec.adapter_slots:
             self.overloads.append(f"{order.model}/{order.adapter}")
--- a/packages/guavajunction/src/guavajunction/gateway/_allowances.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_allowances.py
@@ -25,9 +25,6 @@
 class Allowances:
     """Charges requests to their customers' pools."""
 
-    LEAST_WINDOW_SECONDS = 1.0
-    """Where the deployment names no window, a rate is counted by the second."""
-
     def __init__(self, bounds: AllowanceBounds, clock: Clock) -> None:
         self._bounds = bounds
         self._clock = clock
@@ -112,6 +109,5 @@
         return AllowanceTerms(
             rate=customer.rate,
             burst=customer.burst,
-            window=max(bounds.window_seconds, self.LEAST_WINDOW_SECONDS),
             tolerance=whole * bounds.overshoot + bounds.slack,
         )
