Count recent units in one place, also for repeats

The pooled allowance and the retry allowance each kept deques of what lies within a span. RecentUnits serves both. The retry allowance dropped old requests only when a repeat was asked for, so a service without repeats kept an entry for every request; a test over 5,000 requests failed first.

--- a/packages/guavajunction/src/guavajunction/gateway/_pooled_allowance.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_pooled_allowance.py
@@ -13,11 +13,12 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import NamedTuple
 
 from guavajunction.peers import PeerId
 
+from ._recent_units import RecentUnits
+
 
 class AllowanceTerms(NamedTuple):
     """What a customer was promised and how exactly it is judged."""
@@ -73,9 +74,9 @@
         self._others = 0
         self._heard_at: float | None = None
         self._gap_since: float | None = None
-        self._asked: deque[tuple[float, float]] = deque()
-        self._recent: deque[tuple[float, float]] = deque()
-        self._recent_heard: deque[tuple[float, float]] = deque()
+        self._asked = RecentUnits(self.ASKED_SECONDS)
+        self._recent = RecentUnits(self.UNSEEN_SECONDS)
+        self._recent_heard = RecentUnits(self.RELAYED_SECONDS)
 
     @property
     def spent(self) -> float:
@@ -94,11 +95,11 @@
             Whether the pool had them.
         """
         self._refill(now)
-        _note(self._asked, now, units, keep=self.ASKED_SECONDS)
+        self._asked.note(units, now)
         if self._level + self._lent() - self._unseen(now) < units:
             return False
         self._level -= units
-        _note(self._recent, now, units, keep=self.UNSEEN_SECONDS)
+        self._recent.note(units, now)
         self._spent += units
         return True
 
@@ -127,11 +128,11 @@
         before = self._heard.get(peer)
         self._heard[peer] = spent
         if before is not None and spent > before:
+            gained = spent - before
             self._refill(now)
-            self._level -= spent - before
-            self._gained[peer] = self._gained.get(peer, 0.0) + spent - before
-            heard = spent - before
-            _note(self._recent_heard, now, heard, keep=self.RELAYED_SECONDS)
+            self._level -= gained
+            self._gained[peer] = self._gained.get(peer, 0.0) + gained
+            self._recent_heard.note(gained, now)
 
     def spent_without(self, peer: PeerId) -> float:
         """Return what all but one peer were heard to spend, to be told to it.
@@ -167,17 +168,15 @@
     def _unseen(self, now: float) -> float:
         """Return what peers are likely to have spent since they were last heard."""
         if self._others > self.FEW:
-            heard = _sum_since(self._recent_heard, now - self.RELAYED_SECONDS)
-            return max(heard, self._asked_unseen(now))
-        own = _sum_since(self._recent, now - self.UNSEEN_SECONDS)
-        return own * self._others * self.UNSEEN_FACTOR
+            return max(self._recent_heard.total(now), self._asked_unseen(now))
+        return self._recent.total(now) * self._others * self.UNSEEN_FACTOR
 
     def _asked_unseen(self, now: float) -> float:
         """Return what the others may let through unseen, all seeing the same level.
 
         They are asked for about as much as this one, refused or not.
         """
-        asked = _sum_since(self._asked, now - self.ASKED_SECONDS) / self.ASKED_SECONDS
+        asked = self._asked.total(now) / self.ASKED_SECONDS
         silent = now - self._heard_at if self._heard_at is not None else 0.0
         unseen = self.RELAYED_SECONDS + silent
         return asked * self._others * unseen * self.UNSEEN_FACTOR
@@ -186,16 +185,3 @@
         gained = max(0.0, now - self._refilled_at) * self._terms.rate * self._part
         self._refilled_at = max(now, self._refilled_at)
         self._level = min(self._terms.burst * self._part, self._level + gained)
-
-
-def _note(
-    spent: deque[tuple[float, float]], now: float, units: float, *, keep: float
-) -> None:
-    """Add units and drop what is older than some seconds."""
-    spent.append((now, units))
-    while spent[0][0] < now - keep:
-        spent.popleft()
-
-
-def _sum_since(spent: deque[tuple[float, float]], since: float) -> float:
-    return sum(units for at, units in spent if at >= since)
--- a/packages/guavajunction/src/guavajunction/gateway/_retry_allowance.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_retry_allowance.py
@@ -8,9 +8,11 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import defaultdict
 from typing import NamedTuple
 
+from ._recent_units import RecentUnits
+
 
 class RetryBounds(NamedTuple):
     """The fleet's bound on repeats to one service."""
@@ -36,16 +38,18 @@
 
     def __init__(self, bounds: RetryBounds) -> None:
         self._bounds = bounds
-        self._requests: defaultdict[str, deque[float]] = defaultdict(deque)
-        self._repeats: defaultdict[str, deque[float]] = defaultdict(deque)
+        self._requests: defaultdict[str, RecentUnits] = defaultdict(self._count)
+        self._repeats: defaultdict[str, RecentUnits] = defaultdict(self._count)
 
     def change_bounds(self, bounds: RetryBounds) -> None:
         """Follow changed settings."""
         self._bounds = bounds
+        for recent in (*self._requests.values(), *self._repeats.values()):
+            recent.seconds = bounds.window_seconds
 
     def note_request(self, service: str, now: float) -> None:
         """Count the first send of a request."""
-        self._requests[service].append(now)
+        self._requests[service].note(1, now)
 
     def take(self, service: str, now: float, *, instances: int) -> bool:
         """Return whether one more repeat may be sent, and count it if so.
@@ -55,16 +59,14 @@
             now: Monotonic time in seconds.
             instances: Most instances that may share the bound.
         """
-        requests = self._recent(self._requests[service], now)
-        repeats = self._recent(self._repeats[service], now)
+        requests = self._requests[service].total(now)
+        repeats = self._repeats[service].total(now)
         fixed = self._bounds.slack / max(1, instances)
         allowed = self.USED_PART * (self._bounds.ratio * requests + fixed)
         if repeats + 1 > allowed:
             return False
-        self._repeats[service].append(now)
+        self._repeats[service].note(1, now)
         return True
 
-    def _recent(self, times: deque[float], now: float) -> int:
-        while times and times[0] < now - self._bounds.window_seconds:
-            times.popleft()
-        return len(times)
+    def _count(self) -> RecentUnits:
+        return RecentUnits(self._bounds.window_seconds)
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -130,6 +130,12 @@
             assert len(window) <= 0.2 * len(requests) + 56
         assert repeats
 
+    def test_requests_are_kept_no_longer_than_they_count(self):
+        allowance = RetryAllowance(RetryBounds(0.2, 10.0, 56.0))
+        for step in range(5000):
+            allowance.note_request("a", step * 0.1)
+        assert len(allowance._requests["a"]) <= 101
+
 
 class TestLoadView:
     """Own work is counted at once, that of peers as they tell it."""
