Decode each entry of a backend server once; share clocks and settings of tests

Each heartbeat of a backend server was decoded three times on every instance, also in fleets without hubs: twice to see whether it is worth handing on, once to be taken. A broken entry was logged three times, twice without its name. In tests one QuickClock replaces five of the same, and one set of gateway settings two.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -38,7 +38,7 @@
 from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.peers import PeerId
-from guavajunction.storage import Changes, PartitionWatcher
+from guavajunction.storage import Changes, PartitionWatcher, RowChange
 from guavajunction_entry import _events as events
 
 from . import _events as gateway_events
@@ -60,6 +60,9 @@
     FEW_BACKENDS = 20
     """Backend servers up to which the author reads every change at once; each of more
     would cost a call."""
+    DECODED_ROWS = 256
+    """Entries of backend servers that are kept decoded: each is looked at when it is
+    read, and again beside the next. Twice the servers of the largest deployment."""
     STORE_FRESH_SECONDS = 3.8
     """After its last answer, until an instance counts as cut from the store."""
     STOP_SLACK_SECONDS = 0.7
@@ -122,6 +125,9 @@
                 rng=self._rng,
             )
         )
+        self._decode_backend = functools.lru_cache(self.DECODED_ROWS)(
+            self._decode_new_backend
+        )
         self._feed = RelayedFeed(deployment.feed, clock)
         configuration = deployment.configuration_row.partition
         self._configuration = PartitionWatcher(
@@ -280,17 +286,19 @@
             else:
                 self._book.drop(row.sort)
 
-    def _backend_differs(self, before: bytes | None, body: bytes) -> bool:
+    def _backend_differs(self, before: RowChange | None, row: RowChange) -> bool:
         """Return whether a heartbeat says more than that the server is there."""
         if before is None:
             return True
-        known = self._decode_backend("", before)
-        record = self._decode_backend("", body)
+        known = self._decode_backend(before.sort, before.body)
+        record = self._decode_backend(row.sort, row.body)
         if known is None or record is None:
             return known is not record
         return known != record._replace(report_number=known.report_number)
 
-    def _decode_backend(self, name: str, body: bytes | None) -> BackendRecord | None:
+    def _decode_new_backend(
+        self, name: str, body: bytes | None
+    ) -> BackendRecord | None:
         if body is None:
             return None
         try:
@@ -422,5 +430,5 @@
         )
 
 
-def _differs(before: bytes | None, body: bytes) -> bool:
-    return before != body
+def _differs(before: RowChange | None, row: RowChange) -> bool:
+    return before is None or before.body != row.body
--- a/packages/guavajunction/src/guavajunction/fleet/_handed_rows.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_handed_rows.py
@@ -21,14 +21,17 @@
     """
 
     def __init__(
-        self, partition: str, *, matters: Callable[[bytes | None, bytes], bool]
+        self,
+        partition: str,
+        *,
+        matters: Callable[[RowChange | None, RowChange], bool],
     ) -> None:
         """Start with nothing read.
 
         Args:
             partition: Partition of the store.
-            matters: Whether a row's change from its content before (None if there was
-                none) to its new content is worth telling.
+            matters: Whether a row's change is worth telling; called with the row
+                before, None if there was none, and the row now.
         """
         self._partition = partition
         self._matters = matters
@@ -77,7 +80,7 @@
             return self._rows.pop(row.sort, None) is not None
         before = self._rows.get(row.sort)
         self._rows[row.sort] = row
-        return self._matters(before.body if before else None, row.body)
+        return self._matters(before, row)
 
 
 class HandedRows:
--- a/tests/entry/test_fleet_links.py
+++ b/tests/entry/test_fleet_links.py
@@ -6,36 +6,16 @@
 
 import pytest
 
-from fakes_gateway import FakeGateway
+from fakes_gateway import FakeGateway, gateway_settings
 from guavajunction.fleet import Member, RelayedFeed, Roster
-from guavajunction.gateway import AllowanceBounds, ModelDemand, RetryBounds
+from guavajunction.gateway import ModelDemand
 from guavajunction.peers import FleetKeys, PeerId
 from guavajunction_entry.gateway import (
-    GatewaySettings,
-    ListenAddress,
-    OrderBounds,
-    StoreSettings,
     Tuning,
 )
 from guavajunction_entry.gateway._fleet_links import FleetLinks, LinkedParts
 
-ADDRESS = ListenAddress("127.0.0.1", 1)
 ME = PeerId("me", "1")
-SETTINGS = GatewaySettings(
-    instance=ME.name,
-    address="127.0.0.1",
-    data_centre="here",
-    front=ADDRESS,
-    readiness=ADDRESS,
-    directory=None,
-    peer_port=1,
-    store=StoreSettings("127.0.0.1:1"),
-    grace_seconds=8.0,
-    directory_ttl_seconds=2.0,
-    retries=RetryBounds(0.2, 10.0, 50.0),
-    allowances=AllowanceBounds(8.0, 0.1, 1000.0),
-    orders=OrderBounds(3.0, 5.0),
-)
 
 
 def member(*, ready=True, sees_store=True, follows=""):
@@ -62,7 +42,7 @@
         )
         self.links = FleetLinks(
             ME,
-            SETTINGS,
+            gateway_settings(),
             Tuning(),
             FleetKeys("p" * 40, "s" * 40),
             SimpleNamespace(table=None, orders=None),
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -6,22 +6,15 @@
 
 import pytest
 
-from fakes_gateway import ENGINES, backend
+from fakes_gateway import ENGINES, backend, gateway_settings
 from guavajunction.clock import ManualClock
 from guavajunction.errors import DocumentInvalid
-from guavajunction.gateway import AllowanceBounds, RetryBounds
 from guavajunction.storage import Changes, RowChange
 from guavajunction_entry.gateway import (
     GatewayDaemon,
-    GatewaySettings,
-    ListenAddress,
-    OrderBounds,
     RowAddress,
-    StoreSettings,
 )
 
-ADDRESS = ListenAddress("127.0.0.1", 1)
-
 
 def decode(name, body):
     if body == b"broken":
@@ -31,21 +24,6 @@
 
 @pytest.fixture
 def daemon():
-    settings = GatewaySettings(
-        instance="front-1",
-        address="127.0.0.1",
-        data_centre="here",
-        front=ADDRESS,
-        readiness=ADDRESS,
-        directory=None,
-        peer_port=1,
-        store=StoreSettings("127.0.0.1:1"),
-        grace_seconds=8.0,
-        directory_ttl_seconds=2.0,
-        retries=RetryBounds(0.2, 10.0, 50.0),
-        allowances=AllowanceBounds(8.0, 0.1, 1000.0),
-        orders=OrderBounds(3.0, 5.0),
-    )
     deployment = SimpleNamespace(
         table=None,
         feed=None,
@@ -55,7 +33,7 @@
         backends_partition="backends",
         decode_backend=decode,
     )
-    return GatewayDaemon(settings, deployment, ManualClock())
+    return GatewayDaemon(gateway_settings(), deployment, ManualClock())
 
 
 def take(daemon, *rows, complete=False):
@@ -84,3 +62,20 @@
     def test_complete_list_replaces_what_was_known(self, daemon):
         take(daemon, ("e1", b"1"))
         assert take(daemon, ("e2", b"1"), complete=True) == ["e2"]
+
+    def test_entry_is_decoded_once_for_its_book_and_its_followers(
+        self, daemon, monkeypatch
+    ):
+        decoded = []
+
+        def count(name, body):
+            decoded.append((name, body))
+            return decode(name, body)
+
+        monkeypatch.setattr(daemon._deployment, "decode_backend", count)
+        for number in (b"1", b"2", b"3"):
+            rows = (RowChange("e1", number, int(number)),)
+            changes = Changes(rows, int(number), complete=number == b"1")
+            daemon._publish("backends", changes)
+            daemon._take_backends(changes)
+        assert decoded == [("e1", b"1"), ("e1", b"2"), ("e1", b"3")]
--- a/tests/fakes_configuration.py
+++ b/tests/fakes_configuration.py
@@ -11,9 +11,9 @@
 from pathlib import Path
 from typing import Any
 
+from fakes_clock import QuickClock
 from fakes_links import FakeNetwork
 from fakes_platform import FakeObjects, FakeTable
-from guavajunction.clock import ManualClock
 from guavajunction.configuration import (
     Accepted,
     Change,
@@ -41,15 +41,6 @@
     return copy.deepcopy({"keys": {}, **tomllib.loads(EXAMPLE)})
 
 
-class SteppingClock(ManualClock):
-    """A clock on which every sleep ends at once and takes its time."""
-
-    async def sleep(self, seconds: float) -> None:
-        """Move the time on and let other tasks run."""
-        self.advance(seconds)
-        await asyncio.sleep(0)
-
-
 class FakeNotes:
     """Notes of pending changes, and confirmations of the store's state."""
 
@@ -143,7 +134,7 @@
     ) -> None:
         self.table = RacingTable(table)
         self.links = network.join(name)
-        self.clock = SteppingClock()
+        self.clock = QuickClock()
         self.notes = FakeNotes()
         self.store = ConfigurationStore(
             self.table, objects, self.clock, now=lambda: 1.7e9, jitter=lambda: 0.5
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -37,6 +37,12 @@
 )
 from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
+from guavajunction_entry.gateway import (
+    GatewaySettings,
+    ListenAddress,
+    OrderBounds,
+    StoreSettings,
+)
 
 ENGINES = "engines"
 BOOKINGS = "bookings"
@@ -201,6 +207,26 @@
         self.aborted = True
 
 
+def gateway_settings():
+    """Return the settings of an instance that is never opened."""
+    address = ListenAddress("127.0.0.1", 1)
+    return GatewaySettings(
+        instance="front-1",
+        address="127.0.0.1",
+        data_centre="here",
+        front=address,
+        readiness=address,
+        directory=None,
+        peer_port=1,
+        store=StoreSettings("127.0.0.1:1"),
+        grace_seconds=8.0,
+        directory_ttl_seconds=2.0,
+        retries=RetryBounds(0.2, 10.0, 50.0),
+        allowances=AllowanceBounds(8.0, 0.1, 1000.0),
+        orders=OrderBounds(3.0, 5.0),
+    )
+
+
 class FakeGateway:
     """A gateway with everything around it in memory."""
 
--- a/tests/fakes_once.py
+++ b/tests/fakes_once.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import Counter
 from collections.abc import Iterable
 
+from fakes_clock import QuickClock
 from fakes_platform import FakeObjects, FakeTable
-from guavajunction.clock import ManualClock
 from guavajunction.errors import RequestError, StoreAnswerLost, StoreUnavailable
 from guavajunction.once import Claim, OnceRegister, RecordedAnswer
 from guavajunction.peers import PeerId
@@ -20,15 +19,6 @@
 FAULTS = (OK, DOWN, LOST_REQUEST, LOST_ANSWER)
 
 
-class SelfAdvancingClock(ManualClock):
-    """A clock on which every sleep passes at once."""
-
-    async def sleep(self, seconds: float) -> None:
-        """Move the time on and let other tasks run."""
-        self.advance(seconds)
-        await asyncio.sleep(0)
-
-
 class ScriptedTable(FakeTable):
     """A view of a table whose next calls fail as the test says."""
 
@@ -64,7 +54,7 @@
     """Instances in front of one plain service that counts what it runs."""
 
     def __init__(self) -> None:
-        self.clock = SelfAdvancingClock()
+        self.clock = QuickClock()
         self.table = FakeTable()
         self.objects = FakeObjects()
         self.now = 1_000_000.0
--- a/tests/fleet/test_handed_rows.py
+++ b/tests/fleet/test_handed_rows.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from guavajunction.clock import ManualClock
+from fakes_clock import QuickClock
 from guavajunction.errors import HistoryGone
 from guavajunction.fleet import ReadRows, RelayedFeed
 from guavajunction.fleet._handed_rows import UNREAD, HandedRows
@@ -15,24 +15,20 @@
 from guavajunction.storage import Changes, RowChange
 
 
-class QuickClock(ManualClock):
-    """A manual clock whose sleepers move it on."""
-
-    async def sleep(self, seconds):
-        self.advance(seconds)
-        await asyncio.sleep(0)
-
-
 def row(sort, body, version=1):
     return RowChange(sort, body, version)
 
 
+def bodies_differ(before, row):
+    return before is None or before.body != row.body
+
+
 def read_rows():
     """Return rows of which only the part before a `/` matters."""
     return ReadRows(
         "p",
-        matters=lambda before, body: (
-            before is None or before.split(b"/")[0] != body.split(b"/")[0]
+        matters=lambda before, row: (
+            before is None or before.body.split(b"/")[0] != row.body.split(b"/")[0]
         ),
     )
 
@@ -211,7 +207,7 @@
     async def test_rows_are_those_of_the_version(self, seed):
         rng = random.Random(seed)
         history = [{}]
-        hubs = [ReadRows("p", matters=lambda a, b: a != b) for _ in range(2)]
+        hubs = [ReadRows("p", matters=bodies_differ) for _ in range(2)]
         versions = [UNREAD, UNREAD]
         source, clock = FakeHub(), QuickClock()
         followed = 0
@@ -223,7 +219,7 @@
                 history.append(_changed(history[-1], rng.choice(self.KEYS), rng))
             number = rng.randrange(2)
             if rng.random() < 0.05:
-                hubs[number] = ReadRows("p", matters=lambda a, b: a != b)
+                hubs[number] = ReadRows("p", matters=bodies_differ)
                 if number == followed:
                     feed.leave()
                     source.handed.clear()
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -53,7 +53,9 @@
         self.relay = Relay(self.links, self.roster, SHAPE, clock)
         self.moves = 0
         self.relay.on_moved = self._count
-        self.rows = ReadRows("p", matters=lambda before, body: before != body)
+        self.rows = ReadRows(
+            "p", matters=lambda old, row: not old or old.body != row.body
+        )
         self.relay.hand_on("p", self.rows, lambda: 0.0)
         self.relay.set_listed(LISTED)
 
--- a/tests/storage/test_watcher.py
+++ b/tests/storage/test_watcher.py
@@ -4,18 +4,11 @@
 
 import random
 
-from guavajunction.clock import ManualClock
+from fakes_clock import QuickClock
 from guavajunction.errors import HistoryGone, StoreUnavailable
 from guavajunction.storage import Changes, PartitionWatcher, RowChange
 
 
-class QuickClock(ManualClock):
-    """A manual clock whose sleepers move it on."""
-
-    async def sleep(self, seconds):
-        self.advance(seconds)
-
-
 class FakeFeed:
     """Answers from a script of changes and exceptions."""
 
--- a/tests/swapping/test_orders.py
+++ b/tests/swapping/test_orders.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 
 import pytest
 
+from fakes_clock import QuickClock
 from fakes_gateway import ENGINE, backend
-from guavajunction.clock import ManualClock
 from guavajunction.errors import LeaseLost, NotSent, OrderRefused, OutcomeUnknown
 from guavajunction.swapping import (
     BackendLedger,
@@ -97,14 +96,6 @@
         return OrderOutcome.ACCEPTED
 
 
-class QuickClock(ManualClock):
-    """A manual clock whose sleepers move it on."""
-
-    async def sleep(self, seconds):
-        self.advance(seconds)
-        await asyncio.sleep(0)
-
-
 def desk_on(engine, *, fence=lambda: 1, models=("m1",)):
     clock = QuickClock()
     desk = OrderDesk(engine, "front-1", fence, clock)
