Log the size and the store version of each configuration that is read

The existing lines (configured, feed_lost, hub_silent, rows_not_had) name the version in force and the loss of a source, but neither how large the document was nor how many versions of it came at once, which the first two hypotheses of docs/incidents/configuration-not-in-force.md need, nor what source the reader had.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -276,9 +276,23 @@
     async def _follow_configuration(self) -> None:
         sort = self._deployment.configuration_row.sort
         async for changes in self._configuration:
-            for row in changes.rows:
-                if row.sort == sort and row.body is not None:
-                    self._configure(row.body)
+            bodies = [
+                row.body
+                for row in changes.rows
+                if row.sort == sort and row.body is not None
+            ]
+            if not bodies:
+                continue
+            gateway_events.DOCUMENT_READ.log(
+                bytes=len(bodies[-1]),
+                documents=len(bodies),
+                store_version=changes.version,
+                all_rows=changes.complete,
+                store_age=round(self._configuration.age(), 2),
+                hub=self._links.relay.follows if self._links else None,
+            )
+            for body in bodies:
+                self._configure(body)
 
     def _configure(self, body: bytes) -> None:
         try:
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
@@ -16,3 +16,8 @@
     "process:settings_refused",
     "Changed settings are invalid; the previous settings stay in force.",
 )
+DOCUMENT_READ = LogEvent(
+    124,
+    "process:document_read",
+    "The configuration was read; its size, the store's version and what was read.",
+)
