Limit reads of the store by silence, not by their whole duration

Cause: a read that follows a failed one had 0.6 s for everything, the bytes of the answer included. A document of 1,650 routes is 0.4 MB, 0.56 MB in base64, and takes 0.9 s on a link of 5 Mbit/s with nothing else on it. The read failed, the next one asked for the same changes, and each attempt spent the link on an answer that was thrown away.

Evidence: nine lines feed_lost with '/rows-feed: TimeoutError', all on instances with narrow links, no feed_regained afterwards for up to 22 s; the same instances are the late ones. Ruled out: an unreachable store (connections were accepted, other instances read).

A silent connection is found as fast as before. The product's own client of the object store had the same limit on whole bodies and is changed likewise.

--- a/packages/guavajunction/src/guavajunction/storage/_objects.py
+++ b/packages/guavajunction/src/guavajunction/storage/_objects.py
@@ -17,6 +17,10 @@
     bytes.
     """
 
+    MAX_TRANSFER_FACTOR = 5
+    """Longest duration of a read, as a multiple of the timeout. The size of an object
+    and the bandwidth decide how long its bytes take to arrive."""
+
     def __init__(
         self, session: aiohttp.ClientSession, url: str, bucket: str, *, timeout: float
     ) -> None:
@@ -26,11 +30,17 @@
             session: HTTP session; the caller closes it.
             url: Base address of the service.
             bucket: Name of the bucket.
-            timeout: Timeout of one call in seconds, connecting included.
+            timeout: Timeout of connecting, of a write, and of each silence while an
+                object is read, in seconds.
         """
         self._session = session
         self._base = f"{url.rstrip('/')}/{quote(bucket, safe='')}/"
-        self._timeout = aiohttp.ClientTimeout(total=timeout)
+        self._write_timeout = aiohttp.ClientTimeout(total=timeout)
+        self._read_timeout = aiohttp.ClientTimeout(
+            total=timeout * self.MAX_TRANSFER_FACTOR,
+            sock_connect=timeout,
+            sock_read=timeout,
+        )
 
     async def put(self, name: str, body: bytes) -> None:
         """Store an object.
@@ -74,7 +84,7 @@
             method,
             self._base + quote(name, safe="/"),
             data=body,
-            timeout=self._timeout,
+            timeout=self._read_timeout if method == "GET" else self._write_timeout,
             allow_redirects=False,
         ) as resp:
             return resp.status, await resp.read()
