--- a/packages/guavajunction/src/guavajunction/fleet/_relay.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relay.py
@@ -135,8 +135,7 @@
 
     def publish(self, notice: RowsNotice) -> None:
         """Send a notice of changed rows to all followers."""
-        for follower in self.followers():
-            self._links.send(follower, notice)
+        self._links.send_to_each(self.followers(), notice)
 
     def set_listed(self, listed: Iterable[Candidate]) -> None:
         """Set the list of all instances, including this one."""
--- a/packages/guavajunction/src/guavajunction/fleet/_relayed_rows.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relayed_rows.py
@@ -66,6 +66,12 @@
         """Return all rows, for a follower that has none or missed a notice."""
         return RowsAnswer(self.version, tuple(self._rows.values()))
 
+    def answer_newer(self, after: int) -> NewerRowsAnswer:
+        """Return all rows if a relevant one has changed after a version."""
+        changed = self.sent_version > after
+        rows = tuple(self._rows.values()) if changed else ()
+        return NewerRowsAnswer(self.version, rows, changed)
+
     def _replace(self, rows: tuple[RowChange, ...]) -> list[RowChange]:
         listed = {row.sort for row in rows}
         deleted = [
--- a/packages/guavajunction/src/guavajunction/peers/_envelope.py
+++ b/packages/guavajunction/src/guavajunction/peers/_envelope.py
@@ -21,6 +21,12 @@
     """A message that expects a reply with the same request id."""
     REPLY = 3
     """The reply to a request."""
+    PACKED_SEND = 4
+    """A `SEND` with a compressed body."""
+    PACKED_REQUEST = 5
+    """A `REQUEST` with a compressed body."""
+    PACKED_REPLY = 6
+    """A `REPLY` with a compressed body."""
 
 
 class Envelope(NamedTuple):
@@ -37,7 +43,8 @@
     name: str
     """Name of the message type; empty for heartbeats and replies."""
     body: msgspec.Raw
-    """MessagePack encoding of the content."""
+    """MessagePack encoding of the content; for the packed kinds, of its compressed
+    bytes."""
 
 
 class Heartbeat(NamedTuple):
--- a/packages/guavajunction/src/guavajunction/peers/_mesh.py
+++ b/packages/guavajunction/src/guavajunction/peers/_mesh.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter, deque
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from contextlib import ExitStack
 from typing import Any, NamedTuple
 
@@ -21,6 +21,7 @@
 from ._envelope import Envelope, Heartbeat, Kind
 from ._keys import FleetKeys
 from ._link import Link
+from ._packing import pack, unpack
 from ._peer import Peer
 from ._protocols import Handler, M, PeerId
 from ._targets import FullMesh, TargetStrategy
@@ -43,6 +44,14 @@
     at: float
 
 
+class _Content(NamedTuple):
+    """The part of a message that is the same for all receivers."""
+
+    kind: Kind
+    name: str
+    body: msgspec.Raw
+
+
 TopicSelector = Callable[[PeerId | None, str], Collection[str] | None]
 """Returns the shared topics to send to a receiver, or None to send it no heartbeat.
 
@@ -249,10 +258,16 @@
         if not self._send(Kind.SEND, to, 0, message):
             self.counts["not_linked"] += 1
 
+    def send_to_each(self, receivers: Iterable[PeerId], message: Any) -> None:
+        """Send a message to several peers; it is encoded once."""
+        content = self._encode_content(Kind.SEND, message)
+        for peer in receivers:
+            if not self._send_content(peer, 0, content):
+                self.counts["not_linked"] += 1
+
     def broadcast(self, message: Any) -> None:
         """Send a message to every live peer."""
-        for peer in self.peers():
-            self.send(peer, message)
+        self.send_to_each(self.peers(), message)
 
     async def request(
         self, to: PeerId, message: Any, reply_type: type[M], *, timeout: float
@@ -403,7 +418,8 @@
         link = self._links.get(address)
         if link is not None:
             heartbeat = Heartbeat(self._sequence, echo, topics)
-            link.send(self._envelope(Kind.HEARTBEAT, to, 0, "", heartbeat))
+            content = self._encode_content(Kind.HEARTBEAT, heartbeat)
+            link.send(self._envelope(to, 0, content))
 
     def _remove_silent_peers(self) -> None:
         since = self._clock.monotonic() - self.REMOVE_AFTER_SECONDS
@@ -414,20 +430,33 @@
         if expired:
             self._open_links()
 
-    def _envelope(
-        self, kind: Kind, to: str, request_id: int, name: str, content: Any
-    ) -> bytes:
-        body = msgspec.Raw(self._encoder.encode(content))
-        envelope = Envelope(kind, self._me, self.address, to, request_id, name, body)
+    def _encode_content(self, kind: Kind, message: Any) -> _Content:
+        has_name = kind in (Kind.SEND, Kind.REQUEST)
+        name = type(message).__name__ if has_name else ""
+        packed_kind, body = pack(kind, self._encoder.encode(message))
+        return _Content(packed_kind, name, body)
+
+    def _envelope(self, to: str, request_id: int, content: _Content) -> bytes:
+        envelope = Envelope(
+            content.kind,
+            self._me,
+            self.address,
+            to,
+            request_id,
+            content.name,
+            content.body,
+        )
         return self._encoder.encode(envelope)
 
     def _send(self, kind: Kind, to: PeerId, request_id: int, message: Any) -> bool:
+        return self._send_content(to, request_id, self._encode_content(kind, message))
+
+    def _send_content(self, to: PeerId, request_id: int, content: _Content) -> bool:
         peer = self._peers.get(to)
         link = self._links.get(peer.address) if peer else None
         if link is None:
             return False
-        name = "" if kind is Kind.REPLY else type(message).__name__
-        link.send(self._envelope(kind, to.incarnation, request_id, name, message))
+        link.send(self._envelope(to.incarnation, request_id, content))
         return True
 
     async def _receive(
@@ -450,7 +479,7 @@
     def _on_payload(self, payload: bytes) -> None:
         try:
             envelope = self._envelope_decoder.decode(payload)
-            self._on_envelope(envelope, len(payload))
+            self._on_envelope(unpack(envelope, self.MAX_MESSAGE_BYTES), len(payload))
         except msgspec.DecodeError as exc:
             self.counts["malformed"] += 1
             events.MESSAGE_MALFORMED.log(reason=str(exc))
--- a/packages/guavajunction/src/guavajunction/peers/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/peers/_protocols.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, NamedTuple, Protocol, TypeVar
 
 
@@ -44,6 +44,10 @@
         """Send a message without waiting for delivery; it may be lost."""
         ...
 
+    def send_to_each(self, receivers: Iterable[PeerId], message: Any) -> None:
+        """Send a message to several peers; it is encoded once."""
+        ...
+
     def broadcast(self, message: Any) -> None:
         """Send a message to every live peer."""
         ...
--- a/tests/fakes_links.py
+++ b/tests/fakes_links.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -175,10 +175,14 @@
         self.sent.append((to, message))
         self._network.deliver(self._me, to, message)
 
+    def send_to_each(self, receivers: Iterable[PeerId], message: Any) -> None:
+        """Send a message to several peers."""
+        for peer in receivers:
+            self.send(peer, message)
+
     def broadcast(self, message: Any) -> None:
         """Send a message to every peer."""
-        for peer in self.peers():
-            self.send(peer, message)
+        self.send_to_each(self.peers(), message)
 
     async def request(
         self, to: PeerId, message: Any, reply_type: type[Any], *, timeout: float
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -43,6 +43,10 @@
     def send(self, to, message):
         self.sent.append((to.name, message))
 
+    def send_to_each(self, receivers, message):
+        for to in receivers:
+            self.send(to, message)
+
 
 class Node:
     """One instance with its roster and relay."""
--- a/tests/fleet/test_relayed_rows.py
+++ b/tests/fleet/test_relayed_rows.py
@@ -62,6 +62,13 @@
         assert rows.sent_version == 5
         assert rows.answer() == RowsAnswer(6, (row("x", b"1/b"),))
 
+    def test_notice_of_a_burst_of_changes_has_only_the_last_of_each_row(self):
+        rows = read_rows()
+        rows.take(Changes((row("x", b"1"),), 5, complete=True))
+        burst = tuple(row("x", b"%d" % n) for n in range(2, 27))
+        notice = rows.take(Changes((row("y", b"1"), *burst), 40, complete=False))
+        assert notice.rows == (row("y", b"1"), row("x", b"26"))
+
     def test_complete_read_makes_a_notice_of_deleted_rows(self):
         rows = read_rows()
         rows.take(Changes((row("x", b"1"), row("y", b"1")), 5, complete=True))
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import random
+import zlib
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, suppress
 from typing import NamedTuple
@@ -16,6 +19,7 @@
 from guavajunction.errors import PeerError, PeerTimeout, PeerUnknown
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh, RingSubset
 from guavajunction.peers._envelope import Envelope, Heartbeat, Kind
+from guavajunction.peers._packing import MIN_PACKED_BYTES, pack, unpack
 from guavajunction.storage import InstanceRecord
 
 HEARTBEAT_SECONDS = 0.02
@@ -393,3 +397,117 @@
             assert name not in targets
             assert len(targets) <= 2 * size.bit_length()
             assert all(name in chosen[target] for target in targets)
+
+
+NARROW_LINK_BYTES_PER_SECOND = 625_000
+"""5 Mbit/s, the narrowest link of an instance."""
+IN_FORCE_SECONDS = 3.0
+"""Longest time until a configuration is in force on all instances."""
+COPIES = 16
+"""Instances of one data centre that follow a hub."""
+
+
+def large_document() -> str:
+    """Return a configuration of 1,650 routes with random names, as operators write."""
+    rng = random.Random(1)
+    routes = [
+        {
+            "name": f"r-{rng.getrandbits(36):x}",
+            "host": f"{rng.choice(['ficu95', 'wuny96', 'ssz9m3'])}.example",
+            "prefix": f"/{rng.getrandbits(36):x}/{rng.getrandbits(20):x}/",
+            "kind": rng.choice(["streaming", "safe", "unsafe"]),
+            "timeoutMs": 12000,
+            "targetLatencyMs": 507,
+            "priority": 2,
+            "service": "huvo11a",
+            "maxAttempts": 1,
+            "anonymous": False,
+            "sessionAffinity": True,
+            "resumable": False,
+            "gapAimMs": 300,
+        }
+        for _ in range(1650)
+    ]
+    return json.dumps({"routes": routes}, separators=(",", ":"))
+
+
+class TestLargeMessages:
+    """Tests of documents that are sent to many peers over narrow links."""
+
+    async def test_document_for_each_follower_of_a_hub_arrives_in_time(
+        self, fleet: Fleet
+    ) -> None:
+        a, b = await fleet.pair()
+        received: list[str] = []
+
+        async def take(_: PeerId, note: Note) -> None:
+            received.append(note.text)
+
+        b.handle(Note, take)
+        document = large_document()
+        before = a.traffic()[b.address].sent_bytes
+        a.send(b.me, Note(document))
+        await until(lambda: bool(received))
+        sent = a.traffic()[b.address].sent_bytes - before
+        assert received == [document]
+        assert sent * COPIES / NARROW_LINK_BYTES_PER_SECOND < IN_FORCE_SECONDS
+
+    async def test_large_request_and_reply_arrive_unchanged(self, fleet: Fleet) -> None:
+        a, b = await fleet.pair()
+
+        async def echo(_: PeerId, note: Note) -> Note:
+            return note
+
+        b.handle(Note, echo)
+        note = Note(large_document())
+        assert await a.request(b.me, note, Note, timeout=2.0) == note
+
+    async def test_message_to_each_is_received_by_each(self, fleet: Fleet) -> None:
+        a, b = await fleet.pair()
+        received: list[str] = []
+
+        async def take(_: PeerId, note: Note) -> None:
+            received.append(note.text)
+
+        b.handle(Note, take)
+        a.send_to_each([b.me, PeerId("nobody", "1")], Note("x"))
+        await until(lambda: bool(received))
+        assert received == ["x"]
+        assert a.counts["not_linked"] == 1
+
+
+class TestPacking:
+    """Tests of compressed bodies that a peer must not accept."""
+
+    ENVELOPE = Envelope(
+        Kind.PACKED_SEND, PeerId("a", "1"), "a:1", "2", 0, "Note", msgspec.Raw(b"")
+    )
+
+    def unpack(self, data: bytes, max_bytes: int = 10_000) -> Envelope:
+        body = msgspec.Raw(msgspec.msgpack.encode(data))
+        return unpack(self.ENVELOPE._replace(body=body), max_bytes)
+
+    def test_packed_body_is_restored(self) -> None:
+        kind, body = pack(Kind.SEND, b"x" * MIN_PACKED_BYTES)
+        assert kind is Kind.PACKED_SEND
+        envelope = unpack(self.ENVELOPE._replace(body=body), MIN_PACKED_BYTES)
+        assert (envelope.kind, bytes(envelope.body)) == (
+            Kind.SEND,
+            b"x" * MIN_PACKED_BYTES,
+        )
+
+    def test_small_bodies_and_heartbeats_are_not_packed(self) -> None:
+        assert pack(Kind.SEND, b"x")[0] is Kind.SEND
+        assert pack(Kind.HEARTBEAT, b"x" * MIN_PACKED_BYTES)[0] is Kind.HEARTBEAT
+
+    def test_malformed_body_is_refused(self) -> None:
+        with pytest.raises(msgspec.DecodeError, match="malformed"):
+            self.unpack(b"not compressed")
+
+    def test_incomplete_body_is_refused(self) -> None:
+        with pytest.raises(msgspec.DecodeError, match="incomplete"):
+            self.unpack(zlib.compress(b"x" * 100)[:-4])
+
+    def test_body_over_the_limit_is_refused(self) -> None:
+        with pytest.raises(msgspec.DecodeError, match="over 10000 bytes"):
+            self.unpack(zlib.compress(b"x" * 10_001))
