Get changed rows from a peer while the store refuses an instance

An instance that the store turns away for longer than the time in which a configuration must be in force (configApplyMs + maxStretchMs, 7 or 9 s) accepts withdrawn keys and serves replaced routes until the store answers it again.

Cause: a follower gets rows from its hub, but a hub, and every instance of a fleet with a full mesh, had no source of rows except the store, although its peers had them.

Change: after each failed call of the feed the watcher asks one of the hubs that reach the store, the next one each time, whether rows changed after its version. The answer does not count as one of the store, so followers and the order leader judge this instance as before.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -150,6 +150,7 @@
             clock,
             self._rng,
             max_wait_seconds=self._max_read_wait_seconds,
+            other_source=self._feed.rows_from_peer,
         )
         self._backends = PartitionWatcher(
             self._feed,
@@ -158,6 +159,7 @@
             self._rng,
             batch_seconds=self._backends_batch_seconds,
             max_wait_seconds=self._max_read_wait_seconds,
+            other_source=self._feed.rows_from_peer,
         )
         self._watchers = {
             configuration: self._configuration,
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ._fault_injector import LinkProxies
 from ._guarantees import find_violations
 from ._history import Call, Change, History
 from ._link_proxy import LinkProxy
@@ -14,6 +15,7 @@
     "Fault",
     "FaultKind",
     "History",
+    "LinkProxies",
     "LinkProxy",
     "Soak",
     "SoakResult",
--- a/packages/guavajunction/src/guavajunction/fleet/_events.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_events.py
@@ -34,6 +34,11 @@
 ROWS_REQUEST_FAILED = LogEvent(
     1208, "fleet:rows_not_had", "The hub did not reply to a request for rows."
 )
+ROWS_FROM_PEER = LogEvent(
+    1209,
+    "fleet:rows_from_peer",
+    "Changed rows were received from a peer because the store does not answer.",
+)
 ROW_REMOVED = LogEvent(
     1204, "fleet:row_removed", "This instance's row was removed from the store."
 )
--- a/packages/guavajunction/src/guavajunction/fleet/_messages.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_messages.py
@@ -54,3 +54,26 @@
     version: int
     """Version of the rows; -1 if the hub has not read the partition."""
     rows: tuple[RowChange, ...]
+
+
+class NewerRowsWanted(NamedTuple):
+    """Requests all rows of a partition if one has changed after a version.
+
+    Sent by an instance that the store does not answer.
+    """
+
+    partition: str
+    after: int
+    """Version up to which the sender has read the partition; -1 before its first
+    read."""
+
+
+class NewerRowsAnswer(NamedTuple):
+    """Reply to `NewerRowsWanted`."""
+
+    version: int
+    """Version of the rows; -1 if the instance has not read the partition."""
+    rows: tuple[RowChange, ...]
+    """All rows of the partition; empty if none has changed after the version."""
+    changed: bool
+    """Whether a row has changed after the version."""
--- a/packages/guavajunction/src/guavajunction/fleet/_relay.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relay.py
@@ -12,7 +12,15 @@
 
 from . import _events as events
 from ._hubs import Candidate, FleetShape, hub_of, hubs
-from ._messages import HubStatus, PartitionStatus, RowsAnswer, RowsNotice, RowsWanted
+from ._messages import (
+    HubStatus,
+    NewerRowsAnswer,
+    NewerRowsWanted,
+    PartitionStatus,
+    RowsAnswer,
+    RowsNotice,
+    RowsWanted,
+)
 from ._relayed_rows import UNREAD, ReadRows, RelayedRows
 from ._roster import KnownMember, Member, Roster
 
@@ -97,6 +105,7 @@
         self._relayed_rows: dict[str, RelayedRows] = {}
         self._sent_states: dict[str, tuple[bool, bool]] = {}
         self._heartbeat_count = 0
+        self._newer_rows_requests = 0
         self._members: tuple[KnownMember, ...] | None = None
         self.targets: frozenset[str] = frozenset()
         """Names of the instances that receive heartbeats, in addition to followers."""
@@ -107,6 +116,7 @@
         hub, and when its hub has restarted."""
         links.handle(RowsNotice, self._on_notice)
         links.handle(RowsWanted, self._on_wanted)
+        links.handle(NewerRowsWanted, self._on_newer_wanted)
 
     @property
     def follows(self) -> str:
@@ -356,6 +366,35 @@
             )
             return None
 
+    async def request_newer_rows(
+        self, partition: str, after: int
+    ) -> NewerRowsAnswer | None:
+        """Request rows that changed after a version from a peer that has the store.
+
+        Each call asks the next of the hubs that reach the store, because a hub that
+        has just lost the store is still listed as reaching it.
+
+        Returns:
+            The answer; None if no such hub is known or it does not reply.
+        """
+        hubs = self._roster.peers_matching(lambda m: m.is_hub and m.sees_store)
+        if not hubs:
+            return None
+        hub = hubs[self._newer_rows_requests % len(hubs)]
+        self._newer_rows_requests += 1
+        try:
+            return await self._links.request(
+                hub,
+                NewerRowsWanted(partition, after),
+                NewerRowsAnswer,
+                timeout=self.ROWS_REQUEST_SECONDS,
+            )
+        except PeerError as exc:
+            events.ROWS_REQUEST_FAILED.log(
+                hub=hub.name, partition=partition, reason=exc.message
+            )
+            return None
+
     async def _on_notice(self, peer: PeerId, notice: RowsNotice) -> None:
         if peer.name == self._hub and notice.partition in self._relayed_rows:
             self._relayed_rows[notice.partition].add(notice)
@@ -364,6 +403,14 @@
         offer = self._offers.get(wanted.partition)
         return offer.rows.answer() if offer else RowsAnswer(UNREAD, ())
 
+    async def _on_newer_wanted(
+        self, _: PeerId, wanted: NewerRowsWanted
+    ) -> NewerRowsAnswer:
+        offer = self._offers.get(wanted.partition)
+        if offer is None:
+            return NewerRowsAnswer(UNREAD, (), changed=False)
+        return offer.rows.answer_newer(wanted.after)
+
     def _partition_status(self, partition: str) -> PartitionStatus | None:
         return (
             self._received.status.partitions.get(partition) if self._received else None
--- a/packages/guavajunction/src/guavajunction/fleet/_relayed_feed.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relayed_feed.py
@@ -8,7 +8,8 @@
 from guavajunction.errors import HistoryGone
 from guavajunction.storage import ChangeFeed, Changes
 
-from ._messages import RowsAnswer
+from . import _events as events
+from ._messages import NewerRowsAnswer, RowsAnswer
 from ._relayed_rows import UNREAD
 
 
@@ -43,6 +44,12 @@
         """Request all rows of a partition from the hub; None if it does not reply."""
         ...
 
+    async def request_newer_rows(
+        self, partition: str, after: int
+    ) -> NewerRowsAnswer | None:
+        """Request rows that changed after a version from a peer that has the store."""
+        ...
+
 
 class RelayedFeed:
     """Implements `ChangeFeed` with a hub as the source and the store as the fallback.
@@ -135,6 +142,31 @@
         changes = await self._store.changes(partition, after, wait_seconds=left)
         return self._record_version(partition, changes)
 
+    async def rows_from_peer(self, partition: str, after: int | None) -> Changes | None:
+        """Return all rows from a peer if the store does not answer this instance.
+
+        Args:
+            partition: Partition key.
+            after: Version up to which the caller has all changes; None if it has
+                none.
+
+        Returns:
+            All rows at a later version; None if no peer has changes after it.
+        """
+        if self.source is None:
+            return None
+        after = UNREAD if after is None else after
+        answer = await self.source.request_newer_rows(partition, after)
+        if answer is None or not answer.changed or answer.version <= after:
+            return None
+        self._from_hub.discard(partition)
+        events.ROWS_FROM_PEER.log(
+            partition=partition, before=after, version=answer.version
+        )
+        return self._record_version(
+            partition, Changes(answer.rows, answer.version, complete=True)
+        )
+
     async def _all_rows_from_hub(self, partition: str) -> Changes | None:
         """Return all rows of the hub, or None if no up-to-date hub replies."""
         if self.source is None or not self.source.fresh(partition):
--- a/packages/guavajunction/src/guavajunction/fleet/_relayed_rows.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relayed_rows.py
@@ -7,7 +7,7 @@
 
 from guavajunction.storage import Changes, RowChange
 
-from ._messages import RowsAnswer, RowsNotice
+from ._messages import NewerRowsAnswer, RowsAnswer, RowsNotice
 
 UNREAD = -1
 """Version of a partition before its first read."""
@@ -60,7 +60,10 @@
         if not relevant:
             return None
         before, self.sent_version = self.sent_version, changes.version
-        return RowsNotice(self._partition, before, changes.version, tuple(relevant))
+        latest = {row.sort: row for row in relevant}
+        return RowsNotice(
+            self._partition, before, changes.version, tuple(latest.values())
+        )
 
     def answer(self) -> RowsAnswer:
         """Return all rows, for a follower that has none or missed a notice."""
--- a/packages/guavajunction/src/guavajunction/storage/_watcher.py
+++ b/packages/guavajunction/src/guavajunction/storage/_watcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 from guavajunction.clock import Clock
 from guavajunction.errors import HistoryGone, PlatformError
@@ -12,11 +12,16 @@
 from ._protocols import ChangeFeed, Changes
 
 
+async def _no_other_source(_partition: str, _after: int | None) -> Changes | None:
+    return None
+
+
 class PartitionWatcher:
     """Yields all rows of a partition, then its changes as they occur.
 
-    The iteration doesn't end. Failed calls are retried. If the store has lost its
-    history, all rows are read and yielded again.
+    The iteration doesn't end. Failed calls are retried, and in the meantime rows are
+    requested from another source. If the store has lost its history, all rows are read
+    and yielded again.
     """
 
     MAX_WAIT_SECONDS = 2.4
@@ -42,6 +47,9 @@
         max_wait_seconds: Callable[[], float] = lambda: (
             PartitionWatcher.MAX_WAIT_SECONDS
         ),
+        other_source: Callable[
+            [str, int | None], Awaitable[Changes | None]
+        ] = _no_other_source,
     ) -> None:
         """Create a watcher.
 
@@ -56,6 +64,9 @@
                 store's load.
             max_wait_seconds: Returns the longest time in seconds that one call waits
                 for a change.
+            other_source: Returns all rows of the partition after a version, or None
+                if there are no newer ones. Called after each failed call of the feed.
+                Its rows do not count as an answer of the store.
         """
         self._feed = feed
         self._partition = partition
@@ -63,6 +74,7 @@
         self._rng = rng
         self._batch_seconds = batch_seconds
         self._max_wait_seconds = max_wait_seconds
+        self._other_source = other_source
         self.on_answer: Callable[[Changes], None] = lambda _: None
         """Called with each answer of the store, including answers without changes."""
         self._version: int | None = None
@@ -86,16 +98,23 @@
                 continue
             except PlatformError as exc:
                 self._record_failure(exc)
+                newer = await self._other_source(self._partition, self._version)
+                if newer is not None:
+                    self._take(newer)
+                    yield newer
                 pause = self.RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
                 await self._clock.sleep(pause)
                 continue
             self._record_answer()
-            self._version = changes.version
-            self.on_answer(changes)
+            self._take(changes)
             if changes.rows or changes.complete:
                 yield changes
                 await self._clock.sleep(self._batch_seconds())
 
+    def _take(self, changes: Changes) -> None:
+        self._version = changes.version
+        self.on_answer(changes)
+
     async def _fetch(self) -> Changes:
         if self._version is None:
             return await self._feed.snapshot(self._partition)
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -5,6 +5,7 @@
 import pytest
 
 from guavajunction.clock import ManualClock
+from guavajunction.errors import PeerTimeout
 from guavajunction.fleet import Candidate, FleetShape, Member, ReadRows, Relay, Roster
 from guavajunction.fleet._hubs import hubs
 from guavajunction.fleet._messages import RowsNotice
@@ -251,3 +252,33 @@
         self.read(hub, 5, b"1", complete=True)
         exchange(hub, follower)
         assert not follower.relay.fresh("p")
+
+
+class TestRowsFromPeers:
+    """Tests of the requests of an instance that the store does not answer."""
+
+    @pytest.fixture
+    def node(self, clock):
+        node = Node(BEST["a"], clock)
+        node.requests = []
+
+        async def request(to, message, reply_type, *, timeout):
+            node.requests.append(to.name)
+            raise PeerTimeout(f"{to.name} did not answer in {timeout:g} s")
+
+        node.links.request = request
+        return node
+
+    async def test_each_request_goes_to_the_next_hub_that_reaches_the_store(self, node):
+        node.on_heartbeat("b0")
+        node.on_heartbeat("b1")
+        node.on_heartbeat("b2", sees_store=False)
+        node.on_heartbeat("b3", follows="b0")
+        for _ in range(3):
+            assert await node.relay.request_newer_rows("p", 5) is None
+        assert node.requests == ["b0", "b1", "b0"]
+
+    async def test_without_such_a_hub_nothing_is_requested(self, node):
+        node.on_heartbeat("b2", sees_store=False)
+        assert await node.relay.request_newer_rows("p", 5) is None
+        assert not node.requests
--- a/tests/fleet/test_relayed_rows.py
+++ b/tests/fleet/test_relayed_rows.py
@@ -69,6 +69,16 @@
         notice = rows.take(Changes((row("y", b"1"), *burst), 40, complete=False))
         assert notice.rows == (row("y", b"1"), row("x", b"26"))
 
+    def test_newer_rows_are_answered_only_after_a_relevant_change(self):
+        rows = read_rows()
+        assert rows.answer_newer(UNREAD) == (UNREAD, (), False)
+        rows.take(Changes((row("x", b"1/a"),), 5, complete=True))
+        assert rows.answer_newer(UNREAD) == (5, (row("x", b"1/a"),), True)
+        rows.take(Changes((row("x", b"1/b"),), 6, complete=False))
+        assert rows.answer_newer(5) == (6, (), False)
+        rows.take(Changes((row("x", b"2"),), 9, complete=False))
+        assert rows.answer_newer(5) == (9, (row("x", b"2"),), True)
+
     def test_complete_read_makes_a_notice_of_deleted_rows(self):
         rows = read_rows()
         rows.take(Changes((row("x", b"1"), row("y", b"1")), 5, complete=True))
--- a/tests/storage/test_watcher.py
+++ b/tests/storage/test_watcher.py
@@ -36,8 +36,8 @@
     return Changes((RowChange("k", b"x", version),), version, complete)
 
 
-async def watch(feed, count):
-    watcher = PartitionWatcher(feed, "p", QuickClock(), random.Random(1))
+async def watch(feed, count, **kwargs):
+    watcher = PartitionWatcher(feed, "p", QuickClock(), random.Random(1), **kwargs)
     found = []
     async for changes in watcher:
         found.append(changes.version)
@@ -83,3 +83,31 @@
         found, _ = await watch(feed, 2)
         assert feed.calls == ["snapshot", 5, 6]
         assert found == [5, 8]
+
+
+class TestOtherSource:
+    """Rows from another source while the store does not answer."""
+
+    async def test_its_rows_are_yielded_and_followed_by_later_changes(self):
+        asked = []
+
+        async def other_source(partition, after):
+            asked.append((partition, after))
+            return rows(8, complete=True) if after == 5 else None
+
+        down = StoreUnavailable("down")
+        feed = FakeFeed(rows(5, complete=True), down, down, rows(9))
+        found, _ = await watch(feed, 3, other_source=other_source)
+        assert found == [5, 8, 9]
+        assert asked == [("p", 5), ("p", 8)]
+        assert feed.calls == ["snapshot", 5, 8, 8]
+
+    async def test_its_rows_do_not_count_as_an_answer_of_the_store(self):
+        async def other_source(_, after):
+            return rows(8, complete=True) if after == 5 else None
+
+        feed = FakeFeed(rows(5, complete=True), StoreUnavailable("down"))
+        found, watcher = await watch(feed, 2, other_source=other_source)
+        assert found == [5, 8]
+        assert watcher.age() == watcher._clock.monotonic() - watcher.read_at
+        assert watcher._lost_at is not None
