Read all rows after an outage instead of every change since

Eight versions of 0.56 MB take 7 s on a link of 5 Mbit/s, more than the 6 s that one answer may take; the next call would ask for the same again.

Change: after an outage of more than 2 s, all rows are read in their last version. After a shorter one the changes are, as before.

Test: test_watcher.py::...::test_all_rows_are_read_after_an_outage_with_many_changes (failed before: the call asked for the changes after version 5).

--- a/packages/guavajunction/src/guavajunction/storage/_watcher.py
+++ b/packages/guavajunction/src/guavajunction/storage/_watcher.py
@@ -33,6 +33,11 @@
     """
     MAX_AGE_SECONDS = 3600.0
     """Upper limit of `age`, which is also its result before the first answer."""
+    CATCH_UP_SECONDS = 2.0
+    """Length of an outage after which all rows are read instead of the changes since.
+
+    The changes contain every version of a row, so their size grows with the outage.
+    """
     RETRY_SECONDS = 0.25
     """Mean pause after a failed call; the jitter is 50 % in both directions."""
 
@@ -116,7 +121,7 @@
         self.on_answer(changes)
 
     async def _fetch(self) -> Changes:
-        if self._version is None:
+        if self._version is None or self._is_far_behind():
             return await self._feed.snapshot(self._partition)
         # During an outage don't wait for changes: a call that waits can't be
         # distinguished from one that the store never answers.
@@ -125,6 +130,12 @@
             self._partition, self._version, wait_seconds=wait_seconds
         )
 
+    def _is_far_behind(self) -> bool:
+        return (
+            self._lost_at is not None
+            and self._clock.monotonic() - self._lost_at > self.CATCH_UP_SECONDS
+        )
+
     def _record_failure(self, exc: PlatformError) -> None:
         if self._lost_at is None:
             self._lost_at = self._clock.monotonic()
--- a/tests/storage/test_watcher.py
+++ b/tests/storage/test_watcher.py
@@ -84,6 +84,16 @@
         assert feed.calls == ["snapshot", 5, 6]
         assert found == [5, 8]
 
+    async def test_all_rows_are_read_after_an_outage_with_many_changes(self):
+        """Every version of a row is among the changes, so they grow with the outage."""
+        failures = round(3 * PartitionWatcher.CATCH_UP_SECONDS / 0.25)
+        down = [StoreUnavailable("down")] * failures
+        feed = FakeFeed(rows(5, complete=True), *down, rows(99, complete=True))
+        found, _ = await watch(feed, 2)
+        assert found == [5, 99]
+        assert feed.calls[1:3] == [5, 5]
+        assert feed.calls[-1] == "snapshot"
+
 
 class TestOtherSource:
     """Rows from another source while the store does not answer."""
