Replace a view whose voters have all ended without notes

Cause: a change of the view needs a note by one of its voters; if all of them have ended, no process is left that could hold one.

Change: if all voters have ended, the next view is written without notes, by the conditional write that decides in any case. Ended means left for settle_bound, row deleted after it left, or silent for max_renewal_gap and settle_bound. So that a silent voter that still runs is covered too, an instance whose last renewal is outage_limit ago refuses notes. The configuration still needs notes: without them its write could take effect after the next view.

--- a/packages/guavajunction/src/guavajunction/membership/_announcer.py
+++ b/packages/guavajunction/src/guavajunction/membership/_announcer.py
@@ -65,6 +65,7 @@
         notes: PendingNotes,
         view: Callable[[], View | None],
         stopped_voters: Callable[[], set[PeerId]],
+        may_hold_note: Callable[[], bool],
         request_poll: Callable[[], None],
         cfg: MembershipConfig,
     ) -> None:
@@ -77,6 +78,7 @@
             view: Returns the latest view; None before the first read.
             stopped_voters: Returns the voters that can't be part of a majority that
                 serves.
+            may_hold_note: Returns whether this instance may hold a note as a voter.
             request_poll: Called to have the store read as soon as possible.
             cfg: Timeouts.
         """
@@ -85,6 +87,7 @@
         self._notes = notes
         self._view = view
         self._stopped_voters = stopped_voters
+        self._may_hold_note = may_hold_note
         self._request_poll = request_poll
         self._cfg = cfg
 
@@ -145,7 +148,9 @@
         if not self._notes.hold(note, self._clock.monotonic()):
             return False
         stopped_voters = self._stopped_voters() & set(view.voters)
-        holders = {self._links.me} & set(view.voters)
+        holders = (
+            {self._links.me} & set(view.voters) if self._may_hold_note() else set()
+        )
         if _acks_suffice(len(holders), len(stopped_voters - holders), view):
             return True
         ack_requests = [
--- a/packages/guavajunction/src/guavajunction/membership/_membership.py
+++ b/packages/guavajunction/src/guavajunction/membership/_membership.py
@@ -112,6 +112,7 @@
             self._notes,
             lambda: self._rule.view,
             lambda: self._upkeep.stopped_voters(),
+            self._may_hold_note,
             self.request_poll,
             cfg,
         )
@@ -383,11 +384,25 @@
 
     async def _on_pending(self, sender: PeerId, note: Pending) -> PendingAck:
         view = self._rule.view
-        if view is None or view.number != note.view or self._deregistering:
+        if (
+            view is None
+            or view.number != note.view
+            or self._deregistering
+            or not self._may_hold_note()
+        ):
             self.request_poll()
             return PendingAck(False)
         return PendingAck(self._notes.hold(note, self._clock.monotonic()))
 
+    def _may_hold_note(self) -> bool:
+        """Return whether this instance has renewed its row recently enough.
+
+        Others count a voter as ended some time after its last renewal, and then write
+        a new view without its acknowledgement.
+        """
+        elapsed = self._clock.monotonic() - self._rule.renewed_at
+        return elapsed < self._cfg.outage_limit
+
     async def _on_settled(self, sender: PeerId, settled: Settled) -> None:
         now = self._clock.monotonic()
         self._notes.settle(settled.note, now, effect=settled.effect)
--- a/packages/guavajunction/src/guavajunction/membership/_upkeep.py
+++ b/packages/guavajunction/src/guavajunction/membership/_upkeep.py
@@ -82,6 +82,9 @@
     async def update_view(self) -> None:
         """Write a new view if the voters differ from the members that are not expired.
 
+        No acknowledgement is needed if all voters have ended: no majority can serve in
+        their view, and every change that they acknowledged is settled.
+
         Raises:
             GuavaError: No majority acknowledged the change, or the store failed.
         """
@@ -90,6 +93,11 @@
         if self._observer.view.number == 0:
             await self._write_view()
             return
+        if self._all_voters_ended():
+            await self._table.read()
+            if self._all_voters_ended():
+                await self._write_view()
+            return
         async with self._announcer.pending("view") as announcement:
             await self._table.read()
             announcement.check()
@@ -130,6 +138,23 @@
             return True
         return self._observer.seconds_since_renewal(peer) >= self._cfg.max_renewal_gap
 
+    def _all_voters_ended(self) -> bool:
+        return all(self._has_ended(peer) for peer in self._observer.view.voters)
+
+    def _has_ended(self, peer: PeerId) -> bool:
+        """Return whether a voter can never hold a note again, and all are settled.
+
+        A voter that left has ended, also once its row was deleted. A silent voter may
+        still run, but refuses notes since `outage_limit` after its last renewal.
+        """
+        if peer not in self._observer.members:
+            return True
+        bound = self._cfg.settle_bound
+        if self._observer.seconds_in_state(peer, "left") >= bound:
+            return True
+        silent = self._observer.seconds_since_renewal(peer)
+        return silent >= self._cfg.max_renewal_gap + bound
+
     def _live_voters(self) -> tuple[PeerId, ...]:
         members = self._observer.members.values()
         return tuple(
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -18,7 +18,7 @@
     StoreAnswerLost,
 )
 from guavajunction.membership import Membership, MembershipConfig
-from guavajunction.membership._messages import Pending, PendingAck
+from guavajunction.membership._messages import Pending, PendingAck, Settled
 from guavajunction.peers import PeerId
 from guavajunction.storage import InstanceRecord
 
@@ -412,6 +412,58 @@
         view = fleet.nodes[0].membership._observer.view
         assert {p.incarnation for p in view.voters} == {"a-2", "b-2", "c-2"}
 
+    async def test_members_at_new_addresses_replace_voters_that_are_silent(
+        self,
+    ) -> None:
+        """No process ever marks these voters as left."""
+        cfg = CFG._replace(outage_limit=20.0)
+        fleet = Fleet(cfg)
+        for node in list(await fleet.start("a", "b")):
+            fleet.crash(node)
+        for port, name in enumerate("cd", start=11):
+            fleet.nodes.append(Node(fleet, name, f"{name}-1", port))
+        await fleet.run(cfg.max_renewal_gap)
+        assert fleet.voters == {"a", "b"}
+        with pytest.raises(NoMajority):
+            async with fleet.nodes[0].membership.pending("configuration"):
+                pytest.fail("no voter was left to hold a note")
+        await fleet.run(cfg.settle_bound + cfg.lease)
+        assert fleet.voters == {"c", "d"}
+        async with fleet.nodes[0].membership.pending("configuration"):
+            pass
+
+    async def test_voters_whose_rows_were_deleted_are_replaced(self) -> None:
+        cfg = CFG._replace(retention=30.0)
+        fleet = Fleet(cfg)
+        for node in list(await fleet.start("a", "b")):
+            await node.membership.deregister()
+            fleet.crash(node)
+        c = Node(fleet, "c", "c-1", 11)
+        fleet.nodes.append(c)
+        c.membership._upkeep._all_voters_ended = lambda: False
+        await fleet.run(2 * cfg.retention)
+        assert fleet.voters == {"a", "b"}
+        assert set(c.membership._observer.members) == {c.me}
+        del c.membership._upkeep._all_voters_ended
+        await fleet.run(2)
+        assert fleet.voters == {"c"}
+
+    async def test_voter_that_can_not_renew_its_row_holds_no_note(self) -> None:
+        """It may have been counted as ended, and the view replaced without it."""
+        cfg = CFG._replace(outage_limit=20.0)
+        fleet = Fleet(cfg)
+        a, b = await fleet.start("a", "b")
+        b.table.lose_requests = 10_000
+        await fleet.run(cfg.outage_limit - 2)
+        number = a.membership._observer.view.number
+        note = Pending("n", "view", number)
+        assert (await a.links.request(b.me, note, PendingAck, timeout=1.0)).held
+        a.links.send(b.me, Settled("n", effect=False))
+        await fleet.run(4)
+        assert not b.membership._notes.blocked
+        other = Pending("m", "view", b.membership._rule.view.number)
+        assert not (await a.links.request(b.me, other, PendingAck, timeout=1.0)).held
+
 
 class TestRegistration:
     """Writes of an instance's own member row."""
--- a/tests/specs/test_view_spec.py
+++ b/tests/specs/test_view_spec.py
@@ -30,6 +30,29 @@
         assert result["properties"][PROPERTY]["holds"] is holds
         assert result["reachable_states"] > 6_000
 
+    ALL_VOTERS_STOP = Rules(((0, 1), (2, 3)), (2,), crashes=2)
+
+    def test_view_whose_voters_have_all_stopped_is_replaced(self) -> None:
+        model = view_model(self.ALL_VOTERS_STOP)
+        model.invariants |= {
+            "no change after the crash": lambda state: (
+                not (state["head"] and state["view"] == 1)
+                or not all(node.crashed for node in state["nodes"][:2])
+            )
+        }
+        result = check_safety(model)
+        assert result["properties"][PROPERTY]["holds"] is True
+        assert result["properties"]["no change after the crash"]["holds"] is False
+
+    @pytest.mark.parametrize(
+        "change",
+        [{"ended_view_accepts": True}, {"stopped_waits_for_notes": False}],
+        ids=["configuration without notes", "voters count as stopped at once"],
+    )
+    def test_replacing_an_ended_view_needs_each_rule(self, change: dict) -> None:
+        result = check_safety(view_model(self.ALL_VOTERS_STOP._replace(**change)))
+        assert result["properties"][PROPERTY]["holds"] is False
+
     def test_change_lands_in_the_last_view(self) -> None:
         model = view_model()
         model.invariants = {
--- a/tests/specs/view_spec.py
+++ b/tests/specs/view_spec.py
@@ -9,7 +9,8 @@
 is no time in this model: outage_spec covers it. A node keeps a note until its write has
 landed or never will; the product waits for `settle_bound` instead. A node that crashes
 loses its notes and counts in no majority. It counts as stopped after `settle_bound`,
-which means that the writes whose notes it had have landed or never will.
+which means that the writes whose notes it had have landed or never will. Once all
+voters of a view count as stopped, a node may send the next view without notes.
 """
 
 from __future__ import annotations
@@ -48,6 +49,10 @@
     """Whether a crashed voter counts as stopped only after its notes are settled."""
     views_announced: bool = True
     """Whether a change of the view needs acknowledgements of a majority."""
+    ended_view_replaced: bool = True
+    """Whether a view whose voters have all stopped is replaced without notes."""
+    ended_view_accepts: bool = False
+    """Whether the configuration is changed without notes in such a view, too."""
 
     @property
     def nodes(self) -> range:
@@ -169,6 +174,9 @@
     steps = []
     for node in _running(s):
         view = s.nodes[node].view
+        if _may_skip_notes(s, number, view, rules):
+            sent = _set_announcement(s, number, Announcement("sent", view))
+            steps.append((f"{node} sends {number} in ended view {view}", sent))
         last = view == len(rules.views) - 1
         if (last and number != CONFIGURATION) or not _may_add_note(s, node, rules):
             continue
@@ -180,6 +188,16 @@
     return steps
 
 
+def _may_skip_notes(s: State, number: int, view: int, rules: Rules) -> bool:
+    if number == CONFIGURATION:
+        allowed = rules.ended_view_accepts
+    else:
+        allowed = rules.ended_view_replaced and view < len(rules.views) - 1
+    return allowed and all(
+        _counts_as_stopped(s, voter, number, rules) for voter in rules.views[view]
+    )
+
+
 def _acknowledge(s: State, number: int, rules: Rules) -> list[tuple[str, State]]:
     view = s.announcements[number - 1].view
     steps = []
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -11,6 +11,7 @@
 import pytest_asyncio
 
 from fleet_caller import FleetCaller, is_expected_answer
+from guavajunction_fakes._errors import OperationRefused
 from guavajunction_fakes.fleet import PROFILES, Fleet
 from guavajunction_fakes.load import LoadPlan, Verdict, run_load
 
@@ -19,6 +20,10 @@
 IN_FORCE_SECONDS = 3.0
 """Bound on the time until a configuration change is in force on all instances."""
 
+RECOVERY_SECONDS = 30.0
+"""Bound on the time until a fleet whose instances were all killed accepts changes: the
+time in which changes that were sent before are settled, a lease and a start."""
+
 TIMING_OVERRIDES = {"timing": {"lease": "3", "directory_ttl": "1"}}
 
 
@@ -131,6 +136,22 @@
         assert await caller.runs("left-1") == 1
         await fleet.start(3)
 
+    async def test_changes_are_accepted_after_all_instances_were_killed(self, fleet):
+        for index in range(len(fleet.entries)):
+            await fleet.kill(index)
+        for index in range(len(fleet.entries)):
+            await fleet.start(index)
+        customer = fleet.customers[0].plan.name
+
+        async def accepts_change():
+            try:
+                await fleet.call_operator("POST", "keys", {"customer": customer})
+            except (OperationRefused, aiohttp.ClientError):
+                return False
+            return True
+
+        await wait_for(accepts_change, RECOVERY_SECONDS)
+
     async def _begin_booking(self, caller, key, *, entry):
         """Return a task of a booking that a backend server has begun to run.
 
