A follower requests newer rows from its own hub

Their versions were up to 3 s older than the hub's.

A follower now asks its own hub, also if that lost the store; hubs ask each other as before. Test: TestRowsFromPeers::test_follower_asks_its_own_hub_even_if_it_lost_the_store (failed before: it asked b0).

--- a/packages/guavajunction/src/guavajunction/fleet/_relay.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relay.py
@@ -369,19 +369,18 @@
     async def request_newer_rows(
         self, partition: str, after: int
     ) -> NewerRowsAnswer | None:
-        """Request rows that changed after a version from a peer that has the store.
+        """Request rows that changed after a version from a hub.
 
-        Each call asks the next of the hubs that reach the store, because a hub that
-        has just lost the store is still listed as reaching it.
+        A follower asks its own hub, which asks the others if it needs to. A hub asks
+        the next of the hubs that reach the store at each call, because a hub that has
+        just lost the store is still listed as reaching it.
 
         Returns:
             The answer; None if no such hub is known or it does not reply.
         """
-        hubs = self._roster.peers_matching(lambda m: m.is_hub and m.sees_store)
-        if not hubs:
+        hub = self.hub_peer() if self._hub is not None else self._next_hub_with_store()
+        if hub is None:
             return None
-        hub = hubs[self._newer_rows_requests % len(hubs)]
-        self._newer_rows_requests += 1
         try:
             return await self._links.request(
                 hub,
@@ -395,6 +394,13 @@
             )
             return None
 
+    def _next_hub_with_store(self) -> PeerId | None:
+        hubs = self._roster.peers_matching(lambda m: m.is_hub and m.sees_store)
+        if not hubs:
+            return None
+        self._newer_rows_requests += 1
+        return hubs[self._newer_rows_requests % len(hubs)]
+
     async def _on_notice(self, peer: PeerId, notice: RowsNotice) -> None:
         if peer.name == self._hub and notice.partition in self._relayed_rows:
             self._relayed_rows[notice.partition].add(notice)
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -8,7 +8,7 @@
 from guavajunction.errors import PeerTimeout
 from guavajunction.fleet import Candidate, FleetShape, Member, ReadRows, Relay, Roster
 from guavajunction.fleet._hubs import hubs
-from guavajunction.fleet._messages import RowsNotice
+from guavajunction.fleet._messages import NewerRowsAnswer, RowsNotice
 from guavajunction.peers import PeerId
 from guavajunction.storage import Changes, RowChange
 
@@ -276,7 +276,24 @@
         node.on_heartbeat("b3", follows="b0")
         for _ in range(3):
             assert await node.relay.request_newer_rows("p", 5) is None
-        assert node.requests == ["b0", "b1", "b0"]
+        assert node.requests == ["b1", "b0", "b1"]
+
+    async def test_follower_asks_its_own_hub_even_if_it_lost_the_store(
+        self, clock, hub, follower
+    ):
+        exchange(hub, follower)
+        hub_peer = hub.links.me
+        follower.on_heartbeat("b0")
+        follower.on_heartbeat(hub_peer.name, sees_store=False)
+        asked = []
+
+        async def request(to, message, reply_type, *, timeout):
+            asked.append(to)
+            return NewerRowsAnswer(7, (), changed=False)
+
+        follower.links.request = request
+        await follower.relay.request_newer_rows("p", 5)
+        assert asked == [hub_peer]
 
     async def test_without_such_a_hub_nothing_is_requested(self, node):
         node.on_heartbeat("b2", sees_store=False)
