Specification of relayed rows: newer rows that are requested in an outage

Two mutants have counterexamples: older rows of a peer applied (the version decreases), and notices of the followed hub applied to rows of a peer (rows that are not those of the version).

--- a/tests/specs/relayed_rows_spec.py
+++ b/tests/specs/relayed_rows_spec.py
@@ -6,8 +6,9 @@
 The store's history is fixed: one row is written, changed, changed back and deleted,
 then another row is written. Two hubs read the store at any time and send notices of
 the changes since their previous read. A follower follows one hub, switches to the
-other, or reads the store itself. Notices may be lost. A hub that restarts has no rows
-and reads all of them from the store.
+other, or reads the store itself. If the store does not answer it, it requests newer
+rows from either hub. Notices may be lost. A hub that restarts has no rows and reads all
+of them from the store.
 """
 
 from __future__ import annotations
@@ -32,6 +33,10 @@
     """Whether a hub's full set of rows is rejected if the follower's is newer."""
     requires_hub_rows: bool = True
     """Whether notices are applied only to rows that came from the same hub."""
+    rejects_older_peers: bool = True
+    """Whether rows requested in an outage are rejected unless they are newer."""
+    peer_rows_end_following: bool = True
+    """Whether all rows of the followed hub are needed again after such rows."""
 
 
 DEFAULT_RULES = Rules()
@@ -144,6 +149,15 @@
         newer = hub.version >= state.version or not rules.rejects_older_answers
         if newer:
             yield "all rows of the hub are applied", _set_rows(state, hub.version, True)
+    for number in HUBS:
+        version = state.hubs[number].version
+        newer = version > state.version or not rules.rejects_older_peers
+        if version > UNREAD and newer:
+            from_hub = state.rows_from_hub and not rules.peer_rows_end_following
+            yield (
+                f"rows of hub {number} replace those of the store",
+                _set_rows(state, version, from_hub),
+            )
     yield "the store is read", _set_rows(state, state.store, False)
 
 
--- a/tests/specs/test_relayed_rows_spec.py
+++ b/tests/specs/test_relayed_rows_spec.py
@@ -27,11 +27,15 @@
             (Rules(requires_continuity=False), ROWS),
             (Rules(rejects_older_answers=False), MONOTONIC),
             (Rules(requires_hub_rows=False), ROWS),
+            (Rules(rejects_older_peers=False), MONOTONIC),
+            (Rules(peer_rows_end_following=False), ROWS),
         ],
         ids=[
             "any notice applied",
             "older rows of a hub applied",
             "notices applied to rows of the store",
+            "older rows of a peer applied",
+            "notices applied to rows of a peer",
         ],
     )
     def test_each_rule_is_needed(self, rules: Rules, broken: str) -> None:
