--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
@@ -97,7 +97,8 @@
                 self._copy(connection, reader, target_writer, is_response=False),
                 self._copy(connection, target_reader, writer, is_response=True),
             )
-        except OSError:
+        except (OSError, RuntimeError):
+            # uvloop raises `RuntimeError` for a write to a connection that was reset.
             connection.reset()
         finally:
             self._connections.discard(connection)
