Relay: one function sends both requests for rows to a hub

request_rows and request_newer_rows repeated the call, its timeout and the log line of a failure. Behaviour is the same. Run on it: make check's two commands, and tests of fleet, peers, storage, entry, the specification of relayed rows, and real processes with hubs and without the store.

--- a/packages/guavajunction/src/guavajunction/fleet/_relay.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from guavajunction.clock import Clock
 from guavajunction.errors import PeerError
@@ -24,6 +24,8 @@
 from ._relayed_rows import UNREAD, ReadRows, RelayedRows
 from ._roster import KnownMember, Member, Roster
 
+AnswerT = TypeVar("AnswerT", RowsAnswer, NewerRowsAnswer)
+
 
 class _ReceivedStatus(NamedTuple):
     """The last status that the followed hub sent."""
@@ -353,18 +355,7 @@
         if hub is None:
             return None
         self._relayed_rows[partition].clear()
-        try:
-            return await self._links.request(
-                hub,
-                RowsWanted(partition),
-                RowsAnswer,
-                timeout=self.ROWS_REQUEST_SECONDS,
-            )
-        except PeerError as exc:
-            events.ROWS_REQUEST_FAILED.log(
-                hub=hub.name, partition=partition, reason=exc.message
-            )
-            return None
+        return await self._request(hub, RowsWanted(partition), RowsAnswer)
 
     async def request_newer_rows(
         self, partition: str, after: int
@@ -381,16 +372,23 @@
         hub = self.hub_peer() if self._hub is not None else self._next_hub_with_store()
         if hub is None:
             return None
+        wanted = NewerRowsWanted(partition, after)
+        return await self._request(hub, wanted, NewerRowsAnswer)
+
+    async def _request(
+        self,
+        hub: PeerId,
+        wanted: RowsWanted | NewerRowsWanted,
+        answer_type: type[AnswerT],
+    ) -> AnswerT | None:
+        """Send a request for rows to a hub; return None if it does not reply."""
         try:
             return await self._links.request(
-                hub,
-                NewerRowsWanted(partition, after),
-                NewerRowsAnswer,
-                timeout=self.ROWS_REQUEST_SECONDS,
+                hub, wanted, answer_type, timeout=self.ROWS_REQUEST_SECONDS
             )
         except PeerError as exc:
             events.ROWS_REQUEST_FAILED.log(
-                hub=hub.name, partition=partition, reason=exc.message
+                hub=hub.name, partition=wanted.partition, reason=exc.message
             )
             return None
 
