--- a/packages/guavajunction/src/guavajunction/gateway/__init__.py
+++ b/packages/guavajunction/src/guavajunction/gateway/__init__.py
@@ -15,6 +15,7 @@
     Service,
     WeightedService,
 )
+from ._framing import Framing
 from ._gateway import Gateway, GatewayParts
 from ._load_view import Load, LoadView
 from ._model_demand import NO_DEMAND, Demand, ModelDemand
@@ -42,6 +43,7 @@
     "Customer",
     "Demand",
     "EngineSpec",
+    "Framing",
     "Gateway",
     "GatewayParts",
     "GatewayRequest",
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -312,6 +312,7 @@
             backend=backend.name,
             status=answer.head.status,
             body_bytes=size,
+            framing=answer.head.framing,
             after_ms=age,
         )
 
--- a/packages/guavajunction/src/guavajunction/gateway/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_protocols.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple, Protocol
 
 from ._backend import BackendRecord
+from ._framing import Framing
 from ._request import GatewayRequest
 
 
@@ -21,8 +22,8 @@
     misdirected: bool
     """Whether the request needs another backend server: this one lacks the model, or is
     not the one addressed."""
-    length: int | None
-    """Length of the body in bytes, or None if it was not announced."""
+    framing: Framing
+    """How the end of the body is marked."""
 
 
 class BackendAnswer(Protocol):
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -15,6 +15,7 @@
     Catalogue,
     Customer,
     EngineSpec,
+    Framing,
     Gateway,
     GatewayParts,
     GatewayRequest,
@@ -153,8 +154,16 @@
 class FakeAnswer:
     """An answer with fixed chunks; `cut` breaks the connection after them."""
 
-    def __init__(self, status=200, chunks=(b"done",), *, not_run=False, cut=False):
-        self.head = AnswerHead(status, "", (), not_run, status == 421, None)
+    def __init__(
+        self,
+        status=200,
+        chunks=(b"done",),
+        *,
+        not_run=False,
+        cut=False,
+        framing=Framing.LENGTH,
+    ):
+        self.head = AnswerHead(status, "", (), not_run, status == 421, framing)
         self._chunks = chunks
         self._cut = cut
 
