Tests that fail: broken-off streams look complete

What callers saw: a stream that a crashed backend server had broken off was framed as complete. The stand-in of a backend server can now send streams without length or chunks (UnframedResponse) and close the connection in order inside an event. On the landed code the caller of such a stream gets status 200 and the last chunk.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from guavajunction.connections import UnframedResponse
 from guavajunction_fakes._server import FakeServer
 
 from . import _wire as wire
@@ -79,6 +80,11 @@
         """Status of all responses that are not streamed; 0 for normal responses."""
         self.cut_after_events = -1
         """Number of an event after which streams are aborted; -1 for never."""
+        self.unframed_streams = False
+        """Whether streams have neither a length nor chunks."""
+        self.close_inside_event = -1
+        """Number of an event in the middle of which streams end and their connection
+        is closed in order; -1 for never."""
         self._store = store
         self._models: dict[str, set[str]] = {model: set() for model in spec.models}
         self._cached_models: set[str] = set(spec.models)
@@ -264,7 +270,10 @@
             HEADERS.seal: "sealed",
             "Content-Type": "text/event-stream",
         }
-        resp = web.StreamResponse(headers=headers)
+        response_type = (
+            UnframedResponse if self.unframed_streams else web.StreamResponse
+        )
+        resp = response_type(headers=headers)
         await resp.prepare(req)
         first = int(req.headers.get(HEADERS.last_event, 0)) + 1
         for number in range(first, self.spec.events + 1):
@@ -272,7 +281,13 @@
                 assert req.transport is not None
                 req.transport.abort()
                 break
-            await resp.write(f"id: {number}\ndata: token {number}\n\n".encode())
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if number == self.close_inside_event:
+                await resp.write(event[:-4])
+                assert req.transport is not None
+                req.transport.close()
+                break
+            await resp.write(event)
             await asyncio.sleep(self.spec.work_seconds)
         await resp.write_eof()
         return resp
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -162,8 +162,9 @@
         not_run=False,
         cut=False,
         framing=Framing.LENGTH,
+        headers=(),
     ):
-        self.head = AnswerHead(status, "", (), not_run, status == 421, framing)
+        self.head = AnswerHead(status, "", headers, not_run, status == 421, framing)
         self._chunks = chunks
         self._cut = cut
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -28,11 +28,18 @@
     Overloaded,
     UnknownRoute,
 )
-from guavajunction.gateway import RequestKind, RouteTable
+from guavajunction.gateway import Framing, RequestKind, RouteTable
 
+ENGINES = (backend("e1", models=("m1",)),)
 PLAIN = (backend("b1", BOOKINGS), backend("b2", BOOKINGS))
 
 
+def event_stream(chunks, framing):
+    return FakeAnswer(
+        chunks=chunks, framing=framing, headers=(("Content-Type", "text/event-stream"),)
+    )
+
+
 class TestAdmission:
     """Routes, keys and time limits of the active configuration are enforced."""
 
@@ -149,6 +156,52 @@
         assert [fleet.loads.of(b.name).running for b in PLAIN] == [0, 0]
 
 
+class TestStreamEnds:
+    """A stream is complete only if its last byte ends an event."""
+
+    @pytest.mark.parametrize(
+        "chunks",
+        [
+            (b"id: 1\ndata: a\n\nid: 2\nda",),
+            (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n"),
+            (b"id: 1\r\ndata: a\r\n\r\n", b"id: 2\r\ndata: b\r\n"),
+            (b"id: 1\ndata: a\n\n", b":"),
+        ],
+    )
+    @pytest.mark.parametrize("framing", [Framing.CONNECTION, Framing.CHUNKS])
+    async def test_stream_that_ends_inside_an_event_is_never_finished(
+        self, chunks, framing
+    ):
+        fleet = FakeGateway(*ENGINES)
+        fleet.caller.script = [event_stream(chunks, framing)]
+        sink = FakeSink()
+        with pytest.raises(AnswerCut):
+            await fleet.gateway.serve(request("/draft/1"), sink)
+        assert (sink.finished, sink.aborted) == (False, True)
+
+    @pytest.mark.parametrize(
+        "chunks",
+        [
+            (b"id: 1\ndata: a\n\n",),
+            (b"id: 1\ndata: a\n", b"\n"),
+            (b"id: 1\r\ndata: a\r", b"\n\r", b"\n"),
+            (b"data: a\r\r",),
+            (b"data: a\n\n\n",),
+            (),
+        ],
+    )
+    async def test_stream_of_whole_events_is_finished(self, chunks):
+        fleet = FakeGateway(*ENGINES)
+        fleet.caller.script = [event_stream(chunks, Framing.CONNECTION)]
+        sink = await fleet.serve("/draft/1")
+        assert (sink.finished, sink.body) == (True, b"".join(chunks))
+
+    async def test_body_that_is_no_stream_may_end_anywhere(self):
+        fleet = FakeGateway(*PLAIN)
+        fleet.caller.script = [FakeAnswer(chunks=(b"half",))]
+        assert (await fleet.serve("/book/1")).finished
+
+
 class TestQueueing:
     """Requests wait for slots and models unless they would miss their deadline."""
 
--- a/tests/platform/test_backend_client.py
+++ b/tests/platform/test_backend_client.py
@@ -64,11 +64,11 @@
     writer.write((OK.format(id="other") + "Content-Length: 0\r\n\r\n").encode())
 
 
-def unframed_response(*, reset):
+def unframed_response(*, reset, after_seconds=0.05):
     async def answer(writer, request_id):
         writer.write((OK.format(id=request_id) + "\r\npart").encode())
         await writer.drain()
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(after_seconds)
         if reset:
             sock = writer.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -104,6 +104,28 @@
             assert resp.status == 413
 
 
+class TestBrokenOffStreams:
+    """A stream looks complete to its caller only if it was complete."""
+
+    async def test_unframed_stream_that_ends_inside_an_event_is_incomplete(
+        self, deployment
+    ):
+        for runner in deployment.runners.values():
+            runner.unframed_streams = True
+            runner.close_inside_event = 2
+        with pytest.raises(aiohttp.ClientError):
+            await call(deployment, "/draft/1", model="m1")
+        assert len(runs(deployment)) == 1
+
+    async def test_unframed_stream_gets_no_framing_on_its_way(self, deployment):
+        for runner in deployment.runners.values():
+            runner.unframed_streams = True
+        reply = await call(deployment, "/draft/1", model="m1")
+        assert reply.body.count(b"data: token") == 3
+        assert not {"Transfer-Encoding", "Content-Length"} & set(reply.headers)
+        assert reply.headers["Connection"] == "close"
+
+
 class TestModels:
     """Models and adapters are loaded when a request needs them."""
 
