A reset ends no unframed body as complete, in any client

What callers saw, or could see: a body with neither a length nor chunks counted as complete although its connection had been reset, because aiohttp's client protocol ends such a body on any loss of the connection. The platform's relay checked this by itself, and only if aiohttp had not released the connection before; the store, the reports of backend servers, and every client of the product's own stack did not check it at all: an object or a plain service's answer cut in half was taken as whole.

Change: StrictConnection fails such a body when the connection is lost with an error; StrictConnector gives it to every session of both stacks and of guavactl.

--- a/packages/guavajunction-ctl/src/guavajunction_ctl/main.py
+++ b/packages/guavajunction-ctl/src/guavajunction_ctl/main.py
@@ -10,6 +10,8 @@
 
 import aiohttp
 
+from guavajunction.connections import StrictConnector
+
 from ._client import OperatorClient
 from ._command import Command, CommandResult, Context
 from ._document_commands import DOCUMENT_COMMANDS
@@ -86,7 +88,7 @@
     if not line.instances and not command.offline:
         raise UsageError("No instance is named. Give --instance=URL.")
     token = "" if command.offline else _read_token(line.token_file)
-    connector = aiohttp.TCPConnector(force_close=True)
+    connector = StrictConnector(force_close=True)
     async with aiohttp.ClientSession(connector=connector) as session:
         client = OperatorClient(session, line.instances, token, timeout=line.timeout)
         return await command.run(Context.create(client, line), args)
--- a/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
@@ -16,6 +16,7 @@
     ConfigurationManager,
     ConfigurationStore,
 )
+from guavajunction.connections import StrictConnector
 from guavajunction.customers import (
     EqualSplitLimits,
     KeyAuthenticator,
@@ -59,6 +60,8 @@
 """Length of the random identifier of an incarnation."""
 MAX_ENGINE_CONNECTIONS = 2_048
 """Limit on concurrent connections to model engines."""
+MAX_POLL_CONNECTIONS = 100
+"""Limit on concurrent connections that read the state of backend servers."""
 
 
 class Aggregates:
@@ -117,7 +120,7 @@
 
     def _build_platform_clients(self) -> None:
         cfg = self._settings.platform
-        session = self._open_session(aiohttp.TCPConnector(limit=0))
+        session = self._open_session(limit=0)
         self.table = TableClient(
             session, cfg.table_url, cfg.table_name, timeout=cfg.timeout
         )
@@ -191,7 +194,9 @@
 
     def _build_backends(self) -> None:
         self.load_tracker = LoadTracker(self._clock)
-        self._backend_client = HttpBackendClient(self._open_session())
+        self._backend_client = HttpBackendClient(
+            self._open_session(limit=MAX_POLL_CONNECTIONS)
+        )
         self._retirement = Retirement(
             self.mesh, self.load_tracker.in_flight, self._clock
         )
@@ -251,7 +256,7 @@
 
     def _build_routers(self, budget: RetryBudget) -> None:
         self.inference = InferenceRouter(
-            self._open_session(aiohttp.TCPConnector(limit=MAX_ENGINE_CONNECTIONS)),
+            self._open_session(limit=MAX_ENGINE_CONNECTIONS),
             self.dispatcher,
             self.inventory,
             budget,
@@ -299,12 +304,15 @@
     def _peer_bytes(self) -> int:
         return sum(link.sent_bytes for link in self.mesh.traffic().values())
 
-    def _open_session(
-        self, connector: aiohttp.TCPConnector | None = None
-    ) -> aiohttp.ClientSession:
-        """Open a session without cookies; the stack closes it."""
+    def _open_session(self, *, limit: int) -> aiohttp.ClientSession:
+        """Open a session without cookies; the stack closes it.
+
+        Args:
+            limit: Maximum number of connections; 0 for no limit.
+        """
         session = aiohttp.ClientSession(
-            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+            connector=StrictConnector(limit=limit),
+            cookie_jar=aiohttp.DummyCookieJar(),
         )
         self._stack.push_async_callback(session.close)
         return session
--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from ._strict_connection import StrictConnection
+from ._strict_connector import StrictConnector
 from ._unframed_response import UnframedResponse
 
-__all__ = ["UnframedResponse"]
+__all__ = ["StrictConnection", "StrictConnector", "UnframedResponse"]
--- a/packages/guavajunction/src/guavajunction/routing/_single_send.py
+++ b/packages/guavajunction/src/guavajunction/routing/_single_send.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from guavajunction.connections import StrictConnector
+
 MAX_CONNECTIONS = 256
 
 
@@ -42,7 +44,7 @@
     Connections are not reused. The server may close an idle connection while a request
     is being sent on it, which would leave the outcome of the request unknown.
     """
-    connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=True)
+    connector = StrictConnector(limit=MAX_CONNECTIONS, force_close=True)
     return aiohttp.ClientSession(
         connector=connector,
         middlewares=(send_once,),
