A stream that ends inside an event is never relayed as complete

Cause: an answer may come with neither a length nor chunks and end with its connection. The operating system of a crashed backend server closes the connection in order, so nothing in HTTP says that the body is short. The relay then ended its own chunked response with the last chunk, which states that the answer is complete: a statement that the backend server had not made.

Change: the gateway follows the last bytes of each stream of events; one that ends inside an event is a cut answer, whatever its framing. A body whose end the backend server did not mark is relayed without a mark as well, so the relay never claims more than it knows; an incomplete one ends with a reset, which abort() alone does not send.

Why it works: an end inside an event is detectable from the bytes alone, and no response is framed as complete unless the backend server framed it so.

--- a/packages/guavajunction/src/guavajunction/connections/_unframed_response.py
+++ b/packages/guavajunction/src/guavajunction/connections/_unframed_response.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from typing import Any
 
 from aiohttp import web
 
+NO_LINGER = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a socket resets its connection."""
+
 
 class UnframedResponse(web.StreamResponse):
     """A response with neither a length nor chunks.
@@ -19,3 +24,15 @@
     def __init__(self, **kwargs: Any) -> None:
         super().__init__(**kwargs)
         self.force_close()
+
+    def reset(self, req: web.BaseRequest) -> None:
+        """Reset the connection, which marks the body as incomplete.
+
+        `transport.abort` alone would close the connection in order.
+        """
+        if req.transport is None:
+            return
+        sock = req.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        req.transport.abort()
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -25,6 +25,7 @@
 from ._backend import BackendRecord
 from ._backend_registry import BackendRegistry
 from ._catalogue import Customer, RequestKind, Route, Service
+from ._event_boundary import EventBoundary, is_event_stream
 from ._model_demand import ModelDemand
 from ._protocols import AnswerHead, AnswerSink, BackendAnswer, BackendCaller
 from ._rate_limits import RateLimits
@@ -294,10 +295,18 @@
     ) -> None:
         await sink.start(answer.head)
         size = 0
+        boundary = EventBoundary() if is_event_stream(answer.head.headers) else None
         try:
             async for chunk in answer.chunks():
                 size += len(chunk)
+                if boundary is not None:
+                    boundary.feed(chunk)
                 await sink.write(chunk)
+            if boundary is not None and boundary.is_inside_event:
+                raise AnswerCut(
+                    f"the stream of backend server {backend.name!r} ended inside an "
+                    f"event, after {size} bytes (framing {answer.head.framing})"
+                )
         except AnswerCut:
             sink.abort()
             raise
--- a/tests/platform_calls.py
+++ b/tests/platform_calls.py
@@ -9,6 +9,7 @@
 import aiohttp
 from yarl import URL
 
+from guavajunction.connections import StrictConnector
 from guavajunction_fakes.deployment import HEADERS, HOST
 
 KEY = "key-of-atelier"
@@ -43,7 +44,7 @@
     sent |= {name.replace("_", "-"): value for name, value in headers.items()}
     url = URL(deployment.front_url(name) + path, encoded=True)
     async with (
-        aiohttp.ClientSession() as session,
+        aiohttp.ClientSession(connector=StrictConnector()) as session,
         session.request(method, url, headers=sent, data=b"a body") as resp,
     ):
         return Reply(resp.status, await resp.read(), dict(resp.headers))
