Routing: a completion that ends early is not relayed as complete

What callers could see: a completion that is no stream, from an engine that sends neither a length nor chunks and breaks off, was relayed with status 200, because its body was only searched for the request's id; a body that is no JSON was ignored silently when its token counts were read.

Change: such an answer counts as cut, so it is requested again or fails with a typed error. Streams of this stack already need their end mark.

The new test failed before: the caller got the half of the answer.

--- a/packages/guavajunction/src/guavajunction/routing/_engine_call.py
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -157,7 +157,8 @@
         if self._request_id not in body:
             self._record_foreign_event(backend)
             raise StreamCut(f"{backend} answered another request")
-        self._read_usage(body)
+        if not self._read_usage(body):
+            raise StreamCut(f"{backend} sent an answer that is no complete JSON object")
         self._times.on_tokens(1)
         await self._sink.start(resp.status, "application/json")
         await self._sink.write(body)
@@ -214,13 +215,17 @@
             events.FOREIGN_EVENT, self._engine_req.req.request_id, backend=backend
         )
 
-    def _read_usage(self, data: bytes) -> None:
+    def _read_usage(self, data: bytes) -> bool:
+        """Read the token counts of an answer; return whether it is a JSON object."""
         try:
             answer = msgspec.json.decode(data)
         except msgspec.DecodeError:
-            return
-        usage = answer.get("usage") if isinstance(answer, dict) else None
+            return False
+        if not isinstance(answer, dict):
+            return False
+        usage = answer.get("usage")
         self._usage = usage if isinstance(usage, dict) else {}
+        return True
 
     def _summary(self, backend: str) -> AnswerSummary:
         return AnswerSummary(
--- a/tests/routing/test_relay.py
+++ b/tests/routing/test_relay.py
@@ -21,6 +21,7 @@
     Route,
     Service,
 )
+from guavajunction.connections import UnframedResponse
 from guavajunction.errors import (
     AnswerCut,
     BackendFailed,
@@ -144,6 +145,17 @@
         await response.write(b"id: 1\ndata: [DONE]\n\n")
         return response
 
+    async def completion(self, req):
+        name = req.headers["X-Request-Id"]
+        return web.Response(text=f'{{"id":"chatcmpl-{name}","choices":[]}}')
+
+    async def half_completion(self, req):
+        response = UnframedResponse()
+        await response.prepare(req)
+        name = req.headers["X-Request-Id"]
+        await response.write(f'{{"id":"chatcmpl-{name}","choi'.encode())
+        return response
+
     async def vanish(self, req):
         req.transport.abort()
         return web.Response()
@@ -177,8 +189,8 @@
     )
 
 
-async def route_to(*engines, check=lambda: None):
-    """Send a streamed request to a router with `engines` as replicas."""
+async def route_to(*engines, check=lambda: None, stream=True):
+    """Send a request to a router with `engines` as replicas."""
     async with AsyncExitStack() as stack:
         addresses = {
             f"e{i}": await serve(stack, engine.on_chat)
@@ -212,7 +224,7 @@
         )
         req = request(customer("one"), arrived=clock.monotonic())
         sink = Sink()
-        engine_req = EngineRequest(req, "/v1/chat/completions", b"{}", stream=True)
+        engine_req = EngineRequest(req, "/v1/chat/completions", b"{}", stream=stream)
         try:
             await router.route(engine_req, sink, Times(), check)
         finally:
@@ -261,6 +273,13 @@
         engine.script = [engine.gap]
         assert numbers(await route_to(engine)) == WHOLE
 
+    async def test_completion_that_ends_early_is_never_relayed(self):
+        engine = ScriptedEngine()
+        engine.script = [engine.half_completion, engine.completion]
+        sink = await route_to(engine, stream=False)
+        assert sink.body.endswith(b'"choices":[]}')
+        assert len(engine.bodies) == 2
+
     async def test_answer_to_another_request_is_never_relayed(self):
         engine = ScriptedEngine()
         engine.script = [engine.other_request] * InferenceRouter.MAX_ATTEMPTS
