Gateway: log software versions, and which stream a request resumes

sent has software_version, resume_after and resumed_stream, backend_seen has software_version. Entries of backend servers are decoded with the version, and requests with the attempt that a caller names in Resumes; nothing decides by them yet.

--- a/packages/guavajunction/src/guavajunction/gateway/_backend.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend.py
@@ -26,6 +26,8 @@
     """Models whose weights are in main memory."""
     on_disk: frozenset[str]
     """Models whose weights are on disk."""
+    software_version: str
+    """Version of the software, not of a model's weights; empty if it is unknown."""
 
     @property
     def identity(self) -> tuple[str, int]:
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
@@ -86,6 +86,7 @@
                 service=record.service,
                 address=record.address,
                 incarnation=record.incarnation,
+                software_version=record.software_version,
                 models=sorted(record.models),
                 in_memory=sorted(record.in_memory),
                 on_disk=sorted(record.on_disk),
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -243,6 +243,9 @@
             waited_ms=self._age_ms(req),
             left_ms=round(left * 1000),
             record=backend.report_number,
+            software_version=backend.software_version,
+            resume_after=req.resume_after,
+            resumed_stream=req.resumed_stream,
         )
         try:
             async with self._parts.caller.send(
--- a/packages/guavajunction/src/guavajunction/gateway/_request.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request.py
@@ -51,6 +51,9 @@
     """None for a plain service."""
     resume_after: str | None = None
     """Id of the last event received before a stream broke, to resume after."""
+    resumed_stream: str | None = None
+    """Id of the caller's attempt that received the first event of the resumed stream;
+    None if the caller does not name it."""
 
     @property
     def path(self) -> str:
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -117,6 +117,7 @@
         models={model: frozenset() for model in models},
         in_memory=frozenset(models),
         on_disk=frozenset(models),
+        software_version="v1",
     )._replace(**changes)
 
 
