--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -42,6 +42,8 @@
     """Number of events in a stream."""
     load_seconds: float = 0.1
     """Time to load a model."""
+    version: str = "v1"
+    """Version of the runner's software."""
 
 
 class Run(NamedTuple):
@@ -132,6 +134,11 @@
         self._order_count = self._last_fence = 0
         self._write_entry()
 
+    def restart_as(self, version: str) -> None:
+        """Restart with another version of the software, under the same name."""
+        self.spec = self.spec._replace(version=version)
+        self.restart()
+
     def deregister(self) -> None:
         """Remove the runner's entry from the store."""
         self._store.write("servers", self.spec.name, None)
@@ -140,6 +147,7 @@
         self._heartbeat += 1
         entry = wire.runner_entry(
             service=self.spec.service,
+            version=self.spec.version,
             address=self._address,
             slots=self.spec.slots,
             draining=self._draining,
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
@@ -20,6 +20,7 @@
     not_run: str = names.NOT_RUN
     priority: str = names.PRIORITY
     last_event: str = names.LAST_EVENT_ID
+    resumes: str = names.RESUMES
     seal: str = "X-Server-Seal"
     key: str = names.AUTHORIZATION
 
@@ -39,6 +40,7 @@
 def runner_entry(
     *,
     service: str,
+    version: str,
     address: str,
     slots: int,
     draining: bool,
@@ -51,6 +53,7 @@
 
     Args:
         service: Name of the service that the runner belongs to.
+        version: Version of the runner's software.
         address: Address of the runner, `host:port`.
         slots: Maximum number of concurrent requests.
         draining: Whether the runner is about to leave.
@@ -63,7 +66,7 @@
         "service": service,
         "address": address,
         "zone": "here",
-        "version": "v1",
+        "version": version,
         "slots": slots,
         "state": "draining" if draining else "ready",
         "coldRemainingMs": 0,
