A hopeless request is refused without Retry-After: inf

What callers saw: a request for a model that is not configured got 503 with the header Retry-After: inf, which is no number of seconds. Cause: the estimated wait, infinite for such a model, was returned as the retry delay. Found while looking for how a stream without a backend server of its version is refused. Now the refusal has no retry delay. The new test failed before: retry_after was inf.

--- a/packages/guavajunction/src/guavajunction/gateway/_admission.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_admission.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 from ._backend_selection import PREFILL_TOKENS_PER_SECOND
@@ -37,8 +38,8 @@
     """Reason for a refusal and the delay before a retry."""
 
     reason: str
-    retry_after: float
-    """Seconds."""
+    retry_after: float | None
+    """Seconds; None if a retry is useless."""
 
 
 def service_seconds(size: GenerationSize | None) -> float:
@@ -79,6 +80,8 @@
     end_in = estimate.seconds + service_seconds(size)
     if first_event_in <= first_event_left and end_in <= seconds_left:
         return None
+    if math.isinf(estimate.seconds):
+        return Refusal(estimate.reason, None)
     return Refusal(estimate.reason, max(MIN_RETRY_AFTER_SECONDS, estimate.seconds))
 
 
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -111,6 +111,14 @@
         assert refusal.retry_after == 3.5
 
 
+    def test_refusal_of_a_hopeless_request_has_no_retry_delay(self):
+        never = admission.WaitEstimate(float("inf"), "a model that is not configured")
+        refusal = admission.check_deadline(
+            never, None, seconds_left=5.0, first_event_left=5.0
+        )
+        assert refusal.retry_after is None
+
+
 class TestRetryBudget:
     """Retries of all instances together stay within the fleet's bound."""
 
