A resumed stream goes on only at the software version that began it

It went to the backend server with the shortest wait; in the users' record, after ten seconds, to one of v1.2 that had just loaded the model.

Ruled out by reading: retries within one answer happen only before its first byte (a cut answer is never retried). Not ruled out, but not in the record: a backend server that restarts with other software under its own name.

Change: before its first byte is relayed, each resumable stream's service and version are reported to all hubs (in a full mesh, to all instances; at least three copies). An instance that gets a request with Last-Event-Id looks up the attempt named in Resumes, asks the hubs if it does not know it, and queues the request for that service and version only. Without an origin, or with no backend server of the version left, the request is refused at once and not run. So that such streams go on, the leader loads a missing model or adapter on a backend server of their version, and does not evict what they wait for.

Why it works: the version is fixed by the attempt that brought the first event, no event reaches a caller before the report has left the instance, and what is not known is not guessed. Messages for a stream: one to each hub, whatever the number of instances.

Ruled out: a row in the store for each stream (a write for each, and none while the store is away); a version computed from the stream's id (the versions that serve change).

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -34,6 +34,7 @@
     RequestQueue,
     RetryBudget,
     RouteTable,
+    StreamOrigins,
 )
 from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
@@ -120,6 +121,7 @@
         self._loads = LoadView()
         self._demand = ModelDemand()
         self._rate_limits = RateLimits(settings.allowances, clock)
+        self._streams = StreamOrigins(clock)
         self._retries = RetryBudget(settings.retries)
         self._reload = asyncio.Event()
         self._settings_fault: str | None = None
@@ -131,6 +133,7 @@
                 queue=self._queue,
                 health=self._health,
                 rate_limits=self._rate_limits,
+                streams=self._streams,
                 retries=self._retries,
                 demand=self._demand,
                 caller=deployment.caller,
@@ -353,6 +356,7 @@
             loads=self._loads,
             demand=self._demand,
             rate_limits=self._rate_limits,
+            streams=self._streams,
             roster=self._roster,
             feed=self._feed,
             clock=self._clock,
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
@@ -16,6 +16,14 @@
     "process:settings_refused",
     "Changed settings are invalid; the previous settings stay in force.",
 )
+STREAM_UNKNOWN = LogEvent(
+    125, "process:stream_unknown", "No instance that replied knows a resumed stream."
+)
+STREAM_QUESTION_FAILED = LogEvent(
+    126,
+    "process:stream_not_answered",
+    "An instance did not answer which version began a stream.",
+)
 DOCUMENT_READ = LogEvent(
     124,
     "process:document_read",
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -28,6 +28,7 @@
     RateLimits,
     RequestQueue,
     RetireNotice,
+    StreamOrigins,
 )
 from guavajunction.membership import Lease
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh
@@ -41,6 +42,7 @@
 
 from ._deployment import Deployment
 from ._settings import GatewaySettings
+from ._stream_links import StreamLinks
 from ._tuning import Tuning
 
 MEMBER_TOPIC = "member"
@@ -59,6 +61,7 @@
     loads: LoadView
     demand: ModelDemand
     rate_limits: RateLimits
+    streams: StreamOrigins
     roster: Roster
     feed: RelayedFeed
     clock: Clock
@@ -110,6 +113,7 @@
         shape = FleetShape(tuning.fleet.full_mesh, tuning.fleet.followers)
         self.relay = Relay(self._mesh, parts.roster, shape, parts.clock)
         self.leader = self._create_order_leader(settings, deployment)
+        self._streams = StreamLinks(self._mesh, self.relay, parts.roster, parts.streams)
         self._register_topics()
 
     async def run(self) -> None:
@@ -149,6 +153,7 @@
             loads=self._parts.loads,
             catalogue=lambda: gateway.routes.catalogue if gateway.routes else None,
             demand=self._fleet_demand,
+            resumes=self._fleet_resumes,
             broadcast=self.relay.broadcast,
             schedule_dispatch=self._parts.queue.schedule_dispatch,
             load_rate_limiter=LoadRateLimiter(orders.load_window_seconds),
@@ -191,6 +196,12 @@
         mesh.add_topic(
             "demand", self._own_demand, parts.demand.update_peer, dict[str, Demand]
         )
+        mesh.add_topic(
+            "resumes",
+            parts.queue.waiting_by_version,
+            parts.demand.update_peer_resumes,
+            dict[str, dict[str, int]],
+        )
         mesh.add_topic(
             "author", self.leader.status, self.leader.update_status, LeaderStatus
         )
@@ -256,6 +267,7 @@
 
     def _begin_heartbeat(self) -> Member:
         self.relay.begin_heartbeat()
+        self._streams.on_heartbeat()
         self._link_to_targets()
         return self._own_member(self.relay.follows)
 
@@ -293,6 +305,11 @@
         peers = self._parts.roster.peers()
         return self._parts.demand.fleet(self._own_demand(), peers)
 
+    def _fleet_resumes(self) -> dict[str, dict[str, int]]:
+        return self._parts.demand.fleet_resumes(
+            self._parts.queue.waiting_by_version(), self._parts.roster.peers()
+        )
+
     def _leader_candidates(self) -> list[PeerId]:
         peers = self._parts.roster.peers_matching(lambda member: member.may_give_orders)
         if self._own_member(self.relay.follows).may_give_orders:
--- a/packages/guavajunction/src/guavajunction/errors.py
+++ b/packages/guavajunction/src/guavajunction/errors.py
@@ -150,6 +150,13 @@
     TYPE = "no_replica"
 
 
+class StreamNotResumable(RequestError):
+    """No backend server may continue the stream without a break in its content."""
+
+    STATUS = 503
+    TYPE = "stream_not_resumable"
+
+
 class InstanceNotReady(RequestError):
     """The instance may not serve now: it is starting, stopping or without standing."""
 
--- a/packages/guavajunction/src/guavajunction/gateway/__init__.py
+++ b/packages/guavajunction/src/guavajunction/gateway/__init__.py
@@ -26,6 +26,7 @@
 from ._request_queue import QueuedRequest, RequestQueue
 from ._retry_budget import RetryBounds, RetryBudget
 from ._route_table import RouteTable
+from ._stream_origins import StreamBegan, StreamOrigin, StreamOrigins
 
 __all__ = [
     "NO_DEMAND",
@@ -62,6 +63,9 @@
     "Route",
     "RouteTable",
     "Service",
+    "StreamBegan",
+    "StreamOrigin",
+    "StreamOrigins",
     "QueuedRequest",
     "RequestQueue",
     "WeightedService",
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -17,6 +17,7 @@
     Overloaded,
     RateLimited,
     RequestError,
+    StreamNotResumable,
 )
 from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
@@ -33,6 +34,7 @@
 from ._request_queue import QueuedRequest, RequestQueue
 from ._retry_budget import RetryBudget
 from ._route_table import RouteTable
+from ._stream_origins import StreamOrigin, StreamOrigins
 
 
 class GatewayParts(NamedTuple):
@@ -42,6 +44,7 @@
     queue: RequestQueue
     health: PassiveHealth
     rate_limits: RateLimits
+    streams: StreamOrigins
     retries: RetryBudget
     demand: ModelDemand
     caller: BackendCaller
@@ -60,6 +63,8 @@
     priority: int
     ends_at: float
     """Deadline of the complete answer, on the monotonic clock."""
+    software_version: str | None
+    """Version of the backend servers that may serve it, None for any."""
 
 
 class Gateway:
@@ -68,6 +73,9 @@
     RETRY_AFTER_SECONDS = 0.3
     """Retry delay after a backend server refused a request; capacity is expected
     with the next heartbeat."""
+    UNKNOWN_STREAM_SECONDS = 0.3
+    """Retry delay of a request that resumes a stream which no instance knows; another
+    instance may reach one that does."""
     NOT_READY_SECONDS = 1.0
     """Retry delay while no configuration is known."""
     MIN_FAILURE_SECONDS = 0.7
@@ -132,7 +140,7 @@
             self.in_flight -= 1
 
     async def _serve(self, req: GatewayRequest, sink: AnswerSink) -> None:
-        admitted = self._admit(req)
+        admitted = await self._admit(req)
         self._parts.retries.note_request(admitted.service.name, req.arrived_at)
         if req.size is not None:
             self._parts.demand.note(req.size.model, req.arrived_at)
@@ -164,14 +172,16 @@
                 unreachable=len(unreachable),
             )
 
-    def _admit(self, req: GatewayRequest) -> _AdmittedRequest:
+    async def _admit(self, req: GatewayRequest) -> _AdmittedRequest:
         if self._routes is None:
             raise InstanceNotReady(
                 "no configuration is known yet", retry_after=self.NOT_READY_SECONDS
             )
         route = self._routes.find(req.host, req.path)
         customer = self._routes.customer_of(route, req.key)
-        service = self._routes.catalogue.services[self._choose_service(route)]
+        origin = await self._find_origin(req, route)
+        name = origin.service if origin else self._choose_service(route)
+        service = self._routes.catalogue.services[name]
         if customer is not None:
             self._charge(customer, req)
         if self._parts.clock.monotonic() > self.streams_until and req.size is not None:
@@ -187,8 +197,38 @@
             customer=customer,
             priority=customer.priority if has_priority else route.priority,
             ends_at=req.arrived_at + min(req.caller_seconds, route.timeout_seconds),
+            software_version=origin.software_version if origin else None,
         )
 
+    async def _find_origin(
+        self, req: GatewayRequest, route: Route
+    ) -> StreamOrigin | None:
+        """Return what began the stream that a request resumes, None if it is new.
+
+        Raises:
+            StreamNotResumable: It is not known what began the stream, or the route no
+                longer leads there.
+        """
+        if req.resume_after is None or route.kind is not RequestKind.STREAM:
+            return None
+        if req.resumed_stream is None:
+            raise StreamNotResumable(
+                "the request does not name the attempt that began its stream"
+            )
+        origin = await self._parts.streams.find(req.resumed_stream)
+        if origin is None:
+            raise StreamNotResumable(
+                f"it is not known which software version began stream "
+                f"{req.resumed_stream!r}",
+                retry_after=self.UNKNOWN_STREAM_SECONDS,
+            )
+        if origin.service not in (part.service for part in route.services):
+            raise StreamNotResumable(
+                f"route {route.name!r} no longer leads to service {origin.service!r}, "
+                f"which began stream {req.resumed_stream!r}"
+            )
+        return origin
+
     def _choose_service(self, route: Route) -> str:
         if len(route.services) == 1:
             return route.services[0].service
@@ -213,6 +253,7 @@
             route=admitted.route,
             service=admitted.service,
             priority=admitted.priority,
+            software_version=admitted.software_version,
             ends_at=admitted.ends_at,
             first_event_by=admitted.req.arrived_at + admitted.route.patience_seconds,
             only=frozenset(sent) if exhausted else None,
@@ -257,6 +298,8 @@
             ) as answer:
                 self._check_head(answer.head, admitted, backend, attempt)
                 prompt_pending = False
+                if admitted.route.resumable:
+                    self._record_origin(admitted, backend)
                 self._parts.queue.on_first_event(req, backend)
                 await self._relay(admitted, backend, answer, sink)
         except (BackendFailed, OutcomeUnknown, AnswerCut, NotSent) as exc:
@@ -265,6 +308,12 @@
         finally:
             self._parts.queue.release(req, backend, prompt_pending=prompt_pending)
 
+    def _record_origin(
+        self, admitted: _AdmittedRequest, backend: BackendRecord
+    ) -> None:
+        origin = StreamOrigin(admitted.service.name, backend.software_version)
+        self._parts.streams.begin(admitted.req.request_id, origin)
+
     def _check_head(
         self,
         head: AnswerHead,
--- a/packages/guavajunction/src/guavajunction/gateway/_model_demand.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_model_demand.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import NamedTuple
 
 from guavajunction.peers import PeerId
@@ -34,6 +34,7 @@
         self._counts: defaultdict[str, float] = defaultdict(float)
         self._decayed_at = 0.0
         self._peers: dict[PeerId, dict[str, Demand]] = {}
+        self._peer_resumes: dict[PeerId, dict[str, dict[str, int]]] = {}
 
     def note(self, model: str, now: float) -> None:
         """Count a request for a model or adapter."""
@@ -72,6 +73,29 @@
                 )
         return total
 
+    def update_peer_resumes(
+        self, peer: PeerId, waiting: dict[str, dict[str, int]]
+    ) -> None:
+        """Replace the resumed streams that wait for a load on a peer."""
+        self._peer_resumes[peer] = waiting
+
+    def fleet_resumes(
+        self, own: dict[str, dict[str, int]], peers: list[PeerId]
+    ) -> dict[str, dict[str, int]]:
+        """Return the resumed streams that wait for a load, by version and model.
+
+        Args:
+            own: Those that wait on this instance.
+            peers: Other instances whose streams are added.
+        """
+        for removed in set(self._peer_resumes) - set(peers):
+            del self._peer_resumes[removed]
+        total: dict[str, Counter[str]] = {}
+        for waiting in (own, *self._peer_resumes.values()):
+            for version, models in waiting.items():
+                total.setdefault(version, Counter()).update(models)
+        return {version: dict(models) for version, models in total.items()}
+
     def _decay(self, now: float) -> None:
         kept = math.exp(-max(0.0, now - self._decayed_at) / self.DECAY_SECONDS)
         self._decayed_at = max(self._decayed_at, now)
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -8,7 +8,13 @@
 from typing import NamedTuple
 
 from guavajunction.clock import Clock
-from guavajunction.errors import InstanceNotReady, NoReplica, Overloaded, RequestError
+from guavajunction.errors import (
+    InstanceNotReady,
+    NoReplica,
+    Overloaded,
+    RequestError,
+    StreamNotResumable,
+)
 from guavajunction.health import PassiveHealth
 
 from . import _admission, _backend_selection
@@ -36,6 +42,8 @@
     """Backend servers that the request may be sent to; None for any."""
     avoid: frozenset[str]
     """Backend servers to use only if no other one has capacity."""
+    software_version: str | None
+    """Version of the backend servers that it may be sent to; None for any."""
     fut: asyncio.Future[BackendRecord]
     """Resolved with the backend server to send the request to."""
 
@@ -45,6 +53,19 @@
         return self.priority, self.req.arrived_at + self.route.target_seconds
 
 
+AdapterRequest = Callable[[GenerationSize, str, str], None]
+"""Called with the size, service and software version of a request; the version is empty
+if any will do."""
+
+
+class _MissingModel(NamedTuple):
+    """A model that requests wait for."""
+
+    software_version: str
+    """Version of the backend servers that may serve the requests; empty for any."""
+    model: str
+
+
 class RequestQueue:
     """Assigns queued requests to backend servers as they get free capacity.
 
@@ -90,10 +111,10 @@
         self._clock = clock
         self._waiting: list[QueuedRequest] = []
         self._dispatch_timer: asyncio.TimerHandle | None = None
-        self._missing_since: dict[str, float] = {}
+        self._missing_since: dict[_MissingModel, float] = {}
         self._wait_reasons: dict[str, str] = {}
-        self.on_adapter_wanted: Callable[[GenerationSize, str], None] = lambda *_: None
-        """Called with size and service of a request that lacks only its adapter."""
+        self.on_adapter_wanted: AdapterRequest = lambda *_: None
+        """Called for a request that lacks only its adapter."""
         self.stops_at = float("inf")
         """When this instance stops, on the monotonic clock. Requests that can't end
         before then are refused."""
@@ -113,10 +134,24 @@
 
     def waiting_by_model(self) -> dict[str, int]:
         """Return the number of requests that wait for a model load, by model."""
+        return self._waiting_for("")
+
+    def waiting_by_version(self) -> dict[str, dict[str, int]]:
+        """Return the resumed streams that wait for a model load, by version and model.
+
+        They can only be served by backend servers of that software version.
+        """
+        versions = {queued.software_version or "" for queued in self._waiting} - {""}
+        waiting = {version: self._waiting_for(version) for version in versions}
+        return {version: models for version, models in waiting.items() if models}
+
+    def _waiting_for(self, version: str) -> dict[str, int]:
         models = Counter(
             queued.req.size.model
             for queued in self._waiting
-            if queued.req.size is not None and not self._model_ready(queued)
+            if (queued.software_version or "") == version
+            and queued.req.size is not None
+            and not self._model_ready(queued)
         )
         return dict(models)
 
@@ -127,6 +162,7 @@
             Overloaded: No slot is expected before the deadline.
             NoReplica: No backend server with the model or adapter is expected before
                 the deadline.
+            StreamNotResumable: No backend server of the required version is left.
             InstanceNotReady: This instance stops before the request could end.
         """
         self._waiting.append(queued)
@@ -185,9 +221,11 @@
             if not queued.fut.done():
                 self._try_dispatch(queued, ahead)
         self._waiting = [queued for queued in self._waiting if not queued.fut.done()]
-        waiting_by_model = self.waiting_by_model()
-        for model in set(self._missing_since) - set(waiting_by_model):
-            del self._missing_since[model]
+        missing = {_MissingModel("", model) for model in self.waiting_by_model()}
+        for version, models in self.waiting_by_version().items():
+            missing |= {_MissingModel(version, model) for model in models}
+        for ended in set(self._missing_since) - missing:
+            del self._missing_since[ended]
 
     def _try_dispatch(self, queued: QueuedRequest, ahead: Counter[str]) -> None:
         backend = self._choose(queued)
@@ -216,6 +254,8 @@
         if refusal is None:
             return
         error_type = Overloaded if refusal.reason == "slots" else NoReplica
+        if queued.software_version is not None and refusal.retry_after is None:
+            error_type = StreamNotResumable
         queued.fut.set_exception(
             error_type(
                 f"service {queued.service.name!r} expects {refusal.reason} "
@@ -252,8 +292,16 @@
         best = min(options, key=_slot_usage, default=None)
         return best[0] if best else None
 
+    def _reachable(self, queued: QueuedRequest) -> list[BackendRecord]:
+        """Return the reachable backend servers whose version may serve a request."""
+        return [
+            backend
+            for backend in self._registry.reachable(queued.service.name)
+            if queued.software_version in (None, backend.software_version)
+        ]
+
     def _ready_backends(self, queued: QueuedRequest) -> list[BackendRecord]:
-        backends = self._registry.reachable(queued.service.name)
+        backends = self._reachable(queued)
         size = queued.req.size
         if size is None or queued.service.engine is None:
             return backends
@@ -271,21 +319,30 @@
     def _model_ready(self, queued: QueuedRequest) -> bool:
         size = queued.req.size
         assert size is not None
-        backends = self._registry.reachable(queued.service.name)
-        return any(self._registry.holds_model(b, size.model) for b in backends)
+        return any(
+            self._registry.holds_model(backend, size.model)
+            for backend in self._reachable(queued)
+        )
 
     def _estimate_wait(
         self, queued: QueuedRequest, ahead: Counter[str], now: float
     ) -> WaitEstimate:
         size, engine = queued.req.size, queued.service.engine
-        if not self._registry.reachable(queued.service.name):
+        if not self._version_serves(queued):
+            return WaitEstimate(
+                float("inf"),
+                f"a backend server of version {queued.software_version!r}",
+            )
+        if not self._reachable(queued):
             return WaitEstimate(self.NO_BACKEND_SECONDS, "a backend server")
         if size is None or engine is None:
             return self._estimate_slot_wait(queued, queued.service.name, ahead)
         if not self._model_ready(queued):
             return self._estimate_model_wait(queued, size, engine, now)
         if not self._ready_backends(queued):
-            self.on_adapter_wanted(size, queued.service.name)
+            self.on_adapter_wanted(
+                size, queued.service.name, queued.software_version or ""
+            )
             return WaitEstimate(self.ADAPTER_SECONDS, "an adapter")
         return self._estimate_slot_wait(queued, size.artifact, ahead)
 
@@ -310,18 +367,26 @@
         spec = engine.models.get(size.model)
         if spec is None:
             return WaitEstimate(float("inf"), "a model that is not configured")
-        since = self._missing_since.setdefault(size.model, now)
+        version = queued.software_version or ""
+        since = self._missing_since.setdefault(_MissingModel(version, size.model), now)
         due = self.loads_due.get(size.model)
-        if due is not None:
+        if due is not None and not version:
             return WaitEstimate(max(0.1, due - now), "a model")
-        load_seconds = self._load_seconds(queued.service.name, spec)
+        load_seconds = self._load_seconds(queued, spec)
         return WaitEstimate(
             max(load_seconds, load_seconds + self.SWAP_SECONDS - (now - since)),
             "a model",
         )
 
-    def _load_seconds(self, service: str, spec: ModelSpec) -> float:
-        backends = self._registry.reachable(service)
+    def _version_serves(self, queued: QueuedRequest) -> bool:
+        """Return whether a backend server of the required version is registered."""
+        return queued.software_version is None or any(
+            backend.software_version == queued.software_version
+            for backend in self._registry.of_service(queued.service.name)
+        )
+
+    def _load_seconds(self, queued: QueuedRequest, spec: ModelSpec) -> float:
+        backends = self._reachable(queued)
         if any(spec.name in backend.in_memory for backend in backends):
             return spec.memory_load_seconds
         if any(spec.name in backend.on_disk for backend in backends):
--- a/packages/guavajunction/src/guavajunction/swapping/_leader.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_leader.py
@@ -13,7 +13,12 @@
 from guavajunction.peers import Links, PeerId
 
 from . import _events as events
-from ._messages import AdapterReady, AdapterWanted, LeaderStatus
+from ._messages import (
+    AdapterReady,
+    AdapterWanted,
+    LeaderStatus,
+    ResumeAdapterWanted,
+)
 from ._order_manager import OrderManager
 from ._protocols import OrderSender
 from ._term import Term, TermParts
@@ -96,7 +101,9 @@
         self._ordered_at: dict[str, float] = {}
         self._released_lease: _ReleasedLease | None = None
         self._not_before: dict[str, float] = {}
-        self._adapter_requests: dict[AdapterWanted, asyncio.Task[None]] = {}
+        self._adapter_requests: dict[
+            AdapterWanted | ResumeAdapterWanted, asyncio.Task[None]
+        ] = {}
         self.stopping = False
         """Whether this instance is shutting down and must not start a term."""
         self.hub: Callable[[], PeerId | None] = lambda: None
@@ -104,6 +111,7 @@
         self.loads_due: dict[str, float] = {}
         """When models that are being loaded are expected, on the monotonic clock."""
         links.handle(AdapterWanted, self._on_adapter_wanted)
+        links.handle(ResumeAdapterWanted, self._on_adapter_wanted)
 
     @property
     def is_leader(self) -> bool:
@@ -166,19 +174,33 @@
                 await self._lead_if_acquired()
             await self._clock.sleep(self.CHECK_SECONDS)
 
-    def request_adapter(self, size: GenerationSize, service: str) -> None:
-        """Request an adapter that queued requests need, unless a request is pending."""
+    def request_adapter(
+        self, size: GenerationSize, service: str, software_version: str
+    ) -> None:
+        """Request an adapter that queued requests need, unless a request is pending.
+
+        Args:
+            size: Names the model and the adapter.
+            service: Service whose backend servers may load it.
+            software_version: Version of these backend servers; empty for any.
+        """
         refused_by = self._parts.registry.refused_by(size.artifact)
-        wanted = AdapterWanted(service, size.model, size.adapter, refused_by)
+        wanted: AdapterWanted | ResumeAdapterWanted = AdapterWanted(
+            service, size.model, size.adapter, refused_by
+        )
+        if software_version:
+            wanted = ResumeAdapterWanted(wanted, software_version)
         if wanted not in self._adapter_requests:
             task = asyncio.create_task(self._request_adapter(wanted))
             self._adapter_requests[wanted] = task
             task.add_done_callback(lambda _: self._adapter_requests.pop(wanted, None))
 
-    async def _request_adapter(self, wanted: AdapterWanted) -> None:
+    async def _request_adapter(
+        self, wanted: AdapterWanted | ResumeAdapterWanted
+    ) -> None:
         answer = AdapterReady("")
         if self._term is not None:
-            answer = await self._term.adapter(wanted)
+            answer = await self._load_adapter(self._term, wanted)
         else:
             answer = await self._request_from_peer(self.hub() or self._leader, wanted)
         if not answer.backend:
@@ -186,7 +208,7 @@
         self._parts.schedule_dispatch()
 
     async def _request_from_peer(
-        self, peer: PeerId | None, wanted: AdapterWanted
+        self, peer: PeerId | None, wanted: AdapterWanted | ResumeAdapterWanted
     ) -> AdapterReady:
         if peer is None:
             return AdapterReady("")
@@ -195,21 +217,27 @@
                 peer, wanted, AdapterReady, timeout=self.ADAPTER_TIMEOUT_SECONDS
             )
         except PeerError as exc:
+            plain = _plain(wanted)
             events.ADAPTER_REFUSED.log(
-                model=wanted.model, adapter=wanted.adapter, reason=exc.message
+                model=plain.model, adapter=plain.adapter, reason=exc.message
             )
             return AdapterReady("")
 
     async def _on_adapter_wanted(
-        self, _: PeerId, wanted: AdapterWanted
+        self, _: PeerId, wanted: AdapterWanted | ResumeAdapterWanted
     ) -> AdapterReady:
         if self._term is not None:
-            return await self._term.adapter(wanted._replace(forwarded=False))
-        if wanted.forwarded or self.hub() is not None:
+            return await self._load_adapter(self._term, _forwarded(wanted, False))
+        if _plain(wanted).forwarded or self.hub() is not None:
             return AdapterReady("")
-        return await self._request_from_peer(
-            self._leader, wanted._replace(forwarded=True)
-        )
+        return await self._request_from_peer(self._leader, _forwarded(wanted, True))
+
+    async def _load_adapter(
+        self, term: Term, wanted: AdapterWanted | ResumeAdapterWanted
+    ) -> AdapterReady:
+        if isinstance(wanted, ResumeAdapterWanted):
+            return await term.adapter(wanted.wanted, wanted.software_version)
+        return await term.adapter(wanted)
 
     def _may_acquire(self) -> bool:
         now = self._clock.monotonic()
@@ -300,3 +328,16 @@
     """Return the first failure in nested exception groups."""
     exc = group.exceptions[0]
     return _first_failure(exc) if isinstance(exc, ExceptionGroup) else exc
+
+
+def _plain(wanted: AdapterWanted | ResumeAdapterWanted) -> AdapterWanted:
+    return wanted.wanted if isinstance(wanted, ResumeAdapterWanted) else wanted
+
+
+def _forwarded(
+    wanted: AdapterWanted | ResumeAdapterWanted, forwarded: bool
+) -> AdapterWanted | ResumeAdapterWanted:
+    plain = _plain(wanted)._replace(forwarded=forwarded)
+    if isinstance(wanted, ResumeAdapterWanted):
+        return wanted._replace(wanted=plain)
+    return plain
--- a/packages/guavajunction/src/guavajunction/swapping/_messages.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_messages.py
@@ -17,8 +17,16 @@
     """Whether a hub has forwarded this message; it is forwarded only once."""
 
 
+class ResumeAdapterWanted(NamedTuple):
+    """Requests an adapter for resumed streams, which only one version may continue."""
+
+    wanted: AdapterWanted
+    software_version: str
+    """Version of the backend servers that may load the adapter."""
+
+
 class AdapterReady(NamedTuple):
-    """Answers `AdapterWanted` once the adapter is loaded or cannot be loaded."""
+    """Answers a request for an adapter once it is loaded or cannot be loaded."""
 
     backend: str
     """Backend server that holds the adapter; empty if none can load it now."""
--- a/packages/guavajunction/src/guavajunction/swapping/_planner.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_planner.py
@@ -89,6 +89,8 @@
     free_in: float
     """Seconds until the backend server accepts an order for a model; 0 if it already
     does."""
+    software_version: str = ""
+    """Version of the backend server's software."""
 
 
 class Move(NamedTuple):
@@ -123,6 +125,9 @@
     """Models that have been requested so far."""
     now: float
     """Monotonic time in seconds."""
+    resumes: Mapping[str, Mapping[str, int]] = {}
+    """Resumed streams that wait for a load, by software version and model. Only backend
+    servers of that version may continue them."""
 
 
 def plan(
@@ -137,11 +142,11 @@
             models.
     """
     planner = _Planner(planner_input)
-    for model in planner.by_urgency():
-        move = planner.best_move(model, planner.gain(model))
+    for need in planner.by_urgency():
+        move = planner.best_move(need.model, need.gain, need.software_version)
         if move is None:
             continue
-        rare = planner_input.demand[model].rate < RARE_RATE
+        rare = planner_input.demand.get(need.model, NO_DEMAND).rate < RARE_RATE
         limit = max_rare_store_loads(len(planner_input.holdings))
         rare_limit_reached = rare and rare_store_loads >= limit
         if not move.from_store or (store_loads and not rare_limit_reached):
@@ -174,6 +179,15 @@
     return max(1, math.ceil(demand.rate / REQUESTS_PER_REPLICA))
 
 
+class _Need(NamedTuple):
+    """A model that needs another replica."""
+
+    model: str
+    gain: float
+    software_version: str | None
+    """Version of the backend servers that may hold the replica; None for any."""
+
+
 class _Planner:
     """Computes the costs and gains of moves for one input."""
 
@@ -184,16 +198,29 @@
         for holding in planner_input.holdings:
             self._replicas.update(holding.resident.keys())
 
-    def by_urgency(self) -> list[str]:
+    def by_urgency(self) -> list[_Need]:
         """Return the models that need another replica, by descending gain."""
         demand = self._input.demand
-        wanted = [
-            model
+        needs = [
+            _Need(model, self.gain(model), None)
             for model in demand
             if model in self._spec.models
             and self._replicas[model] < replicas_needed(demand[model])
         ]
-        return sorted(wanted, key=lambda model: -self.gain(model))
+        needs += [
+            _Need(model, float(waiting), version)
+            for version, models in self._input.resumes.items()
+            for model, waiting in models.items()
+            if model in self._spec.models and not self._holders(model, version)
+        ]
+        return sorted(needs, key=lambda need: -need.gain)
+
+    def _holders(self, model: str, version: str) -> list[Holding]:
+        return [
+            holding
+            for holding in self._input.holdings
+            if holding.software_version == version and model in holding.resident
+        ]
 
     def gain(self, model: str) -> float:
         """Return the gain of one more replica of a model."""
@@ -203,12 +230,15 @@
         # A new replica takes its share of the requests from the others.
         return model_demand.rate / (replicas * (replicas + 1)) * SURPLUS_REPLICA_WEIGHT
 
-    def best_move(self, model: str, gain: float) -> Move | None:
+    def best_move(
+        self, model: str, gain: float, software_version: str | None = None
+    ) -> Move | None:
         """Return a model's cheapest move if it can start and is worth its cost."""
         options = [
             option
             for holding in self._input.holdings
-            if model not in holding.resident
+            if software_version in (None, holding.software_version)
+            and model not in holding.resident
             and (option := self._option(holding, model)) is not None
         ]
         best = min(options, key=lambda option: option.total_cost, default=None)
@@ -268,8 +298,14 @@
             for name, since in holding.resident.items()
             if self._input.now - since >= MIN_RESIDENT_SECONDS
             and not self._input.demand.get(name, NO_DEMAND).waiting
+            and not self._resumes_need(holding, name)
         )
 
+    def _resumes_need(self, holding: Holding, model: str) -> bool:
+        """Return whether resumed streams wait for a model on this backend server."""
+        waiting = self._input.resumes.get(holding.software_version, {}).get(model)
+        return bool(waiting)
+
     def _eviction_cost(self, model: str) -> float:
         model_demand, replicas = (
             self._input.demand.get(model),
--- a/packages/guavajunction/src/guavajunction/swapping/_term.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_term.py
@@ -38,6 +38,9 @@
     catalogue: Callable[[], Catalogue | None]
     demand: Callable[[], dict[str, Demand]]
     """Returns the fleet-wide demand for each model and adapter."""
+    resumes: Callable[[], dict[str, dict[str, int]]]
+    """Returns the resumed streams that wait for a load, by software version and
+    model."""
     broadcast: Callable[[Any], None]
     """Sends a notice to every other instance."""
     schedule_dispatch: Callable[[], None]
@@ -81,7 +84,7 @@
         self._due: dict[str, float] = {}
         self._requested_before: set[str] = set()
         self._resident_since: dict[tuple[str, str], float] = {}
-        self._adapters: dict[AdapterWanted, asyncio.Future[str]] = {}
+        self._adapters: dict[tuple[AdapterWanted, str], asyncio.Future[str]] = {}
 
     def loads_due(self) -> dict[str, float]:
         """Return the seconds until each model that is being loaded is expected."""
@@ -103,21 +106,30 @@
                     self._plan(service, spec, tasks)
                 await self._parts.clock.sleep(self.TICK_SECONDS)
 
-    async def adapter(self, wanted: AdapterWanted) -> AdapterReady:
-        """Load an adapter where it fits best; concurrent calls share one load."""
-        fut = self._adapters.get(wanted)
+    async def adapter(
+        self, wanted: AdapterWanted, software_version: str = ""
+    ) -> AdapterReady:
+        """Load an adapter where it fits best; concurrent calls share one load.
+
+        Args:
+            wanted: The adapter.
+            software_version: Version of the backend servers to choose from; empty for
+                any.
+        """
+        key = wanted, software_version
+        fut = self._adapters.get(key)
         if fut is not None:
             return AdapterReady(await asyncio.shield(fut))
-        fut = self._adapters[wanted] = asyncio.get_running_loop().create_future()
+        fut = self._adapters[key] = asyncio.get_running_loop().create_future()
         backend = ""
         try:
-            backend = await self._load_adapter(wanted)
+            backend = await self._load_adapter(wanted, software_version)
         except GuavaError as exc:
             events.ADAPTER_REFUSED.log(
                 model=wanted.model, adapter=wanted.adapter, reason=exc.message
             )
         finally:
-            del self._adapters[wanted]
+            del self._adapters[key]
             fut.set_result(backend)
         return AdapterReady(backend)
 
@@ -151,6 +163,7 @@
     def _plan(self, service: str, spec: EngineSpec, tasks: asyncio.TaskGroup) -> None:
         now = self._parts.clock.monotonic()
         demand = self._parts.demand()
+        resumes = self._parts.resumes()
         self._requested_before.update(demand)
         while True:
             holdings = self._holdings(service)
@@ -158,7 +171,9 @@
                 spec.loads_per_second, now
             )
             move = _planner.plan(
-                PlannerInput(spec, holdings, demand, self._requested_before, now),
+                PlannerInput(
+                    spec, holdings, demand, self._requested_before, now, resumes
+                ),
                 store_loads=store_loads_left,
                 rare_store_loads=self._rare_store_loads(demand),
             )
@@ -209,6 +224,7 @@
             on_disk=record.on_disk,
             running=self._parts.loads.of(record.name).by_model(),
             free_in=free_in,
+            software_version=record.software_version,
         )
 
     def _start_move(
@@ -302,12 +318,13 @@
                 await self._manager.refresh(ledger)
                 refresh_at = self._parts.clock.monotonic() + self.REFRESH_SECONDS
 
-    async def _load_adapter(self, wanted: AdapterWanted) -> str:
+    async def _load_adapter(self, wanted: AdapterWanted, software_version: str) -> str:
         self._sync()
         ledgers = [
             ledger
             for ledger in self._manager.ledgers()
             if ledger.record.service == wanted.service
+            and software_version in ("", ledger.record.software_version)
             and self._parts.registry.holds_model(ledger.record, wanted.model)
         ]
         for ledger in ledgers:
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -34,6 +34,7 @@
     Route,
     RouteTable,
     Service,
+    StreamOrigins,
     WeightedService,
 )
 from guavajunction.health import PassiveHealth
@@ -140,7 +141,7 @@
         caller_seconds=seconds,
         arrived_at=at,
         size=generation_size,
-    )
+    )._replace(**changes)
 
 
 class Sent(NamedTuple):
@@ -248,6 +249,7 @@
         self.health = PassiveHealth(self.clock)
         self.queue = RequestQueue(self.registry, self.loads, self.health, self.clock)
         self.caller = FakeCaller()
+        self.streams = StreamOrigins(self.clock)
         self.rate_limits = RateLimits(RateLimitBounds(8.0, 0.1, 1000.0), self.clock)
         self.gateway = Gateway(
             GatewayParts(
@@ -255,6 +257,7 @@
                 queue=self.queue,
                 health=self.health,
                 rate_limits=self.rate_limits,
+                streams=self.streams,
                 retries=RetryBudget(RetryBounds(0.2, 10.0, 50.0)),
                 demand=ModelDemand(),
                 caller=self.caller,
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -244,7 +244,7 @@
     async def test_missing_adapter_is_requested(self):
         fleet = FakeGateway(backend("e1", models=["m1"]))
         requested = []
-        fleet.queue.on_adapter_wanted = lambda size, service: requested.append(
+        fleet.queue.on_adapter_wanted = lambda size, service, _: requested.append(
             (size.artifact, service)
         )
         task = asyncio.create_task(fleet.serve("/draft/x", size=size("m1", "a1")))
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -110,7 +110,6 @@
         )
         assert refusal.retry_after == 3.5
 
-
     def test_refusal_of_a_hopeless_request_has_no_retry_delay(self):
         never = admission.WaitEstimate(float("inf"), "a model that is not configured")
         refusal = admission.check_deadline(
--- /dev/null
+++ b/tests/gateway/test_resumed_streams.py
@@ -0,0 +1,152 @@
+"""Tests of requests that resume a stream."""
+
+from __future__ import annotations
+
+import pytest
+
+from fakes_clock import ManualClock
+from fakes_gateway import (
+    ENGINES,
+    FakeAnswer,
+    FakeGateway,
+    backend,
+    catalogue,
+    route,
+    size,
+)
+from guavajunction.errors import NoReplica, StreamNotResumable
+from guavajunction.gateway import (
+    Framing,
+    RequestKind,
+    StreamBegan,
+    StreamOrigin,
+    StreamOrigins,
+    WeightedService,
+)
+
+ORIGIN = StreamOrigin(ENGINES, "v1")
+RESUME = {"resume_after": "3", "resumed_stream": "s1"}
+
+
+def stream_routes(**changes):
+    changes = {"resumable": True, "max_attempts": 2} | changes
+    return catalogue(routes=(route("draft", RequestKind.STREAM, ENGINES, **changes),))
+
+
+def fleet_of(*versions, document=None):
+    """Return a gateway with an engine of each version; the last is the least loaded."""
+    backends = [
+        backend(f"e{n}", models=("m1",), software_version=version)
+        for n, version in enumerate(versions)
+    ]
+    fleet = FakeGateway(*backends, document=document or stream_routes())
+    for n, record in enumerate(backends):
+        for _ in range(len(backends) - n):
+            fleet.loads.begin(record.name, size())
+    return fleet
+
+
+class TestVersions:
+    """A stream goes on only at a backend server of the version that began it."""
+
+    async def test_resumed_stream_goes_to_the_version_that_began_it(self):
+        fleet = fleet_of("v1", "v2", "v2")
+        fleet.streams.note(StreamBegan("s1", ORIGIN))
+        await fleet.serve("/draft/1", **RESUME)
+        assert [sent.backend for sent in fleet.caller.sent] == ["e0"]
+
+    async def test_new_stream_may_go_to_any_version(self):
+        fleet = fleet_of("v1", "v2")
+        await fleet.serve("/draft/1")
+        assert [sent.backend for sent in fleet.caller.sent] == ["e1"]
+
+    async def test_origin_is_recorded_before_the_answer_is_relayed(self):
+        fleet = fleet_of("v1", "v2")
+        fleet.caller.script = [FakeAnswer(cut=True, framing=Framing.CHUNKS)]
+        with pytest.raises(Exception, match="cut"):
+            await fleet.serve("/draft/1", request_id="s1")
+        assert fleet.streams.get("s1") == StreamOrigin(ENGINES, "v2")
+
+    async def test_retry_of_a_resumed_stream_stays_with_its_version(self):
+        fleet = fleet_of("v1", "v2", "v1")
+        fleet.streams.note(StreamBegan("s1", ORIGIN))
+        fleet.caller.script = [FakeAnswer(status=503, not_run=True)]
+        await fleet.serve("/draft/1", **RESUME)
+        assert [sent.backend for sent in fleet.caller.sent] == ["e2", "e0"]
+
+    async def test_split_route_resumes_at_the_service_that_began_the_stream(self):
+        split = (WeightedService("other", 99.0), WeightedService(ENGINES, 1.0))
+        document = stream_routes(services=split)
+        services = document.services | {
+            "other": document.services[ENGINES]._replace(name="other")
+        }
+        fleet = fleet_of("v1", document=document._replace(services=services))
+        fleet.streams.note(StreamBegan("s1", ORIGIN))
+        for _ in range(5):
+            await fleet.serve("/draft/1", **RESUME)
+        assert {sent.backend for sent in fleet.caller.sent} == {"e0"}
+
+
+class TestRefusals:
+    """A stream that cannot go on is refused at once, without being run."""
+
+    async def test_stream_that_no_instance_knows_is_refused(self):
+        fleet = fleet_of("v1")
+        with pytest.raises(StreamNotResumable) as caught:
+            await fleet.serve("/draft/1", **RESUME)
+        assert (caught.value.STATUS, caught.value.not_run) == (503, "true")
+        assert not fleet.caller.sent
+
+    async def test_request_that_names_no_stream_is_refused(self):
+        fleet = fleet_of("v1")
+        with pytest.raises(StreamNotResumable):
+            await fleet.serve("/draft/1", resume_after="3")
+        assert not fleet.caller.sent
+
+    async def test_stream_whose_version_is_gone_is_refused_without_a_delay(self):
+        fleet = fleet_of("v2")
+        fleet.streams.note(StreamBegan("s1", ORIGIN))
+        with pytest.raises(StreamNotResumable) as caught:
+            await fleet.serve("/draft/1", **RESUME)
+        assert caught.value.retry_after is None
+
+    async def test_stream_whose_version_is_unreachable_may_be_retried(self):
+        fleet = fleet_of("v1", "v2")
+        fleet.streams.note(StreamBegan("s1", ORIGIN))
+        fleet.registry.note_unreachable(fleet.registry.get("e0"))
+        with pytest.raises(NoReplica) as caught:
+            await fleet.serve("/draft/1", seconds=1.0, **RESUME)
+        assert caught.value.retry_after
+
+    async def test_stream_whose_service_left_the_route_is_refused(self):
+        fleet = fleet_of("v1")
+        fleet.streams.note(StreamBegan("s1", StreamOrigin("previous", "v1")))
+        with pytest.raises(StreamNotResumable):
+            await fleet.serve("/draft/1", **RESUME)
+
+
+class TestOrigins:
+    """Origins are kept for as long as a stream can be resumed, and within bounds."""
+
+    def test_first_report_stands(self):
+        origins = StreamOrigins(ManualClock())
+        origins.note(StreamBegan("s1", ORIGIN))
+        origins.note(StreamBegan("s1", StreamOrigin(ENGINES, "v2")))
+        assert origins.get("s1") == ORIGIN
+
+    def test_old_origins_are_removed(self):
+        clock = ManualClock()
+        origins = StreamOrigins(clock)
+        origins.note(StreamBegan("s1", ORIGIN))
+        clock.advance(StreamOrigins.KEEP_SECONDS + 1)
+        origins.note(StreamBegan("s2", ORIGIN))
+        assert origins.get("s1") is None
+        assert len(origins) == 1
+
+    def test_number_of_origins_is_limited(self, monkeypatch):
+        monkeypatch.setattr(StreamOrigins, "MAX_STREAMS", 10)
+        origins = StreamOrigins(ManualClock())
+        for n in range(30):
+            origins.note(StreamBegan(f"s{n}", ORIGIN))
+        assert len(origins) == 10
+        assert origins.get("s29") == ORIGIN
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -137,6 +137,7 @@
             slots=4,
             draining=False,
             started_ms=17,
+            version="v1.1",
             heartbeat=12,
             models=[wire.model_entry("m1", ["a1"])],
             cached_models=["m1", "m2"],
--- a/tests/swapping/test_leader.py
+++ b/tests/swapping/test_leader.py
@@ -45,6 +45,7 @@
             loads=LoadView(),
             catalogue=catalogue,
             demand=dict,
+            resumes=dict,
             broadcast=lambda _: None,
             schedule_dispatch=lambda: None,
             load_rate_limiter=LoadRateLimiter(5.0),
--- a/tests/swapping/test_planning.py
+++ b/tests/swapping/test_planning.py
@@ -26,7 +26,7 @@
 NOW = 100.0
 
 
-def holding(name, *models, running=None, free_in=0.0, local_weights=()):
+def holding(name, *models, running=None, free_in=0.0, local_weights=(), version="v1"):
     return Holding(
         name=name,
         resident=dict.fromkeys(models, 0.0),
@@ -35,17 +35,46 @@
         on_disk=frozenset(models) | frozenset(local_weights),
         running=running or {},
         free_in=free_in,
+        software_version=version,
     )
 
 
-def planned(holdings, demand, *, store_loads=10, rare=0, requested_before=()):
+def planned(
+    holdings, demand, *, store_loads=10, rare=0, requested_before=(), resumes=None
+):
     return plan(
-        PlannerInput(SPEC, holdings, demand, set(requested_before), NOW),
+        PlannerInput(SPEC, holdings, demand, set(requested_before), NOW, resumes or {}),
         store_loads=store_loads,
         rare_store_loads=rare,
     )
 
 
+class TestResumedStreams:
+    """A resumed stream gets its model on a backend server of its own version."""
+
+    def test_model_is_loaded_on_the_version_that_streams_wait_for(self):
+        holdings = [holding("e1"), holding("e2", version="v2"), holding("e3")]
+        move = planned(holdings, {}, resumes={"v2": {"m5": 1}})
+        assert (move.backend, move.model) == ("e2", "m5")
+
+    def test_replica_of_another_version_does_not_serve_them(self):
+        holdings = [holding("e1", "m5"), holding("e2", version="v2")]
+        move = planned(holdings, {}, resumes={"v2": {"m5": 1}})
+        assert (move.backend, move.model) == ("e2", "m5")
+
+    def test_no_move_is_planned_if_their_version_has_the_model(self):
+        holdings = [holding("e1"), holding("e2", "m5", version="v2")]
+        resumes = {"v2": {"m5": 1}}
+        assert planned(holdings, {}, store_loads=1, resumes=resumes) is None
+
+    def test_model_that_they_wait_for_is_not_evicted(self):
+        holdings = [holding("e1", "m1", "m2", version="v2")]
+        demand = {"m3": Demand(5.0, 9)}
+        resumes = {"v2": {"m1": 1, "m2": 1}}
+        assert planned(holdings, demand).model == "m3"
+        assert planned(holdings, demand, resumes=resumes) is None
+
+
 class TestRareModels:
     """A requested model without a replica is loaded."""
 
