--- a/tests/entry/test_fleet_links.py
+++ b/tests/entry/test_fleet_links.py
@@ -36,6 +36,7 @@
             loads=fake_gateway.loads,
             demand=ModelDemand(),
             rate_limits=fake_gateway.rate_limits,
+            streams=fake_gateway.streams,
             roster=self.roster,
             feed=RelayedFeed(None, fake_gateway.clock),
             clock=fake_gateway.clock,
