An event of a stream is limited to 1 MiB

What callers could see: a faulty backend server may send bytes without end. Change: the gateway counts the bytes since the last complete event and cuts the stream at 1 MiB, as the product's own stack does. Time stays limited by the deadline. Before, the new test did not end: nothing limited the event.

--- a/packages/guavajunction/src/guavajunction/gateway/_event_boundary.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_event_boundary.py
@@ -18,26 +18,31 @@
 
     >>> boundary = EventBoundary()
     >>> boundary.feed(b"id: 1\ndata: a\n\nid: 2\n")
-    >>> boundary.is_inside_event
-    True
+    >>> boundary.is_inside_event, boundary.open_bytes
+    (True, 6)
     >>> boundary.feed(b"data: b\n\n")
-    >>> boundary.is_inside_event
-    False
+    >>> boundary.is_inside_event, boundary.open_bytes
+    (False, 0)
     """
 
     def __init__(self) -> None:
         self._last_bytes = b""
+        self.open_bytes = 0
+        """Number of bytes since the end of the last complete event."""
 
     def feed(self, chunk: bytes) -> None:
         """Add a chunk of the stream."""
-        self._last_bytes = (self._last_bytes + chunk[-LONGEST_END_BYTES:])[
-            -LONGEST_END_BYTES:
-        ]
+        # An end may begin in the previous chunk.
+        text = self._last_bytes + chunk
+        end = max(text.rfind(mark) + len(mark) for mark in EVENT_ENDS)
+        has_end = any(mark in text for mark in EVENT_ENDS)
+        self.open_bytes = len(text) - end if has_end else self.open_bytes + len(chunk)
+        self._last_bytes = text[-LONGEST_END_BYTES:]
 
     @property
     def is_inside_event(self) -> bool:
         """Return whether the stream ends in the middle of an event."""
-        return bool(self._last_bytes) and not self._last_bytes.endswith(EVENT_ENDS)
+        return self.open_bytes > 0
 
 
 def is_event_stream(headers: tuple[tuple[str, str], ...]) -> bool:
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -81,6 +81,8 @@
     MIN_FAILURE_SECONDS = 0.7
     """A missing answer counts as a failure of the backend server only if the request
     had at least this much time."""
+    MAX_EVENT_BYTES = 1_048_576
+    """Limit on the size of one event of a stream."""
     MAX_UNREACHABLE_BACKENDS = 3
     """A request fails once it has met more unreachable backend servers than this."""
     MAX_ENGINE_PRIORITY = 9
@@ -353,6 +355,7 @@
                 size += len(chunk)
                 if boundary is not None:
                     boundary.feed(chunk)
+                    self._check_event_size(boundary, backend)
                 await sink.write(chunk)
             if boundary is not None and boundary.is_inside_event:
                 raise AnswerCut(
@@ -377,6 +380,15 @@
             after_ms=age,
         )
 
+    def _check_event_size(
+        self, boundary: EventBoundary, backend: BackendRecord
+    ) -> None:
+        if boundary.open_bytes > self.MAX_EVENT_BYTES:
+            raise AnswerCut(
+                f"the stream of backend server {backend.name!r} has an event of over "
+                f"{self.MAX_EVENT_BYTES} bytes"
+            )
+
     def _may_retry(
         self, admitted: _AdmittedRequest, sent: list[str], exc: RequestError
     ) -> bool:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -28,7 +29,7 @@
     Overloaded,
     UnknownRoute,
 )
-from guavajunction.gateway import Framing, RequestKind, RouteTable
+from guavajunction.gateway import Framing, Gateway, RequestKind, RouteTable
 
 ENGINES = (backend("e1", models=("m1",)),)
 PLAIN = (backend("b1", BOOKINGS), backend("b2", BOOKINGS))
@@ -196,6 +197,16 @@
         sink = await fleet.serve("/draft/1")
         assert (sink.finished, sink.body) == (True, b"".join(chunks))
 
+    async def test_endless_event_is_cut_off(self):
+        fleet = FakeGateway(*ENGINES)
+        chunks = itertools.chain((b"data: ",), itertools.repeat(b"x" * 4096))
+        fleet.caller.script = [event_stream(chunks, Framing.CONNECTION)]
+        sink = FakeSink()
+        with pytest.raises(AnswerCut):
+            await fleet.gateway.serve(request("/draft/1"), sink)
+        assert sink.aborted
+        assert len(sink.body) <= Gateway.MAX_EVENT_BYTES
+
     async def test_body_that_is_no_stream_may_end_anywhere(self):
         fleet = FakeGateway(*PLAIN)
         fleet.caller.script = [FakeAnswer(chunks=(b"half",))]
