Bodies that a client keeps whole are limited to 16 MiB

What operators could see: an instance killed for its memory, because a store, a backend server's report or a plain service sent a body without end; each client of both stacks collected it until its timeout, up to 7.5 s of a link of 1,000 Mbit/s. Change: read_body stops at 16 MiB and closes the connection; each client reports it as its usual failure. Messages between instances are limited already, compressed ones too.

--- a/packages/guavajunction/src/guavajunction/backends/_client.py
+++ b/packages/guavajunction/src/guavajunction/backends/_client.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from guavajunction.connections import read_body
 from guavajunction.errors import OrderRefused
 
 from ._errors import (
@@ -108,7 +109,7 @@
             async with self._session.post(
                 url, json=order._asdict(), timeout=timeout
             ) as resp:
-                body = await resp.read()
+                body = await read_body(resp)
                 status = resp.status
         except aiohttp.ClientConnectorError as exc:
             raise OrderNotSent(f"{address}: {exc!r}") from exc
@@ -121,7 +122,7 @@
         try:
             async with self._session.get(url, timeout=timeout) as resp:
                 resp.raise_for_status()
-                return await resp.read()
+                return await read_body(resp)
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise BackendUnreachable(f"{url}: {exc!r}") from exc
 
--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+from ._read_body import BodyTooLarge, read_body
 from ._strict_connection import StrictConnection
 from ._strict_connector import StrictConnector
 from ._unframed_response import UnframedResponse
 
-__all__ = ["StrictConnection", "StrictConnector", "UnframedResponse"]
+__all__ = [
+    "BodyTooLarge",
+    "StrictConnection",
+    "StrictConnector",
+    "UnframedResponse",
+    "read_body",
+]
--- a/packages/guavajunction/src/guavajunction/routing/_engine_call.py
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from guavajunction.connections import read_body
 from guavajunction.errors import BackendFailed, GuavaError
 
 from . import _events as events
@@ -135,7 +136,7 @@
     async def _check_status(self, resp: aiohttp.ClientResponse) -> None:
         if resp.status == 200:
             return
-        await resp.read()
+        await read_body(resp)
         if resp.status in NOT_RUN_STATUSES:
             raise EngineRefused(f"the engine answered {resp.status}")
         raise BackendFailed(
@@ -153,7 +154,7 @@
     async def _relay_whole(
         self, resp: aiohttp.ClientResponse, backend: str
     ) -> AnswerSummary:
-        body = await resp.read()
+        body = await read_body(resp)
         if self._request_id not in body:
             self._record_foreign_event(backend)
             raise StreamCut(f"{backend} answered another request")
--- a/packages/guavajunction/src/guavajunction/routing/_service_router.py
+++ b/packages/guavajunction/src/guavajunction/routing/_service_router.py
@@ -10,6 +10,7 @@
 
 from guavajunction.clock import Clock
 from guavajunction.configuration import BackendServer, Configuration, Route
+from guavajunction.connections import read_body
 from guavajunction.errors import BackendFailed, NoReplica, OutcomeUnknown
 
 from . import _events as events
@@ -175,7 +176,7 @@
             allow_redirects=False,
             skip_auto_headers=self.SKIPPED_AUTO_HEADERS,
         ) as resp:
-            body = await resp.read()
+            body = await read_body(resp)
             echoed = resp.headers.get(REQUEST_ID_HEADER)
             if echoed not in (None, req.request_id):
                 self._decisions.note(
--- a/packages/guavajunction/src/guavajunction/storage/_instances.py
+++ b/packages/guavajunction/src/guavajunction/storage/_instances.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from guavajunction.connections import read_body
 from guavajunction.errors import StoreUnavailable
 
 from ._protocols import InstanceRecord
@@ -49,7 +50,7 @@
         """
         try:
             async with self._session.get(self._url, timeout=self._timeout) as resp:
-                status, body = resp.status, await resp.read()
+                status, body = resp.status, await read_body(resp)
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise StoreUnavailable(f"instance list: {type(exc).__name__}") from exc
         if status != 200:
--- a/packages/guavajunction/src/guavajunction/storage/_objects.py
+++ b/packages/guavajunction/src/guavajunction/storage/_objects.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from guavajunction.connections import read_body
 from guavajunction.errors import ObjectNotFound, StoreAnswerLost, StoreUnavailable
 
 
@@ -87,4 +88,4 @@
             timeout=self._read_timeout if method == "GET" else self._write_timeout,
             allow_redirects=False,
         ) as resp:
-            return resp.status, await resp.read()
+            return resp.status, await read_body(resp)
--- a/packages/guavajunction/src/guavajunction/storage/_table.py
+++ b/packages/guavajunction/src/guavajunction/storage/_table.py
@@ -9,6 +9,7 @@
 import aiohttp
 import msgspec
 
+from guavajunction.connections import read_body
 from guavajunction.errors import ConditionFailed, StoreAnswerLost, StoreUnavailable
 
 from ._protocols import Row
@@ -218,7 +219,7 @@
             timeout=self._timeout,
             allow_redirects=False,
         ) as resp:
-            return resp.status, await resp.read()
+            return resp.status, await read_body(resp)
 
 
 def _key(partition: str, sort: str) -> dict[str, Any]:
