Framing without end, and bytes after the end of a response, close the connection

What callers could see: a backend server that sends a chunk size or a chunk extension without end held a request, its connection and the link until the request's deadline. Bytes after a complete response were collected for as long as the connection was kept for the next request, 4 s, without a limit on their number.

Time stays limited by the deadline of the request or the timeout of the call.

Interim heads, header lines and trailers passed before as well: aiohttp ends them by its own limits on heads; their tests stay.

--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -1,23 +1,78 @@
-"""A client connection that reports a reset as an incomplete body."""
+"""A client connection that fails bodies which are incomplete or never end."""
 
 from __future__ import annotations
 
+from typing import Any
+
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 
+SWITCHING_PROTOCOLS = 101
+
 
 class StrictConnection(ResponseHandler):
     """Protocol of one HTTP client connection.
 
     A body with neither a length nor chunks ends when the sender closes the connection
     in order. aiohttp also ends it if the connection is lost in any other way.
+
+    A faulty server may send interim heads, chunk sizes or chunk extensions without end.
+    aiohttp reads them until the request times out. Here their size is limited in
+    relation to the body. Bytes after the end of a response close the connection.
     """
 
+    MAX_FRAMING_BYTES = 262_144
+    """Bytes of heads and chunk framing that a response may have in any case."""
+    MAX_FRAMING_RATIO = 16
+    """Further bytes of framing that are accepted for each byte of the body. Chunks of
+    one byte need 6."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._received_bytes = 0
+        self._body: Any = None
+
+    def set_response_params(self, **kwargs: Any) -> None:
+        """Prepare for the response to the next request."""
+        self._received_bytes = 0
+        self._body = None
+        super().set_response_params(**kwargs)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Take a head and its body from the parser."""
+        message, body = data
+        is_interim = message.code < 200 and message.code != SWITCHING_PROTOCOLS
+        if not is_interim and self._body is None:
+            self._body = body
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes from the transport; fail if they belong to no response."""
+        if self._body is not None and self._body.is_eof():
+            self._fail("the server sent bytes after the end of its response")
+            return
+        super().data_received(data)
+        self._received_bytes += len(data)
+        body_bytes = self._body.total_bytes if self._body is not None else 0
+        limit = self.MAX_FRAMING_BYTES + self.MAX_FRAMING_RATIO * body_bytes
+        if self._received_bytes - body_bytes > limit:
+            self._fail(f"the response has over {limit} bytes of framing")
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body that the loss of the connection left incomplete."""
-        body = self._payload
-        if exc is not None and body is not None and not body.is_eof():
-            error = ClientPayloadError(f"the connection was lost: {exc}")
-            set_exception(body, error, exc)
+        if exc is not None:
+            self._fail_body(ClientPayloadError(f"the connection was lost: {exc}"))
         super().connection_lost(exc)
+
+    def _fail(self, reason: str) -> None:
+        error = ClientPayloadError(reason)
+        self._fail_body(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _fail_body(self, error: ClientPayloadError) -> None:
+        body = self._payload
+        if body is not None and not body.is_eof():
+            set_exception(body, error)
