Soak: callers resume broken streams, engines of two versions

The engines have two software versions. Callers resume a broken stream of a resumable route at any instance, naming the attempt that began it. New check: no stream has events of two versions; a test shows that it reports one.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -59,6 +59,8 @@
     deadline_ms: int
     at: float = 0.0
     """Start time in seconds of the monotonic clock."""
+    version: str = "v1"
+    """Version of the runner's software."""
 
 
 class FakeRunner(FakeServer):
@@ -232,6 +234,7 @@
                 body=await req.read(),
                 deadline_ms=int(req.headers[HEADERS.deadline]),
                 at=time.monotonic(),
+                version=self.spec.version,
             )
         )
         self._running += 1
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_callers.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_callers.py
@@ -10,12 +10,14 @@
 import aiohttp
 from yarl import URL
 
+from guavajunction.connections import StrictConnector
 from guavajunction_fakes.deployment import HEADERS, HOST, LocalDeployment
 
 from ._history import Call
 
 PLAIN_ROUTES = ("book", "look")
 MODEL_ROUTES = ("draft", "long")
+RESUMABLE_ROUTES = ("long",)
 
 
 class Callers:
@@ -25,6 +27,8 @@
     """Mean pause of a caller between two requests."""
     REQUEST_TIMEOUT_SECONDS = 4.0
     """Timeout of a request, also sent as its deadline."""
+    MAX_RESUMES = 3
+    """Maximum number of times that a caller resumes a broken stream."""
     DIRECTORY_CACHE_SECONDS = 1.0
     """Time for which a caller caches the directory's response; every third caller
     caches it three times as long."""
@@ -63,13 +67,13 @@
         cache_seconds = self.DIRECTORY_CACHE_SECONDS * (3 if number % 3 == 0 else 1)
         addresses: list[str] = []
         resolved_at = float("-inf")
-        async with aiohttp.ClientSession() as session:
+        async with aiohttp.ClientSession(connector=StrictConnector()) as session:
             while True:
                 if time.monotonic() - resolved_at > cache_seconds or not addresses:
                     addresses = await self._resolve(rng) or addresses
                     resolved_at = time.monotonic()
                 if addresses:
-                    await self._send_request(session, rng, addresses)
+                    await self._send_and_resume(session, rng, addresses)
                 await asyncio.sleep(rng.expovariate(1 / self.PAUSE_SECONDS))
 
     async def _resolve(self, rng: random.Random) -> list[str]:
@@ -83,34 +87,76 @@
                 continue
         return []
 
-    async def _send_request(
+    async def _send_and_resume(
         self, session: aiohttp.ClientSession, rng: random.Random, addresses: list[str]
     ) -> None:
-        self._sent += 1
+        """Send a request; resume its stream, at any instance, if it breaks."""
         kind = rng.choice([*PLAIN_ROUTES, *MODEL_ROUTES])
         call = Call(
-            request_id=f"s{self._seed}-{self._sent}",
+            request_id=self._next_id(),
             kind=kind,
             target=f"/{kind}/x%2Fy/{rng.randrange(100)}?q=%20",
             key=self._next_key(),
             sent_at=time.monotonic(),
         )
+        artifact = rng.choice(self.ARTIFACTS) if kind in MODEL_ROUTES else ""
+        call = await self._send_request(session, rng, addresses, call, artifact)
+        for _ in range(self.MAX_RESUMES):
+            broken = call.status is None and call.last_event > 0
+            if kind not in RESUMABLE_ROUTES or not broken or not addresses:
+                return
+            call = Call(
+                request_id=self._next_id(),
+                kind=kind,
+                target=call.target,
+                key=call.key,
+                sent_at=time.monotonic(),
+                resumes=call.stream,
+                resume_after=call.last_event,
+            )
+            call = await self._send_request(session, rng, addresses, call, artifact)
+
+    def _next_id(self) -> str:
+        self._sent += 1
+        return f"s{self._seed}-{self._sent}"
+
+    async def _send_request(
+        self,
+        session: aiohttp.ClientSession,
+        rng: random.Random,
+        addresses: list[str],
+        call: Call,
+        artifact: str,
+    ) -> Call:
         address = rng.choice(addresses)
+        body = bytearray()
         try:
             async with asyncio.timeout(self.REQUEST_TIMEOUT_SECONDS):
-                call = await self._exchange(session, rng, address, call)
+                call = await self._exchange(session, address, call, artifact, body)
         except (aiohttp.ClientError, TimeoutError, OSError):
             addresses.remove(address)
+            call = call._replace(body=bytes(body))
         finally:
             self.calls.append(call)
+        return call
 
     async def _exchange(
         self,
         session: aiohttp.ClientSession,
-        rng: random.Random,
         address: str,
         call: Call,
+        artifact: str,
+        received: bytearray,
     ) -> Call:
+        """Send one request and return it with its result.
+
+        Args:
+            session: HTTP session of the caller.
+            address: Address of the instance, `host:port`.
+            call: The request.
+            artifact: Model or adapter of the request; empty for a plain service.
+            received: Filled with the body as it arrives.
+        """
         headers = {
             "Host": HOST,
             HEADERS.request_id: call.request_id,
@@ -119,15 +165,20 @@
         }
         if call.kind in MODEL_ROUTES:
             headers |= {
-                HEADERS.model: rng.choice(self.ARTIFACTS),
+                HEADERS.model: artifact,
                 HEADERS.tokens: "100,20",
                 HEADERS.parts: "aa:30,bb:70",
             }
+        if call.resumes:
+            headers[HEADERS.resumes] = call.resumes
+            headers[HEADERS.last_event] = str(call.resume_after)
         url = URL(f"http://{address}{call.target}", encoded=True)
         method = "GET" if call.kind == "look" else "POST"
         data = None if call.kind == "look" else b"a body"
         async with session.request(method, url, headers=headers, data=data) as resp:
-            body = await resp.read()
+            async for chunk in resp.content.iter_any():
+                received += chunk
+            body = bytes(received)
             if resp.headers.get(HEADERS.request_id) not in (None, call.request_id):
                 body = b"of another request: " + body
             sealed = HEADERS.seal in resp.headers
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_fault_injector.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_fault_injector.py
@@ -190,11 +190,15 @@
                 proxy.delay_seconds = 0.2
             elif kind is FaultKind.RUNNER_FAILS:
                 runner.error_status = 500
+            elif fault.target % 2:
+                runner.unframed_streams = True
+                runner.close_inside_event = 2
             else:
                 runner.cut_after_events = 1
             await asyncio.sleep(fault.seconds)
             proxy.restore()
             runner.error_status, runner.cut_after_events = 0, -1
+            runner.unframed_streams, runner.close_inside_event = False, -1
 
     async def _drain(self, runner: FakeRunner, seconds: float) -> None:
         drained_at = time.monotonic()
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
@@ -63,11 +63,25 @@
 
 def _expected_body(call: Call, events: int) -> bytes:
     if call.kind in ("draft", "long"):
-        numbers = range(1, events + 1)
+        numbers = range(call.resume_after + 1, events + 1)
         return b"".join(f"id: {n}\ndata: token {n}\n\n".encode() for n in numbers)
     return b"done by " + call.request_id.encode()
 
 
+def _check_versions(history: History) -> Iterator[str]:
+    """Check that no caller joins events of two software versions into one stream."""
+    runs = _runs_by_id(history)
+    versions: defaultdict[str, set[str]] = defaultdict(set)
+    for call in history.calls:
+        if call.kind in REPEATABLE_ROUTES and call.last_event > call.resume_after:
+            # Of several runs of one request, the last one was relayed.
+            _, run = max(runs[call.request_id], key=lambda pair: pair[1].at)
+            versions[call.stream].add(run.version)
+    for stream, joined in versions.items():
+        if len(joined) > 1:
+            yield f"stream {stream} has events of versions {sorted(joined)}"
+
+
 def _check_requests_unchanged(history: History) -> Iterator[str]:
     calls = {call.request_id: call for call in history.calls}
     for request_id, runs in _runs_by_id(history).items():
@@ -152,6 +166,7 @@
     _check_at_most_once,
     _check_refused_requests,
     _check_answers,
+    _check_versions,
     _check_requests_unchanged,
     _check_runner_memory,
     _check_draining_runners,
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
@@ -24,6 +24,21 @@
     sealed: bool = False
     """Whether the response has a runner's seal header."""
     body: bytes = b""
+    """Body, or the part of it that arrived before the connection broke."""
+    resumes: str = ""
+    """Id of the request that began the stream; empty if this one begins it."""
+    resume_after: int = 0
+    """Number of the last event that the caller has of the stream."""
+
+    @property
+    def stream(self) -> str:
+        """Return the id of the request that began the stream."""
+        return self.resumes or self.request_id
+
+    @property
+    def last_event(self) -> int:
+        """Return the number of the last complete event that the caller has."""
+        return self.resume_after + self.body.count(b"\n\n")
 
 
 class Change(NamedTuple):
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
@@ -51,7 +51,7 @@
     RUNNER_FAILS = "runner fails"
     """One runner responds with status 500."""
     RUNNER_CUTS = "runner cuts"
-    """One runner aborts its streams."""
+    """One runner aborts its streams, or closes them in order inside an event."""
     DRAIN = "drain"
     """A runner drains, then accepts work again as if restarted."""
     KEYS = "keys"
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
@@ -91,6 +91,9 @@
                 gateway_settings=self._write_gateway_settings(),
                 links=links,
             )
+            # Streams must not be joined from both versions.
+            newer = deployment.runners["engine-2"]
+            newer.spec = newer.spec._replace(version="v1.1")
             await stack.enter_async_context(deployment)
             injector = FaultInjector(deployment, links)
             callers = Callers(
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -57,6 +57,18 @@
             history._replace(calls=(*history.calls, *more)), "booking-2", *runs
         )
 
+    def test_stream_joined_from_two_versions_is_reported(self):
+        event = b"id: 1\ndata: token 1\n\n"
+        rest = b"id: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n"
+        broken = call(60, "long", status=None, body=event)
+        resumed = call(61, "long", body=rest, resumes="r60", resume_after=1)
+        same = self.history._replace(calls=(*self.history.calls, broken, resumed))
+        same = add(same, "engine-1", run(60, "long"), run(61, "long"))
+        assert not find_violations(same)
+        other = add(same, "engine-1", run(60, "long"))
+        other = add(other, "engine-2", run(61, "long", version="v1.1"))
+        assert "versions ['v1', 'v1.1']" in self.only(other)
+
     def only(self, history):
         (line,) = find_violations(history)
         return line
