The configuration may change while an instance asks for a stream's origin

What a caller would have seen: an internal error, if a new version without the service came into force during the question. Cause: the route was chosen before the question and its service looked up in the newer configuration after it. Found by reading the change again. Now route and customer are looked up again after the question. The new test failed before with KeyError: 'engines'.

--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -175,15 +175,13 @@
             )
 
     async def _admit(self, req: GatewayRequest) -> _AdmittedRequest:
-        if self._routes is None:
-            raise InstanceNotReady(
-                "no configuration is known yet", retry_after=self.NOT_READY_SECONDS
-            )
-        route = self._routes.find(req.host, req.path)
-        customer = self._routes.customer_of(route, req.key)
-        origin = await self._find_origin(req, route)
-        name = origin.service if origin else self._choose_service(route)
-        service = self._routes.catalogue.services[name]
+        route, customer = self._find_route(req)
+        origin = None
+        if req.resume_after is not None and route.kind is RequestKind.STREAM:
+            origin = await self._find_origin(req)
+            # The configuration may have changed meanwhile.
+            route, customer = self._find_route(req)
+        service = self._find_service(route, origin)
         if customer is not None:
             self._charge(customer, req)
         if self._parts.clock.monotonic() > self.streams_until and req.size is not None:
@@ -202,17 +200,20 @@
             software_version=origin.software_version if origin else None,
         )
 
-    async def _find_origin(
-        self, req: GatewayRequest, route: Route
-    ) -> StreamOrigin | None:
-        """Return what began the stream that a request resumes, None if it is new.
+    def _find_route(self, req: GatewayRequest) -> tuple[Route, Customer | None]:
+        if self._routes is None:
+            raise InstanceNotReady(
+                "no configuration is known yet", retry_after=self.NOT_READY_SECONDS
+            )
+        route = self._routes.find(req.host, req.path)
+        return route, self._routes.customer_of(route, req.key)
+
+    async def _find_origin(self, req: GatewayRequest) -> StreamOrigin:
+        """Return what began the stream that a request resumes.
 
         Raises:
-            StreamNotResumable: It is not known what began the stream, or the route no
-                longer leads there.
+            StreamNotResumable: No instance that replies knows what began the stream.
         """
-        if req.resume_after is None or route.kind is not RequestKind.STREAM:
-            return None
         if req.resumed_stream is None:
             raise StreamNotResumable(
                 "the request does not name the attempt that began its stream"
@@ -224,12 +225,23 @@
                 f"{req.resumed_stream!r}",
                 retry_after=self.UNKNOWN_STREAM_SECONDS,
             )
+        return origin
+
+    def _find_service(self, route: Route, origin: StreamOrigin | None) -> Service:
+        """Return the service that began a resumed stream, or one of the route's.
+
+        Raises:
+            StreamNotResumable: The route no longer leads to the service.
+        """
+        assert self._routes is not None
+        if origin is None:
+            return self._routes.catalogue.services[self._choose_service(route)]
         if origin.service not in (part.service for part in route.services):
             raise StreamNotResumable(
                 f"route {route.name!r} no longer leads to service {origin.service!r}, "
-                f"which began stream {req.resumed_stream!r}"
+                "which began the stream"
             )
-        return origin
+        return self._routes.catalogue.services[origin.service]
 
     def _choose_service(self, route: Route) -> str:
         if len(route.services) == 1:
--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -18,6 +18,7 @@
 from guavajunction.gateway import (
     Framing,
     RequestKind,
+    RouteTable,
     StreamBegan,
     StreamOrigin,
     StreamOrigins,
@@ -124,6 +125,20 @@
         with pytest.raises(StreamNotResumable):
             await fleet.serve("/draft/1", **RESUME)
 
+    async def test_configuration_may_change_while_peers_are_asked(self):
+        fleet = fleet_of("v1")
+        newer = catalogue(
+            version=2, routes=(route("draft", RequestKind.STREAM, "next"),), services={}
+        )
+
+        async def ask(_):
+            fleet.gateway.configure(RouteTable(newer))
+            return ORIGIN
+
+        fleet.streams.ask_peers = ask
+        with pytest.raises(StreamNotResumable):
+            await fleet.serve("/draft/1", **RESUME)
+
 
 class TestOrigins:
     """Origins are kept for as long as a stream can be resumed, and within bounds."""
