A stream that its caller does not name goes on while there is one version only

Cause: a request that names no attempt was refused whatever versions there had been.

Change: such a request goes on if the instance has seen one software version of the service since its start, backend servers that have left included. A request that names an attempt which nobody knows is still refused: its caller knows of versions, and the instance may have restarted since.

--- a/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -55,6 +56,7 @@
         self._missing_until: dict[tuple[str, str], float] = {}
         self._newest_report_numbers: dict[tuple[str, int], int] = {}
         self._unreachable_until: dict[tuple[str, int], float] = {}
+        self._versions_seen: defaultdict[str, set[str]] = defaultdict(set)
 
     def records(self) -> Iterable[BackendRecord]:
         """Return every known backend server."""
@@ -80,6 +82,7 @@
             return
         self._record_report_number(record)
         self._records[record.name] = record
+        self._versions_seen[record.service].add(record.software_version)
         if before is None or before.identity != record.identity:
             events.BACKEND_SEEN.log(
                 backend=record.name,
@@ -116,6 +119,13 @@
         for record in listed.values():
             self.put(record)
 
+    def versions_seen(self, service: str) -> frozenset[str]:
+        """Return the software versions of a service's backend servers so far.
+
+        Those of backend servers that have left are included.
+        """
+        return frozenset(self._versions_seen[service])
+
     def note_holding(self, notice: HoldingNotice) -> None:
         """Apply a notice of the order leader, unless a newer one is known."""
         known = self._notices.get(notice.backend)
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -176,12 +176,15 @@
 
     async def _admit(self, req: GatewayRequest) -> _AdmittedRequest:
         route, customer = self._find_route(req)
+        resumes = req.resume_after is not None and route.kind is RequestKind.STREAM
         origin = None
-        if req.resume_after is not None and route.kind is RequestKind.STREAM:
-            origin = await self._find_origin(req)
+        if resumes and req.resumed_stream is not None:
+            origin = await self._find_origin(req.resumed_stream)
             # The configuration may have changed meanwhile.
             route, customer = self._find_route(req)
         service = self._find_service(route, origin)
+        if resumes and origin is None:
+            origin = self._only_origin(service)
         if customer is not None:
             self._charge(customer, req)
         if self._parts.clock.monotonic() > self.streams_until and req.size is not None:
@@ -208,25 +211,34 @@
         route = self._routes.find(req.host, req.path)
         return route, self._routes.customer_of(route, req.key)
 
-    async def _find_origin(self, req: GatewayRequest) -> StreamOrigin:
+    async def _find_origin(self, stream: str) -> StreamOrigin:
         """Return what began the stream that a request resumes.
 
         Raises:
             StreamNotResumable: No instance that replies knows what began the stream.
         """
-        if req.resumed_stream is None:
-            raise StreamNotResumable(
-                "the request does not name the attempt that began its stream"
-            )
-        origin = await self._parts.streams.find(req.resumed_stream)
+        origin = await self._parts.streams.find(stream)
         if origin is None:
             raise StreamNotResumable(
-                f"it is not known which software version began stream "
-                f"{req.resumed_stream!r}",
+                f"it is not known which software version began stream {stream!r}",
                 retry_after=self.UNKNOWN_STREAM_SECONDS,
             )
         return origin
 
+    def _only_origin(self, service: Service) -> StreamOrigin:
+        """Return the origin of a stream that the caller does not name.
+
+        Raises:
+            StreamNotResumable: The service has had several software versions.
+        """
+        versions = self._parts.registry.versions_seen(service.name)
+        if len(versions) != 1:
+            raise StreamNotResumable(
+                "the request does not name the attempt that began its stream, and "
+                f"service {service.name!r} has had {len(versions)} software versions"
+            )
+        return StreamOrigin(service.name, next(iter(versions)))
+
     def _find_service(self, route: Route, origin: StreamOrigin | None) -> Service:
         """Return the service that began a resumed stream, or one of the route's.
 
