Gateway: log the parts of a prompt, and how far an answer had arrived when it was lost

A crash of a backend server ends every request there. The logs named neither the parts of their prompts nor which answer had just begun, so they could not show whether the crashes of several backend servers have a part in common. gateway:sent now names the parts; gateway:request_lost (1016) is written when the connection, not the time, ended a request.

--- a/packages/guavajunction/src/guavajunction/errors.py
+++ b/packages/guavajunction/src/guavajunction/errors.py
@@ -186,7 +186,23 @@
     TYPE = "backend_refused"
 
 
-class AnswerCut(RequestError):
+class _BackendFailure(RequestError):
+    """Base class of the failures in which a backend server gave no complete answer."""
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        retry_after: float | None = None,
+        not_run: NotRun | None = None,
+        connection_lost: bool = False,
+    ) -> None:
+        super().__init__(message, retry_after=retry_after, not_run=not_run)
+        self.connection_lost = connection_lost
+        """Whether the connection ended, rather than the time for the answer."""
+
+
+class AnswerCut(_BackendFailure):
     """The response ended before its end marker and could not be resumed."""
 
     STATUS = 502
@@ -194,7 +210,7 @@
     NOT_RUN: NotRun = "false"
 
 
-class OutcomeUnknown(RequestError):
+class OutcomeUnknown(_BackendFailure):
     """A non-idempotent request was sent and its outcome is unknown."""
 
     STATUS = 504
--- a/packages/guavajunction/src/guavajunction/gateway/_events.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_events.py
@@ -44,6 +44,11 @@
     "gateway:record_stale",
     "An outdated record of a backend server arrived and was ignored.",
 )
+REQUEST_LOST = LogEvent(
+    1016,
+    "gateway:request_lost",
+    "A connection to a backend server ended before the answer was complete.",
+)
 CONFIGURED = LogEvent(1020, "gateway:configured", "A newer configuration was applied.")
 CONFIGURATION_REFUSED = LogEvent(
     1021, "gateway:configuration_refused", "A configuration could not be decoded."
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -23,6 +23,7 @@
 from guavajunction.metrics import MetricsRegistry
 
 from . import _events as events
+from ._answer_progress import AnswerProgress
 from ._backend import BackendRecord
 from ._backend_registry import BackendRegistry
 from ._catalogue import Customer, RequestKind, Route, Service
@@ -298,12 +299,14 @@
         req = admitted.req
         left = admitted.ends_at - self._parts.clock.monotonic()
         prompt_pending = True
+        progress = AnswerProgress()
         events.SENT.log(
             request_id=req.request_id,
             backend=backend.name,
             service=admitted.service.name,
             customer=admitted.customer.name if admitted.customer else None,
             artifact=req.size.artifact if req.size else None,
+            prompt_parts=req.size.part_ids() if req.size else None,
             prompt_tokens=req.size.prompt_tokens if req.size else None,
             max_output_tokens=req.size.max_output_tokens if req.size else None,
             attempt=attempt,
@@ -322,14 +325,17 @@
                 priority=min(self.MAX_ENGINE_PRIORITY, admitted.priority),
                 seconds_left=left,
             ) as answer:
+                progress.note_head(self._parts.clock.monotonic())
                 self._check_head(answer.head, admitted, backend, attempt)
                 prompt_pending = False
                 if admitted.route.resumable:
                     self._record_origin(admitted, backend)
                 self._parts.queue.on_first_event(req, backend)
-                await self._relay(admitted, backend, answer, sink)
+                await self._relay(admitted, backend, answer, sink, progress)
         except (BackendFailed, OutcomeUnknown, AnswerCut, NotSent) as exc:
             self._record_failure(backend, exc, left)
+            if isinstance(exc, OutcomeUnknown | AnswerCut) and exc.connection_lost:
+                self._record_loss(req, backend, progress)
             raise
         finally:
             self._parts.queue.release(req, backend, prompt_pending=prompt_pending)
@@ -370,6 +376,7 @@
         backend: BackendRecord,
         answer: BackendAnswer,
         sink: AnswerSink,
+        progress: AnswerProgress,
     ) -> None:
         await sink.start(answer.head)
         size = 0
@@ -377,6 +384,7 @@
         try:
             async for chunk in answer.chunks():
                 size += len(chunk)
+                progress.note_chunk(self._parts.clock.monotonic())
                 if boundary is not None:
                     boundary.feed(chunk)
                     self._check_event_size(boundary, backend)
@@ -384,7 +392,8 @@
             if boundary is not None and boundary.is_inside_event:
                 raise AnswerCut(
                     f"the stream of backend server {backend.name!r} ended inside an "
-                    f"event, after {size} bytes (framing {answer.head.framing})"
+                    f"event, after {size} bytes (framing {answer.head.framing})",
+                    connection_lost=True,
                 )
         except AnswerCut:
             sink.abort()
@@ -450,6 +459,19 @@
                 backend=backend.name, reason=type(exc).__name__, detail=str(exc)
             )
 
+    def _record_loss(
+        self, req: GatewayRequest, backend: BackendRecord, progress: AnswerProgress
+    ) -> None:
+        seconds = progress.seconds
+        events.REQUEST_LOST.log(
+            request_id=req.request_id,
+            backend=backend.name,
+            incarnation=backend.incarnation,
+            prompt_parts=req.size.part_ids() if req.size else None,
+            answer_ms=None if seconds is None else round(seconds * 1000),
+            chunks=progress.chunks,
+        )
+
     def _log_failure(self, req: GatewayRequest, exc: RequestError) -> None:
         event = events.REFUSED if exc.not_run == "true" else events.FAILED
         self._parts.metrics.count("failures_total", type=exc.TYPE)
--- a/packages/guavajunction/src/guavajunction/gateway/_request.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request.py
@@ -4,6 +4,11 @@
 
 from typing import NamedTuple
 
+MAX_LOGGED_PARTS = 8
+"""Number of parts of a prompt whose ids are logged."""
+MAX_LOGGED_ID = 24
+"""Number of characters of a part's id that are logged."""
+
 
 class PromptPart(NamedTuple):
     """A part of a prompt that several requests may share."""
@@ -29,6 +34,10 @@
         """Return `MODEL`, or `MODEL/ADAPTER` if the request needs an adapter."""
         return f"{self.model}/{self.adapter}" if self.adapter else self.model
 
+    def part_ids(self) -> list[str]:
+        """Return the start of the ids of the first parts, to log them."""
+        return [part.part_id[:MAX_LOGGED_ID] for part in self.parts[:MAX_LOGGED_PARTS]]
+
 
 class GatewayRequest(NamedTuple):
     """A complete request of a caller."""
--- a/tools/reference_pages.py
+++ b/tools/reference_pages.py
@@ -130,8 +130,9 @@
 
 
 def _request_errors() -> Iterator[type[errors.RequestError]]:
-    for value in vars(errors).values():
-        if inspect.isclass(value) and issubclass(value, errors.RequestError):
+    for name, value in vars(errors).items():
+        is_error = inspect.isclass(value) and issubclass(value, errors.RequestError)
+        if is_error and not name.startswith("_"):
             yield value
 
 
