Tests that fail: requests with one part crash one engine after the other

Engines of the stand-in deployment crash 50 ms after they begin an answer to a prompt with one part.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -67,6 +67,10 @@
     """One runner, with its entry in the store."""
 
     CANCEL_ON_DISCONNECT = True
+    CRASH_DELAY_SECONDS = 0.05
+    """Time from the beginning of an answer until the runner crashes on it."""
+    DOWN_SECONDS = 0.4
+    """Time from a crash until the runner accepts connections again."""
 
     def __init__(self, spec: RunnerSpec, store: FakeStore) -> None:
         super().__init__()
@@ -89,6 +93,11 @@
         self.close_inside_event = -1
         """Number of an event in the middle of which streams end and their connection
         is closed in order; -1 for never."""
+        self.crash_part = ""
+        """Part of a prompt on which the runner crashes as soon as it begins an answer;
+        empty for none."""
+        self.arrived_parts: list[str] = []
+        """Parts of the prompts of all arrived requests, also of those not executed."""
         self._store = store
         self._models: dict[str, set[str]] = {model: set() for model in spec.models}
         self._cached_models: set[str] = set(spec.models)
@@ -136,6 +145,12 @@
         self._order_count = self._last_fence = 0
         self._write_entry()
 
+    async def crash(self) -> None:
+        """End all connections, refuse new ones for a while, then restart."""
+        self.faults.set(outage="refuse", outage_seconds=self.DOWN_SECONDS)
+        await asyncio.sleep(self.DOWN_SECONDS)
+        self.restart()
+
     def restart_as(self, version: str) -> None:
         """Restart with another version of the software, under the same name."""
         self.spec = self.spec._replace(version=version)
@@ -221,6 +236,7 @@
         return used_mb + self.spec.sizes.get(model, 0.0) <= self.spec.memory_mb
 
     async def _handle_request(self, req: web.Request) -> web.StreamResponse:
+        self.arrived_parts.append(req.headers.get(HEADERS.parts, ""))
         rejection = self._rejection(req)
         if rejection is not None:
             return rejection
@@ -286,6 +302,10 @@
         )
         resp = response_type(headers=headers)
         await resp.prepare(req)
+        parts = req.headers.get(HEADERS.parts, "").split(",")
+        if self.crash_part and self.crash_part in [p.partition(":")[0] for p in parts]:
+            await asyncio.sleep(self.CRASH_DELAY_SECONDS)
+            self.spawn(self.crash())
         first = int(req.headers.get(HEADERS.last_event, 0)) + 1
         for number in range(first, self.spec.events + 1):
             if self.cut_after_events >= 0 and number > self.cut_after_events:
