Requests with a part that crashes backend servers are kept away from them

Cause: nothing remembered what a crashed backend server had been working on. A failure counted for the backend server alone, on one instance, for five seconds; the next request with the part went to the next engine, from any instance.

Hypothesis 2, retries by the instances, is ruled out: none of the lost requests was repeated after its answer had begun.

Change: instances report the parts of the requests that they lost when a backend server ended, without those that they know to be sound, and join the reports of all. Peers get a report at once; a row in the store reaches instances that are cut off or start later, and outlasts them all. A part is blamed after three crashes (four while many backend servers crash without it), unless other blamed parts explain most of these, or it was answered. A request with a blamed part is refused at once, as not run. There is one attempt, claimed in the store, and only after few crashes.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -39,12 +39,15 @@
 from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.peers import PeerId
+from guavajunction.quarantine import PartQuarantine
 from guavajunction.storage import Changes, PartitionWatcher, RowChange
 from guavajunction_entry import _events as events
 
 from . import _events as gateway_events
+from . import _quarantine_links as quarantine_links
 from ._deployment import Deployment, ListenerParts
 from ._fleet_links import FleetLinkParts, FleetLinks
+from ._quarantine_links import QuarantineLinks
 from ._settings import GatewaySettings
 from ._tuning import Tuning
 
@@ -126,7 +129,11 @@
         self._reload = asyncio.Event()
         self._settings_fault: str | None = None
         self._roster = Roster(self._me, clock)
-        self._queue = RequestQueue(self._registry, self._loads, self._health, clock)
+        self._quarantine = PartQuarantine(clock)
+        self._queue = RequestQueue(
+            self._registry, self._loads, self._health, self._quarantine, clock
+        )
+        self._quarantine.on_blamed = self._queue.schedule_dispatch
         self._gateway = Gateway(
             GatewayParts(
                 registry=self._registry,
@@ -134,6 +141,7 @@
                 health=self._health,
                 rate_limits=self._rate_limits,
                 streams=self._streams,
+                quarantine=self._quarantine,
                 retries=self._retries,
                 demand=self._demand,
                 caller=deployment.caller,
@@ -164,9 +172,19 @@
             max_wait_seconds=self._max_read_wait_seconds,
             other_source=self._feed.rows_from_peer,
         )
+        crashes = quarantine_links.PARTITION
+        self._crashes = PartitionWatcher(
+            self._feed,
+            crashes,
+            clock,
+            self._rng,
+            max_wait_seconds=self._max_read_wait_seconds,
+            other_source=self._feed.rows_from_peer,
+        )
         self._watchers = {
             configuration: self._configuration,
             deployment.backends_partition: self._backends,
+            crashes: self._crashes,
         }
         for partition, watcher in self._watchers.items():
             watcher.on_answer = functools.partial(self._publish_to_followers, partition)
@@ -175,8 +193,13 @@
             deployment.backends_partition: ReadRows(
                 deployment.backends_partition, is_relevant=self._has_new_backend_state
             ),
+            crashes: ReadRows(crashes, is_relevant=_has_new_body),
         }
         self._backends_known = False
+        self._crashes_known = False
+        self._quarantine_links = QuarantineLinks(
+            deployment.table, self._me, self._quarantine, clock
+        )
         self._links: FleetLinks | None = None
         self._store_roster = StoreRoster(
             deployment.table, self._me, self._own_entry(), clock
@@ -225,6 +248,8 @@
         return {
             "configuration": self._follow_configuration,
             "backends": self._follow_backends,
+            "crashes": self._follow_crashes,
+            "quarantine": self._quarantine_links.run,
             "waiting-room": self._queue.run,
             "links": self._run_links,
             "roster": self._store_roster.run,
@@ -313,6 +338,11 @@
             self._backends_known = True
             self._queue.schedule_dispatch()
 
+    async def _follow_crashes(self) -> None:
+        async for changes in self._crashes:
+            self._quarantine_links.apply(changes)
+            self._crashes_known = True
+
     def _apply_backend_changes(self, changes: Changes) -> None:
         """Apply changes in order, as one answer may contain several for a row."""
         if changes.complete:
@@ -375,6 +405,7 @@
             links.relay.offer_partition(partition, rows, self._watchers[partition].age)
         self._store_roster.on_read = links.set_listed
         self._store_roster.has_hub = lambda: links.relay.hub_peer() is not None
+        links.exchange_crash_reports(self._quarantine_links)
         self._links = links
         await links.run()
 
@@ -452,6 +483,7 @@
             self._stopping_since is None
             and self._gateway.routes is not None
             and self._backends_known
+            and self._crashes_known
         )
 
     async def _drain_requests(self) -> None:
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
@@ -24,6 +24,11 @@
     "process:stream_not_answered",
     "An instance did not answer which version began a stream.",
 )
+CRASH_ROW_FAILED = LogEvent(
+    127,
+    "process:crash_row_failed",
+    "A row of crash reports could not be written, removed or claimed in the store.",
+)
 DOCUMENT_READ = LogEvent(
     124,
     "process:document_read",
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -41,6 +41,7 @@
 )
 
 from ._deployment import Deployment
+from ._quarantine_links import QuarantineLinks
 from ._settings import GatewaySettings
 from ._stream_links import StreamLinks
 from ._tuning import Tuning
@@ -122,6 +123,10 @@
             tasks.create_task(self._mesh.run())
             tasks.create_task(self.leader.run())
 
+    def exchange_crash_reports(self, quarantine: QuarantineLinks) -> None:
+        """Exchange reports of crashes with the peers."""
+        quarantine.connect(self._mesh, self.relay)
+
     def set_listed(self, listed: list[ListedInstance]) -> None:
         """Set the instances that are listed in the store."""
         self._listed_by_name = {entry.record.name: entry for entry in listed}
--- a/packages/guavajunction/src/guavajunction/errors.py
+++ b/packages/guavajunction/src/guavajunction/errors.py
@@ -157,6 +157,13 @@
     TYPE = "stream_not_resumable"
 
 
+class PromptQuarantined(RequestError):
+    """Backend servers crash on a part of the request's prompt."""
+
+    STATUS = 503
+    TYPE = "prompt_quarantined"
+
+
 class InstanceNotReady(RequestError):
     """The instance may not serve now: it is starting, stopping or without standing."""
 
--- a/packages/guavajunction/src/guavajunction/gateway/_admission.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_admission.py
@@ -11,6 +11,8 @@
 import math
 from typing import NamedTuple
 
+from guavajunction.quarantine import BlamedParts
+
 from ._backend_selection import PREFILL_TOKENS_PER_SECOND
 from ._request import GenerationSize
 
@@ -85,6 +87,14 @@
     return Refusal(estimate.reason, max(MIN_RETRY_AFTER_SECONDS, estimate.seconds))
 
 
+def quarantine_message(blamed: BlamedParts) -> str:
+    """Return the reason to refuse a request because of parts of its prompt."""
+    return (
+        f"{len(blamed.crashes)} backend servers crashed on prompts with "
+        f"{', '.join(map(repr, sorted(blamed.parts)))}"
+    )
+
+
 def first_event_seconds(size: GenerationSize | None) -> float:
     """Return the seconds from the start of a request to its first event."""
     return size.prompt_tokens / PREFILL_TOKENS_PER_SECOND if size else 0.0
--- a/packages/guavajunction/src/guavajunction/gateway/_backend.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from guavajunction.quarantine import BackendId
+
 
 class BackendRecord(NamedTuple):
     """State of a backend server, as of its last heartbeat."""
@@ -30,6 +32,6 @@
     """Version of the software, not of a model's weights; empty if it is unknown."""
 
     @property
-    def identity(self) -> tuple[str, int]:
+    def identity(self) -> BackendId:
         """Return name and incarnation, which change with every restart."""
-        return self.name, self.incarnation
+        return BackendId(self.name, self.incarnation)
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -15,19 +15,23 @@
     NotSent,
     OutcomeUnknown,
     Overloaded,
+    PromptQuarantined,
     RateLimited,
     RequestError,
     StreamNotResumable,
 )
 from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
+from guavajunction.quarantine import PartQuarantine
 
+from . import _admission
 from . import _events as events
 from ._answer_progress import AnswerProgress
 from ._backend import BackendRecord
 from ._backend_registry import BackendRegistry
 from ._catalogue import Customer, RequestKind, Route, Service
 from ._event_boundary import EventBoundary, is_event_stream
+from ._framing import Framing
 from ._model_demand import ModelDemand
 from ._protocols import AnswerHead, AnswerSink, BackendAnswer, BackendCaller
 from ._rate_limits import RateLimits
@@ -46,6 +50,7 @@
     health: PassiveHealth
     rate_limits: RateLimits
     streams: StreamOrigins
+    quarantine: PartQuarantine
     retries: RetryBudget
     demand: ModelDemand
     caller: BackendCaller
@@ -66,6 +71,8 @@
     """Deadline of the complete answer, on the monotonic clock."""
     software_version: str | None
     """Version of the backend servers that may serve it, None for any."""
+    trial: bool
+    """Whether it is the one attempt with a quarantined part of a prompt."""
 
 
 class Gateway:
@@ -186,6 +193,7 @@
         service = self._find_service(route, origin)
         if resumes and origin is None:
             origin = self._only_origin(service)
+        trial = await self._check_prompt(req)
         if customer is not None:
             self._charge(customer, req)
         if self._parts.clock.monotonic() > self.streams_until and req.size is not None:
@@ -202,8 +210,25 @@
             priority=customer.priority if has_priority else route.priority,
             ends_at=req.arrived_at + min(req.caller_seconds, route.timeout_seconds),
             software_version=origin.software_version if origin else None,
+            trial=trial,
         )
 
+    async def _check_prompt(self, req: GatewayRequest) -> bool:
+        """Return whether a request is the one attempt with a quarantined part.
+
+        Raises:
+            PromptQuarantined: It has such a part, and is not the attempt.
+        """
+        if req.size is None:
+            return False
+        quarantine = self._parts.quarantine
+        blamed = quarantine.blamed_in(part.part_id for part in req.size.parts)
+        if blamed is None:
+            return False
+        if await quarantine.may_try(blamed):
+            return True
+        raise PromptQuarantined(_admission.quarantine_message(blamed))
+
     def _find_route(self, req: GatewayRequest) -> tuple[Route, Customer | None]:
         if self._routes is None:
             raise InstanceNotReady(
@@ -281,6 +306,7 @@
             service=admitted.service,
             priority=admitted.priority,
             software_version=admitted.software_version,
+            trial=admitted.trial,
             ends_at=admitted.ends_at,
             first_event_by=admitted.req.arrived_at + admitted.route.patience_seconds,
             only=frozenset(sent) if exhausted else None,
@@ -306,7 +332,7 @@
             service=admitted.service.name,
             customer=admitted.customer.name if admitted.customer else None,
             artifact=req.size.artifact if req.size else None,
-            prompt_parts=req.size.part_ids() if req.size else None,
+            prompt_parts=req.size.logged_part_ids() if req.size else None,
             prompt_tokens=req.size.prompt_tokens if req.size else None,
             max_output_tokens=req.size.max_output_tokens if req.size else None,
             attempt=attempt,
@@ -326,12 +352,14 @@
                 seconds_left=left,
             ) as answer:
                 progress.note_head(self._parts.clock.monotonic())
+                self._parts.quarantine.note_alive(backend.identity)
                 self._check_head(answer.head, admitted, backend, attempt)
                 prompt_pending = False
                 if admitted.route.resumable:
                     self._record_origin(admitted, backend)
                 self._parts.queue.on_first_event(req, backend)
                 await self._relay(admitted, backend, answer, sink, progress)
+                self._record_answered(req, backend, answer.head, progress)
         except (BackendFailed, OutcomeUnknown, AnswerCut, NotSent) as exc:
             self._record_failure(backend, exc, left)
             if isinstance(exc, OutcomeUnknown | AnswerCut) and exc.connection_lost:
@@ -467,10 +495,39 @@
             request_id=req.request_id,
             backend=backend.name,
             incarnation=backend.incarnation,
-            prompt_parts=req.size.part_ids() if req.size else None,
+            prompt_parts=req.size.logged_part_ids() if req.size else None,
             answer_ms=None if seconds is None else round(seconds * 1000),
             chunks=progress.chunks,
         )
+        if req.size is not None:
+            self._parts.quarantine.note_lost(
+                backend.identity,
+                req.size.shared_part_ids,
+                answer_seconds=seconds,
+                chunks=progress.chunks,
+            )
+
+    def _record_answered(
+        self,
+        req: GatewayRequest,
+        backend: BackendRecord,
+        head: AnswerHead,
+        progress: AnswerProgress,
+    ) -> None:
+        if req.size is None or not head.succeeded:
+            return
+        parts = req.size.shared_part_ids
+        if head.framing is Framing.CONNECTION:
+            # The connection of a crashed backend server ends like this, too.
+            self._parts.quarantine.note_lost(
+                backend.identity,
+                parts,
+                answer_seconds=progress.seconds,
+                chunks=progress.chunks,
+            )
+        else:
+            self._parts.quarantine.note_answered(parts)
+            self._parts.quarantine.note_alive(backend.identity)
 
     def _log_failure(self, req: GatewayRequest, exc: RequestError) -> None:
         event = events.REFUSED if exc.not_run == "true" else events.FAILED
--- a/packages/guavajunction/src/guavajunction/gateway/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_protocols.py
@@ -25,6 +25,11 @@
     framing: Framing
     """How the end of the body is marked."""
 
+    @property
+    def succeeded(self) -> bool:
+        """Return whether the status says that the request was carried out."""
+        return 200 <= self.status < 300
+
 
 class BackendAnswer(Protocol):
     """An answer that is still arriving."""
--- a/packages/guavajunction/src/guavajunction/gateway/_request.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request.py
@@ -34,7 +34,12 @@
         """Return `MODEL`, or `MODEL/ADAPTER` if the request needs an adapter."""
         return f"{self.model}/{self.adapter}" if self.adapter else self.model
 
-    def part_ids(self) -> list[str]:
+    @property
+    def shared_part_ids(self) -> list[str]:
+        """Return the ids of the parts that other requests may share."""
+        return [part.part_id for part in self.parts[:-1]]
+
+    def logged_part_ids(self) -> list[str]:
         """Return the start of the ids of the first parts, to log them."""
         return [part.part_id[:MAX_LOGGED_ID] for part in self.parts[:MAX_LOGGED_PARTS]]
 
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -12,10 +12,12 @@
     InstanceNotReady,
     NoReplica,
     Overloaded,
+    PromptQuarantined,
     RequestError,
     StreamNotResumable,
 )
 from guavajunction.health import PassiveHealth
+from guavajunction.quarantine import PartQuarantine
 
 from . import _admission, _backend_selection
 from ._admission import WaitEstimate
@@ -44,6 +46,8 @@
     """Backend servers to use only if no other one has capacity."""
     software_version: str | None
     """Version of the backend servers that it may be sent to; None for any."""
+    trial: bool
+    """Whether it may be sent although a part of its prompt is quarantined."""
     fut: asyncio.Future[BackendRecord]
     """Resolved with the backend server to send the request to."""
 
@@ -103,8 +107,10 @@
         registry: BackendRegistry,
         loads: LoadView,
         health: PassiveHealth,
+        quarantine: PartQuarantine,
         clock: Clock,
     ) -> None:
+        self._quarantine = quarantine
         self._registry = registry
         self._loads = loads
         self._health = health
@@ -163,6 +169,7 @@
             NoReplica: No backend server with the model or adapter is expected before
                 the deadline.
             StreamNotResumable: No backend server of the required version is left.
+            PromptQuarantined: Backend servers crash on a part of its prompt.
             InstanceNotReady: This instance stops before the request could end.
         """
         self._waiting.append(queued)
@@ -228,6 +235,10 @@
             del self._missing_since[ended]
 
     def _try_dispatch(self, queued: QueuedRequest, ahead: Counter[str]) -> None:
+        quarantined = self._check_prompt(queued)
+        if quarantined is not None:
+            queued.fut.set_exception(quarantined)
+            return
         backend = self._choose(queued)
         if backend is not None:
             self._loads.begin(backend.name, queued.req.size)
@@ -264,6 +275,19 @@
             )
         )
 
+    def _check_prompt(self, queued: QueuedRequest) -> PromptQuarantined | None:
+        """Return the refusal of a request whose prompt crashes backend servers.
+
+        A part may be blamed while the request waits, or before it is retried.
+        """
+        if queued.trial or queued.req.size is None:
+            return None
+        parts = (part.part_id for part in queued.req.size.parts)
+        blamed = self._quarantine.blamed_in(parts)
+        if blamed is None:
+            return None
+        return PromptQuarantined(_admission.quarantine_message(blamed))
+
     def _outlasts_instance(
         self, queued: QueuedRequest, estimate: WaitEstimate, now: float
     ) -> bool:
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/quarantine/__init__.py
@@ -0,0 +1,18 @@
+"""Keeps requests that crash backend servers away from them."""
+
+from __future__ import annotations
+
+from ._blame import BlamedParts, JoinedEvidence, find_blamed
+from ._evidence import BackendId, CrashReport, Evidence, SoundPart
+from ._part_quarantine import PartQuarantine
+
+__all__ = [
+    "BackendId",
+    "BlamedParts",
+    "CrashReport",
+    "Evidence",
+    "JoinedEvidence",
+    "PartQuarantine",
+    "SoundPart",
+    "find_blamed",
+]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
@@ -0,0 +1,351 @@
+"""Tells which requests must not reach backend servers because they would crash them."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable, Collection, Iterable
+
+from guavajunction.clock import Clock
+
+from . import _events as events
+from ._blame import MIN_CRASHES, SOUND_SECONDS, BlamedParts, JoinedEvidence, find_blamed
+from ._evidence import BackendId, CrashReport, Evidence, SoundPart
+from ._part_key import part_keys
+
+
+class _Suspicion:
+    """A backend server whose connections ended, with the parts that it had begun."""
+
+    def __init__(self, lost_at: float, unix_at: float) -> None:
+        self.lost_at = lost_at
+        self.unix_at = unix_at
+        self.parts: dict[str, None] = {}
+
+
+async def _claim_nothing(_: str) -> bool:
+    return False
+
+
+class PartQuarantine:
+    """One instance's view of the parts of prompts that crash backend servers.
+
+    An instance sees only its own requests, so it reports what it lost in each crash to
+    all instances, and joins their reports. All instances blame the same parts.
+
+    Blamed parts stay blamed: a crash costs all requests on a backend server, so there
+    are no further attempts. Parts that few crashes speak against are given one, by one
+    instance of the fleet, in case they were only present.
+    """
+
+    CONFIRM_SECONDS = 0.3
+    """Time without an answer after which a backend server whose connection ended counts
+    as crashed."""
+    SOUND_ANSWER_SECONDS = 1.0
+    """An answer that had been arriving for this long did not crash its backend server;
+    a crash follows within some tenths of a second after the beginning."""
+    SOUND_ANSWER_CHUNKS = 4
+    """Number of chunks of such an answer. A suspended instance sees one late chunk."""
+    KEEP_SECONDS = 3600.0
+    """How long a report is kept after the crash, or after a request with a blamed part
+    was last refused."""
+    RENEW_SECONDS = 600.0
+    """Age at which the reports of a blamed part are renewed while it is requested."""
+    TRIAL_SECONDS = 20.0
+    """Time from the blame until the one attempt."""
+    MAX_CRASHES_FOR_TRIAL = 4
+    """Number of crashes up to which there is an attempt."""
+    MAX_SOUND_PARTS = 20_000
+    """Number of parts that are known as sound on this instance."""
+    MAX_REPORTED_SOUND = 256
+    """Number of sound parts that this instance reports."""
+    MAX_CRASHES = 48
+    """Number of crashes that this instance reports."""
+    MAX_PARTS_PER_CRASH = 128
+    """Number of parts in one report."""
+    MAX_SOURCES = 1024
+    """Number of instances whose reports are kept; several times the largest fleet."""
+
+    def __init__(
+        self, clock: Clock, unix_time: Callable[[], float] = time.time
+    ) -> None:
+        self._clock = clock
+        self._unix_time = unix_time
+        self._sound: dict[str, float] = {}
+        self._suspicions: dict[BackendId, _Suspicion] = {}
+        self._own_crashes: dict[BackendId, CrashReport] = {}
+        self._own_sound: dict[str, float] = {}
+        self._sources: dict[str, Evidence] = {}
+        self._joined = JoinedEvidence((), since=0.0)
+        self._stale = False
+        self._blamed: list[BlamedParts] = []
+        self._blamed_since: dict[frozenset[str], float] = {}
+        self._tried: set[str] = set()
+        self._changed = False
+        self.on_change: Callable[[], None] = lambda: None
+        """Called when `settle` has something to do."""
+        self.claim_trial: Callable[[str], Awaitable[bool]] = _claim_nothing
+        """Claims the one attempt with a part for this instance, of the whole fleet."""
+        self.on_blamed: Callable[[], None] = lambda: None
+        """Called when parts are newly blamed."""
+
+    def own(self) -> Evidence:
+        """Return the reports of this instance."""
+        return Evidence(
+            tuple(self._own_crashes.values()),
+            tuple(SoundPart(part, at) for part, at in self._own_sound.items()),
+        )
+
+    def blamed(self) -> list[BlamedParts]:
+        """Return the blamed parts."""
+        self._join()
+        return list(self._blamed)
+
+    def blamed_in(self, part_ids: Iterable[str]) -> BlamedParts | None:
+        """Return the blamed parts of a prompt, or None if it may be sent.
+
+        Args:
+            part_ids: Ids of all parts of the prompt.
+        """
+        self._join()
+        if not self._blamed:
+            return None
+        keys = set(part_keys(part_ids))
+        for blamed in self._blamed:
+            if blamed.parts <= keys and not any(map(self._is_sound, blamed.parts)):
+                self._renew(blamed)
+                return blamed
+        return None
+
+    async def may_try(self, blamed: BlamedParts) -> bool:
+        """Return whether this request is the one attempt with blamed parts."""
+        since = self._blamed_since.get(blamed.parts, self._clock.monotonic())
+        if (
+            len(blamed.parts) != 1
+            or len(blamed.crashes) > self.MAX_CRASHES_FOR_TRIAL
+            or self._clock.monotonic() - since < self.TRIAL_SECONDS
+        ):
+            return False
+        (part,) = blamed.parts
+        if part in self._tried:
+            return False
+        self._tried.add(part)
+        claimed = await self.claim_trial(part)
+        events.TRIAL.log(part=part, claimed=claimed)
+        return claimed
+
+    def note_answered(self, shared_parts: Iterable[str]) -> None:
+        """Record that a prompt was answered, so its parts crash no backend server."""
+        self._join()
+        now = self._clock.monotonic()
+        for part in part_keys(shared_parts):
+            self._sound.pop(part, None)
+            self._sound[part] = now
+            if self._counts_against(part):
+                self._report_sound(part)
+        while len(self._sound) > self.MAX_SOUND_PARTS:
+            del self._sound[next(iter(self._sound))]
+
+    def note_lost(
+        self,
+        backend: BackendId,
+        shared_parts: Iterable[str],
+        *,
+        answer_seconds: float | None,
+        chunks: int,
+    ) -> None:
+        """Record that the connection of a request ended before its answer.
+
+        Args:
+            backend: Where the request was.
+            shared_parts: Ids of the parts of its prompt, without the last one.
+            answer_seconds: Time for which its answer had been arriving, in seconds;
+                None if it had not begun.
+            chunks: Number of chunks that had arrived.
+        """
+        long_enough = (
+            answer_seconds is not None and answer_seconds >= self.SOUND_ANSWER_SECONDS
+        )
+        if long_enough and chunks >= self.SOUND_ANSWER_CHUNKS:
+            self.note_answered(shared_parts)
+            return
+        parts = [part for part in part_keys(shared_parts) if not self._is_sound(part)]
+        if not parts:
+            return
+        suspicion = self._suspicions.get(backend)
+        if suspicion is None:
+            suspicion = _Suspicion(self._clock.monotonic(), self._unix_time())
+            self._suspicions[backend] = suspicion
+        for part in parts[: self.MAX_PARTS_PER_CRASH - len(suspicion.parts)]:
+            suspicion.parts[part] = None
+        self.on_change()
+
+    def note_alive(self, backend: BackendId) -> None:
+        """Record that a backend server sends answers, so it has not crashed."""
+        suspicion = self._suspicions.get(backend)
+        if suspicion is None:
+            return
+        # Bytes that were sent before a crash may be read shortly after it.
+        if self._clock.monotonic() - suspicion.lost_at < self.CONFIRM_SECONDS:
+            return
+        del self._suspicions[backend]
+        if self._own_crashes.pop(backend, None) is not None:
+            events.CRASH_RETRACTED.log(
+                backend=backend.name, incarnation=backend.incarnation
+            )
+            self._change()
+
+    def settle(self) -> Evidence | None:
+        """Report the crashes that are confirmed by now.
+
+        Returns:
+            This instance's reports if they have changed since the last call.
+        """
+        confirmed_before = self._clock.monotonic() - self.CONFIRM_SECONDS
+        expired_before = self._clock.monotonic() - self.KEEP_SECONDS
+        for backend, suspicion in list(self._suspicions.items()):
+            if suspicion.lost_at < expired_before:
+                del self._suspicions[backend]
+            elif suspicion.lost_at <= confirmed_before:
+                self._report_crash(backend, suspicion)
+        if not self._changed:
+            return None
+        self._changed = False
+        self._stale = True
+        self._join()
+        return self.own()
+
+    @property
+    def unsettled(self) -> bool:
+        """Return whether crashes wait to be confirmed."""
+        confirmed_before = self._clock.monotonic() - self.CONFIRM_SECONDS
+        return any(s.lost_at > confirmed_before for s in self._suspicions.values())
+
+    def merge(self, source: str, evidence: Evidence) -> None:
+        """Replace the reports of another instance.
+
+        Args:
+            source: Name and incarnation of the instance.
+            evidence: All its reports.
+        """
+        if self._sources.get(source) == evidence:
+            return
+        self._sources.pop(source, None)
+        self._sources[source] = evidence
+        while len(self._sources) > self.MAX_SOURCES:
+            del self._sources[next(iter(self._sources))]
+        self._stale = True
+
+    def is_expired(self, evidence: Evidence) -> bool:
+        """Return whether no report of an instance is of use any more."""
+        since = self._unix_time() - self.KEEP_SECONDS
+        return all(item.at < since for item in (*evidence.crashes, *evidence.sound))
+
+    def adopt_missing(self, listed: Collection[str]) -> None:
+        """Report the crashes of blamed parts whose own reports have been lost.
+
+        Args:
+            listed: Sources whose reports are in the store.
+        """
+        self._join()
+        needed = {crash for blamed in self._blamed for crash in blamed.crashes}
+        for source, evidence in self._sources.items():
+            if source not in listed:
+                for report in evidence.crashes:
+                    if report.backend in needed:
+                        self._add_own(report)
+
+    def _is_sound(self, part: str) -> bool:
+        answered_at = self._sound.get(part)
+        return (
+            answered_at is not None
+            and self._clock.monotonic() - answered_at <= SOUND_SECONDS
+        )
+
+    def _counts_against(self, part: str) -> bool:
+        """Return whether a part is, or might soon be, blamed."""
+        return len(self._joined.crashes.get(part, ())) >= MIN_CRASHES - 1
+
+    def _report_sound(self, part: str) -> None:
+        now = self._unix_time()
+        if self._own_sound.get(part, 0.0) > now - SOUND_SECONDS / 2:
+            return
+        events.PART_SOUND.log(part=part)
+        self._own_sound.pop(part, None)
+        self._own_sound[part] = now
+        while len(self._own_sound) > self.MAX_REPORTED_SOUND:
+            del self._own_sound[next(iter(self._own_sound))]
+        self._change()
+
+    def _report_crash(self, backend: BackendId, suspicion: _Suspicion) -> None:
+        report = CrashReport(backend, suspicion.unix_at, tuple(suspicion.parts))
+        if self._add_own(report):
+            events.CRASH_REPORTED.log(
+                backend=backend.name,
+                incarnation=backend.incarnation,
+                prompt_parts=report.parts[:16],
+                part_count=len(report.parts),
+            )
+
+    def _add_own(self, report: CrashReport) -> bool:
+        """Add a report, or the parts that are new in it; return whether any are."""
+        known = self._own_crashes.get(report.backend)
+        if known is not None:
+            parts = dict.fromkeys((*known.parts, *report.parts))
+            merged = CrashReport(
+                report.backend,
+                max(known.at, report.at),
+                tuple(parts)[: self.MAX_PARTS_PER_CRASH],
+            )
+            if merged == known:
+                return False
+            report = merged
+        self._own_crashes[report.backend] = report
+        self._limit_own_crashes()
+        self._change()
+        return True
+
+    def _limit_own_crashes(self) -> None:
+        """Drop the oldest reports, those that support no blame first."""
+        needed = {crash for blamed in self._blamed for crash in blamed.crashes}
+        while len(self._own_crashes) > self.MAX_CRASHES:
+            spare = [b for b in self._own_crashes if b not in needed]
+            del self._own_crashes[next(iter(spare or self._own_crashes))]
+
+    def _renew(self, blamed: BlamedParts) -> None:
+        """Keep the reports of blamed parts while requests with them still arrive."""
+        now = self._unix_time()
+        if now - blamed.newest_at > self.RENEW_SECONDS:
+            for backend in blamed.crashes:
+                self._add_own(CrashReport(backend, now, tuple(sorted(blamed.parts))))
+
+    def _change(self) -> None:
+        self._changed = True
+        self.on_change()
+
+    def _join(self) -> None:
+        """Find the blamed parts in the reports of all instances, if any are new."""
+        if not self._stale:
+            return
+        self._stale = False
+        since = self._unix_time() - self.KEEP_SECONDS
+        evidence = [self.own(), *self._sources.values()]
+        self._joined = JoinedEvidence(evidence, since=since)
+        before = {blamed.parts for blamed in self._blamed}
+        self._blamed = find_blamed(self._joined)
+        after = {blamed.parts for blamed in self._blamed}
+        now = self._clock.monotonic()
+        self._blamed_since = {p: self._blamed_since.get(p, now) for p in after}
+        self._tried &= {part for parts in after for part in parts}
+        for blamed in self._blamed:
+            if blamed.parts not in before:
+                events.BLAMED.log(
+                    parts=sorted(blamed.parts),
+                    crashes=sorted(backend.name for backend in blamed.crashes),
+                )
+        for parts in before - after:
+            events.CLEARED.log(parts=sorted(parts))
+        for part in list(self._joined.crashes):
+            if self._counts_against(part) and self._is_sound(part):
+                self._report_sound(part)
+        if after - before:
+            self.on_blamed()
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -39,6 +39,7 @@
 )
 from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
+from guavajunction.quarantine import PartQuarantine
 from guavajunction_entry.gateway import (
     GatewaySettings,
     ListenAddress,
@@ -247,7 +248,10 @@
         self.registry = BackendRegistry(self.clock)
         self.loads = LoadView()
         self.health = PassiveHealth(self.clock)
-        self.queue = RequestQueue(self.registry, self.loads, self.health, self.clock)
+        self.quarantine = PartQuarantine(self.clock, self.clock.monotonic)
+        self.queue = RequestQueue(
+            self.registry, self.loads, self.health, self.quarantine, self.clock
+        )
         self.caller = FakeCaller()
         self.streams = StreamOrigins(self.clock)
         self.rate_limits = RateLimits(RateLimitBounds(8.0, 0.1, 1000.0), self.clock)
@@ -258,6 +262,7 @@
                 health=self.health,
                 rate_limits=self.rate_limits,
                 streams=self.streams,
+                quarantine=self.quarantine,
                 retries=RetryBudget(RetryBounds(0.2, 10.0, 50.0)),
                 demand=ModelDemand(),
                 caller=self.caller,
