Gateway: log the rate limit that a backend server names

gateway:limit_received (1017) shows which instance was told of a limit, when, and by which answer. Without it the logs cannot show whether a limit was known where a request was sent.

--- a/packages/guavajunction/src/guavajunction/gateway/_events.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_events.py
@@ -49,6 +49,11 @@
     "gateway:request_lost",
     "A connection to a backend server ended before the answer was complete.",
 )
+LIMIT_RECEIVED = LogEvent(
+    1017,
+    "gateway:limit_received",
+    "A backend server named the requests a second that it takes from all instances.",
+)
 CONFIGURED = LogEvent(1020, "gateway:configured", "A newer configuration was applied.")
 CONFIGURATION_REFUSED = LogEvent(
     1021, "gateway:configuration_refused", "A configuration could not be decoded."
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -387,6 +387,12 @@
             BackendRefused: The backend server did not run the request.
             BackendFailed: The backend server failed and a retry is allowed.
         """
+        if head.named_limit is not None:
+            events.LIMIT_RECEIVED.log(
+                request_id=admitted.req.request_id,
+                backend=backend.name,
+                limit=head.named_limit[:16],
+            )
         message = f"backend server {backend.name!r} answered {head.status}"
         if head.misdirected and admitted.req.size is not None:
             self._parts.registry.note_missing(backend.name, admitted.req.size.artifact)
--- a/packages/guavajunction/src/guavajunction/gateway/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_protocols.py
@@ -24,6 +24,9 @@
     not the one addressed."""
     framing: Framing
     """How the end of the body is marked."""
+    named_limit: str | None = None
+    """Requests a second that the backend server takes from all instances together, as
+    it wrote the number; None if it names no limit."""
 
     @property
     def succeeded(self) -> bool:
