--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from guavajunction.connections import UnframedResponse
-from guavajunction_fakes._server import FakeServer
+from guavajunction_fakes._server import FakeServer, Handler
 
 from . import _wire as wire
 from ._store import FakeStore
@@ -96,6 +96,10 @@
         self.crash_part = ""
         """Part of a prompt on which the runner crashes as soon as it begins an answer;
         empty for none."""
+        self.named_limit = ""
+        """Limit that all answers name, in requests a second; empty for none."""
+        self.arrived_at: list[float] = []
+        """Times of all arrived requests, orders and reports, on the monotonic clock."""
         self.arrived_parts: list[str] = []
         """Parts of the prompts of all arrived requests, also of those not executed."""
         self._store = store
@@ -123,6 +127,24 @@
             web.route("*", "/{tail:.*}", self._handle_request),
         ]
 
+    def app(self) -> web.Application:
+        """Return the web application; all its answers name the limit."""
+        app = super().app()
+        app.on_response_prepare.append(self._name_limit)
+        app.middlewares.append(self._record_arrival)
+        return app
+
+    async def _name_limit(self, _: web.Request, resp: web.StreamResponse) -> None:
+        if self.named_limit:
+            resp.headers[HEADERS.limit] = self.named_limit
+
+    @web.middleware
+    async def _record_arrival(
+        self, req: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        self.arrived_at.append(time.monotonic())
+        return await handler(req)
+
     def register(self, url: str) -> None:
         """Write the runner's entry to the store.
 
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
@@ -18,6 +18,7 @@
     customer: str = names.CUSTOMER
     target: str = names.TARGET
     not_run: str = names.NOT_RUN
+    limit: str = names.SERVER_LIMIT
     priority: str = names.PRIORITY
     last_event: str = names.LAST_EVENT_ID
     resumes: str = names.RESUMES
