Stand-in runner: refusals name the request

A refusal without the request's id was taken for the answer to another request, so callers got 504 for a request that the stand-in had said it did not run.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -261,6 +261,7 @@
         self.arrived_parts.append(req.headers.get(HEADERS.parts, ""))
         rejection = self._rejection(req)
         if rejection is not None:
+            rejection.headers[HEADERS.request_id] = req.headers[HEADERS.request_id]
             return rejection
         request_id = req.headers[HEADERS.request_id]
         self.runs.append(
