Limits that backend servers name hold for all instances together

Cause: no code knew the limit. It was passed on to callers like any other header.

Change: each answer, also to orders and reports, sets the limit; instances tell each other with heartbeats. A statement is numbered, so that late answers neither end nor raise a limit; a malformed one changes nothing. The sends to a limited backend server are handed out one by one by one instance, which all choose alike among the hubs; a request that would go there is held for some milliseconds while it is asked, and goes elsewhere if there is no send. Orders and reports wait for a send before they take their fencing number. While some instances are unreachable, each side uses its part. A new holder waits one second, in which the one before may have granted sends.

Why it works: a limit far below one request a second for each instance cannot be split into shares.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -38,6 +38,7 @@
 )
 from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
+from guavajunction.namedlimits import ServerLimits
 from guavajunction.peers import PeerId
 from guavajunction.quarantine import PartQuarantine
 from guavajunction.storage import Changes, PartitionWatcher, RowChange
@@ -130,9 +131,16 @@
         self._settings_fault: str | None = None
         self._roster = Roster(self._me, clock)
         self._quarantine = PartQuarantine(clock)
+        self._limits = ServerLimits(clock)
         self._queue = RequestQueue(
-            self._registry, self._loads, self._health, self._quarantine, clock
+            self._registry,
+            self._loads,
+            self._health,
+            self._quarantine,
+            self._limits,
+            clock,
         )
+        self._limits.on_answered = self._queue.schedule_dispatch
         self._quarantine.on_blamed = self._queue.schedule_dispatch
         self._gateway = Gateway(
             GatewayParts(
@@ -142,6 +150,7 @@
                 rate_limits=self._rate_limits,
                 streams=self._streams,
                 quarantine=self._quarantine,
+                limits=self._limits,
                 retries=self._retries,
                 demand=self._demand,
                 caller=deployment.caller,
@@ -387,6 +396,7 @@
             demand=self._demand,
             rate_limits=self._rate_limits,
             streams=self._streams,
+            limits=self._limits,
             roster=self._roster,
             feed=self._feed,
             clock=self._clock,
@@ -456,6 +466,7 @@
             serving = self._roster.serving
             self._rate_limits.limit_to_share(self._roster.live_fraction, serving - 1)
             self._gateway.instances = serving
+            self._limits.keep_only({r.identity for r in self._registry.records()})
             await self._clock.sleep(self.MAINTENANCE_INTERVAL_SECONDS)
 
     def _listener_parts(self) -> ListenerParts:
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
@@ -29,6 +29,11 @@
     "process:crash_row_failed",
     "A row of crash reports could not be written, removed or claimed in the store.",
 )
+PERMIT_NOT_ANSWERED = LogEvent(
+    128,
+    "process:permit_not_answered",
+    "An instance did not answer whether a limited backend server takes a request.",
+)
 DOCUMENT_READ = LogEvent(
     124,
     "process:document_read",
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -18,6 +18,7 @@
     Roster,
 )
 from guavajunction.gateway import (
+    BackendRecord,
     BackendRegistry,
     Demand,
     Gateway,
@@ -31,6 +32,7 @@
     StreamOrigins,
 )
 from guavajunction.membership import Lease
+from guavajunction.namedlimits import NO_LIMIT, ServerLimits
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh
 from guavajunction.swapping import (
     LEASE_NAME,
@@ -41,6 +43,7 @@
 )
 
 from ._deployment import Deployment
+from ._limit_links import LimitLinks, StatedLimit
 from ._quarantine_links import QuarantineLinks
 from ._settings import GatewaySettings
 from ._stream_links import StreamLinks
@@ -63,6 +66,7 @@
     demand: ModelDemand
     rate_limits: RateLimits
     streams: StreamOrigins
+    limits: ServerLimits
     roster: Roster
     feed: RelayedFeed
     clock: Clock
@@ -73,6 +77,9 @@
 
     LEASE_MARGIN_SECONDS = 0.2
     """Added to the deployment's lease duration."""
+    ORDER_PATIENCE_SECONDS = 2.0
+    """Longest wait of an order for its turn at a backend server that has named a
+    limit."""
     CLOCK_DRIFT_SECONDS = 0.1
     """Margin for clock drift between instances while a lease is held."""
 
@@ -115,6 +122,9 @@
         self.relay = Relay(self._mesh, parts.roster, shape, parts.clock)
         self.leader = self._create_order_leader(settings, deployment)
         self._streams = StreamLinks(self._mesh, self.relay, parts.roster, parts.streams)
+        self._limits = LimitLinks(
+            me, self._mesh, self.relay, parts.roster, parts.limits, parts.clock
+        )
         self._register_topics()
 
     async def run(self) -> None:
@@ -161,9 +171,11 @@
             resumes=self._fleet_resumes,
             broadcast=self.relay.broadcast,
             schedule_dispatch=self._parts.queue.schedule_dispatch,
+            acquire_send=self._acquire_send,
             load_rate_limiter=LoadRateLimiter(orders.load_window_seconds),
             clock=clock,
         )
+        deployment.orders.on_limit = self._note_limit
         return OrderLeader(
             self._mesh,
             lease,
@@ -174,6 +186,16 @@
             min_handover_seconds=orders.lease_seconds + self.CLOCK_DRIFT_SECONDS,
         )
 
+    async def _acquire_send(self, backend: BackendRecord) -> bool:
+        """Wait until an order or a report may be sent to a backend server."""
+        return await self._parts.limits.acquire(
+            backend.identity, self.ORDER_PATIENCE_SECONDS
+        )
+
+    def _note_limit(self, backend: BackendRecord, text: str) -> None:
+        # The answers to orders and reports only lower a limit, as they overlap others.
+        self._parts.limits.book.note_answer(backend.identity, text, NO_LIMIT)
+
     def _register_topics(self) -> None:
         parts, mesh, relay = self._parts, self._mesh, self.relay
         relay.must_be_hub = lambda: self.leader.is_leader
@@ -210,6 +232,12 @@
         mesh.add_topic(
             "author", self.leader.status, self.leader.update_status, LeaderStatus
         )
+        mesh.add_topic(
+            "limits",
+            self._limits.statements,
+            self._limits.on_statements,
+            list[StatedLimit],
+        )
         mesh.add_peer_topic("hub", relay.status_for, relay.on_hub_status, HubStatus)
         mesh.add_peer_topic(
             "hub-loads",
@@ -223,6 +251,12 @@
             self._only_from_hub(parts.rate_limits.update_peer),
             dict[str, float],
         )
+        mesh.add_peer_topic(
+            "hub-limits",
+            self._only_for_followers(lambda _: self._limits.statements()),
+            self._only_from_hub(self._limits.on_statements),
+            list[StatedLimit],
+        )
         mesh.add_peer_topic(
             "hub-author",
             self._only_for_followers(lambda _: self.leader.latest_status()),
--- /dev/null
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_limit_links.py
@@ -0,0 +1,146 @@
+"""Shares the limits of backend servers, and the sends that they allow, with peers.
+
+The sends to a limited backend server are handed out by one instance, which all choose
+alike among those that hear each other: the hubs, which is every instance in a fleet
+without followers. A follower asks its hub, which passes the question on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+import xxhash
+
+from guavajunction.clock import Clock
+from guavajunction.errors import PeerError
+from guavajunction.fleet import Relay, Roster
+from guavajunction.namedlimits import LimitStatement, PermitDesk, ServerLimits
+from guavajunction.peers import Links, PeerId
+from guavajunction.quarantine import BackendId
+
+from . import _events as events
+
+
+class PermitWanted(NamedTuple):
+    """Asks for one send to a limited backend server."""
+
+    backend: BackendId
+    statement: LimitStatement
+    """The limit, as the asker knows it."""
+    forwarded: bool = False
+    """Whether the receiver hands out the sends, in the view of a hub."""
+
+
+class PermitAnswer(NamedTuple):
+    """Answers `PermitWanted`."""
+
+    wait: float | None
+    """0 if a request may be sent, else seconds until the next send; None if unknown."""
+
+
+class StatedLimit(NamedTuple):
+    """A statement of one backend server, in a heartbeat."""
+
+    backend: BackendId
+    statement: LimitStatement
+
+
+class LimitLinks:
+    """Asks for sends, hands them out, and exchanges statements."""
+
+    ANSWER_SECONDS = 0.15
+    """Timeout of a question to one instance."""
+    FORWARDED_ANSWER_SECONDS = 0.4
+    """Timeout of a question that a hub may forward."""
+
+    def __init__(
+        self,
+        me: PeerId,
+        links: Links,
+        relay: Relay,
+        roster: Roster,
+        limits: ServerLimits,
+        clock: Clock,
+    ) -> None:
+        self._me = me
+        self._links = links
+        self._relay = relay
+        self._roster = roster
+        self._limits = limits
+        self._clock = clock
+        self._desk = PermitDesk()
+        self._tasks: set[asyncio.Task[None]] = set()
+        limits.ask = self._ask
+        links.handle(PermitWanted, self._on_wanted)
+
+    def statements(self) -> list[StatedLimit]:
+        """Return all known statements, to send them with a heartbeat."""
+        return [StatedLimit(*item) for item in self._limits.book.all().items()]
+
+    def on_statements(self, _: PeerId, stated: list[StatedLimit]) -> None:
+        """Apply the statements that a peer knows."""
+        if stated:
+            self._limits.book.merge(dict(stated))
+
+    def _ask(self, backend: BackendId) -> None:
+        if not self._relay.follows and self._holder(backend) == self._me:
+            self._limits.on_answer(backend, self._take(backend))
+            return
+        task = asyncio.ensure_future(self._ask_remote(backend))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask_remote(self, backend: BackendId) -> None:
+        wanted = PermitWanted(backend, self._limits.book.of(backend))
+        answer = await self._pass_on(wanted)
+        self._limits.on_answer(backend, answer.wait)
+
+    async def _pass_on(self, wanted: PermitWanted) -> PermitAnswer:
+        """Return the answer of this instance's hub, or of the holder."""
+        if self._relay.follows:
+            hub = self._relay.hub_peer()
+            if hub is None:
+                return PermitAnswer(None)
+            return await self._request(hub, wanted, self.FORWARDED_ANSWER_SECONDS)
+        holder = self._holder(wanted.backend)
+        if holder == self._me:
+            return PermitAnswer(self._take(wanted.backend))
+        wanted = wanted._replace(forwarded=True)
+        return await self._request(holder, wanted, self.ANSWER_SECONDS)
+
+    async def _request(
+        self, peer: PeerId, wanted: PermitWanted, timeout: float
+    ) -> PermitAnswer:
+        try:
+            return await self._links.request(
+                peer, wanted, PermitAnswer, timeout=timeout
+            )
+        except PeerError as exc:
+            events.PERMIT_NOT_ANSWERED.log(
+                backend=wanted.backend.name, instance=peer.name, reason=exc.message
+            )
+            return PermitAnswer(None)
+
+    async def _on_wanted(self, _: PeerId, wanted: PermitWanted) -> PermitAnswer:
+        self._limits.book.merge({wanted.backend: wanted.statement})
+        if wanted.forwarded:
+            return PermitAnswer(self._take(wanted.backend))
+        return await self._pass_on(wanted)
+
+    def _holder(self, backend: BackendId) -> PeerId:
+        """Return the instance that hands out the sends to a backend server."""
+        hubs = self._roster.peers_matching(lambda member: member.is_hub)
+        return max([*hubs, self._me], key=lambda peer: _weight(backend, peer))
+
+    def _take(self, backend: BackendId) -> float:
+        """Take a send from the part of the limit that this side of a cut may use."""
+        rate = self._limits.book.rate(backend)
+        if rate is None:
+            return 0.0
+        share = self._roster.live_fraction
+        return self._desk.take(backend, rate * share, self._clock.monotonic())
+
+
+def _weight(backend: BackendId, peer: PeerId) -> int:
+    return xxhash.xxh3_64_intdigest(f"{backend.name}/{peer.name}".encode())
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -22,6 +22,7 @@
 )
 from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
+from guavajunction.namedlimits import ServerLimits
 from guavajunction.quarantine import PartQuarantine
 
 from . import _admission
@@ -51,6 +52,7 @@
     rate_limits: RateLimits
     streams: StreamOrigins
     quarantine: PartQuarantine
+    limits: ServerLimits
     retries: RetryBudget
     demand: ModelDemand
     caller: BackendCaller
@@ -326,6 +328,7 @@
         left = admitted.ends_at - self._parts.clock.monotonic()
         prompt_pending = True
         progress = AnswerProgress()
+        statement = self._parts.limits.book.of(backend.identity)
         events.SENT.log(
             request_id=req.request_id,
             backend=backend.name,
@@ -342,6 +345,7 @@
             software_version=backend.software_version,
             resume_after=req.resume_after,
             resumed_stream=req.resumed_stream,
+            server_limit=statement.rate,
         )
         try:
             async with self._parts.caller.send(
@@ -353,6 +357,9 @@
             ) as answer:
                 progress.note_head(self._parts.clock.monotonic())
                 self._parts.quarantine.note_alive(backend.identity)
+                self._parts.limits.book.note_answer(
+                    backend.identity, answer.head.named_limit, statement
+                )
                 self._check_head(answer.head, admitted, backend, attempt)
                 prompt_pending = False
                 if admitted.route.resumable:
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -17,6 +17,7 @@
     StreamNotResumable,
 )
 from guavajunction.health import PassiveHealth
+from guavajunction.namedlimits import PermitDesk, ServerLimits
 from guavajunction.quarantine import PartQuarantine
 
 from . import _admission, _backend_selection
@@ -108,8 +109,10 @@
         loads: LoadView,
         health: PassiveHealth,
         quarantine: PartQuarantine,
+        limits: ServerLimits,
         clock: Clock,
     ) -> None:
+        self._limits = limits
         self._quarantine = quarantine
         self._registry = registry
         self._loads = loads
@@ -242,6 +245,7 @@
         backend = self._choose(queued)
         if backend is not None:
             self._loads.begin(backend.name, queued.req.size)
+            self._limits.on_sent(backend.identity)
             self._wait_reasons.pop(queued.req.request_id, None)
             queued.fut.set_result(backend)
             return
@@ -296,14 +300,30 @@
         return ends > self.stops_at
 
     def _choose(self, queued: QueuedRequest) -> BackendRecord | None:
+        """Return the backend server to send a request to, or None to hold it."""
+        options = self._options(queued)
+        while options:
+            chosen = self._choose_among(options, queued)
+            if chosen is None or self._limits.may_send(chosen.identity):
+                return chosen
+            if self._limits.is_worth_holding(chosen.identity, queued.req.request_id):
+                return None
+            if self._limits.may_send(chosen.identity):
+                return chosen
+            options = [option for option in options if option[0] is not chosen]
+        return None
+
+    def _options(self, queued: QueuedRequest) -> list[tuple[BackendRecord, Load]]:
         options = [
             (backend, self._loads.of(backend.name))
             for backend in self._ready_backends(queued)
             if queued.only is None or backend.name in queued.only
         ]
-        options = [
-            (b, load) for b, load in options if self._has_capacity(b, load, queued)
-        ]
+        return [(b, load) for b, load in options if self._has_capacity(b, load, queued)]
+
+    def _choose_among(
+        self, options: list[tuple[BackendRecord, Load]], queued: QueuedRequest
+    ) -> BackendRecord | None:
         preferred = [
             (backend, load)
             for backend, load in options
@@ -374,12 +394,18 @@
         self, queued: QueuedRequest, group: str, ahead: Counter[str]
     ) -> WaitEstimate:
         ahead[group] += 1
-        slots = sum(backend.slots for backend in self._ready_backends(queued))
+        backends = self._ready_backends(queued)
+        slots = sum(backend.slots for backend in backends)
         plain = queued.req.size is None
         run_seconds = (
             _admission.PLAIN_SERVICE_SECONDS if plain else self.MEAN_RUN_SECONDS
         )
-        return WaitEstimate(ahead[group] * run_seconds / max(1, slots), "slots")
+        wait = ahead[group] * run_seconds / max(1, slots)
+        rates = [self._limits.book.rate(backend.identity) for backend in backends]
+        if rates and None not in rates:
+            rate = max(sum(filter(None, rates)), PermitDesk.MIN_RATE)
+            wait = max(wait, ahead[group] / rate)
+        return WaitEstimate(wait, "slots")
 
     def _estimate_model_wait(
         self,
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/namedlimits/_permits.py
@@ -0,0 +1,63 @@
+"""Hands out the sends to a backend server that has named a limit.
+
+The load that this answers: many instances, each with a few requests a second, and a
+limit that may be far below one request a second for each. A share for each instance
+would be useless or, if shares could be saved, too large in sum. So one instance hands
+out single sends for all, to whoever has a request at that moment.
+"""
+
+from __future__ import annotations
+
+from guavajunction.quarantine import BackendId
+
+
+class PermitDesk:
+    """Spaces the sends to each backend server by its limit.
+
+    >>> desk = PermitDesk()
+    >>> engine = BackendId("e1", 1)
+    >>> [desk.take(engine, rate=2.0, now=at) for at in (0.0, 1.0, 1.2, 1.5)]
+    [1.0, 0.0, 0.3, 0.0]
+    """
+
+    HANDOVER_SECONDS = 1.0
+    """Time from the first question to the first send. The instance that handed out
+    sends before may have done so just now."""
+    MIN_RATE = 0.25
+    """Requests a second that are sent at least: only an answer tells that a limit has
+    ended."""
+    CATCH_UP_SENDS = 1
+    """Number of missed sends that may be made up for."""
+    MAX_BACKENDS = 4096
+    """Number of backend servers whose next send is kept."""
+
+    def __init__(self) -> None:
+        self._next_at: dict[BackendId, float] = {}
+
+    def take(self, backend: BackendId, rate: float, now: float) -> float:
+        """Take the next send to a backend server if it is due.
+
+        Args:
+            backend: Where to send.
+            rate: Its limit, in requests a second.
+            now: Monotonic time in seconds.
+
+        Returns:
+            0 if a request may be sent now, else the seconds until the next send.
+        """
+        interval = 1.0 / max(self.MIN_RATE, rate)
+        next_at = self._next_at.pop(backend, now + self.HANDOVER_SECONDS)
+        # A limit that has risen does not wait for the pause of the lower one.
+        next_at = min(next_at, now + max(self.HANDOVER_SECONDS, interval))
+        wait = round(max(0.0, next_at - now), 4)
+        if wait == 0.0:
+            next_at = max(next_at, now - self.CATCH_UP_SENDS * interval) + interval
+        self._next_at[backend] = next_at
+        while len(self._next_at) > self.MAX_BACKENDS:
+            del self._next_at[next(iter(self._next_at))]
+        return wait
+
+    def keep_only(self, backends: set[BackendId]) -> None:
+        """Forget the backend servers that are no longer limited."""
+        for backend in self._next_at.keys() - backends:
+            del self._next_at[backend]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/namedlimits/_server_limits.py
@@ -0,0 +1,130 @@
+"""Decides whether an instance may send a request to a backend server with a limit."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from guavajunction.clock import Clock
+from guavajunction.quarantine import BackendId
+
+from ._limit_book import LimitBook
+
+
+class _Question:
+    """A question for one send, for one request."""
+
+    def __init__(self, asker: str, asked_at: float) -> None:
+        self.asker = asker
+        self.asked_at = asked_at
+
+
+class ServerLimits:
+    """One instance's permissions to send to backend servers that have named a limit.
+
+    A request that would go to such a backend server is held for some milliseconds
+    while the instance that hands out the sends is asked, and goes elsewhere if there is
+    none. One question is open for each backend server at a time.
+    """
+
+    HOLD_SECONDS = 0.1
+    """Time for which a request is held for an answer; instances are a few milliseconds
+    apart."""
+    VALID_SECONDS = 0.3
+    """Time within which a granted send must be made."""
+    UNANSWERED_SECONDS = 0.3
+    """Pause after a question without an answer."""
+    ACQUIRE_POLL_SECONDS = 0.02
+    """Interval at which `acquire` looks for an answer."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.book = LimitBook()
+        """The limits that are known."""
+        self._questions: dict[BackendId, _Question] = {}
+        self._granted_until: dict[BackendId, float] = {}
+        self._ask_again_at: dict[BackendId, float] = {}
+        self._acquired = 0
+        self.ask: Callable[[BackendId], None] = lambda _: None
+        """Asks for one send; the answer is passed to `on_answer`."""
+        self.on_answered: Callable[[], None] = lambda: None
+        """Called after each answer, as a held request may be sent or go elsewhere."""
+
+    def is_limited(self, backend: BackendId) -> bool:
+        """Return whether a backend server has named a limit."""
+        return self.book.rate(backend) is not None
+
+    def may_send(self, backend: BackendId) -> bool:
+        """Return whether a request may be sent to a backend server now."""
+        if not self.is_limited(backend):
+            return True
+        return self._granted_until.get(backend, 0.0) > self._clock.monotonic()
+
+    def is_worth_holding(self, backend: BackendId, asker: str) -> bool:
+        """Return whether a request should be held for a permission.
+
+        Asks for it unless it was refused a moment ago or another request has asked.
+
+        Args:
+            backend: A limited backend server to which the request may not be sent.
+            asker: Id of the request.
+        """
+        now = self._clock.monotonic()
+        question = self._questions.get(backend)
+        if question is not None:
+            if now - question.asked_at < self.HOLD_SECONDS:
+                return question.asker == asker
+            del self._questions[backend]
+            self._ask_again_at[backend] = now + self.UNANSWERED_SECONDS
+        if self._ask_again_at.get(backend, 0.0) > now:
+            return False
+        self._questions[backend] = _Question(asker, now)
+        self.ask(backend)
+        return backend in self._questions
+
+    def on_answer(self, backend: BackendId, wait: float | None) -> None:
+        """Apply the answer to a question.
+
+        Args:
+            backend: The backend server.
+            wait: 0 if a request may be sent, else seconds until the next send; None if
+                nobody answered.
+        """
+        now = self._clock.monotonic()
+        self._questions.pop(backend, None)
+        if wait == 0.0:
+            self._granted_until[backend] = now + self.VALID_SECONDS
+        else:
+            pause = self.UNANSWERED_SECONDS if wait is None else wait
+            self._ask_again_at[backend] = now + pause
+        self.on_answered()
+
+    def on_sent(self, backend: BackendId) -> None:
+        """Use up the permission for one request."""
+        self._granted_until.pop(backend, None)
+
+    async def acquire(self, backend: BackendId, patience: float) -> bool:
+        """Wait for a permission, and use it up, for a call that has no queue.
+
+        Args:
+            backend: Where to send.
+            patience: Longest wait in seconds.
+        """
+        self._acquired += 1
+        asker = f"call {self._acquired}"
+        ends_at = self._clock.monotonic() + patience
+        while not self.may_send(backend):
+            if self._clock.monotonic() >= ends_at:
+                return False
+            self.is_worth_holding(backend, asker)
+            if not self.may_send(backend):
+                await self._clock.sleep(self.ACQUIRE_POLL_SECONDS)
+        self.on_sent(backend)
+        return True
+
+    def keep_only(self, backends: set[BackendId]) -> None:
+        """Forget the backend servers that have left or restarted."""
+        self.book.keep_only(backends)
+        limited = {b for b in backends if self.is_limited(b)}
+        for known in (self._questions, self._granted_until, self._ask_again_at):
+            for backend in known.keys() - limited:
+                del known[backend]
--- a/packages/guavajunction/src/guavajunction/swapping/_leader.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_leader.py
@@ -267,6 +267,7 @@
             self._fence,
             self._clock,
             not_before=self._not_before,
+            acquire_send=self._parts.acquire_send,
         )
         self._term = Term(self._parts, manager)
         events.TERM_BEGAN.log(fence=self._lease.fence)
--- a/packages/guavajunction/src/guavajunction/swapping/_order_manager.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_order_manager.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 from guavajunction.clock import Clock
 from guavajunction.errors import LeaseLost, NotSent, OrderRefused, OutcomeUnknown
@@ -14,6 +14,10 @@
 from ._protocols import Order, OrderKind, OrderOutcome, OrderSender
 
 
+async def _always(_: BackendRecord) -> bool:
+    return True
+
+
 class OrderManager:
     """Sends the orders of one leader term.
 
@@ -37,6 +41,7 @@
         clock: Clock,
         *,
         not_before: Mapping[str, float] | None = None,
+        acquire_send: Callable[[BackendRecord], Awaitable[bool]] = _always,
     ) -> None:
         """Create a manager without ledgers.
 
@@ -47,12 +52,15 @@
             clock: Source of time.
             not_before: When backend servers with a recent order of the previous leader
                 may get orders, by name, on the monotonic clock.
+            acquire_send: Waits until a backend server that has named a limit takes an
+                order or a report; returns whether it does.
         """
         self._sender = sender
         self._instance = instance
         self._fence = fence
         self._clock = clock
         self._not_before = not_before or {}
+        self._acquire_send = acquire_send
         self._ordered_at: dict[str, float] = {}
         self._ledgers: dict[str, BackendLedger] = {}
         self._locks: dict[str, asyncio.Lock] = {}
@@ -133,6 +141,11 @@
                 f"backend server {ledger.record.name!r} recently had an order of "
                 "the previous leader"
             )
+        if not await self._acquire_send(ledger.record):
+            raise OrderRefused(
+                f"backend server {ledger.record.name!r} takes no order now: it has "
+                "named a limit"
+            )
         order = order._replace(fence=self._fence())
         self._ordered_at[ledger.record.name] = self._clock.monotonic()
         try:
@@ -186,6 +199,9 @@
         since = self._clock.monotonic() - self._ordered_at.get(name, float("-inf"))
         if since < self.REPORT_LAG_SECONDS:
             await self._clock.sleep(self.REPORT_LAG_SECONDS - since)
+        if not await self._acquire_send(ledger.record):
+            events.REPORT_FAILED.log(backend=name, reason="it has named a limit")
+            return None
         try:
             report = await self._sender.report(ledger.record)
         except NotSent as exc:
--- a/packages/guavajunction/src/guavajunction/swapping/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_protocols.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
@@ -59,6 +60,9 @@
 class OrderSender(Protocol):
     """Sends orders and fetches reports, without retries."""
 
+    on_limit: Callable[[BackendRecord, str], None]
+    """Called with the limit that a backend server names in an answer."""
+
     async def send(self, backend: BackendRecord, order: Order) -> OrderOutcome:
         """Send an order.
 
--- a/packages/guavajunction/src/guavajunction/swapping/_term.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_term.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
 from guavajunction.clock import Clock
@@ -45,6 +45,9 @@
     """Sends a notice to every other instance."""
     schedule_dispatch: Callable[[], None]
     """Called when this instance's view of backend servers has changed."""
+    acquire_send: Callable[[BackendRecord], Awaitable[bool]]
+    """Waits until an order or a report may be sent to a backend server; returns whether
+    it may."""
     load_rate_limiter: LoadRateLimiter
     clock: Clock
 
--- a/tests/swapping/test_leader.py
+++ b/tests/swapping/test_leader.py
@@ -23,6 +23,10 @@
 MIN_HANDOVER_SECONDS = 0.4
 
 
+async def _always(_):
+    return True
+
+
 class Node:
     """One instance with its own view of the store."""
 
@@ -48,6 +52,7 @@
             resumes=dict,
             broadcast=lambda _: None,
             schedule_dispatch=lambda: None,
+            acquire_send=_always,
             load_rate_limiter=LoadRateLimiter(5.0),
             clock=self.clock,
         )
