An instance that has just started does not take silence for an unknown stream

Seen: test_restarted_instance_learns_the_version_from_its_peers failed in 2 of 31 runs beside load; the resumed stream was refused with 503 though a peer knew it.

Cause: 'nobody that I asked knows it' was returned in three cases that differ: everyone asked has answered; a question was lost or late (0.3 s); an instance or a hub that had just started heard no other instance yet and asked nobody. Only the first means that the stream is unknown. Not met in 28 runs today at load 8, so the failing runs themselves are not explained by a log; five new cases of test_stream_links.py failed before, with the same 503.

Change: an answer says whether everyone was heard. An instance asks again for up to one second if not, or if it started less than three seconds ago; a hub passes the doubt on to its follower. Afterwards it refuses as before, with Retry-After.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -121,7 +121,9 @@
         shape = FleetShape(tuning.fleet.full_mesh, tuning.fleet.followers)
         self.relay = Relay(self._mesh, parts.roster, shape, parts.clock)
         self.leader = self._create_order_leader(settings, deployment)
-        self._streams = StreamLinks(self._mesh, self.relay, parts.roster, parts.streams)
+        self._streams = StreamLinks(
+            self._mesh, self.relay, parts.roster, parts.streams, parts.clock
+        )
         self._limits = LimitLinks(
             me, self._mesh, self.relay, parts.roster, parts.limits, parts.clock
         )
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_stream_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_stream_links.py
@@ -10,6 +10,7 @@
 import asyncio
 from typing import NamedTuple
 
+from guavajunction.clock import Clock
 from guavajunction.errors import PeerError
 from guavajunction.fleet import Relay, Roster
 from guavajunction.gateway import StreamBegan, StreamOrigin, StreamOrigins
@@ -36,6 +37,11 @@
     """Answers `StreamWanted`."""
 
     origin: StreamOrigin | None
+    certain: bool = True
+    """Whether every instance that might know the stream has answered."""
+
+
+NO_ANSWER = StreamFound(None, certain=False)
 
 
 class StreamLinks:
@@ -50,6 +56,12 @@
     """Timeout of a question to one instance."""
     FORWARDED_ANSWER_SECONDS = 0.7
     """Timeout of a question that a hub may forward."""
+    PATIENCE_SECONDS = 1.0
+    """How long an instance asks again for a stream if not everyone has answered."""
+    RETRY_SECONDS = 0.05
+    """Pause before it asks again."""
+    SETTLE_SECONDS = 3.0
+    """Time after the start until an instance hears all those that it may ask."""
     MIN_COPIES = 3
     """Number of other instances that know each stream, if the fleet has as many. If
     there are fewer hubs, some followers hold copies as well."""
@@ -59,8 +71,15 @@
     """Maximum number of streams reported to a newly followed hub, the newest ones."""
 
     def __init__(
-        self, links: Links, relay: Relay, roster: Roster, origins: StreamOrigins
+        self,
+        links: Links,
+        relay: Relay,
+        roster: Roster,
+        origins: StreamOrigins,
+        clock: Clock,
     ) -> None:
+        self._clock = clock
+        self._settled_at = clock.monotonic() + self.SETTLE_SECONDS
         self._links = links
         self._relay = relay
         self._roster = roster
@@ -101,46 +120,62 @@
         return hubs + sorted(self._relay.followers())[:missing]
 
     async def _ask(self, stream: str) -> StreamOrigin | None:
+        """Ask until a stream is found, or everyone has answered.
+
+        An instance that has just started may not hear the others yet, and a question
+        may get lost. Neither means that the stream is unknown.
+        """
+        ends_at = self._clock.monotonic() + self.PATIENCE_SECONDS
+        while True:
+            found = await self._ask_once(stream)
+            if found.origin is not None:
+                return found.origin
+            if found.certain or self._clock.monotonic() >= ends_at:
+                break
+            await self._clock.sleep(self.RETRY_SECONDS)
+        events.STREAM_UNKNOWN.log(
+            stream=stream, hub=self._relay.follows or None, certain=found.certain
+        )
+        return None
+
+    async def _ask_once(self, stream: str) -> StreamFound:
+        if not self._relay.follows:
+            return await self._ask_copies(stream)
         hub = self._relay.hub_peer()
-        if hub is not None:
-            wanted = StreamWanted(stream)
-            origin = await self._ask_peer(hub, wanted, self.FORWARDED_ANSWER_SECONDS)
-        else:
-            origin = await self._ask_copies(stream)
-        if origin is None:
-            events.STREAM_UNKNOWN.log(stream=stream, hub=hub.name if hub else None)
-        return origin
-
-    async def _ask_copies(self, stream: str) -> StreamOrigin | None:
+        if hub is None:
+            return NO_ANSWER
+        wanted = StreamWanted(stream)
+        return await self._ask_peer(hub, wanted, self.FORWARDED_ANSWER_SECONDS)
+
+    async def _ask_copies(self, stream: str) -> StreamFound:
         """Ask several instances at once; return the first origin that one knows."""
         wanted = StreamWanted(stream, forwarded=True)
         questions = [
             asyncio.ensure_future(self._ask_peer(peer, wanted, self.ANSWER_SECONDS))
             for peer in self._copies()[: self.MAX_ASKED]
         ]
+        certain = self._clock.monotonic() >= self._settled_at
         try:
             for answer in asyncio.as_completed(questions):
-                origin = await answer
-                if origin is not None:
-                    return origin
-            return None
+                found = await answer
+                if found.origin is not None:
+                    return found
+                certain = certain and found.certain
+            return StreamFound(None, certain)
         finally:
             for question in questions:
                 question.cancel()
 
     async def _ask_peer(
         self, peer: PeerId, wanted: StreamWanted, timeout: float
-    ) -> StreamOrigin | None:
+    ) -> StreamFound:
         try:
-            found = await self._links.request(
-                peer, wanted, StreamFound, timeout=timeout
-            )
+            return await self._links.request(peer, wanted, StreamFound, timeout=timeout)
         except PeerError as exc:
             events.STREAM_QUESTION_FAILED.log(
                 stream=wanted.stream, instance=peer.name, reason=exc.message
             )
-            return None
-        return found.origin
+            return NO_ANSWER
 
     async def _on_began(self, peer: PeerId, report: StreamsBegan) -> None:
         for began in report.streams:
@@ -152,5 +187,5 @@
     async def _on_wanted(self, _: PeerId, wanted: StreamWanted) -> StreamFound:
         origin = self._origins.get(wanted.stream)
         if origin is None and not wanted.forwarded:
-            origin = await self._ask_copies(wanted.stream)
+            return await self._ask_copies(wanted.stream)
         return StreamFound(origin)
--- a/tests/entry/test_stream_links.py
+++ b/tests/entry/test_stream_links.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fakes_clock import ManualClock
+from fakes_clock import QuickClock
 from guavajunction.errors import PeerTimeout, PeerUnknown
 from guavajunction.fleet import Member
 from guavajunction.gateway import StreamOrigin, StreamOrigins
@@ -30,6 +30,8 @@
         self.hub_of = {}
         self.alive = set()
         self.sent = 0
+        self.lost_answers = 0
+        self.unheard = {}
         for hub in range(hubs):
             self._add(f"hub-{hub}", "")
             for n in range(followers):
@@ -68,8 +70,9 @@
         self.fleet = fleet
         self.me = PeerId(name, "1")
         self.handlers = {}
-        self.origins = StreamOrigins(ManualClock())
-        self.streams = StreamLinks(self, self, self, self.origins)
+        self.clock = QuickClock()
+        self.origins = StreamOrigins(self.clock)
+        self.streams = StreamLinks(self, self, self, self.origins, self.clock)
         self.streams.on_heartbeat()
 
     # As `Links`.
@@ -88,6 +91,9 @@
             self.send(receiver, message)
 
     async def request(self, to, message, _, *, timeout):
+        if self.fleet.lost_answers:
+            self.fleet.lost_answers -= 1
+            raise PeerTimeout(f"{to.name} did not answer in {timeout} s")
         if to.name not in self.fleet.alive:
             raise PeerTimeout(f"{to.name} did not answer in {timeout} s")
         if not self.fleet.reaches(self.me.name, to.name):
@@ -119,6 +125,9 @@
     # As `Roster`.
 
     def peers_matching(self, test):
+        if self.fleet.unheard.get(self.me.name, 0):
+            self.fleet.unheard[self.me.name] -= 1
+            return []
         return [
             PeerId(name, "1")
             for name, hub in self.fleet.hub_of.items()
@@ -181,9 +190,46 @@
             fleet.follow(name, "front-0-00")
         assert await find(fleet, "front-0-21") == ORIGIN
 
+    async def test_instance_that_has_just_started_waits_until_it_hears_its_peers(
+        self, fleet
+    ):
+        await begin(fleet, "hub-0")
+        fleet.start("hub-1")
+        fleet.unheard["hub-1"] = 5
+        assert await find(fleet, "hub-1") == ORIGIN
+
+    async def test_question_without_an_answer_is_asked_again(self, fleet):
+        await begin(fleet, "hub-0")
+        fleet.start("hub-1")
+        fleet.lost_answers = 10
+        assert await find(fleet, "hub-1") == ORIGIN
+
+    async def test_hub_asks_again_for_a_follower(self):
+        fleet = Fleet(2, 2)
+        await begin(fleet, "hub-0")
+        fleet.start("hub-1")
+        fleet.start("front-1-00")
+        fleet.unheard["hub-1"] = 2
+        assert await find(fleet, "front-1-00") == ORIGIN
+
     async def test_unknown_stream_is_not_found(self, fleet):
         assert await find(fleet, "hub-0") is None
 
+    async def test_search_for_a_stream_ends_if_nobody_answers(self, fleet):
+        fleet.lost_answers = 10_000
+        clock = fleet.instances["hub-0"].clock
+        began = clock.monotonic()
+        assert await find(fleet, "hub-0") is None
+        assert clock.monotonic() - began <= StreamLinks.PATIENCE_SECONDS + 0.1
+
+    async def test_single_instance_refuses_at_once_after_it_has_settled(self):
+        fleet = Fleet(1, 0)
+        clock = fleet.instances["hub-0"].clock
+        clock.advance(StreamLinks.SETTLE_SECONDS)
+        began = clock.monotonic()
+        assert await find(fleet, "hub-0") is None
+        assert clock.monotonic() == began
+
 
 class TestCost:
     """The messages for a stream grow with the number of hubs only."""
