Product: a request that two engines ended on does not reach a third

A prompt that crashes engines ended all of them. Now two at most. The new test failed before: all four engines got the request.

--- a/packages/guavajunction/src/guavajunction/routing/_engine_call.py
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -45,6 +45,10 @@
     """The answer was interrupted or incomplete, or belongs to another request."""
 
 
+class ConnectionLost(StreamCut):
+    """The engine closed the connection, as one that crashes does."""
+
+
 class EngineCall:
     """One request, sent to engines over one or more connections.
 
@@ -109,8 +113,10 @@
                 return await self._relay_whole(resp, backend)
         except aiohttp.ClientConnectorError as exc:
             raise NotBegun(f"cannot connect to {backend}: {exc.os_error}") from exc
-        except (aiohttp.ClientError, TimeoutError) as exc:
+        except TimeoutError as exc:
             raise StreamCut(f"{backend}: {type(exc).__name__}") from exc
+        except aiohttp.ClientError as exc:
+            raise ConnectionLost(f"{backend}: {type(exc).__name__}") from exc
 
     def _post(self, address: str) -> Any:
         headers = {
--- a/packages/guavajunction/src/guavajunction/routing/_inference_router.py
+++ b/packages/guavajunction/src/guavajunction/routing/_inference_router.py
@@ -22,6 +22,7 @@
 from ._decision_log import DecisionLog
 from ._dispatcher import Dispatcher, Grant
 from ._engine_call import (
+    ConnectionLost,
     EngineCall,
     EngineRefused,
     EngineRequest,
@@ -37,6 +38,9 @@
 
     MAX_ATTEMPTS = 4
     """Maximum number of connections per request."""
+    MAX_LOST_BACKENDS = 2
+    """A request fails once this number of backend servers have closed its connection
+    before its answer began: it may be what they crash on."""
 
     def __init__(
         self,
@@ -88,6 +92,7 @@
         failure: GuavaError = NoReplica("no attempt was made")
         may_have_run = False
         last: Grant | None = None
+        lost: set[str] = set()
         for _ in range(self.MAX_ATTEMPTS):
             try:
                 is_first_grant = last is None
@@ -101,6 +106,14 @@
                 failure = exc
                 may_have_run = may_have_run or isinstance(exc, StreamCut)
                 self._record_failure(engine_req, last, exc, call, failures)
+                if isinstance(exc, ConnectionLost) and not call.has_begun:
+                    lost.add(last.backend)
+            if len(lost) >= self.MAX_LOST_BACKENDS:
+                failure = ConnectionLost(
+                    f"{len(lost)} backend servers closed the connection, the last one: "
+                    f"{failure.message}"
+                )
+                break
             if not call.has_begun and not self._budget.try_withdraw():
                 self._decisions.note(events.NO_RETRY_LEFT, engine_req.req.request_id)
                 break
--- a/tests/routing/test_relay.py
+++ b/tests/routing/test_relay.py
@@ -295,6 +295,14 @@
             await route_to(engine)
         assert caught.value.not_run != "true"
 
+    async def test_request_that_two_engines_ended_on_does_not_reach_a_third(self):
+        engines = [ScriptedEngine() for _ in range(4)]
+        for engine in engines:
+            engine.script = [engine.vanish] * InferenceRouter.MAX_ATTEMPTS
+        with pytest.raises(BackendFailed, match="2 backend servers"):
+            await route_to(*engines)
+        assert sum(bool(engine.bodies) for engine in engines) == 2
+
     async def test_single_replica_that_answered_another_request_is_retried(self):
         engine = ScriptedEngine()
         engine.script = [engine.other_request]
