Crash reports: peers do not wait for the store; a confirmed crash is reported once

A store that did not answer delayed the reports to peers by the timeout of the write, since one task did both. Crashes beyond the number that an instance reports were dropped and added again at each call, so the task never rested. A crash that was confirmed exactly between two looks stayed unreported until the next one.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_quarantine_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_quarantine_links.py
@@ -61,7 +61,8 @@
         self._quarantine = quarantine
         self._clock = clock
         self._rng = random.Random(me.incarnation)
-        self._wake = asyncio.Event()
+        self._changed = asyncio.Event()
+        self._rows_due = asyncio.Event()
         self._number = 0
         self._newest_numbers: dict[str, int] = {}
         self._body: bytes | None = None
@@ -69,7 +70,7 @@
         self._written = True
         self._expired: list[RowChange] = []
         self._relay: Relay | None = None
-        quarantine.on_change = self._wake.set
+        quarantine.on_change = self._changed.set
         quarantine.claim_trial = self._claim_trial
 
     def connect(self, links: Links, relay: Relay) -> None:
@@ -79,21 +80,35 @@
 
     async def run(self) -> None:
         """Publish this instance's reports until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._settle_crashes())
+            tasks.create_task(self._maintain_rows())
+
+    async def _settle_crashes(self) -> None:
         while True:
             if self._quarantine.unsettled:
                 await self._clock.sleep(self.SETTLE_SECONDS)
-            elif not self._written:
-                await self._clock.sleep(
-                    self.RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
-                )
             else:
-                await self._wake.wait()
-            self._wake.clear()
+                await self._changed.wait()
+            self._changed.clear()
             evidence = self._quarantine.settle()
             if evidence is not None:
                 self._publish(evidence)
-            if not self._written:
-                self._written = await self._attempt("write", self._write)
+
+    async def _maintain_rows(self) -> None:
+        """Write this instance's row, and remove expired ones.
+
+        Peers are told without waiting for the store, which may be silent.
+        """
+        while True:
+            await self._rows_due.wait()
+            self._rows_due.clear()
+            while not self._written:
+                self._written = True
+                if not await self._attempt("write", self._write):
+                    self._written = False
+                    pause = self.RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
+                    await self._clock.sleep(pause)
             await self._remove_expired()
 
     def apply(self, changes: Changes) -> None:
@@ -110,7 +125,7 @@
                 self._written = False
             self._quarantine.adopt_missing(sources)
         if not self._written or self._expired:
-            self._wake.set()
+            self._rows_due.set()
 
     def _apply_row(self, row: RowChange, body: bytes) -> None:
         try:
@@ -126,6 +141,7 @@
     def _publish(self, evidence: Evidence) -> None:
         self._body = msgspec.msgpack.encode(evidence)
         self._written = False
+        self._rows_due.set()
         self._number += 1
         if self._relay is not None:
             notice = EvidenceNotice(self._source, self._number, evidence)
--- a/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
@@ -20,6 +20,8 @@
         self.lost_at = lost_at
         self.unix_at = unix_at
         self.parts: dict[str, None] = {}
+        self.reported = False
+        """Whether all parts have been reported."""
 
 
 async def _claim_nothing(_: str) -> bool:
@@ -177,6 +179,7 @@
             self._suspicions[backend] = suspicion
         for part in parts[: self.MAX_PARTS_PER_CRASH - len(suspicion.parts)]:
             suspicion.parts[part] = None
+        suspicion.reported = False
         self.on_change()
 
     def note_alive(self, backend: BackendId) -> None:
@@ -205,7 +208,8 @@
         for backend, suspicion in list(self._suspicions.items()):
             if suspicion.lost_at < expired_before:
                 del self._suspicions[backend]
-            elif suspicion.lost_at <= confirmed_before:
+            elif not suspicion.reported and suspicion.lost_at <= confirmed_before:
+                suspicion.reported = True
                 self._report_crash(backend, suspicion)
         if not self._changed:
             return None
@@ -217,8 +221,7 @@
     @property
     def unsettled(self) -> bool:
         """Return whether crashes wait to be confirmed."""
-        confirmed_before = self._clock.monotonic() - self.CONFIRM_SECONDS
-        return any(s.lost_at > confirmed_before for s in self._suspicions.values())
+        return any(not s.reported for s in self._suspicions.values())
 
     def merge(self, source: str, evidence: Evidence) -> None:
         """Replace the reports of another instance.
--- a/tests/entry/test_quarantine_links.py
+++ b/tests/entry/test_quarantine_links.py
@@ -164,6 +164,14 @@
         assert all(instance.blames() for instance in instances)
         assert peers.forwarded
 
+    async def test_peers_are_told_while_the_store_does_not_answer(self, start):
+        table, peers = FakeTable(), Peers()
+        table.before_effect = asyncio.Event()
+        instances = [start(f"front-{n}", table, peers) for n in range(3)]
+        for number in range(3):
+            await instances[0].crash(number)
+        assert all(instance.blames() for instance in instances)
+
     async def test_older_notice_is_ignored(self, start):
         peers = Peers()
         instance = start("front-1", FakeTable(), peers)
--- a/tests/quarantine/test_part_quarantine.py
+++ b/tests/quarantine/test_part_quarantine.py
@@ -137,6 +137,17 @@
         quarantine.settle()
         assert quarantine.blamed_in(["bad", "x"]) is None
 
+    def test_report_waits_to_be_settled_until_it_is(self):
+        quarantine, clock = one()
+        lose(quarantine, 1, "bad")
+        assert quarantine.unsettled
+        clock.advance(PartQuarantine.CONFIRM_SECONDS)
+        assert quarantine.unsettled
+        quarantine.settle()
+        assert not quarantine.unsettled
+        lose(quarantine, 1, "worse")
+        assert quarantine.unsettled
+
     def test_bytes_read_just_after_the_crash_do_not_retract_it(self):
         quarantine, clock = one()
         lose(quarantine, 1, "bad")
@@ -205,6 +216,15 @@
             assert len(report.parts) <= PartQuarantine.MAX_PARTS_PER_CRASH
             assert all(len(part) <= 25 for part in report.parts)
 
+    def test_reports_settle_after_more_crashes_than_are_reported(self):
+        quarantine, clock = one()
+        for number in range(PartQuarantine.MAX_CRASHES * 2):
+            lose(quarantine, number, f"s{number}")
+        clock.advance(1.0)
+        assert quarantine.settle() is not None
+        assert not quarantine.unsettled
+        assert quarantine.settle() is None
+
     def test_flood_of_crashes_does_not_release_a_blamed_part(self):
         quarantine, clock = one()
         blame(quarantine, clock)
