Stand-in runner: an engine that crashes restarts without its models

The stand-in came back after 0.4 s with its models, and crashed again before the instances had its new incarnation, so several crashes counted as one. Engines of the platform restart empty and get no request before their new entry lists a model.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -172,11 +172,13 @@
         self._write_entry()
 
     async def crash(self) -> None:
-        """End all connections, refuse new ones for a while, then restart."""
+        """End all connections, refuse new ones for a while, then restart empty."""
         if self.faults.active.outage == "refuse":
             return
         self.crashed_at.append(time.monotonic())
         self.faults.set(outage="refuse", outage_seconds=self.DOWN_SECONDS)
+        self._models.clear()
+        self._busy = False
         await asyncio.sleep(self.DOWN_SECONDS)
         self.restart()
 
