--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -306,9 +306,10 @@
             chosen = self._choose_among(options, queued)
             if chosen is None or self._limits.may_send(chosen.identity):
                 return chosen
-            if self._limits.is_worth_holding(chosen.identity, queued.req.request_id):
+            if self._limits.ask_to_send(chosen.identity, queued.req.request_id):
                 return None
             if self._limits.may_send(chosen.identity):
+                # The answer came at once, as this instance hands out the sends.
                 return chosen
             options = [option for option in options if option[0] is not chosen]
         return None
--- a/packages/guavajunction/src/guavajunction/namedlimits/_server_limits.py
+++ b/packages/guavajunction/src/guavajunction/namedlimits/_server_limits.py
@@ -59,10 +59,12 @@
             return True
         return self._granted_until.get(backend, 0.0) > self._clock.monotonic()
 
-    def is_worth_holding(self, backend: BackendId, asker: str) -> bool:
-        """Return whether a request should be held for a permission.
+    def ask_to_send(self, backend: BackendId, asker: str) -> bool:
+        """Ask for a permission, and return whether to hold the request for the answer.
 
-        Asks for it unless it was refused a moment ago or another request has asked.
+        Nobody is asked, and the request not held, if a permission was refused a moment
+        ago or another request has asked. If the answer is known at once, `may_send`
+        has it.
 
         Args:
             backend: A limited backend server to which the request may not be sent.
@@ -115,7 +117,7 @@
         while not self.may_send(backend):
             if self._clock.monotonic() >= ends_at:
                 return False
-            self.is_worth_holding(backend, asker)
+            self.ask_to_send(backend, asker)
             if not self.may_send(backend):
                 await self._clock.sleep(self.ACQUIRE_POLL_SECONDS)
         self.on_sent(backend)
--- a/tests/entry/test_limit_links.py
+++ b/tests/entry/test_limit_links.py
@@ -94,7 +94,7 @@
                 self.limits.on_sent(ENGINE)
                 self.fleet.sent.append(self.fleet.clock.monotonic())
                 return
-            held = self.limits.is_worth_holding(ENGINE, request_id)
+            held = self.limits.ask_to_send(ENGINE, request_id)
             if not held and not self.limits.may_send(ENGINE):
                 return
             await asyncio.sleep(0)
@@ -239,10 +239,10 @@
         asked = [i for i in fleet.instances.values() if i.links._holder(ENGINE) != i.me]
         limits = asked[0].limits
         limits.ask = lambda _: None
-        assert limits.is_worth_holding(ENGINE, "r1")
-        assert not limits.is_worth_holding(ENGINE, "r2")
+        assert limits.ask_to_send(ENGINE, "r1")
+        assert not limits.ask_to_send(ENGINE, "r2")
         fleet.clock.advance(ServerLimits.HOLD_SECONDS)
-        assert not limits.is_worth_holding(ENGINE, "r1")
+        assert not limits.ask_to_send(ENGINE, "r1")
 
     async def test_call_without_a_queue_gives_up_after_its_patience(self):
         fleet = Fleet(1, 0)
