Crash reports fit into one row of the store whatever ids callers choose

48 crashes with 128 long ids each made a row of 150 kB; the store takes 64 KiB, so none of the instance's reports would have been stored. The parts of all reports are limited to 1,500. The new test failed before.

--- a/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
@@ -64,6 +64,9 @@
     """Number of crashes that this instance reports."""
     MAX_PARTS_PER_CRASH = 128
     """Number of parts in one report."""
+    MAX_REPORTED_PARTS = 1500
+    """Number of parts in all reports of this instance, which are one row of the store.
+    A key has 25 bytes at most, and a row 64 KiB."""
     MAX_SOURCES = 1024
     """Number of instances whose reports are kept; several times the largest fleet."""
 
@@ -310,7 +313,11 @@
     def _limit_own_crashes(self) -> None:
         """Drop the oldest reports, those that support no blame first."""
         needed = {crash for blamed in self._blamed for crash in blamed.crashes}
-        while len(self._own_crashes) > self.MAX_CRASHES:
+        while (
+            len(self._own_crashes) > self.MAX_CRASHES
+            or sum(len(report.parts) for report in self._own_crashes.values())
+            > self.MAX_REPORTED_PARTS
+        ):
             spare = [b for b in self._own_crashes if b not in needed]
             del self._own_crashes[next(iter(spare or self._own_crashes))]
 
--- a/tests/quarantine/test_part_quarantine.py
+++ b/tests/quarantine/test_part_quarantine.py
@@ -4,11 +4,14 @@
 
 import random
 
+import msgspec
 import pytest
 
 from fakes_clock import ManualClock
 from guavajunction.quarantine import BackendId, Evidence, PartQuarantine
 
+ROW_BYTES = 65_536
+
 
 class Fleet:
     """Instances that receive all reports of each other."""
@@ -216,6 +219,22 @@
             assert len(report.parts) <= PartQuarantine.MAX_PARTS_PER_CRASH
             assert all(len(part) <= 25 for part in report.parts)
 
+    def test_reports_fit_into_one_row_of_the_store(self):
+        quarantine, clock = one()
+        blame(quarantine, clock)
+        for number in range(PartQuarantine.MAX_REPORTED_SOUND):
+            for crash in range(3):
+                lose(quarantine, f"{number}/{crash}", f"sound{number}" * 10)
+        clock.advance(1.0)
+        quarantine.settle()
+        for number in range(100):
+            parts = [f"{number}/{n}" * 100 for n in range(1000)]
+            lose(quarantine, number, *parts)
+        clock.advance(1.0)
+        quarantine.settle()
+        assert len(msgspec.msgpack.encode(quarantine.own())) <= ROW_BYTES
+        assert quarantine.blamed_in(["bad", "x"]) is not None
+
     def test_reports_settle_after_more_crashes_than_are_reported(self):
         quarantine, clock = one()
         for number in range(PartQuarantine.MAX_CRASHES * 2):
