--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_quarantine_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_quarantine_links.py
@@ -121,7 +121,7 @@
         if changes.complete:
             own = {row.sort: row.body for row in changes.rows}.get(self._source)
             if self._body is not None and own != self._body:
-                # The store has lost the row, or not been written yet.
+                # The store has lost the row, or it has not been written yet.
                 self._written = False
             self._quarantine.adopt_missing(sources)
         if not self._written or self._expired:
