Read the instance list again while a live instance is missing from it

Cause: a follower reads the list of instances every 30 s only. An instance that is listed after the others have read the list, and that ranks first, takes itself for the hub while the others follow the next one, for up to 30 s.

Change: StoreRoster waits at most 2 s (with jitter) before the next read while a live instance is not in the rows last read. In calm nothing more is read.

The fixture of test_hubs waits up to 8 s until the fleet follows one hub, the bound that it already has for the list; the checks of the tests are as they were.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -415,6 +415,9 @@
             links.relay.offer_partition(partition, rows, self._watchers[partition].age)
         self._store_roster.on_read = links.set_listed
         self._store_roster.has_hub = lambda: links.relay.hub_peer() is not None
+        self._store_roster.live_names = lambda: [
+            peer.name for peer in self._roster.peers()
+        ]
         links.exchange_crash_reports(self._quarantine_links)
         self._links = links
         await links.run()
--- a/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 import msgspec
@@ -52,6 +52,9 @@
     READ_SECONDS_WITH_HUB = 30.0
     """Pause between reads while a hub sends the list of instances. The rows are then
     only needed to select another hub."""
+    READ_SECONDS_UNLISTED = 2.0
+    """Maximum pause while an instance is live but not in the rows last read. Instances
+    select the same hub only if they have read the same list."""
 
     def __init__(
         self, table: TableService, me: PeerId, entry: InstanceEntry, clock: Clock
@@ -65,6 +68,9 @@
         """Called with all listed instances after each read."""
         self.has_hub: Callable[[], bool] = lambda: False
         """Returns whether a followed hub sends the list of instances."""
+        self.live_names: Callable[[], Collection[str]] = tuple
+        """Returns the names of the other live instances."""
+        self._listed_names: set[str] = set()
 
     async def run(self) -> None:
         """Write this instance's row, then read all rows until cancelled."""
@@ -76,7 +82,16 @@
             pause = pauses.pop(0) if len(pauses) > 1 else pauses[0]
             if self.has_hub():
                 pause = max(pause, self.READ_SECONDS_WITH_HUB)
-            await self._clock.sleep(pause * self._rng.uniform(0.8, 1.2))
+            await self._wait(pause * self._rng.uniform(0.8, 1.2))
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait before the next read, more briefly if a live instance is not listed."""
+        end = self._clock.monotonic() + seconds
+        while (left := end - self._clock.monotonic()) > 0:
+            pause = self.READ_SECONDS_UNLISTED * self._rng.uniform(0.5, 1.0)
+            await self._clock.sleep(min(left, pause))
+            if not self._listed_names.issuperset(self.live_names()):
+                return
 
     async def leave(self) -> None:
         """Remove this instance's row, unless a newer incarnation wrote it."""
@@ -95,7 +110,9 @@
         await self._table.put(PARTITION, self._me.name, body, expected=expected)
 
     async def _read(self) -> None:
-        self.on_read([_listed(row) for row in await self._table.query(PARTITION)])
+        listed = [_listed(row) for row in await self._table.query(PARTITION)]
+        self._listed_names = {entry.record.name for entry in listed}
+        self.on_read(listed)
 
     async def _remove_own_row(self) -> None:
         name, incarnation = self._me
--- a/tests/platform/test_hubs.py
+++ b/tests/platform/test_hubs.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from guavajunction.fleet import Candidate, FleetShape
+from guavajunction.fleet._hubs import hubs
 from guavajunction_fakes.deployment import LocalDeployment
 from platform_calls import assert_limit_holds, call, count_listed_instances, wait_until
 
@@ -26,6 +28,7 @@
             await wait_until(
                 lambda name=name: _lists_instances(running, name, INSTANCES), 8.0
             )
+        await wait_until(lambda: _follow_one_hub(running), 8.0)
         yield running
 
 
@@ -33,6 +36,11 @@
     return await count_listed_instances(deployment, name) == count
 
 
+def _follow_one_hub(deployment):
+    chosen = hubs_chosen(deployment)
+    return len(chosen) == 1 and not unlinked(deployment, *chosen)
+
+
 def log_lines(deployment, name, message_type):
     text = deployment.instances[name].log_path.read_text()
     lines = [json.loads(line) for line in text.splitlines() if message_type in line]
@@ -44,28 +52,76 @@
     return chosen[-1]["hub"] if chosen else None
 
 
+def hubs_chosen(deployment):
+    return {hub_chosen_by(deployment, name) for name in deployment.instances} - {None}
+
+
 def the_hub(deployment):
-    hubs = {hub_chosen_by(deployment, name) for name in deployment.instances} - {None}
-    (hub,) = hubs
+    (hub,) = hubs_chosen(deployment)
     return hub
 
 
+def followers_of(deployment, hub):
+    return {line["instance"] for line in log_lines(deployment, hub, "fleet:followed")}
+
+
+def order_leaders(deployment):
+    return {
+        name
+        for name in deployment.instances
+        if log_lines(deployment, name, "swapping:author_began")
+    }
+
+
+def unlinked(deployment, hub):
+    """Return the instances that neither follow a hub nor have led orders.
+
+    An instance that became the order leader before the hub started stays a hub.
+    """
+    following = {
+        name
+        for name in followers_of(deployment, hub)
+        if hub_chosen_by(deployment, name) == hub
+    }
+    return deployment.instances.keys() - following - order_leaders(deployment) - {hub}
+
+
+class LateDeployment(LocalDeployment):
+    """A deployment whose preferred hub is listed seconds after the other instances."""
+
+    LATE_SECONDS = 4.0
+    """Long enough that the others have read the list and follow another hub."""
+
+    def start(self, name):
+        process = super().start(name)
+        candidates = [Candidate(name, "", strong=False) for name in self._addresses]
+        if [name] == hubs(candidates, (), FleetShape(1, INSTANCES))[""]:
+            process.freeze()
+            asyncio.get_running_loop().call_later(self.LATE_SECONDS, process.resume)
+        return process
+
+
+class TestLateStart:
+    """An instance that starts after the others is known to all of them."""
+
+    async def test_all_instances_agree_on_one_hub(self, tmp_path):
+        settings = tmp_path / "gateway.ini"
+        settings.write_text("[fleet]\nfull_mesh = 1\n")
+        async with LateDeployment(
+            tmp_path, instances=INSTANCES, ports=PORTS, gateway_settings=settings
+        ) as running:
+            await wait_until(lambda: _follow_one_hub(running), 8.0)
+
+
 class TestFollowers:
     """Followers serve the same requests as an instance that reads the store."""
 
     async def test_all_instances_follow_one_hub(self, deployment):
         hub = the_hub(deployment)
         assert hub in deployment.instances
-        followed = log_lines(deployment, hub, "fleet:followed")
-        followers = {line["instance"] for line in followed}
-        # An instance that became the order leader before the hub started stays a hub.
-        leaders = {
-            name
-            for name in deployment.instances
-            if log_lines(deployment, name, "swapping:author_began")
-        }
+        followers = followers_of(deployment, hub)
         others = deployment.instances.keys() - {hub}
-        assert followers | (leaders - {hub}) == others
+        assert followers | (order_leaders(deployment) - {hub}) == others
         assert len(followers) >= INSTANCES - 2
 
     async def test_followers_do_not_read_the_store(self, deployment):
