End a process without the interpreter's clean-up, and stop it while it imports

Change: process_life.stop_until_started handles stop signals before anything else is imported; process_life.end flushes the output and ends the process. Both programs use them (the product's command had the same fault).

--- a/packages/guavajunction-entry/src/guavajunction_entry/_daemon_service.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_daemon_service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 
 import aiomisc
 
@@ -11,6 +10,7 @@
 
 from . import _events as events
 from ._incarnation import Ending, Incarnation
+from .process_life import STOP_SIGNALS
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -19,8 +19,6 @@
 class DaemonService(aiomisc.Service):
     """Runs one incarnation after the other until a signal requests a planned stop."""
 
-    STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-
     def __init__(self, settings: Settings) -> None:
         super().__init__()
         self._settings = settings
@@ -30,7 +28,7 @@
     async def start(self) -> None:
         """Install the signal handlers and start the first incarnation."""
         loop = asyncio.get_running_loop()
-        for signum in self.STOP_SIGNALS:
+        for signum in STOP_SIGNALS:
             loop.add_signal_handler(signum, self._on_stop_signal)
         self._task = loop.create_task(self._run())
 
--- a/packages/guavajunction-entry/src/guavajunction_entry/main.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/main.py
@@ -63,11 +63,11 @@
             return loop.run_until_complete(service.finished())
 
 
-def run() -> None:
-    """Entry point of the installed command."""
+def run_command() -> int:
+    """Parse the command line, run the command and return its exit status."""
     try:
         argv = flags.FLAGS(sys.argv)
     except flags.Error as exc:
         print(f"guavajunction: {exc}", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-    sys.exit(main(argv))
+        return EXIT_USAGE
+    return main(argv)
