Store client: the store's era is part of every version

Load it answers: a store that is away for a moment and comes back from a copy some seconds old; versions fall and are given out again for other rows.

Cause: all versions were compared as if they never decreased. Before this change, on the stand-in: changes after a version given out again were taken as if nothing had been lost in between, and a conditional write succeeded against another row's content.

Change: versions inside the gateway are positions, the era in the high bits (13 + 40 bits, exact in JSON numbers). The era is read from each answer, errors too. A position of an earlier era gets HistoryGone or ConditionFailed without a call. An answer that was on its way when the next era began is discarded; a write in that state is unknown. A missing, malformed or falling era is logged and the last one holds. A store that names no era has era 0, where positions are the versions themselves: no behaviour changes.

Weighed: a full reread with reconciliation whenever a version falls. Dropped, because a version that has been given out again is not lower, so nothing shows the loss.

The stand-in of the store gets the drill (FakeStore.restore, LocalDeployment. restore_store).

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
@@ -158,6 +158,30 @@
         content = json.loads(path.read_text())
         path.write_text(json.dumps(content | {"bounds": change(content["bounds"])}))
 
+    async def restore_store(
+        self, age_seconds: float, *, outage_seconds: float, rewrite_seconds: float = 0.0
+    ) -> int:
+        """Take the store away and bring it back from an older copy.
+
+        Args:
+            age_seconds: Age of the copy when the store comes back.
+            outage_seconds: Time in which the store refuses connections.
+            rewrite_seconds: Time until the operator and the runners write their rows
+                again.
+
+        Returns:
+            Number of writes that the store lost.
+        """
+        self.store.faults.set(outage="refuse")
+        await asyncio.sleep(outage_seconds)
+        lost = self.store.restore(age_seconds)
+        self.store.faults.set(outage=None)
+        await asyncio.sleep(rewrite_seconds)
+        self.operator.write_again()
+        for runner in self.runners.values():
+            runner.write_again()
+        return lost
+
     def front_url(self, name: str) -> str:
         """Return the URL at which an instance accepts requests."""
         return f"http://{self._addresses[name]}:{self._ports[0]}"
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
@@ -22,6 +22,7 @@
         self._store = store
         self.version = 0
         """Number of the latest written version, 0 if there is none."""
+        self._content: dict[str, Any] = {}
         self.load_seconds = 0.1
         """Load time of a model from the weight store, in the next version."""
         self.customers: dict[str, dict[str, Any]] = {
@@ -74,5 +75,10 @@
             services,
             list(self.customers.values()),
         )
-        self._store.write("op", "config", content)
+        self._content = content
+        self.write_again()
         return self.version
+
+    def write_again(self) -> None:
+        """Write the latest version once more, after the store lost it."""
+        self._store.write("op", "config", self._content)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -115,6 +115,7 @@
         self._running = 0
         self._open: list[web.Request] = []
         self._heartbeat = 0
+        self._registered = False
         self._draining = False
         self._started_ms = int(time.time() * 1000)
         self._address = ""
@@ -196,9 +197,18 @@
 
     def deregister(self) -> None:
         """Remove the runner's entry from the store."""
+        self._registered = False
         self._store.write("servers", self.spec.name, None)
 
+    def write_again(self) -> None:
+        """Write the entry once more, after the store came back from an older copy."""
+        if self._registered:
+            self._write_entry()
+        else:
+            self.deregister()
+
     def _write_entry(self) -> None:
+        self._registered = True
         self._heartbeat += 1
         entry = wire.runner_entry(
             service=self.spec.service,
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_store.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_store.py
@@ -6,13 +6,15 @@
 import base64
 import json
 import time
-from collections import Counter
+from collections import Counter, deque
 from typing import Any, NamedTuple
 
 from aiohttp import web
 
 from guavajunction_fakes._server import FakeServer
 
+from . import _wire as wire
+
 MILLISECONDS_PER_SECOND = 1000.0
 
 
@@ -22,8 +24,24 @@
     """Base64 of the content; None for a removed row, which the feed still reports."""
 
 
+class _Write(NamedTuple):
+    at: float
+    """Monotonic time in seconds."""
+    table: str
+    key: str
+    before: _Row | None
+    """The row that the write replaced; None if there was none."""
+
+
 class FakeStore(FakeServer):
-    """Stores rows in memory; all tables share one version counter."""
+    """Stores rows in memory; all tables share one version counter.
+
+    In a drill the store comes back from an older copy: the newest writes are gone, and
+    their versions are given out again.
+    """
+
+    MAX_WRITES = 100_000
+    """Number of writes that a drill can undo."""
 
     CANCEL_ON_DISCONNECT = True
 
@@ -35,6 +53,15 @@
         self._changed = asyncio.Event()
         self.reads: Counter[str] = Counter()
         """Number of reads by table."""
+        self.era: int | None = None
+        """How often the store came back from a copy. None sends no era."""
+        self._writes: deque[_Write] = deque(maxlen=self.MAX_WRITES)
+
+    def app(self) -> web.Application:
+        """Return the web application, whose responses carry the era."""
+        app = super().app()
+        app.on_response_prepare.append(self._state_era)
+        return app
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the store."""
@@ -58,9 +85,10 @@
         data = content if isinstance(content, bytes) else json.dumps(content).encode()
         value = None if content is None else base64.b64encode(data).decode()
         self._ver += 1
-        self._tables.setdefault(table, {})[key] = _Row(self._ver, value)
-        self._changed.set()
-        self._changed = asyncio.Event()
+        rows = self._tables.setdefault(table, {})
+        self._writes.append(_Write(time.monotonic(), table, key, rows.get(key)))
+        rows[key] = _Row(self._ver, value)
+        self._wake_readers()
         return self._ver
 
     def truncate_history(self) -> None:
@@ -69,8 +97,33 @@
         The feed then responds with status 410 to readers that have an older version.
         """
         self._ver += 1
+        self._writes.clear()
         self._history_start = self._ver
 
+    def restore(self, age_seconds: float) -> int:
+        """Come back from a copy, in the next era.
+
+        Args:
+            age_seconds: Age of the copy; all later writes are undone.
+
+        Returns:
+            Number of writes that are gone.
+        """
+        copied_at = time.monotonic() - age_seconds
+        undone = 0
+        while self._writes and self._writes[-1].at > copied_at:
+            write = self._writes.pop()
+            rows = self._tables[write.table]
+            if write.before is None:
+                del rows[write.key]
+            else:
+                rows[write.key] = write.before
+            undone += 1
+        self._ver -= undone
+        self.era = (self.era or 0) + 1
+        self._wake_readers()
+        return undone
+
     def rows(self, table: str) -> dict[str, bytes]:
         """Return the content of a table's rows by key."""
         rows = self._tables.get(table, {})
@@ -107,7 +160,7 @@
             time.monotonic() + float(req.query["waitMs"]) / MILLISECONDS_PER_SECOND
         )
         while True:
-            if after < self._history_start:
+            if after < self._history_start or after > self._ver:
                 return web.json_response({}, status=410)
             rows = [
                 self._wire_row(table, key, row)
@@ -139,5 +192,13 @@
             return {**common, "tombstone": True}
         return {**common, "value": row.value}
 
+    def _wake_readers(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _state_era(self, _: web.Request, resp: web.StreamResponse) -> None:
+        if self.era is not None:
+            resp.headers[wire.STORE_ERA] = str(self.era)
+
     def _now_ms(self) -> int:
         return int(time.monotonic() * MILLISECONDS_PER_SECOND)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
@@ -31,6 +31,7 @@
 
 HEADERS = Headers()
 KEY_SCHEME = names.KEY_SCHEME
+STORE_ERA = names.STORE_ERA
 
 
 def model_entry(name: str, adapters: list[str]) -> dict[str, Any]:
--- a/packages/guavajunction/src/guavajunction/storage/__init__.py
+++ b/packages/guavajunction/src/guavajunction/storage/__init__.py
@@ -4,6 +4,7 @@
 
 from ._instances import InstanceListClient
 from ._objects import ObjectClient
+from ._position import MAX_ERA, MAX_VERSION, era_of, position, version_of
 from ._protocols import (
     ChangeFeed,
     Changes,
@@ -14,10 +15,13 @@
     RowChange,
     TableService,
 )
+from ._store_era import StoreEra
 from ._table import TableClient
 from ._watcher import PartitionWatcher
 
 __all__ = [
+    "MAX_ERA",
+    "MAX_VERSION",
     "ChangeFeed",
     "Changes",
     "InstanceList",
@@ -28,6 +32,10 @@
     "PartitionWatcher",
     "Row",
     "RowChange",
+    "StoreEra",
     "TableClient",
     "TableService",
+    "era_of",
+    "position",
+    "version_of",
 ]
--- a/packages/guavajunction/src/guavajunction/storage/_events.py
+++ b/packages/guavajunction/src/guavajunction/storage/_events.py
@@ -17,3 +17,13 @@
     "storage:feed_restarted",
     "The store no longer has the needed changes; all rows are read again.",
 )
+ERA_BEGAN = LogEvent(
+    1103,
+    "storage:era_began",
+    "The store came back from an older copy; versions of the earlier era are void.",
+)
+ERA_REFUSED = LogEvent(
+    1104,
+    "storage:era_refused",
+    "The era in an answer of the store is malformed or has fallen; the last one holds.",
+)
--- a/packages/guavajunction/src/guavajunction/storage/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/storage/_protocols.py
@@ -13,7 +13,7 @@
     sort: str
     """Sort key, unique in its partition."""
     version: int
-    """Number of writes of the row, from 1."""
+    """Version of the row; each write raises it, also across eras of the store."""
     body: bytes
     """Encoded content."""
 
@@ -23,6 +23,10 @@
 
     A failed call raises `StoreUnavailable` if it has certainly not taken effect, and
     `StoreAnswerLost` if it is a write that may have taken effect.
+
+    If the service can come back from an older copy of itself, versions are positions
+    (see `position`), and a write whose expected version is of an earlier era raises
+    `ConditionFailed`.
     """
 
     async def get(self, partition: str, sort: str) -> Row | None:
@@ -45,7 +49,7 @@
             expected: Version that the row must have; 0 if it must not exist.
 
         Returns:
-            The row as written, its version one above the expected one.
+            The row as written, its version above the expected one.
 
         Raises:
             ConditionFailed: The row has another version.
@@ -132,7 +136,11 @@
 
 
 class ChangeFeed(Protocol):
-    """Long polling for the changes of a partition."""
+    """Long polling for the changes of a partition.
+
+    If the store comes back from an older copy of itself, versions are positions (see
+    `position`), and `HistoryGone` is raised for a version of an earlier era.
+    """
 
     async def snapshot(self, partition: str) -> Changes:
         """Read every row of a partition as of one version of the store.
