Lease: safe when the store comes back from an older copy

Cause: the row of a lease may then show a free lease, an earlier holder or nothing while an incarnation still counts itself as the holder; and fencing numbers taken from the row are given out a second time (rule: two holders with one generation number, a lower one after a higher one).

Change: a fencing number carries the era in which the lease was acquired. A row whose number is of an earlier era is never acquired at once, neither when it is free, nor when it names this incarnation, nor by take-over; the contender waits for the whole duration, in which the last holder's time ends. The first number of an era is the position of the replaced row, which is above every earlier number even if a write of the earlier era met its condition by chance. An acquisition during the return is not held.

Ruled out: one base number for each era; a late write of the earlier era could put it back, and the number would be used twice.

--- a/packages/guavajunction/src/guavajunction/membership/_lease.py
+++ b/packages/guavajunction/src/guavajunction/membership/_lease.py
@@ -11,7 +11,7 @@
 from guavajunction.clock import Clock
 from guavajunction.errors import ConditionFailed, LeaseLost, PlatformError
 from guavajunction.peers import PeerId
-from guavajunction.storage import Row, TableService
+from guavajunction.storage import Row, TableService, era_of
 
 from . import _events as events
 
@@ -24,7 +24,8 @@
     holder: PeerId | None
     """The incarnation that holds the lease; None after a release."""
     fence: int
-    """Fencing number, increased each time that the lease is acquired."""
+    """Fencing number, increased each time that the lease is acquired. It carries the
+    era of the store in which the lease was acquired."""
     renewals: int
     """Number of renewals by the holder."""
 
@@ -44,6 +45,11 @@
     measures it from the end of the read that first returned the row's version, and
     adds a margin for clock drift. So the holder's time always ends before a contender
     may acquire the lease.
+
+    If the store comes back from an older copy, the row may show a lease that has been
+    acquired by another incarnation since, or is not there. So a contender also waits if
+    the row shows a free lease of an earlier era, and the first fencing number of an era
+    is the row's position, which is above all fencing numbers of earlier eras.
     """
 
     RENEWALS_PER_DURATION = 3
@@ -159,9 +165,8 @@
         content = msgspec.msgpack.decode(row.body, type=LeaseRow)
         if not self._may_acquire(row, content, started):
             return False
-        return await self._write_holder(
-            LeaseRow(self._me, content.fence + 1, 0), row.version
-        )
+        fence = _next_fence(row, content)
+        return await self._write_holder(LeaseRow(self._me, fence, 0), row.version)
 
     async def take_over(self, previous: PeerId, fence: int) -> bool:
         """Acquire the lease from a holder that abandoned it.
@@ -176,7 +181,7 @@
 
         Returns:
             Whether the lease is held now. False if the row names another holder or
-            another fencing number, or changed meanwhile.
+            another fencing number, is of an earlier era, or changed meanwhile.
 
         Raises:
             PlatformError: The store did not answer; the lease may have been acquired.
@@ -189,7 +194,10 @@
         content = msgspec.msgpack.decode(row.body, type=LeaseRow)
         if content.fence != fence or content.holder != previous:
             return False
-        if not await self._write_holder(LeaseRow(self._me, fence + 1, 0), row.version):
+        if not _is_of_present_era(row, content):
+            return False
+        fence = _next_fence(row, content)
+        if not await self._write_holder(LeaseRow(self._me, fence, 0), row.version):
             return False
         events.LEASE_TAKEN.log(lease=self.name, fence=self.fence)
         self._renewing = asyncio.create_task(self._renew_forever())
@@ -221,7 +229,8 @@
 
     def _may_acquire(self, row: Row, content: LeaseRow, started: float) -> bool:
         # The row names this incarnation if the answer to an earlier write was lost.
-        if content.holder is None or content.holder == self._me:
+        is_free = content.holder is None or content.holder == self._me
+        if is_free and _is_of_present_era(row, content):
             return True
         if (
             self._observed_version is None
@@ -240,6 +249,9 @@
             self._version = await self._put(row, expected)
         except ConditionFailed:
             return False
+        if era_of(row.fence) != era_of(self._version):
+            # A new era began since the row was read.
+            return False
         self._row = row
         self._extend(started)
         return True
@@ -298,3 +310,19 @@
 
     def _extend(self, started: float) -> None:
         self._held_until = max(self._held_until, started + self._duration)
+
+
+def _is_of_present_era(row: Row, content: LeaseRow) -> bool:
+    """Return whether the lease was acquired in the store's present era."""
+    return era_of(content.fence) == era_of(row.version)
+
+
+def _next_fence(row: Row, content: LeaseRow) -> int:
+    """Return the fencing number of the incarnation that replaces a row.
+
+    Each acquisition raises the row's version by one or more. So a fencing number is at
+    most the version of the row that it replaced, and the present version is higher.
+    """
+    if _is_of_present_era(row, content):
+        return content.fence + 1
+    return row.version
--- a/tests/fakes_platform.py
+++ b/tests/fakes_platform.py
@@ -11,7 +11,7 @@
     StoreAnswerLost,
     StoreUnavailable,
 )
-from guavajunction.storage import InstanceRecord, Row
+from guavajunction.storage import InstanceRecord, Row, position, version_of
 
 
 class FakeTable:
@@ -25,6 +25,8 @@
         self._root = root or self
         self.rows: dict[tuple[str, str], Row] = root.rows if root else {}
         """Rows by partition and sort key, shared by all views."""
+        self.era = 0
+        """How often the table service came back from a copy."""
         self.down = False
         """Whether every call fails before it takes effect."""
         self.lose_answers = 0
@@ -42,6 +44,17 @@
         """Return a view of the same rows with its own faults and counts."""
         return FakeTable(self._root)
 
+    def come_back_from(self, copy: dict[tuple[str, str], Row]) -> None:
+        """Replace all rows by an older copy of `rows`; the next era begins."""
+        root = self._root
+        root.era += 1
+        restored = {
+            key: row._replace(version=position(root.era, version_of(row.version)))
+            for key, row in copy.items()
+        }
+        root.rows.clear()
+        root.rows.update(restored)
+
     async def get(self, partition: str, sort: str) -> Row | None:
         """Read one row."""
         await self._enter("get")
@@ -63,7 +76,8 @@
         await self._enter("put")
         self._lose_request()
         self._check(partition, sort, expected)
-        row = Row(partition, sort, expected + 1, body)
+        version = expected + 1 if expected else position(self._root.era, 1)
+        row = Row(partition, sort, version, body)
         self.rows[partition, sort] = row
         await self._leave()
         self._lose_answer()
--- a/tests/membership/test_lease.py
+++ b/tests/membership/test_lease.py
@@ -11,6 +11,7 @@
 from guavajunction.errors import LeaseLost, StoreAnswerLost
 from guavajunction.membership import Lease
 from guavajunction.peers import PeerId
+from guavajunction.storage import MAX_ERA, era_of
 
 DURATION = 6.0
 MARGIN = 1.0
@@ -168,3 +169,113 @@
         assert not await b.take_over(PeerId("a", "a-1"), a.fence - 1)
         assert not await b.take_over(PeerId("c", "c-1"), a.fence)
         assert a.held(clock.monotonic())
+
+
+class TestStoreComesBackFromACopy:
+    """The row may show an earlier state of the lease; no two incarnations hold it."""
+
+    async def test_free_row_of_an_earlier_era_is_not_acquired_at_once(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a, b = lease(table, "a", clock), lease(table, "b", clock)
+        await a.try_acquire()
+        await a.release()
+        free = dict(table.rows)
+        await a.try_acquire()
+        table.come_back_from(free)
+        assert not await b.try_acquire()
+        clock.advance(DURATION + MARGIN)
+        assert await b.try_acquire()
+        with pytest.raises(LeaseLost):
+            a.check()
+
+    async def test_missing_row_is_not_acquired_at_once(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a, b = lease(table, "a", clock), lease(table, "b", clock)
+        await a.try_acquire()
+        table.come_back_from({})
+        assert not await b.try_acquire()
+        assert not await b.try_acquire()
+        clock.advance(DURATION + MARGIN)
+        assert await b.try_acquire()
+        assert b.fence > a.fence
+
+    async def test_row_that_names_an_earlier_holder_is_not_proof(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a, b = lease(table, "a", clock), lease(table, "b", clock)
+        await a.try_acquire()
+        named = dict(table.rows)
+        await a.release()
+        await b.try_acquire()
+        table.come_back_from(named)
+        assert not await a.try_acquire()
+        with pytest.raises(LeaseLost):
+            await b.renew()
+        with pytest.raises(LeaseLost):
+            b.check()
+
+    async def test_abandoned_lease_of_an_earlier_era_is_not_taken_over(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a, b, c = (lease(table, name, clock) for name in "abc")
+        await a.acquire()
+        abandoned = dict(table.rows)
+        await a.abandon()
+        assert await b.take_over(PeerId("a", "a-1"), a.fence)
+        table.come_back_from(abandoned)
+        assert not await c.take_over(PeerId("a", "a-1"), a.fence)
+        await b.abandon()
+
+    async def test_holder_continues_if_the_copy_names_it(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a, b = lease(table, "a", clock), lease(table, "b", clock)
+        await a.try_acquire()
+        copy = dict(table.rows)
+        await a.renew()
+        table.come_back_from(copy)
+        assert not await b.try_acquire()
+        clock.advance(DURATION - 1)
+        await a.renew()
+        clock.advance(MARGIN + 1)
+        assert not await b.try_acquire()
+        assert a.check() == 1
+
+    async def test_acquisition_during_the_return_is_not_held(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        a = lease(table, "a", clock)
+        table.come_back_from({})
+        assert not await a.try_acquire()
+        with pytest.raises(LeaseLost):
+            a.check()
+
+    async def test_fences_never_repeat_over_several_returns(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        fences = []
+        copy = {}
+        for turn in range(6):
+            contender = lease(table, f"i{turn}", clock)
+            while not await contender.try_acquire():
+                clock.advance(1.0)
+            fences.append(contender.fence)
+            if turn % 2:
+                table.come_back_from(copy)
+            else:
+                copy = dict(table.rows)
+            clock.advance(DURATION)
+        assert fences == sorted(set(fences))
+
+    async def test_fence_is_exact_in_json(
+        self, table: FakeTable, clock: ManualClock
+    ) -> None:
+        table.era = MAX_ERA - 1
+        table.come_back_from({})
+        a = lease(table, "a", clock)
+        while not await a.try_acquire():
+            clock.advance(1.0)
+        assert era_of(a.fence) == MAX_ERA
+        assert float(a.fence) == a.fence < 2**53
--- a/tests/specs/test_lease_spec.py
+++ b/tests/specs/test_lease_spec.py
@@ -10,6 +10,8 @@
 PROPERTY = "at most one holder"
 MAX_STATES = 16_000
 """Number of states within which a violation must be found if a rule is left out."""
+ERA_RULES = Rules(returns=2, exact_clocks=True, margin=0)
+"""Rules in a store that comes back from an older copy twice."""
 
 
 class TestLeaseSpec:
@@ -50,3 +52,26 @@
         result = check_safety(lease_model(rules), max_states=MAX_STATES)
         assert result["properties"][PROPERTY]["holds"] is False
         assert result["properties"][PROPERTY]["counterexample"]
+
+
+class TestLeaseAcrossEras:
+    """The lease if the store comes back from an older copy."""
+
+    def test_never_two_holders(self, record_property) -> None:
+        result = check_safety(lease_model(ERA_RULES))
+        record_property("states", result["reachable_states"])
+        assert result["properties"][PROPERTY]["holds"] is True
+        assert result["reachable_states"] > 15_000
+
+    @pytest.mark.parametrize(
+        "rules",
+        [
+            ERA_RULES._replace(waits_in_new_era=False),
+            ERA_RULES._replace(era_in_reply=False),
+        ],
+        ids=["free row is trusted", "reply without its era"],
+    )
+    def test_each_rule_is_needed(self, rules: Rules) -> None:
+        result = check_safety(lease_model(rules), max_states=MAX_STATES)
+        assert result["properties"][PROPERTY]["holds"] is False
+        assert result["properties"][PROPERTY]["counterexample"]
