Rows across eras: nothing goes back, nothing that the copy lacks is forgotten

Load it answers: after a return the rows of the operator, the backend servers and the instances are older or missing until their writers repeat them.

- Hubs keep the later version of the configuration and the later report of a backend server if the store shows an older one; a configuration that the copy lacks is kept.
- A backend server whose row is missing is kept for 2.5 s, in which it writes again.
One that was removed before comes back only with a later report.
- Instances write their own row again; the claim of a part's one attempt is repeated.

Specification: relayed_rows_spec with a return; two mutants give counterexamples.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -26,6 +26,7 @@
 from guavajunction.gateway import (
     BackendRecord,
     BackendRegistry,
+    Catalogue,
     Gateway,
     GatewayParts,
     LoadView,
@@ -41,7 +42,7 @@
 from guavajunction.namedlimits import ServerLimits
 from guavajunction.peers import PeerId
 from guavajunction.quarantine import PartQuarantine
-from guavajunction.storage import Changes, PartitionWatcher, RowChange
+from guavajunction.storage import Changes, PartitionWatcher, RowChange, era_of
 from guavajunction_entry import _events as events
 
 from . import _events as gateway_events
@@ -198,13 +199,20 @@
         for partition, watcher in self._watchers.items():
             watcher.on_answer = functools.partial(self._publish_to_followers, partition)
         self._rows_by_partition = {
-            configuration: ReadRows(configuration, is_relevant=_has_new_body),
+            configuration: ReadRows(
+                configuration,
+                is_relevant=_has_new_body,
+                is_older=self._is_older_configuration,
+            ),
             deployment.backends_partition: ReadRows(
-                deployment.backends_partition, is_relevant=self._has_new_backend_state
+                deployment.backends_partition,
+                is_relevant=self._has_new_backend_state,
+                is_older=self._is_older_report,
             ),
             crashes: ReadRows(crashes, is_relevant=_has_new_body),
         }
         self._backends_known = False
+        self._backends_era = 0
         self._crashes_known = False
         self._quarantine_links = QuarantineLinks(
             deployment.table, self._me, self._quarantine, clock
@@ -334,12 +342,18 @@
                 self._configure(body)
 
     def _configure(self, body: bytes) -> None:
+        catalogue = self._decode_configuration(body)
+        if catalogue is not None:
+            self._gateway.configure(RouteTable(catalogue))
+
+    def _decode_configuration(self, body: bytes | None) -> Catalogue | None:
+        if body is None:
+            return None
         try:
-            catalogue = self._deployment.decode_configuration(body)
+            return self._deployment.decode_configuration(body)
         except DocumentInvalid as exc:
             gateway_events.DOCUMENT_REFUSED.log(reason=exc.message)
-            return
-        self._gateway.configure(RouteTable(catalogue))
+            return None
 
     async def _follow_backends(self) -> None:
         async for changes in self._backends:
@@ -354,17 +368,43 @@
 
     def _apply_backend_changes(self, changes: Changes) -> None:
         """Apply changes in order, as one answer may contain several for a row."""
+        era = era_of(changes.version)
+        came_back, self._backends_era = era > self._backends_era, era
         if changes.complete:
             decoded = [self._decode_backend(r.sort, r.body) for r in changes.rows]
-            self._registry.replace_all([r for r in decoded if r is not None])
+            listed = [record for record in decoded if record is not None]
+            self._registry.replace_all(listed, keep_missing=came_back)
             return
         for row in changes.rows:
             record = self._decode_backend(row.sort, row.body)
             if record is not None:
                 self._registry.put(record)
+            elif came_back:
+                self._registry.expect_again(row.sort)
             else:
                 self._registry.drop(row.sort)
 
+    def _is_older_report(self, before: RowChange, row: RowChange) -> bool:
+        """Return whether a backend server has reported more recently than in a row."""
+        if row.body is None:
+            return False
+        known = self._decode_backend(before.sort, before.body)
+        record = self._decode_backend(row.sort, row.body)
+        return (
+            known is not None
+            and record is not None
+            and known.identity == record.identity
+            and known.report_number > record.report_number
+        )
+
+    def _is_older_configuration(self, before: RowChange, row: RowChange) -> bool:
+        """Return whether the operator has written a later version than in a row."""
+        if row.sort != self._deployment.configuration_row.sort:
+            return False
+        known = self._decode_configuration(before.body)
+        found = self._decode_configuration(row.body)
+        return known is not None and (found is None or found.version < known.version)
+
     def _has_new_backend_state(self, before: RowChange | None, row: RowChange) -> bool:
         """Return whether a row differs in more than its report number."""
         if before is None:
@@ -465,6 +505,7 @@
     async def _maintain(self) -> None:
         while True:
             self._roster.expire()
+            self._registry.expire()
             self._loads.keep_only(self._roster.peers())
             serving = self._roster.serving
             self._rate_limits.limit_to_share(self._roster.live_fraction, serving - 1)
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_quarantine_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_quarantine_links.py
@@ -19,7 +19,7 @@
 from guavajunction.fleet import Relay
 from guavajunction.peers import Links, PeerId
 from guavajunction.quarantine import Evidence, PartQuarantine
-from guavajunction.storage import Changes, RowChange, TableService
+from guavajunction.storage import Changes, RowChange, TableService, era_of
 
 from . import _events as events
 
@@ -46,6 +46,8 @@
     RETRY_SECONDS = 0.5
     """Mean pause before a row is written again; the jitter is 50 % in both
     directions."""
+    MAX_CLAIMS = 256
+    """Number of own claims that are written again if the store loses them."""
     MAX_REMOVED_ROWS = 8
     """Number of expired rows that are removed after one read of all rows."""
 
@@ -69,6 +71,9 @@
         self._row_version: int | None = 0
         self._written = True
         self._expired: list[RowChange] = []
+        self._claims: dict[str, None] = {}
+        self._unwritten_claims: list[str] = []
+        self._era = 0
         self._relay: Relay | None = None
         quarantine.on_change = self._changed.set
         quarantine.claim_trial = self._claim_trial
@@ -109,6 +114,7 @@
                     self._written = False
                     pause = self.RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
                     await self._clock.sleep(pause)
+            await self._write_claims_again()
             await self._remove_expired()
 
     def apply(self, changes: Changes) -> None:
@@ -124,7 +130,10 @@
                 # The store has lost the row, or it has not been written yet.
                 self._written = False
             self._quarantine.adopt_missing(sources)
-        if not self._written or self._expired:
+        if era_of(changes.version) > self._era:
+            self._era = era_of(changes.version)
+            self._unwritten_claims = list(self._claims)
+        if not self._written or self._expired or self._unwritten_claims:
             self._rows_due.set()
 
     def _apply_row(self, row: RowChange, body: bytes) -> None:
@@ -178,10 +187,25 @@
         await self._table.delete(PARTITION, row.sort, expected=row.version)
 
     async def _claim_trial(self, part: str) -> bool:
-        body = self._source.encode()
-        return await self._attempt("claim", self._insert_trial, part, body)
+        claimed = await self._attempt("claim", self._insert_trial, part)
+        if claimed:
+            self._claims[part] = None
+            while len(self._claims) > self.MAX_CLAIMS:
+                del self._claims[next(iter(self._claims))]
+        return claimed
+
+    async def _write_claims_again(self) -> None:
+        """Write the claims that a store which came back from a copy may have lost.
+
+        A claim that exists already is refused. One that fails otherwise is not
+        repeated, because the reports of crashes also limit the attempts.
+        """
+        while self._unwritten_claims:
+            part = self._unwritten_claims.pop()
+            await self._attempt("claim", self._insert_trial, part)
 
-    async def _insert_trial(self, part: str, body: bytes) -> None:
+    async def _insert_trial(self, part: str) -> None:
+        body = self._source.encode()
         await self._table.put(TRIAL_PARTITION, part, body, expected=0)
 
     async def _attempt(
--- a/packages/guavajunction/src/guavajunction/fleet/_relayed_rows.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relayed_rows.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from guavajunction.storage import Changes, RowChange
+from guavajunction.storage import Changes, RowChange, era_of
 
 from ._messages import NewerRowsAnswer, RowsAnswer, RowsNotice
 
@@ -25,6 +25,7 @@
         partition: str,
         *,
         is_relevant: Callable[[RowChange | None, RowChange], bool],
+        is_older: Callable[[RowChange, RowChange], bool] = lambda _before, _row: False,
     ) -> None:
         """Create an empty set of rows.
 
@@ -32,9 +33,13 @@
             partition: Partition of the store.
             is_relevant: Returns whether a change is sent to followers. Called with the
                 previous row, or None if there was none, and the new row.
+            is_older: Returns whether a row is older than the previous row. Called with
+                both when the store came back from a copy; the new row has no body if
+                the copy does not contain it. The previous row is then kept.
         """
         self._partition = partition
         self._is_relevant = is_relevant
+        self._is_older = is_older
         self._rows: dict[str, RowChange] = {}
         self.version = UNREAD
         """Version up to which the partition was read."""
@@ -48,7 +53,7 @@
             The notice to send to followers, or None if no change is relevant to them.
         """
         if changes.complete:
-            relevant = self._replace(changes.rows)
+            relevant = self._replace(changes)
         else:
             relevant = [row for row in changes.rows if self._apply(row)]
         self.version = changes.version
@@ -75,23 +80,30 @@
         rows = tuple(self._rows.values()) if changed else ()
         return NewerRowsAnswer(self.version, rows, changed)
 
-    def _replace(self, rows: tuple[RowChange, ...]) -> list[RowChange]:
-        listed = {row.sort for row in rows}
+    def _replace(self, changes: Changes) -> list[RowChange]:
+        listed = {row.sort for row in changes.rows}
         deleted = [
-            RowChange(sort, None, row.version)
-            for sort, row in self._rows.items()
+            RowChange(sort, None, changes.version)
+            for sort in self._rows
             if sort not in listed
         ]
-        return [row for row in (*deleted, *rows) if self._apply(row)]
+        return [row for row in (*deleted, *changes.rows) if self._apply(row)]
 
     def _apply(self, row: RowChange) -> bool:
         """Apply one change; return whether it is relevant to followers."""
+        before = self._rows.get(row.sort)
+        if before is not None and self._has_gone_back(before, row):
+            return False
         if row.body is None:
             return self._rows.pop(row.sort, None) is not None
-        before = self._rows.get(row.sort)
         self._rows[row.sort] = row
         return self._is_relevant(before, row)
 
+    def _has_gone_back(self, before: RowChange, row: RowChange) -> bool:
+        return era_of(before.version) < era_of(row.version) and self._is_older(
+            before, row
+        )
+
 
 class RelayedRows:
     """Queue of a partition's notices that a follower received and has not applied."""
--- a/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
@@ -71,6 +71,7 @@
         self.live_names: Callable[[], Collection[str]] = tuple
         """Returns the names of the other live instances."""
         self._listed_names: set[str] = set()
+        self._leaving = False
 
     async def run(self) -> None:
         """Write this instance's row, then read all rows until cancelled."""
@@ -95,6 +96,7 @@
 
     async def leave(self) -> None:
         """Remove this instance's row, unless a newer incarnation wrote it."""
+        self._leaving = True
         await self._attempt(self._remove_own_row)
 
     async def _register(self) -> None:
@@ -112,6 +114,10 @@
     async def _read(self) -> None:
         listed = [_listed(row) for row in await self._table.query(PARTITION)]
         self._listed_names = {entry.record.name for entry in listed}
+        if self._me.name not in self._listed_names and not self._leaving:
+            # The store came back from a copy without the row.
+            await self._register()
+            events.ENTERED.log(instance=self._me.name, incarnation=self._me.incarnation)
         self.on_read(listed)
 
     async def _remove_own_row(self) -> None:
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
@@ -45,6 +45,9 @@
     MAX_REPORT_NUMBERS = 4096
     """Number of incarnations whose newest report number is kept; several times the
     number of backend servers in the largest deployment."""
+    RETURN_SECONDS = 2.5
+    """How long a backend server is kept whose record is missing since the store came
+    back from a copy. Within two seconds each one writes its record again."""
     MISSING_SECONDS = 1.0
     """How long a "model missing" refusal overrides the record."""
 
@@ -55,6 +58,7 @@
         self._retired_until: dict[tuple[str, int, str], float] = {}
         self._missing_until: dict[tuple[str, str], float] = {}
         self._newest_report_numbers: dict[tuple[str, int], int] = {}
+        self._expected_until: dict[str, float] = {}
         self._unreachable_until: dict[tuple[str, int], float] = {}
         self._versions_seen: defaultdict[str, set[str]] = defaultdict(set)
 
@@ -82,6 +86,7 @@
             return
         self._record_report_number(record)
         self._records[record.name] = record
+        self._expected_until.pop(record.name, None)
         self._versions_seen[record.service].add(record.software_version)
         if before is None or before.identity != record.identity:
             events.BACKEND_SEEN.log(
@@ -105,20 +110,49 @@
             self._newest_report_numbers.pop(next(iter(self._newest_report_numbers)))
 
     def drop(self, name: str) -> None:
-        """Remove a backend server whose record was deleted."""
+        """Remove a backend server whose record was deleted.
+
+        Only a later report adds it again: a store that came back from an older copy
+        shows the deleted record once more.
+        """
         record = self._records.pop(name, None)
+        self._expected_until.pop(name, None)
         self._notices.pop(name, None)
         if record is not None:
+            self._newest_report_numbers[record.identity] = record.report_number + 1
             events.BACKEND_REMOVED.log(backend=name, address=record.address)
 
-    def replace_all(self, records: Iterable[BackendRecord]) -> None:
-        """Replace all records with a complete list; remove unlisted backend servers."""
+    def replace_all(
+        self, records: Iterable[BackendRecord], *, keep_missing: bool = False
+    ) -> None:
+        """Replace all records with a complete list.
+
+        Args:
+            records: The listed backend servers.
+            keep_missing: Whether unlisted ones are kept for `RETURN_SECONDS`.
+        """
         listed = {record.name: record for record in records}
         for name in set(self._records) - set(listed):
-            self.drop(name)
+            if keep_missing:
+                self.expect_again(name)
+            else:
+                self.drop(name)
         for record in listed.values():
             self.put(record)
 
+    def expect_again(self, name: str) -> None:
+        """Remove a backend server after `RETURN_SECONDS` without a new record."""
+        if name in self._records:
+            until = self._clock.monotonic() + self.RETURN_SECONDS
+            self._expected_until.setdefault(name, until)
+
+    def expire(self) -> None:
+        """Remove the backend servers that have not written their record again."""
+        now = self._clock.monotonic()
+        for name, until in list(self._expected_until.items()):
+            if until <= now:
+                self.drop(name)
+
     def versions_seen(self, service: str) -> frozenset[str]:
         """Return the software versions of a service's backend servers so far.
 
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -9,7 +9,7 @@
 from fakes_gateway import ENGINES, backend, gateway_settings
 from guavajunction.clock import ManualClock
 from guavajunction.errors import DocumentInvalid
-from guavajunction.storage import Changes, RowChange
+from guavajunction.storage import Changes, RowChange, position
 from guavajunction_entry.gateway import (
     GatewayDaemon,
     RowAddress,
@@ -36,9 +36,12 @@
     return GatewayDaemon(gateway_settings(), deployment, ManualClock())
 
 
-def apply_changes(daemon, *rows, complete=False):
-    changes = tuple(RowChange(name, body, n) for n, (name, body) in enumerate(rows))
-    daemon._apply_backend_changes(Changes(changes, len(rows), complete))
+def apply_changes(daemon, *rows, complete=False, era=0):
+    changes = tuple(
+        RowChange(name, body, position(era, n)) for n, (name, body) in enumerate(rows)
+    )
+    version = position(era, len(rows))
+    daemon._apply_backend_changes(Changes(changes, version, complete))
     return sorted(r.name for r in daemon._registry.of_service(ENGINES))
 
 
@@ -79,3 +82,20 @@
             daemon._publish_to_followers("backends", changes)
             daemon._apply_backend_changes(changes)
         assert decoded == [("e1", b"1"), ("e1", b"2"), ("e1", b"3")]
+
+
+class TestStoreComesBackFromACopy:
+    """Backend servers that the copy lacks are kept until they should be back."""
+
+    @pytest.mark.parametrize("complete", [True, False])
+    def test_missing_server_is_kept_for_a_while(self, daemon, complete):
+        apply_changes(daemon, ("e1", b"1"), ("e2", b"1"))
+        lost = [("e2", b"1")] if complete else [("e1", None)]
+        assert apply_changes(daemon, *lost, complete=complete, era=1) == ["e1", "e2"]
+        daemon._clock.advance(daemon._registry.RETURN_SECONDS)
+        daemon._registry.expire()
+        assert apply_changes(daemon, era=1) == ["e2"]
+
+    def test_server_removed_later_in_the_era_is_removed_at_once(self, daemon):
+        apply_changes(daemon, ("e1", b"1"), ("e2", b"1"), era=1)
+        assert apply_changes(daemon, ("e1", None), era=1) == ["e2"]
--- a/tests/entry/test_quarantine_links.py
+++ b/tests/entry/test_quarantine_links.py
@@ -11,7 +11,7 @@
 from fakes_platform import FakeTable
 from guavajunction.peers import PeerId
 from guavajunction.quarantine import BackendId, Evidence, PartQuarantine
-from guavajunction.storage import Changes, RowChange
+from guavajunction.storage import Changes, RowChange, position
 from guavajunction_entry.gateway._quarantine_links import (
     PARTITION,
     TRIAL_PARTITION,
@@ -64,7 +64,7 @@
             self.clock.advance(0.05)
             await asyncio.sleep(0)
 
-    def read(self, **rows):
+    def read(self, era=0, **rows):
         """Read all rows of the store, or the given ones."""
         if not rows:
             rows = {
@@ -73,7 +73,7 @@
                 if partition == PARTITION
             }
         changes = [RowChange(sort, body, 1) for sort, body in rows.items()]
-        self.links.apply(Changes(tuple(changes), 1, complete=True))
+        self.links.apply(Changes(tuple(changes), position(era, 1), complete=True))
 
     def blames(self, part="bad"):
         return self.quarantine.blamed_in([part, "x"]) is not None
@@ -199,3 +199,27 @@
         table.lose_answers = 1
         instance = start("front-1", table)
         assert not await instance.quarantine.claim_trial("bad")
+
+
+class TestStoreComesBackFromACopy:
+    """Reports and claims that the store has lost are written again."""
+
+    async def test_lost_report_is_written_again(self, start):
+        table = FakeTable()
+        instance = start("front-1", table)
+        await instance.crash(1, 2)
+        table.come_back_from({})
+        instance.read(era=1)
+        await instance.wait()
+        assert (PARTITION, "front-1.1") in table.rows
+
+    async def test_lost_claim_is_written_again_once(self, start):
+        table = FakeTable()
+        claimer, other = start("front-1", table), start("front-2", table)
+        assert await claimer.quarantine.claim_trial("bad")
+        table.come_back_from({})
+        for _ in range(3):
+            claimer.read(era=1)
+            await claimer.wait()
+        assert table.counts["put"] == 2
+        assert not await other.quarantine.claim_trial("bad")
--- a/tests/fleet/test_relayed_rows.py
+++ b/tests/fleet/test_relayed_rows.py
@@ -12,7 +12,7 @@
 from guavajunction.fleet import ReadRows, RelayedFeed
 from guavajunction.fleet._messages import RowsAnswer, RowsNotice
 from guavajunction.fleet._relayed_rows import UNREAD, RelayedRows
-from guavajunction.storage import Changes, RowChange
+from guavajunction.storage import Changes, RowChange, era_of, position
 
 
 def row(sort, body, version=1):
@@ -86,6 +86,53 @@
         assert [(change.sort, change.body) for change in notice.rows] == [("x", None)]
 
 
+class TestReadRowsAcrossEras:
+    """A hub's rows if the store comes back from an older copy."""
+
+    @pytest.fixture
+    def rows(self):
+        rows = ReadRows(
+            "p",
+            is_relevant=bodies_differ,
+            is_older=lambda before, row: row.body is None or row.body < before.body,
+        )
+        rows.take(Changes((row("x", b"5", 40), row("y", b"5", 41)), 41, complete=True))
+        return rows
+
+    def read(self, rows, *changed, complete=True):
+        at = position(1, 9)
+        changes = tuple(row(sort, body, at) for sort, body in changed)
+        return rows.take(Changes(changes, at, complete=complete))
+
+    def bodies(self, rows):
+        return {row.sort: row.body for row in rows.answer().rows}
+
+    def test_older_row_is_not_taken(self, rows):
+        assert self.read(rows, ("x", b"4"), ("y", b"6")).rows[0].sort == "y"
+        assert self.bodies(rows) == {"x": b"5", "y": b"6"}
+
+    def test_row_that_the_copy_lacks_is_kept(self, rows):
+        assert self.read(rows, ("y", b"5")) is None
+        assert self.bodies(rows) == {"x": b"5", "y": b"5"}
+
+    def test_row_that_is_written_again_goes_on(self, rows):
+        self.read(rows, ("x", b"4"))
+        self.read(rows, ("x", b"5"), complete=False)
+        self.read(rows, ("x", b"3"), complete=False)
+        assert self.bodies(rows)["x"] == b"3"
+
+    def test_notice_leads_into_the_new_era(self, rows):
+        notice = self.read(rows, ("x", b"6"))
+        assert (notice.after, era_of(notice.version)) == (41, 1)
+
+    def test_rows_are_replaced_if_their_age_is_unknown(self):
+        rows = ReadRows("p", is_relevant=bodies_differ)
+        rows.take(Changes((row("x", b"5", 40),), 41, complete=True))
+        notice = self.read(rows, ("y", b"1"))
+        assert {change.sort for change in notice.rows} == {"x", "y"}
+        assert self.bodies(rows) == {"y": b"1"}
+
+
 class FakeHub:
     """The followed hub, as a `RowsSource` whose state tests set directly."""
 
@@ -215,6 +262,31 @@
         assert store.calls == ["snapshot"]
 
 
+class TestFeedAcrossEras:
+    """Rows of an earlier era never replace those of a later one."""
+
+    async def test_hub_of_an_earlier_era_is_not_followed(self, feed, hub, store):
+        hub.answer = RowsAnswer(position(2, 5), (row("x", b"1"),))
+        await feed.snapshot("p")
+        hub.answer = RowsAnswer(position(1, 900), (row("x", b"8"),))
+        assert (await feed.snapshot("p")).version == 50
+        assert store.calls == ["snapshot"]
+
+    async def test_notice_of_an_earlier_era_is_not_applied(self, feed, hub):
+        hub.answer = RowsAnswer(position(2, 5), (row("x", b"1"),))
+        await feed.snapshot("p")
+        hub.notices.add(RowsNotice("p", 3, position(1, 900), (row("x", b"8"),)))
+        changes = await feed.changes("p", position(2, 5), wait_seconds=0.0)
+        assert (changes.rows, changes.version) == ((), position(2, 5))
+
+    async def test_notice_into_a_new_era_is_applied(self, feed, hub):
+        hub.answer = RowsAnswer(900, (row("x", b"1"),))
+        await feed.snapshot("p")
+        hub.send_notice(900, position(1, 5), row("x", b"8"))
+        changes = await feed.changes("p", 900, wait_seconds=0.0)
+        assert (changes.rows, changes.version) == ((row("x", b"8"),), position(1, 5))
+
+
 class TestRandomHistories:
     """Tests that a follower's rows always match the store's at the same version.
 
--- a/tests/fleet/test_store_roster.py
+++ b/tests/fleet/test_store_roster.py
@@ -94,3 +94,23 @@
             instance.live = {"late"}
             await instance.pass_time(20.0)
             assert instance.reads == 1
+
+
+class TestStoreComesBackFromACopy:
+    """An instance whose row is missing writes it again, unless it leaves."""
+
+    async def test_lost_row_is_written_again(self, table, instance):
+        instance.roster.has_hub = lambda: False
+        async with instance.running():
+            table.come_back_from({})
+            await instance.pass_time(4.0)
+            assert ("instance", "early") in table.rows
+
+    async def test_row_of_a_leaving_instance_is_not_written_again(
+        self, table, instance
+    ):
+        instance.roster.has_hub = lambda: False
+        async with instance.running():
+            await instance.roster.leave()
+            await instance.pass_time(20.0)
+            assert ("instance", "early") not in table.rows
--- a/tests/gateway/test_backend_registry.py
+++ b/tests/gateway/test_backend_registry.py
@@ -105,3 +105,38 @@
         registry.note_unreachable(registry.get("e1"))
         registry.put(backend("e1", incarnation=2))
         assert registry.reachable(ENGINES)
+
+
+class TestStoreComesBackFromACopy:
+    """Records may be missing, or there again, until backend servers write them."""
+
+    def test_missing_backend_server_is_kept_until_it_writes_again(
+        self, registry, clock
+    ):
+        registry.replace_all([], keep_missing=True)
+        clock.advance(registry.RETURN_SECONDS - 0.1)
+        registry.expire()
+        assert registry.of_service(ENGINES)
+        registry.put(backend("e1", report_number=7))
+        clock.advance(1.0)
+        registry.expire()
+        assert registry.of_service(ENGINES)
+
+    def test_backend_server_that_stays_missing_is_removed(self, registry, clock):
+        registry.replace_all([], keep_missing=True)
+        clock.advance(registry.RETURN_SECONDS - 0.1)
+        registry.replace_all([], keep_missing=True)
+        clock.advance(0.2)
+        registry.expire()
+        assert not registry.of_service(ENGINES)
+
+    def test_removed_backend_server_does_not_come_back(self, registry):
+        registry.put(backend("e1", report_number=9))
+        registry.drop("e1")
+        registry.replace_all([backend("e1", report_number=9)])
+        assert not registry.of_service(ENGINES)
+
+    def test_backend_server_that_left_stays_draining(self, registry):
+        registry.put(backend("e1", draining=True, report_number=9))
+        registry.replace_all([backend("e1", report_number=7)], keep_missing=True)
+        assert not registry.of_service(ENGINES)
--- a/tests/specs/test_relayed_rows_spec.py
+++ b/tests/specs/test_relayed_rows_spec.py
@@ -42,3 +42,29 @@
         result = check_safety(relayed_rows_model(rules))
         assert result["properties"][broken]["holds"] is False
         assert result["properties"][broken]["counterexample"]
+
+
+class TestRelayedRowsAcrossEras:
+    """The same rows if the store comes back from an older copy."""
+
+    RULES = Rules(store_returns=True)
+
+    def test_follower_has_the_stores_rows(self, record_property) -> None:
+        result = check_safety(relayed_rows_model(self.RULES))
+        record_property("states", result["reachable_states"])
+        assert result["properties"][ROWS]["holds"] is True
+        assert result["properties"][MONOTONIC]["holds"] is True
+        assert result["reachable_states"] > 1_000
+
+    @pytest.mark.parametrize(
+        ("change", "broken"),
+        [
+            ({"compares_eras": False}, MONOTONIC),
+            ({"rereads_in_new_era": False}, ROWS),
+        ],
+        ids=["versions without eras", "changes across eras"],
+    )
+    def test_each_rule_is_needed(self, change: dict[str, bool], broken: str) -> None:
+        result = check_safety(relayed_rows_model(self.RULES._replace(**change)))
+        assert result["properties"][broken]["holds"] is False
+        assert result["properties"][broken]["counterexample"]
