Start after a return: keys of the links and the first configuration

Load it answers: instances that lost power while the store came back from a copy start in the seconds before the operator writes again. The copy may lack the fleet's keys (an instance that starts would generate others, and reach nobody) or show an older configuration, in which a withdrawn key is valid.

Change: instances write the keys again if the store lost them; if another instance has written new ones since, they take these and open their links anew. In a store that has come back (era above 0), an instance that starts waits 1.2 s for heartbeats, which now carry the version of the configuration, and up to 5 s for the version of the others. Without an era nothing waits.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -21,6 +21,7 @@
     Roster,
     StoreRoster,
     choose_fronts,
+    keep_keys,
     obtain_keys,
 )
 from guavajunction.gateway import (
@@ -40,7 +41,7 @@
 from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.namedlimits import ServerLimits
-from guavajunction.peers import PeerId
+from guavajunction.peers import FleetKeys, PeerId
 from guavajunction.quarantine import PartQuarantine
 from guavajunction.storage import Changes, PartitionWatcher, RowChange, era_of
 from guavajunction_entry import _events as events
@@ -93,6 +94,11 @@
     """
     MAINTENANCE_INTERVAL_SECONDS = 0.2
     """Interval of the maintenance job, and delay before a failed job restarts."""
+    HEAR_MEMBERS_SECONDS = 1.2
+    """Time after the start in which heartbeats of all other instances arrive."""
+    MAX_OFFER_SECONDS = 5.0
+    """Longest time after the start in which a configuration is not activated because
+    another instance has a later one."""
     SETTINGS_POLL_SECONDS = 1.0
     """Interval at which the settings are re-read without a signal."""
 
@@ -211,8 +217,12 @@
             ),
             crashes: ReadRows(crashes, is_relevant=_has_new_body),
         }
+        self._created_at = clock.monotonic()
+        self._offered: Catalogue | None = None
+        self._offered_in = 0
         self._backends_known = False
         self._backends_era = 0
+        self._era_began = asyncio.Event()
         self._crashes_known = False
         self._quarantine_links = QuarantineLinks(
             deployment.table, self._me, self._quarantine, clock
@@ -339,12 +349,40 @@
                 hub=self._links.relay.follows if self._links else None,
             )
             for body in bodies:
-                self._configure(body)
+                self._offer(body, era_of(changes.version))
 
-    def _configure(self, body: bytes) -> None:
+    def _offer(self, body: bytes, era: int) -> None:
+        """Activate a configuration that was read, unless a later one is known."""
         catalogue = self._decode_configuration(body)
-        if catalogue is not None:
-            self._gateway.configure(RouteTable(catalogue))
+        if catalogue is None:
+            return
+        if self._offered is None or self._offered.version < catalogue.version:
+            self._offered, self._offered_in = catalogue, era
+        self._activate_offered()
+
+    def _activate_offered(self) -> None:
+        offered, active = self._offered, self._gateway.routes
+        if offered is None or (
+            active is not None and active.catalogue.version >= offered.version
+        ):
+            return
+        if active is None and self._may_have_gone_back(offered):
+            return
+        self._gateway.configure(RouteTable(offered))
+
+    def _may_have_gone_back(self, offered: Catalogue) -> bool:
+        """Return whether the first configuration may be older than that of the fleet.
+
+        The store shows an older one after it came back from a copy, until the operator
+        writes again. An instance that starts then first hears from the others.
+        """
+        elapsed = self._clock.monotonic() - self._created_at
+        if self._offered_in == 0 or elapsed > self.MAX_OFFER_SECONDS:
+            return False
+        members = self._roster.members()
+        return elapsed < self.HEAR_MEMBERS_SECONDS or any(
+            member.configuration > offered.version for member in members
+        )
 
     def _decode_configuration(self, body: bytes | None) -> Catalogue | None:
         if body is None:
@@ -370,6 +408,8 @@
         """Apply changes in order, as one answer may contain several for a row."""
         era = era_of(changes.version)
         came_back, self._backends_era = era > self._backends_era, era
+        if came_back:
+            self._era_began.set()
         if changes.complete:
             decoded = [self._decode_backend(r.sort, r.body) for r in changes.rows]
             listed = [record for record in decoded if record is not None]
@@ -460,7 +500,16 @@
         ]
         links.exchange_crash_reports(self._quarantine_links)
         self._links = links
-        await links.run()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(links.run())
+            tasks.create_task(self._keep_keys(keys))
+
+    async def _keep_keys(self, keys: FleetKeys) -> None:
+        """Keep the fleet's keys in the store; ends the links if others replace them."""
+        while True:
+            await self._era_began.wait()
+            self._era_began.clear()
+            await keep_keys(self._deployment.table, self._clock, keys)
 
     def _publish_to_followers(self, partition: str, changes: Changes) -> None:
         notice = self._rows_by_partition[partition].take(changes)
@@ -494,18 +543,21 @@
         return now - read_at < self.STORE_TIMEOUT_SECONDS
 
     def _own_member(self, follows: str = "") -> Member:
+        routes = self._gateway.routes
         return Member(
             front=str(self._settings.front),
             data_centre=self._settings.data_centre,
             ready=self._ready(),
             sees_store=self._is_store_reachable(),
             follows=follows,
+            configuration=routes.catalogue.version if routes else 0,
         )
 
     async def _maintain(self) -> None:
         while True:
             self._roster.expire()
             self._registry.expire()
+            self._activate_offered()
             self._loads.keep_only(self._roster.peers())
             serving = self._roster.serving
             self._rate_limits.limit_to_share(self._roster.live_fraction, serving - 1)
--- a/packages/guavajunction/src/guavajunction/errors.py
+++ b/packages/guavajunction/src/guavajunction/errors.py
@@ -300,6 +300,10 @@
     """The members' acknowledgements of a pending change have expired."""
 
 
+class FleetKeysReplaced(GuavaError):
+    """The store has other keys of the fleet than those that are in use."""
+
+
 class LeaseLost(GuavaError):
     """The holder of a lease can no longer prove that it holds it."""
 
--- a/packages/guavajunction/src/guavajunction/fleet/__init__.py
+++ b/packages/guavajunction/src/guavajunction/fleet/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._fleet_keys import obtain_keys
+from ._fleet_keys import keep_keys, obtain_keys
 from ._hubs import Candidate, FleetShape
 from ._messages import HubStatus, RowsNotice
 from ._nearness import choose_fronts
@@ -27,5 +27,6 @@
     "RowsNotice",
     "StoreRoster",
     "choose_fronts",
+    "keep_keys",
     "obtain_keys",
 ]
--- a/packages/guavajunction/src/guavajunction/fleet/_fleet_keys.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_fleet_keys.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 import zmq
 
 from guavajunction.clock import Clock
-from guavajunction.errors import ConditionFailed, PlatformError
+from guavajunction.errors import ConditionFailed, FleetKeysReplaced, PlatformError
 from guavajunction.peers import FleetKeys
 from guavajunction.storage import TableService
 
@@ -23,12 +25,34 @@
 
     Retries without limit while the store is unavailable.
     """
+    return await _read_or_write(table, clock, _generate_keys)
+
+
+async def keep_keys(table: TableService, clock: Clock, keys: FleetKeys) -> None:
+    """Write the fleet's keys again if the store has lost them.
+
+    Retries without limit while the store is unavailable.
+
+    Raises:
+        FleetKeysReplaced: The store has other keys, which an instance wrote that
+            started after the store came back from a copy without keys.
+    """
+    stored = await _read_or_write(table, clock, lambda: keys)
+    if stored != keys:
+        raise FleetKeysReplaced(f"row {PARTITION}/{SORT_KEY} has other keys")
+
+
+async def _read_or_write(
+    table: TableService, clock: Clock, new_keys: Callable[[], FleetKeys]
+) -> FleetKeys:
+    """Return the stored keys; write new ones if there are none."""
     while True:
         try:
             row = await table.get(PARTITION, SORT_KEY)
             if row is not None:
                 return msgspec.msgpack.decode(row.body, type=FleetKeys)
-            await table.put(PARTITION, SORT_KEY, _generate_keys(), expected=0)
+            body = msgspec.msgpack.encode(new_keys())
+            await table.put(PARTITION, SORT_KEY, body, expected=0)
         except ConditionFailed:
             continue
         except PlatformError as exc:
@@ -40,8 +64,6 @@
             await clock.sleep(RETRY_SECONDS)
 
 
-def _generate_keys() -> bytes:
+def _generate_keys() -> FleetKeys:
     public, secret = zmq.curve_keypair()
-    return msgspec.msgpack.encode(
-        FleetKeys(public.decode("ascii"), secret.decode("ascii"))
-    )
+    return FleetKeys(public.decode("ascii"), secret.decode("ascii"))
--- a/packages/guavajunction/src/guavajunction/fleet/_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_roster.py
@@ -23,6 +23,8 @@
     """Whether the store answered the instance recently."""
     follows: str = ""
     """Name of the followed hub; empty if the instance is a hub."""
+    configuration: int = 0
+    """Version of the active configuration, 0 before the first one."""
 
     @property
     def is_hub(self) -> bool:
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -9,6 +9,9 @@
 from fakes_gateway import ENGINES, backend, gateway_settings
 from guavajunction.clock import ManualClock
 from guavajunction.errors import DocumentInvalid
+from guavajunction.fleet import Member
+from guavajunction.gateway import Catalogue
+from guavajunction.peers import PeerId
 from guavajunction.storage import Changes, RowChange, position
 from guavajunction_entry.gateway import (
     GatewayDaemon,
@@ -32,10 +35,15 @@
         configuration_row=RowAddress("configuration", "head"),
         backends_partition="backends",
         decode_backend=decode,
+        decode_configuration=lambda body: catalogue(int(body)),
     )
     return GatewayDaemon(gateway_settings(), deployment, ManualClock())
 
 
+def catalogue(version):
+    return Catalogue(version, (), {}, (), None)
+
+
 def apply_changes(daemon, *rows, complete=False, era=0):
     changes = tuple(
         RowChange(name, body, position(era, n)) for n, (name, body) in enumerate(rows)
@@ -99,3 +107,55 @@
     def test_server_removed_later_in_the_era_is_removed_at_once(self, daemon):
         apply_changes(daemon, ("e1", b"1"), ("e2", b"1"), era=1)
         assert apply_changes(daemon, ("e1", None), era=1) == ["e2"]
+
+
+class TestFirstConfiguration:
+    """After a return of the store, the first configuration is not older than others'.
+
+    An instance that starts may read a row that the operator has not written again yet.
+    """
+
+    def hear(self, daemon, version):
+        member = Member("x:1", "here", True, True, configuration=version)
+        daemon._roster.on_heartbeat(PeerId("other", "1"), member)
+
+    def active(self, daemon):
+        daemon._activate_offered()
+        routes = daemon._gateway.routes
+        return routes.catalogue.version if routes else None
+
+    def test_without_a_return_it_is_active_at_once(self, daemon):
+        self.hear(daemon, 9)
+        daemon._offer(b"7", 0)
+        assert self.active(daemon) == 7
+
+    def test_it_waits_until_the_others_are_heard(self, daemon):
+        daemon._offer(b"7", 1)
+        assert self.active(daemon) is None
+        daemon._clock.advance(daemon.HEAR_MEMBERS_SECONDS)
+        assert self.active(daemon) == 7
+
+    def test_it_waits_for_the_version_of_the_others(self, daemon):
+        daemon._offer(b"7", 1)
+        daemon._clock.advance(daemon.HEAR_MEMBERS_SECONDS)
+        self.hear(daemon, 9)
+        assert self.active(daemon) is None
+        daemon._offer(b"9", 1)
+        assert self.active(daemon) == 9
+
+    def test_it_does_not_wait_for_ever(self, daemon):
+        daemon._offer(b"7", 1)
+        daemon._clock.advance(daemon.MAX_OFFER_SECONDS + 0.1)
+        self.hear(daemon, 9)
+        assert self.active(daemon) == 7
+
+    def test_a_running_instance_never_goes_back(self, daemon):
+        daemon._offer(b"7", 0)
+        daemon._offer(b"6", 1)
+        assert self.active(daemon) == 7
+        daemon._offer(b"8", 1)
+        assert self.active(daemon) == 8
+
+    def test_own_version_is_told_to_the_others(self, daemon):
+        daemon._offer(b"7", 0)
+        assert daemon._own_member().configuration == 7
