Soak: the store comes back from older copies, and order numbers are checked

Each seed draws up to three returns, with copies 0.2 to 30 s old and 0 to 1.5 s until the operator and the runners write again. They are drawn apart from the plan, so the plans and conditions of all seeds stay as they were. The stand-in of a runner keeps the orders it received; no fencing number may be used by two instances.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/__init__.py
@@ -6,7 +6,7 @@
 from ._operator import Operator
 from ._runner import FakeRunner, Run, RunnerSpec
 from ._store import FakeStore
-from ._wire import HEADERS, HOST, Headers
+from ._wire import HEADERS, HOST, Headers, OrderBody
 
 __all__ = [
     "HEADERS",
@@ -17,6 +17,7 @@
     "LinkProvider",
     "LocalDeployment",
     "Operator",
+    "OrderBody",
     "Run",
     "RunnerSpec",
 ]
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
@@ -165,14 +165,14 @@
 
         Args:
             age_seconds: Age of the copy when the store comes back.
-            outage_seconds: Time in which the store refuses connections.
+            outage_seconds: Time in which the store aborts connections.
             rewrite_seconds: Time until the operator and the runners write their rows
                 again.
 
         Returns:
             Number of writes that the store lost.
         """
-        self.store.faults.set(outage="refuse")
+        self.store.faults.set(outage="drop")
         await asyncio.sleep(outage_seconds)
         lost = self.store.restore(age_seconds)
         self.store.faults.set(outage=None)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -109,6 +109,8 @@
         self._store = store
         self._models: dict[str, set[str]] = {model: set() for model in spec.models}
         self._cached_models: set[str] = set(spec.models)
+        self.orders: list[wire.OrderBody] = []
+        """Received orders, including refused ones."""
         self._order_count = 0
         self._last_fence = 0
         self._busy = False
@@ -242,6 +244,7 @@
         if req.headers.get(HEADERS.target) != self.spec.name:
             return web.Response(status=421)
         order = wire.order_body(await req.json())
+        self.orders.append(order)
         if order.fence < self._last_fence:
             return web.Response(status=412)
         if self._busy or order.expected not in (None, self._order_count):
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
@@ -110,6 +110,8 @@
     operation: str
     model: str
     adapter: str
+    holder: str
+    """Instance that sent the order."""
     fence: int
     expected: int | None
     """Number of orders that the runner must have accepted so far; None for any."""
@@ -121,6 +123,7 @@
         body["operation"],
         body["model"],
         body.get("adapter", ""),
+        body["holder"],
         body["fencingToken"],
         body.get("precondition"),
     )
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
@@ -6,7 +6,7 @@
 from ._guarantees import find_violations
 from ._history import Call, Change, Crash, History, LimitedRunner
 from ._link_proxy import LinkProxy
-from ._plan import Fault, FaultKind, draw_conditions, draw_plan
+from ._plan import Fault, FaultKind, draw_conditions, draw_plan, draw_returns
 from ._soak import Soak, SoakResult
 
 __all__ = [
@@ -24,4 +24,5 @@
     "find_violations",
     "draw_conditions",
     "draw_plan",
+    "draw_returns",
 ]
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_fault_injector.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_fault_injector.py
@@ -12,7 +12,7 @@
 
 from ._history import Change
 from ._link_proxy import LinkProxy
-from ._plan import Fault, FaultKind
+from ._plan import STORE_RETURNS, Fault, FaultKind
 
 STORE_OUTAGES = {
     FaultKind.STORE_HANGS: "hang",
@@ -217,6 +217,14 @@
 
     async def _inject_store_fault(self, fault: Fault) -> None:
         faults = self._deployment.store.faults
+        if fault.kind is FaultKind.STORE_RETURNS:
+            drill = STORE_RETURNS[fault.target]
+            await self._deployment.restore_store(
+                drill.age_seconds,
+                outage_seconds=fault.seconds,
+                rewrite_seconds=drill.rewrite_seconds,
+            )
+            return
         if fault.kind is FaultKind.STORE_LOSES:
             faults.set(lose_answers=3)
             return
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
@@ -114,6 +114,15 @@
             yield f"{runner} was ordered to load {artifact} beyond its capacity"
 
 
+def _check_order_numbers(history: History) -> Iterator[str]:
+    holders: defaultdict[int, set[str]] = defaultdict(set)
+    for order in history.orders:
+        holders[order.fence].add(order.holder)
+    for fence, names in holders.items():
+        if len(names) > 1:
+            yield f"fencing number {fence} was used by {sorted(names)}"
+
+
 def _check_draining_runners(history: History) -> Iterator[str]:
     for change in history.changes:
         if change.kind == "drain":
@@ -215,6 +224,7 @@
     _check_versions,
     _check_requests_unchanged,
     _check_runner_memory,
+    _check_order_numbers,
     _check_draining_runners,
     _check_withdrawn_keys,
     _check_crashing_part,
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from guavajunction_fakes.deployment import Run
+from guavajunction_fakes.deployment import OrderBody, Run
 
 
 class Call(NamedTuple):
@@ -96,3 +96,5 @@
     crashing_arrivals: tuple[float, ...] = ()
     """Times at which requests with the crashing part reached runners."""
     limited: LimitedRunner | None = None
+    orders: tuple[OrderBody, ...] = ()
+    """Orders that reached runners, including refused ones."""
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
@@ -56,8 +56,13 @@
     """A runner drains, then accepts work again as if restarted."""
     KEYS = "keys"
     """The operator replaces the customer's API key."""
+    STORE_RETURNS = "store returns"
+    """The store goes away and comes back from an older copy."""
 
 
+DRAWN_KINDS = tuple(kind for kind in FaultKind if kind is not FaultKind.STORE_RETURNS)
+"""Kinds that `draw_plan` draws; `draw_returns` draws the other one."""
+
 INSTANT_KINDS = frozenset(
     (
         FaultKind.RELOAD,
@@ -131,7 +136,7 @@
         Faults in order of their start.
     """
     rng = random.Random(seed)
-    kinds = rng.sample(list(FaultKind), k=min(len(FaultKind), 1 + faults // 2))
+    kinds = rng.sample(DRAWN_KINDS, k=min(len(DRAWN_KINDS), 1 + faults // 2))
     plan = []
     for _ in range(faults):
         kind = rng.choice(kinds)
@@ -141,3 +146,40 @@
         at = rng.uniform(0.0, max(0.1, seconds - duration))
         plan.append(Fault(round(at, 2), round(duration, 2), kind, rng.randrange(12)))
     return sorted(plan)
+
+
+class StoreReturn(NamedTuple):
+    """What is lost when the store comes back from an older copy."""
+
+    age_seconds: float
+    """Age of the copy."""
+    rewrite_seconds: float
+    """Time until the operator and the runners write their rows again."""
+
+
+STORE_RETURNS = (
+    StoreReturn(0.2, 0.0),
+    StoreReturn(1.0, 0.5),
+    StoreReturn(3.0, 1.5),
+    StoreReturn(8.0, 1.0),
+    StoreReturn(30.0, 0.2),
+)
+MAX_AWAY_SECONDS = 1.5
+
+
+def draw_returns(seed: int, seconds: float) -> list[Fault]:
+    """Draw the times at which the store comes back from a copy, up to three.
+
+    They do not change the plan that is drawn from the same seed. The target of each
+    fault is an index of `STORE_RETURNS`.
+    """
+    rng = random.Random(f"returns/{seed}")
+    return sorted(
+        Fault(
+            round(rng.uniform(0.5, seconds - MAX_AWAY_SECONDS), 2),
+            round(rng.uniform(0.1, MAX_AWAY_SECONDS), 2),
+            FaultKind.STORE_RETURNS,
+            rng.randrange(len(STORE_RETURNS)),
+        )
+        for _ in range(rng.choice((0, 1, 1, 2, 3)))
+    )
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
@@ -17,7 +17,14 @@
 from ._fault_injector import FaultInjector, LinkProxies
 from ._guarantees import find_violations
 from ._history import Crash, History, LimitedRunner
-from ._plan import Conditions, Fault, draw_conditions, draw_plan
+from ._plan import (
+    Conditions,
+    Fault,
+    FaultKind,
+    draw_conditions,
+    draw_plan,
+    draw_returns,
+)
 
 
 class SoakResult(NamedTuple):
@@ -36,6 +43,8 @@
         verdict = "kept" if not self.violations else f"{len(self.violations)} broken"
         part, limit = self.conditions
         drawn = f"crashing part {part or 'none'}, named limit {limit or 'none'}"
+        returns = sum(f.kind is FaultKind.STORE_RETURNS for f in self.plan)
+        drawn += f", returns of the store {returns}"
         return f"seed {self.seed}: {verdict}; {drawn}; {answers}"
 
 
@@ -77,7 +86,9 @@
         self._seed = seed
         self._instances = instances
         self._hubs = hubs
-        self._plan = draw_plan(seed, seconds, faults=faults)
+        self._plan = sorted(
+            draw_plan(seed, seconds, faults=faults) + draw_returns(seed, seconds)
+        )
         self._conditions = draw_conditions(seed)
         self._rng = random.Random(f"keys/{seed}")
         self._unexpected_exits: set[str] = set()
@@ -166,6 +177,9 @@
                 for at in runner.crashing_arrivals
             ),
             limited=self._limited_runner(deployment),
+            orders=tuple(
+                order for r in deployment.runners.values() for order in r.orders
+            ),
         )
         answers = Counter(str(call.status or "none") for call in history.calls)
         violations = find_violations(history)
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from guavajunction_fakes.deployment import HEADERS, Run
+from guavajunction_fakes.deployment import HEADERS, OrderBody, Run
 from guavajunction_fakes.soak import (
     Call,
     Change,
@@ -137,6 +137,15 @@
         history = self.history._replace(overloads={"engine-1": ("m3",)})
         assert "beyond its capacity" in self.only(history)
 
+    def test_fencing_number_of_two_holders(self):
+        orders = tuple(
+            OrderBody("load", "m1", "", holder, fence, None)
+            for holder, fence in (("front-1", 4), ("front-1", 4), ("front-2", 5))
+        )
+        assert not find_violations(self.history._replace(orders=orders))
+        orders += (orders[0]._replace(holder="front-2"),)
+        assert "number 4" in self.only(self.history._replace(orders=orders))
+
     def test_request_to_a_draining_runner(self):
         change = Change(7.0, "drain", "booking-1", until=20.0)
         history = self.history._replace(changes=(change,))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from guavajunction_fakes.soak import FaultKind, Soak, draw_conditions, draw_plan
+from guavajunction_fakes.soak import (
+    FaultKind,
+    Soak,
+    draw_conditions,
+    draw_plan,
+    draw_returns,
+)
 
 PORTS = [18311, 18312, 18313, 18314]
 SEEDS = (3, 5, 11)
@@ -33,7 +39,14 @@
 
     def test_every_kind_is_drawn(self):
         drawn = {f.kind for seed in range(50) for f in draw_plan(seed, 8.0, faults=6)}
-        assert drawn == set(FaultKind)
+        returns = {f.kind for seed in range(50) for f in draw_returns(seed, 8.0)}
+        assert drawn | returns == set(FaultKind)
+        assert returns == {FaultKind.STORE_RETURNS}
+
+    def test_returns_end_in_time_and_come_in_series(self):
+        plans = [draw_returns(seed, 8.0) for seed in range(50)]
+        assert all(fault.ends_at <= 8.0 for plan in plans for fault in plan)
+        assert {len(plan) for plan in plans} == {0, 1, 2, 3}
 
 
 class TestSoak:
