Orders: nothing is sent that was planned before a restart

The leader read its new, empty report and then sent 'unload adapter a1 of m2' and 'load adapter a1 of m1' for models that were no longer there. The stand-in made these models resident in its reports but not in its row. So the leader counted them as loaded and planned no load, and no instance could use them, until the end.

Change: the manager refuses an adapter whose model is gone, counts an unload of such an adapter as done, and sends nothing on the ledger of an earlier incarnation. The stand-in answers 400 to an adapter of a missing model, as for an order that does not exist.

Tests, failed before: TestRestart in tests/swapping/test_orders.py (3).

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -249,6 +249,8 @@
             return web.Response(status=412)
         if self._busy or order.expected not in (None, self._order_count):
             return web.Response(status=409)
+        if order.adapter and order.model not in self._models:
+            return web.Response(status=400)
         self._last_fence = order.fence
         self._order_count += 1
         if order.adapter:
@@ -260,7 +262,7 @@
         return web.Response(status=202)
 
     def _change_adapter(self, order: wire.OrderBody) -> web.Response:
-        resident = self._models.setdefault(order.model, set())
+        resident = self._models[order.model]
         if order.operation == "unload":
             resident.discard(order.adapter)
             return web.Response(status=200)
--- a/packages/guavajunction/src/guavajunction/swapping/_order_manager.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_order_manager.py
@@ -107,9 +107,10 @@
                 known = ledger.orders_accepted
                 if known is None:
                     known = await self._resync(ledger)
-                if known is not None and await self._attempt(
-                    ledger, Order(kind, model, adapter, known, self._instance, 0)
-                ):
+                if known is None:
+                    continue
+                order = Order(kind, model, adapter, known, self._instance, 0)
+                if self._is_done(ledger, order) or await self._attempt(ledger, order):
                     return
         raise OrderRefused(
             f"backend server {ledger.record.name!r} did not accept the order to "
@@ -126,6 +127,22 @@
         async with self._locks[ledger.record.name]:
             await self._resync(ledger)
 
+    def _is_done(self, ledger: BackendLedger, order: Order) -> bool:
+        """Return whether an order has nothing to do since its model is gone.
+
+        Raises:
+            OrderRefused: The backend server has restarted, or an adapter's model is
+                gone, since the order was planned.
+        """
+        name = ledger.record.name
+        if self._ledgers.get(name) is not ledger:
+            raise OrderRefused(f"backend server {name!r} has restarted or left")
+        if not order.adapter or order.model in ledger.models:
+            return False
+        if order.kind is OrderKind.UNLOAD:
+            return True
+        raise OrderRefused(f"backend server {name!r} no longer has {order.model!r}")
+
     async def _attempt(self, ledger: BackendLedger, order: Order) -> bool:
         if not ledger.has_capacity(order):
             raise OrderRefused(
--- a/tests/swapping/test_orders.py
+++ b/tests/swapping/test_orders.py
@@ -177,6 +177,31 @@
         assert engine.orders == 0
 
 
+class TestRestart:
+    """An order that was planned before a restart is not sent after it."""
+
+    async def test_adapter_is_not_loaded_without_its_model(self):
+        engine = FakeEngine(())
+        manager, ledger = manager_for(engine)
+        with pytest.raises(OrderRefused, match="no longer has"):
+            await manager.order(ledger, LOAD, "m1", "a1")
+        assert (engine.orders, engine.models) == (0, {})
+
+    async def test_adapter_of_a_missing_model_is_unloaded_already(self):
+        engine = FakeEngine(())
+        manager, ledger = manager_for(engine)
+        await manager.order(ledger, UNLOAD, "m1", "a1")
+        assert (engine.orders, engine.models) == (0, {})
+
+    async def test_ledger_of_an_earlier_incarnation_gets_no_orders(self):
+        engine = FakeEngine(())
+        manager, ledger = manager_for(engine)
+        manager.sync({"e1": (backend("e1", incarnation=2), ENGINE)})
+        with pytest.raises(OrderRefused, match="restarted"):
+            await manager.order(ledger, LOAD, "m2")
+        assert engine.orders == 0
+
+
 class TestLateOrders:
     """Unanswered orders that are applied at any later time."""
 
