Soak: requests near one of the first crashes on a part may fail

Traced by the logs: all instances were killed 0.3 s after the store had come back from a copy of 30 s, so neither the store nor an instance had a report of a crash. Blame takes three crashes by design, and if all lose power in the lost seconds, nobody remembers more.

Change: a request that fails within 2 s of one of the first five crashes counts neither as served nor as missed. The count of crashes begins anew only if all instances were killed between the time of a copy and the rewriting; the check of crashing requests uses the same count. Tests on both sides of each bound in test_guarantees and test_soak.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
@@ -6,7 +6,14 @@
 from ._guarantees import find_violations
 from ._history import Call, Change, Crash, History, LimitedRunner
 from ._link_proxy import LinkProxy
-from ._plan import Fault, FaultKind, draw_conditions, draw_plan, draw_returns
+from ._plan import (
+    Fault,
+    FaultKind,
+    draw_conditions,
+    draw_plan,
+    draw_returns,
+    reports_lost_at,
+)
 from ._soak import Soak, SoakResult
 
 __all__ = [
@@ -25,4 +32,5 @@
     "draw_conditions",
     "draw_plan",
     "draw_returns",
+    "reports_lost_at",
 ]
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
@@ -7,7 +7,7 @@
 
 from guavajunction_fakes.deployment import HEADERS, Run
 
-from ._history import Call, Change, History
+from ._history import Call, Change, Crash, History
 
 REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that guarantee that a request was not and will not be executed."""
@@ -23,6 +23,9 @@
 MAX_LATER_ARRIVALS = 3
 """Number of requests with a part that crashes engines that may still reach runners some
 time after the fifth crash."""
+CRASH_EFFECT_SECONDS = 2.0
+"""Time before and after a crash in which requests may fail: they run on the engine, or
+wait until it has started again and loaded its models."""
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_RATIO = 1.5
 LIMIT_SLACK = 5
@@ -165,7 +168,7 @@
 
 def _check_crashing_part(history: History) -> Iterator[str]:
     """Check that engines stop crashing on one part of a prompt."""
-    crashes = sorted(history.crashes)
+    crashes = _crashes_since_loss(history)
     if len(crashes) < MAX_CRASHES:
         return
     fifth = crashes[MAX_CRASHES - 1]
@@ -178,6 +181,11 @@
         )
 
 
+def _crashes_since_loss(history: History) -> list[Crash]:
+    """Return the crashes since the fleet could last have lost its reports of them."""
+    return sorted(c for c in history.crashes if c.at > history.reports_lost_at)
+
+
 def _check_named_limit(history: History) -> Iterator[str]:
     """Check the limit that a runner names, once all faults have ended."""
     if history.limited is None:
@@ -203,14 +211,23 @@
         yield f"planned stop: {line}"
 
 
+def _is_near_crash(call: Call, crashes: list[float]) -> bool:
+    return any(
+        at - CRASH_EFFECT_SECONDS < call.sent_at < at + CRASH_EFFECT_SECONDS
+        for at in crashes
+    )
+
+
 def _check_recovery(history: History) -> Iterator[str]:
     withdrawn = {c.subject for c in history.changes if c.kind == "keys"}
+    allowed = [crash.at for crash in _crashes_since_loss(history)[:MAX_CRASHES]]
     after_recovery = [
         call
         for call in history.calls
         if call.sent_at >= history.recovery_deadline
         and call.key not in withdrawn
         and not call.crashing
+        and not (call.status != 200 and _is_near_crash(call, allowed))
     ]
     served = sum(call.status == 200 for call in after_recovery)
     if not after_recovery or served < MIN_SERVED_FRACTION * len(after_recovery):
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
@@ -93,6 +93,9 @@
     customer: str
     """Name of the customer that all requests belong to."""
     crashes: tuple[Crash, ...] = ()
+    reports_lost_at: float = float("-inf")
+    """Latest time at which all instances were killed about when the store lost its
+    last rows, so that no report of a crash may have been left."""
     crashing_arrivals: tuple[float, ...] = ()
     """Times at which requests with the crashing part reached runners."""
     limited: LimitedRunner | None = None
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
@@ -183,3 +183,27 @@
         )
         for _ in range(rng.choice((0, 1, 1, 2, 3)))
     )
+
+
+REWRITE_SECONDS = 2.0
+"""Time after a return in which instances write their rows again."""
+
+
+def reports_lost_at(plan: list[Fault]) -> float:
+    """Return when all memory of the fleet was last lost, in seconds, or minus infinity.
+
+    That is the case if all instances are killed after the copy was made from which the
+    store comes back, and before they have written their rows again.
+    """
+    kills = [fault for fault in plan if fault.kind is FaultKind.KILL_ALL]
+    returns = [fault for fault in plan if fault.kind is FaultKind.STORE_RETURNS]
+    return max(
+        (
+            max(kill.ends_at, back.ends_at) + REWRITE_SECONDS
+            for kill in kills
+            for back in returns
+            if back.ends_at - STORE_RETURNS[back.target].age_seconds < kill.ends_at
+            and kill.at < back.ends_at + REWRITE_SECONDS
+        ),
+        default=float("-inf"),
+    )
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
@@ -24,6 +24,7 @@
     draw_conditions,
     draw_plan,
     draw_returns,
+    reports_lost_at,
 )
 
 
@@ -171,6 +172,7 @@
                 for name, runner in deployment.runners.items()
                 for at in runner.crashed_at
             ),
+            reports_lost_at=started_at + reports_lost_at(self._plan),
             crashing_arrivals=tuple(
                 at
                 for runner in deployment.runners.values()
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -175,6 +175,29 @@
             history._replace(recovery_deadline=200.0)
         )
 
+    def crashed_at(self, *times, **changes):
+        """Return a history in which 4 of 14 requests fail, from 210 to 213 s."""
+        failed = [call(n, status=504, sealed=False) for n in range(200, 204)]
+        served = [call(n) for n in range(220, 230)]
+        history = self.history._replace(
+            calls=(*self.history.calls, *failed, *served),
+            crashes=tuple(Crash(at, "engine-1") for at in times),
+            recovery_deadline=210.0,
+            **changes,
+        )
+        return add(history, "booking-3", *(run(n) for n in range(220, 230)))
+
+    def test_failures_near_one_of_the_first_crashes_are_allowed(self):
+        assert "after all faults" in self.only(self.crashed_at())
+        assert "after all faults" in self.only(self.crashed_at(205.0))
+        assert not find_violations(self.crashed_at(211.5))
+
+    def test_failures_near_a_later_crash_are_not_allowed(self):
+        five = (20.0, 21.0, 22.0, 23.0, 24.0)
+        assert "after all faults" in self.only(self.crashed_at(*five, 211.5))
+        lost = self.crashed_at(*five, 211.5, reports_lost_at=30.0)
+        assert not find_violations(lost)
+
     def test_recovery_ignores_withdrawn_keys(self):
         late = [call(n, status=401, sealed=False, key="old") for n in range(200, 220)]
         history = self.history._replace(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,11 +5,13 @@
 import pytest
 
 from guavajunction_fakes.soak import (
+    Fault,
     FaultKind,
     Soak,
     draw_conditions,
     draw_plan,
     draw_returns,
+    reports_lost_at,
 )
 
 PORTS = [18311, 18312, 18313, 18314]
@@ -49,6 +51,26 @@
         assert {len(plan) for plan in plans} == {0, 1, 2, 3}
 
 
+class TestReportsLost:
+    """All memory is lost if all are killed between the copy and the rewriting."""
+
+    BACK = Fault(10.0, 0.5, FaultKind.STORE_RETURNS, 2)
+    """Comes back at 10.5 s from a copy of 7.5 s."""
+
+    @pytest.mark.parametrize(
+        ("killed_at", "lost_at"),
+        [(5.0, None), (7.0, 12.5), (9.0, 12.5), (11.0, 13.5), (13.0, None)],
+    )
+    def test_time_of_the_loss(self, killed_at, lost_at):
+        kill = Fault(killed_at, 0.5 if killed_at > 7.0 else 0.6, FaultKind.KILL_ALL, 0)
+        expected = float("-inf") if lost_at is None else lost_at
+        assert reports_lost_at([kill, self.BACK]) == expected
+
+    def test_nothing_is_lost_without_a_return(self):
+        kill = Fault(9.0, 0.5, FaultKind.KILL_ALL, 0)
+        assert reports_lost_at([kill]) == float("-inf")
+
+
 class TestSoak:
     """Guarantees hold under faults."""
 
