--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,7 +16,7 @@
 
 PORTS = [18311, 18312, 18313, 18314]
 SEEDS = (3, 5, 11)
-"""Seeds of the short soaks. Seed 11 failed once (docs/design/troubles.md).
+"""Seeds of the short soaks. Seeds 5 and 11 failed once (docs/design/troubles.md).
 
 The plans drawn from seeds 3 and 11 contain four kinds of fault: the store responds with
 errors, and links to a runner are delayed, reset or permanently stalled. With seed 5,
