Rows across eras: the row of an earlier incarnation is replaced, too

Found on reading the change: after a return, the row of an instance or the report of a backend server may be that of an earlier incarnation, not only missing or older. - An instance writes its row again if the copy shows its earlier incarnation. A row of a later one in the same era is left. - A hub keeps the report of the later incarnation. - The configuration that an instance holds back at its start is offered at the end of a round of maintenance, and only until one is active: a document that cannot be indexed must not stop the rest of the maintenance.

Tests, failed before: test_row_of_an_earlier_incarnation_is_replaced and test_age_of_a_report[21-19-True].

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -430,12 +430,10 @@
             return False
         known = self._decode_backend(before.sort, before.body)
         record = self._decode_backend(row.sort, row.body)
-        return (
-            known is not None
-            and record is not None
-            and known.identity == record.identity
-            and known.report_number > record.report_number
-        )
+        if known is None or record is None:
+            return False
+        newest = known.incarnation, known.report_number
+        return newest > (record.incarnation, record.report_number)
 
     def _is_older_configuration(self, before: RowChange, row: RowChange) -> bool:
         """Return whether the operator has written a later version than in a row."""
@@ -557,12 +555,13 @@
         while True:
             self._roster.expire()
             self._registry.expire()
-            self._activate_offered()
             self._loads.keep_only(self._roster.peers())
             serving = self._roster.serving
             self._rate_limits.limit_to_share(self._roster.live_fraction, serving - 1)
             self._gateway.instances = serving
             self._limits.keep_only({r.identity for r in self._registry.records()})
+            if self._gateway.routes is None:
+                self._activate_offered()
             await self._clock.sleep(self.MAINTENANCE_INTERVAL_SECONDS)
 
     def _listener_parts(self) -> ListenerParts:
--- a/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
@@ -11,7 +11,7 @@
 from guavajunction.clock import Clock
 from guavajunction.errors import ConditionFailed, PlatformError
 from guavajunction.peers import PeerId
-from guavajunction.storage import InstanceRecord, Row, TableService
+from guavajunction.storage import InstanceRecord, Row, TableService, era_of
 
 from . import _events as events
 
@@ -72,6 +72,7 @@
         """Returns the names of the other live instances."""
         self._listed_names: set[str] = set()
         self._leaving = False
+        self._written_in = 0
 
     async def run(self) -> None:
         """Write this instance's row, then read all rows until cancelled."""
@@ -106,20 +107,36 @@
             row = await self._table.get(PARTITION, self._me.name)
             if row is None or _decode(row).incarnation != self._me.incarnation:
                 await self._put(expected=row.version if row else 0)
+            else:
+                self._written_in = era_of(row.version)
 
     async def _put(self, *, expected: int) -> None:
         body = msgspec.msgpack.encode(self._entry)
-        await self._table.put(PARTITION, self._me.name, body, expected=expected)
+        row = await self._table.put(PARTITION, self._me.name, body, expected=expected)
+        self._written_in = era_of(row.version)
 
     async def _read(self) -> None:
-        listed = [_listed(row) for row in await self._table.query(PARTITION)]
+        rows = await self._table.query(PARTITION)
+        listed = [_listed(row) for row in rows]
         self._listed_names = {entry.record.name for entry in listed}
-        if self._me.name not in self._listed_names and not self._leaving:
-            # The store came back from a copy without the row.
+        own = next((row for row in rows if row.sort == self._me.name), None)
+        if self._was_lost(own) and not self._leaving:
             await self._register()
             events.ENTERED.log(instance=self._me.name, incarnation=self._me.incarnation)
         self.on_read(listed)
 
+    def _was_lost(self, own: Row | None) -> bool:
+        """Return whether the store came back from a copy without this instance's row.
+
+        A row of another incarnation in the same era is of one that started later.
+        """
+        if own is None:
+            return True
+        return (
+            era_of(own.version) > self._written_in
+            and _decode(own).incarnation != self._me.incarnation
+        )
+
     async def _remove_own_row(self) -> None:
         name, incarnation = self._me
         row = await self._table.get(PARTITION, name)
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -159,3 +159,29 @@
     def test_own_version_is_told_to_the_others(self, daemon):
         daemon._offer(b"7", 0)
         assert daemon._own_member().configuration == 7
+
+
+class TestRowsOfAHub:
+    """After a return, a hub keeps the later of two reports of a backend server."""
+
+    @pytest.fixture
+    def daemon(self, daemon):
+        daemon._deployment.decode_backend = lambda name, body: backend(
+            name, incarnation=int(body[:1]), report_number=int(body[1:])
+        )
+        return daemon
+
+    @pytest.mark.parametrize(
+        ("before", "found", "older"),
+        [
+            (b"15", b"14", True),
+            (b"15", b"15", False),
+            (b"15", b"16", False),
+            (b"21", b"19", True),
+            (b"19", b"21", False),
+            (b"15", None, False),
+        ],
+    )
+    def test_age_of_a_report(self, daemon, before, found, older):
+        rows = RowChange("e1", before, 5), RowChange("e1", found, position(1, 2))
+        assert daemon._is_older_report(*rows) is older
--- a/tests/fleet/test_store_roster.py
+++ b/tests/fleet/test_store_roster.py
@@ -106,6 +106,26 @@
             await instance.pass_time(4.0)
             assert ("instance", "early") in table.rows
 
+    async def test_row_of_an_earlier_incarnation_is_replaced(self, table, instance):
+        instance.roster.has_hub = lambda: False
+        earlier = ENTRY._replace(incarnation="0")
+        me = PeerId("early", "0")
+        await StoreRoster(table, me, earlier, ManualClock())._register()
+        copy = dict(table.rows)
+        async with instance.running():
+            table.come_back_from(copy)
+            await instance.pass_time(4.0)
+            assert b"\xa11" in table.rows["instance", "early"].body
+
+    async def test_row_of_a_later_incarnation_is_not_replaced(self, table, instance):
+        instance.roster.has_hub = lambda: False
+        later = ENTRY._replace(incarnation="2")
+        me = PeerId("early", "2")
+        async with instance.running():
+            await StoreRoster(table, me, later, ManualClock())._register()
+            await instance.pass_time(20.0)
+            assert b"\xa12" in table.rows["instance", "early"].body
+
     async def test_row_of_a_leaving_instance_is_not_written_again(
         self, table, instance
     ):
