--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -222,6 +222,7 @@
         self._offered_in = 0
         self._backends_known = False
         self._backends_era = 0
+        self.metrics.gauge("store_era", lambda: self._backends_era)
         self._era_began = asyncio.Event()
         self._crashes_known = False
         self._quarantine_links = QuarantineLinks(
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -104,6 +104,10 @@
         daemon._registry.expire()
         assert apply_changes(daemon, era=1) == ["e2"]
 
+    def test_era_is_a_metric(self, daemon):
+        apply_changes(daemon, ("e1", b"1"), era=3)
+        assert "guavajunction_store_era 3" in daemon.metrics.exposition()
+
     def test_server_removed_later_in_the_era_is_removed_at_once(self, daemon):
         apply_changes(daemon, ("e1", b"1"), ("e2", b"1"), era=1)
         assert apply_changes(daemon, ("e1", None), era=1) == ["e2"]
