--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_quarantine_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_quarantine_links.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from guavajunction.bounded import drop_oldest
 from guavajunction.clock import Clock
 from guavajunction.errors import ConditionFailed, PlatformError
 from guavajunction.fleet import Relay
@@ -162,8 +163,7 @@
             return
         self._newest_numbers.pop(notice.source, None)
         self._newest_numbers[notice.source] = notice.number
-        while len(self._newest_numbers) > PartQuarantine.MAX_SOURCES:
-            del self._newest_numbers[next(iter(self._newest_numbers))]
+        drop_oldest(self._newest_numbers, PartQuarantine.MAX_SOURCES)
         self._quarantine.merge(notice.source, notice.evidence)
         if self._relay is not None:
             self._relay.forward(peer, notice)
@@ -190,8 +190,7 @@
         claimed = await self._attempt("claim", self._insert_trial, part)
         if claimed:
             self._claims[part] = None
-            while len(self._claims) > self.MAX_CLAIMS:
-                del self._claims[next(iter(self._claims))]
+            drop_oldest(self._claims, self.MAX_CLAIMS)
         return claimed
 
     async def _write_claims_again(self) -> None:
--- a/packages/guavajunction/src/guavajunction/gateway/_admission.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_admission.py
@@ -11,7 +11,8 @@
 import math
 from typing import NamedTuple
 
-from guavajunction.quarantine import BlamedParts
+from guavajunction.errors import PromptQuarantined
+from guavajunction.quarantine import BlamedParts, PartQuarantine
 
 from ._backend_selection import PREFILL_TOKENS_PER_SECOND
 from ._request import GenerationSize
@@ -87,9 +88,18 @@
     return Refusal(estimate.reason, max(MIN_RETRY_AFTER_SECONDS, estimate.seconds))
 
 
-def quarantine_message(blamed: BlamedParts) -> str:
-    """Return the reason to refuse a request because of parts of its prompt."""
-    return (
+def find_blamed_parts(
+    quarantine: PartQuarantine, size: GenerationSize | None
+) -> BlamedParts | None:
+    """Return the blamed parts of a request's prompt, or None if it has none."""
+    if size is None:
+        return None
+    return quarantine.blamed_in(part.part_id for part in size.parts)
+
+
+def prompt_quarantined(blamed: BlamedParts) -> PromptQuarantined:
+    """Return the refusal of a request because of parts of its prompt."""
+    return PromptQuarantined(
         f"{len(blamed.crashes)} backend servers crashed on prompts with "
         f"{', '.join(map(repr, sorted(blamed.parts)))}"
     )
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from guavajunction.bounded import drop_oldest
 from guavajunction.clock import Clock
 
 from . import _events as events
@@ -106,8 +107,7 @@
         """Keep the newest report number, even after the record is removed."""
         self._newest_report_numbers.pop(record.identity, None)
         self._newest_report_numbers[record.identity] = record.report_number
-        while len(self._newest_report_numbers) > self.MAX_REPORT_NUMBERS:
-            self._newest_report_numbers.pop(next(iter(self._newest_report_numbers)))
+        drop_oldest(self._newest_report_numbers, self.MAX_REPORT_NUMBERS)
 
     def drop(self, name: str) -> None:
         """Remove a backend server whose record was deleted.
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -15,7 +15,6 @@
     NotSent,
     OutcomeUnknown,
     Overloaded,
-    PromptQuarantined,
     RateLimited,
     RequestError,
     StreamNotResumable,
@@ -221,15 +220,13 @@
         Raises:
             PromptQuarantined: It has such a part, and is not the attempt.
         """
-        if req.size is None:
-            return False
         quarantine = self._parts.quarantine
-        blamed = quarantine.blamed_in(part.part_id for part in req.size.parts)
+        blamed = _admission.find_blamed_parts(quarantine, req.size)
         if blamed is None:
             return False
         if await quarantine.may_try(blamed):
             return True
-        raise PromptQuarantined(_admission.quarantine_message(blamed))
+        raise _admission.prompt_quarantined(blamed)
 
     def _find_route(self, req: GatewayRequest) -> tuple[Route, Customer | None]:
         if self._routes is None:
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -284,13 +284,10 @@
 
         A part may be blamed while the request waits, or before it is retried.
         """
-        if queued.trial or queued.req.size is None:
+        if queued.trial:
             return None
-        parts = (part.part_id for part in queued.req.size.parts)
-        blamed = self._quarantine.blamed_in(parts)
-        if blamed is None:
-            return None
-        return PromptQuarantined(_admission.quarantine_message(blamed))
+        blamed = _admission.find_blamed_parts(self._quarantine, queued.req.size)
+        return None if blamed is None else _admission.prompt_quarantined(blamed)
 
     def _outlasts_instance(
         self, queued: QueuedRequest, estimate: WaitEstimate, now: float
--- a/packages/guavajunction/src/guavajunction/namedlimits/_limit_book.py
+++ b/packages/guavajunction/src/guavajunction/namedlimits/_limit_book.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Mapping
 
+from guavajunction.bounded import drop_oldest
 from guavajunction.quarantine import BackendId
 
 from . import _events as events
@@ -85,8 +86,7 @@
     def _set(self, backend: BackendId, statement: LimitStatement) -> None:
         before = self._statements.pop(backend, NO_LIMIT)
         self._statements[backend] = statement
-        while len(self._statements) > self.MAX_BACKENDS:
-            del self._statements[next(iter(self._statements))]
+        drop_oldest(self._statements, self.MAX_BACKENDS)
         if statement.rate != before.rate:
             events.LIMIT_CHANGED.log(
                 backend=backend.name,
--- a/packages/guavajunction/src/guavajunction/namedlimits/_permits.py
+++ b/packages/guavajunction/src/guavajunction/namedlimits/_permits.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from guavajunction.bounded import drop_oldest
 from guavajunction.quarantine import BackendId
 
 
@@ -53,8 +54,7 @@
         if wait == 0.0:
             next_at = max(next_at, now - self.CATCH_UP_SENDS * interval) + interval
         self._next_at[backend] = next_at
-        while len(self._next_at) > self.MAX_BACKENDS:
-            del self._next_at[next(iter(self._next_at))]
+        drop_oldest(self._next_at, self.MAX_BACKENDS)
         return wait
 
     def keep_only(self, backends: set[BackendId]) -> None:
--- a/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Awaitable, Callable, Collection, Iterable
 
+from guavajunction.bounded import drop_oldest
 from guavajunction.clock import Clock
 
 from . import _events as events
@@ -147,8 +148,7 @@
             self._sound[part] = now
             if self._counts_against(part):
                 self._report_sound(part)
-        while len(self._sound) > self.MAX_SOUND_PARTS:
-            del self._sound[next(iter(self._sound))]
+        drop_oldest(self._sound, self.MAX_SOUND_PARTS)
 
     def note_lost(
         self,
@@ -237,8 +237,7 @@
             return
         self._sources.pop(source, None)
         self._sources[source] = evidence
-        while len(self._sources) > self.MAX_SOURCES:
-            del self._sources[next(iter(self._sources))]
+        drop_oldest(self._sources, self.MAX_SOURCES)
         self._stale = True
 
     def is_expired(self, evidence: Evidence) -> bool:
@@ -278,8 +277,7 @@
         events.PART_SOUND.log(part=part)
         self._own_sound.pop(part, None)
         self._own_sound[part] = now
-        while len(self._own_sound) > self.MAX_REPORTED_SOUND:
-            del self._own_sound[next(iter(self._own_sound))]
+        drop_oldest(self._own_sound, self.MAX_REPORTED_SOUND)
         self._change()
 
     def _report_crash(self, backend: BackendId, suspicion: _Suspicion) -> None:
