--- a/packages/guavajunction/src/guavajunction/fleet/_relayed_feed.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relayed_feed.py
@@ -55,7 +55,8 @@
     """Implements `ChangeFeed` with a hub as the source and the store as the fallback.
 
     Versions are always the store's, so the feed can switch from a hub to the store
-    at any version, and versions never decrease. When it switches from the store to
+    at any version. They never decrease: they are positions, which rise also when the
+    store comes back from an older copy. When the feed switches from the store to
     a hub, it first requests all rows: a hub's notices only list the differences from
     the hub's previous read, and may lack changes that the store has already returned.
     """
