Returns of the store reach followers, and links that are opened again know the fleet

Found by a new test with real processes, in which an instance that started has written other keys (hubs; TimeoutError after 8 s, the four instances stayed alone for at least 14 s): - Links that are opened again had no list of instances until the next read, after up to 30 s. They now get the list that was read last. The same held after any failure of the links' job. - Followers learned of a return only with the next change of a row, and a hub's list of instances is read every 30 s. A hub now tells a new era also without a change, watchers yield it, and the list is read again within 2 s. - The lost report of a follower was not written again, because only a complete read showed its absence.

Tests: test_links_are_opened_with_keys_that_others_wrote and test_instances_are_listed_again (now 8 s instead of 40 s) failed with hubs; the unit tests named above the commit's diff in test_relayed_rows, test_watcher, test_quarantine_links and test_store_roster failed before.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -411,6 +411,7 @@
         came_back, self._backends_era = era > self._backends_era, era
         if came_back:
             self._era_began.set()
+            self._store_roster.read_again()
         if changes.complete:
             decoded = [self._decode_backend(r.sort, r.body) for r in changes.rows]
             listed = [record for record in decoded if record is not None]
@@ -498,6 +499,8 @@
             peer.name for peer in self._roster.peers()
         ]
         links.exchange_crash_reports(self._quarantine_links)
+        if self._store_roster.listed:
+            links.set_listed(self._store_roster.listed)
         self._links = links
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(links.run())
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_quarantine_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_quarantine_links.py
@@ -134,6 +134,7 @@
         if era_of(changes.version) > self._era:
             self._era = era_of(changes.version)
             self._unwritten_claims = list(self._claims)
+            self._written = self._body is None
         if not self._written or self._expired or self._unwritten_claims:
             self._rows_due.set()
 
--- a/packages/guavajunction/src/guavajunction/fleet/_relayed_rows.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relayed_rows.py
@@ -51,6 +51,7 @@
 
         Returns:
             The notice to send to followers, or None if no change is relevant to them.
+            A new era is, also without a change.
         """
         if changes.complete:
             relevant = self._replace(changes)
@@ -62,7 +63,7 @@
             # request all rows.
             self.sent_version = changes.version
             return None
-        if not relevant:
+        if not relevant and era_of(changes.version) == era_of(self.sent_version):
             return None
         before, self.sent_version = self.sent_version, changes.version
         latest = {row.sort: row for row in relevant}
--- a/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
@@ -53,8 +53,9 @@
     """Pause between reads while a hub sends the list of instances. The rows are then
     only needed to select another hub."""
     READ_SECONDS_UNLISTED = 2.0
-    """Maximum pause while an instance is live but not in the rows last read. Instances
-    select the same hub only if they have read the same list."""
+    """Maximum pause while an instance is live but not in the rows last read, or the
+    store may have lost rows. Instances select the same hub only if they have read the
+    same list."""
 
     def __init__(
         self, table: TableService, me: PeerId, entry: InstanceEntry, clock: Clock
@@ -70,7 +71,10 @@
         """Returns whether a followed hub sends the list of instances."""
         self.live_names: Callable[[], Collection[str]] = tuple
         """Returns the names of the other live instances."""
+        self.listed: list[ListedInstance] = []
+        """All listed instances as of the last read."""
         self._listed_names: set[str] = set()
+        self._is_outdated = False
         self._leaving = False
         self._written_in = 0
 
@@ -92,9 +96,15 @@
         while (left := end - self._clock.monotonic()) > 0:
             pause = self.READ_SECONDS_UNLISTED * self._rng.uniform(0.5, 1.0)
             await self._clock.sleep(min(left, pause))
-            if not self._listed_names.issuperset(self.live_names()):
+            if self._is_outdated or not self._listed_names.issuperset(
+                self.live_names()
+            ):
                 return
 
+    def read_again(self) -> None:
+        """Read the rows soon, because the store may have lost some."""
+        self._is_outdated = True
+
     async def leave(self) -> None:
         """Remove this instance's row, unless a newer incarnation wrote it."""
         self._leaving = True
@@ -117,13 +127,14 @@
 
     async def _read(self) -> None:
         rows = await self._table.query(PARTITION)
-        listed = [_listed(row) for row in rows]
-        self._listed_names = {entry.record.name for entry in listed}
+        self._is_outdated = False
+        self.listed = [_listed(row) for row in rows]
+        self._listed_names = {entry.record.name for entry in self.listed}
         own = next((row for row in rows if row.sort == self._me.name), None)
         if self._was_lost(own) and not self._leaving:
             await self._register()
             events.ENTERED.log(instance=self._me.name, incarnation=self._me.incarnation)
-        self.on_read(listed)
+        self.on_read(self.listed)
 
     def _was_lost(self, own: Row | None) -> bool:
         """Return whether the store came back from a copy without this instance's row.
--- a/packages/guavajunction/src/guavajunction/storage/_watcher.py
+++ b/packages/guavajunction/src/guavajunction/storage/_watcher.py
@@ -9,6 +9,7 @@
 from guavajunction.errors import HistoryGone, PlatformError
 
 from . import _events as events
+from ._position import era_of
 from ._protocols import ChangeFeed, Changes
 
 
@@ -21,7 +22,7 @@
 
     The iteration doesn't end. Failed calls are retried, and in the meantime rows are
     requested from another source. If the store has lost its history, all rows are read
-    and yielded again.
+    and yielded again. The first version of a new era is yielded also without a change.
     """
 
     MAX_WAIT_SECONDS = 2.4
@@ -111,8 +112,9 @@
                 await self._clock.sleep(pause)
                 continue
             self._record_answer()
+            era = era_of(self._version or 0)
             self._take(changes)
-            if changes.rows or changes.complete:
+            if changes.rows or changes.complete or era_of(changes.version) > era:
                 yield changes
                 await self._clock.sleep(self._batch_seconds())
 
--- a/tests/entry/test_quarantine_links.py
+++ b/tests/entry/test_quarantine_links.py
@@ -213,6 +213,16 @@
         await instance.wait()
         assert (PARTITION, "front-1.1") in table.rows
 
+    async def test_lost_report_of_a_follower_is_written_again(self, start):
+        table = FakeTable()
+        instance = start("front-1", table)
+        await instance.crash(1, 2)
+        table.come_back_from({})
+        gone = RowChange("front-1.1", None, position(1, 3))
+        instance.links.apply(Changes((gone,), position(1, 3), complete=False))
+        await instance.wait()
+        assert (PARTITION, "front-1.1") in table.rows
+
     async def test_lost_claim_is_written_again_once(self, start):
         table = FakeTable()
         claimer, other = start("front-1", table), start("front-2", table)
--- a/tests/fleet/test_relayed_rows.py
+++ b/tests/fleet/test_relayed_rows.py
@@ -112,7 +112,7 @@
         assert self.bodies(rows) == {"x": b"5", "y": b"6"}
 
     def test_row_that_the_copy_lacks_is_kept(self, rows):
-        assert self.read(rows, ("y", b"5")) is None
+        assert self.read(rows, ("y", b"5")).rows == ()
         assert self.bodies(rows) == {"x": b"5", "y": b"5"}
 
     def test_row_that_is_written_again_goes_on(self, rows):
@@ -125,6 +125,11 @@
         notice = self.read(rows, ("x", b"6"))
         assert (notice.after, era_of(notice.version)) == (41, 1)
 
+    def test_new_era_is_told_without_a_change(self, rows):
+        notice = self.read(rows, ("x", b"5"), ("y", b"5"))
+        assert (notice.after, notice.version, notice.rows) == (41, position(1, 9), ())
+        assert self.read(rows, ("x", b"5"), ("y", b"5")) is None
+
     def test_rows_are_replaced_if_their_age_is_unknown(self):
         rows = ReadRows("p", is_relevant=bodies_differ)
         rows.take(Changes((row("x", b"5", 40),), 41, complete=True))
--- a/tests/fleet/test_store_roster.py
+++ b/tests/fleet/test_store_roster.py
@@ -106,6 +106,15 @@
             await instance.pass_time(4.0)
             assert ("instance", "early") in table.rows
 
+    async def test_follower_reads_the_list_soon_after_a_return(self, table, instance):
+        async with instance.running():
+            table.come_back_from({})
+            instance.roster.read_again()
+            await instance.pass_time(3.0)
+            assert ("instance", "early") in table.rows
+            await instance.pass_time(15.0)
+            assert instance.reads == 2
+
     async def test_row_of_an_earlier_incarnation_is_replaced(self, table, instance):
         instance.roster.has_hub = lambda: False
         earlier = ENTRY._replace(incarnation="0")
--- a/tests/platform/test_store_returns.py
+++ b/tests/platform/test_store_returns.py
@@ -6,8 +6,11 @@
 import json
 import random
 
+import msgspec
 import pytest
+import zmq
 
+from guavajunction.peers import FleetKeys
 from guavajunction.storage import era_of
 from guavajunction_fakes.deployment import LocalDeployment
 from platform_calls import KEY, call, count_listed_instances, wait_until
@@ -102,10 +105,37 @@
         await deployment.restore_store(3600.0, outage_seconds=0.5)
         rows = deployment.store.rows
         names = deployment.instances.keys()
-        await wait_until(lambda: rows("guava-instance").keys() == names, 40.0)
+        await wait_until(lambda: rows("guava-instance").keys() == names, 8.0)
         assert set(await deployment.resolve("front-1"))
         assert await count_listed_instances(deployment, "front-2") == INSTANCES
 
+    async def test_links_are_opened_with_keys_that_others_wrote(self, deployment):
+        public, secret = zmq.curve_keypair()
+        keys = FleetKeys(public.decode(), secret.decode())
+        deployment.store.restore(3600.0)
+        deployment.store.write("guava-fleet", "keys", msgspec.msgpack.encode(keys))
+        deployment.operator.write_again()
+        for runner in deployment.runners.values():
+            runner.write_again()
+        await wait_until(
+            lambda: log_text(deployment).count("FleetKeysReplaced") >= INSTANCES, 8.0
+        )
+
+        async def all_are_listed():
+            counts = [
+                await count_listed_instances(deployment, name)
+                for name in deployment.instances
+            ]
+            return counts == [INSTANCES] * INSTANCES
+
+        await asyncio.sleep(2.0)
+        await wait_until(all_are_listed, 10.0)
+        assert await statuses(deployment) == [200] * INSTANCES
+        deployment.operator.add_customer("third", ["third-key"])
+        deployment.operator.write()
+        await asyncio.sleep(2.5)
+        assert await statuses(deployment, "third-key") == [200] * INSTANCES
+
     async def test_order_leader_gives_higher_numbers_in_a_later_era(self, deployment):
         def fences():
             """Return the fencing numbers that each runner received."""
--- a/tests/storage/test_watcher.py
+++ b/tests/storage/test_watcher.py
@@ -6,7 +6,7 @@
 
 from fakes_clock import QuickClock
 from guavajunction.errors import HistoryGone, StoreUnavailable
-from guavajunction.storage import Changes, PartitionWatcher, RowChange
+from guavajunction.storage import Changes, PartitionWatcher, RowChange, position
 
 
 class FakeFeed:
@@ -55,6 +55,12 @@
         assert found == [5, 7, 9]
         assert feed.calls == ["snapshot", 5, 7]
 
+    async def test_new_era_is_yielded_without_a_change(self):
+        quiet = [Changes((), position(1, n), complete=False) for n in (2, 3)]
+        feed = FakeFeed(rows(5, complete=True), *quiet, rows(position(1, 4)))
+        found, _ = await watch(feed, 3)
+        assert found == [5, position(1, 2), position(1, 4)]
+
     async def test_calls_after_an_outage_continue_from_the_last_version(self):
         down = StoreUnavailable("down")
         feed = FakeFeed(rows(5, complete=True), down, down, rows(7))
