Log the fingerprint of lost requests (event 1016)

Cause: the line of a request whose connection to a backend server ended names its prompt parts only, so repeats of one request to a plain service can't be told from different ones.

--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -22,7 +22,7 @@
 from guavajunction.health import PassiveHealth
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.namedlimits import ServerLimits
-from guavajunction.quarantine import PartQuarantine
+from guavajunction.quarantine import PartQuarantine, RequestFingerprint
 
 from . import _admission
 from . import _events as events
@@ -74,6 +74,8 @@
     """Version of the backend servers that may serve it, None for any."""
     trial: bool
     """Whether it is the one attempt with a quarantined part of a prompt."""
+    fingerprint: RequestFingerprint
+    """Identifies its repeats."""
 
 
 class Gateway:
@@ -212,6 +214,13 @@
             ends_at=req.arrived_at + min(req.caller_seconds, route.timeout_seconds),
             software_version=origin.software_version if origin else None,
             trial=trial,
+            fingerprint=RequestFingerprint(
+                caller=customer.name if customer else None,
+                method=req.method,
+                host=req.host,
+                target=req.target,
+                body=req.body,
+            ),
         )
 
     async def _check_prompt(self, req: GatewayRequest) -> bool:
@@ -367,7 +376,7 @@
         except (BackendFailed, OutcomeUnknown, AnswerCut, NotSent) as exc:
             self._record_failure(backend, exc, left)
             if isinstance(exc, OutcomeUnknown | AnswerCut) and exc.connection_lost:
-                self._record_loss(req, backend, progress)
+                self._record_loss(admitted, backend, progress)
             raise
         finally:
             self._parts.queue.release(req, backend, prompt_pending=prompt_pending)
@@ -498,13 +507,18 @@
             )
 
     def _record_loss(
-        self, req: GatewayRequest, backend: BackendRecord, progress: AnswerProgress
+        self,
+        admitted: _AdmittedRequest,
+        backend: BackendRecord,
+        progress: AnswerProgress,
     ) -> None:
+        req = admitted.req
         seconds = progress.seconds
         events.REQUEST_LOST.log(
             request_id=req.request_id,
             backend=backend.name,
             incarnation=backend.incarnation,
+            fingerprint=admitted.fingerprint.key,
             prompt_parts=req.size.logged_part_ids() if req.size else None,
             answer_ms=None if seconds is None else round(seconds * 1000),
             chunks=progress.chunks,
--- a/packages/guavajunction/src/guavajunction/quarantine/__init__.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/__init__.py
@@ -4,6 +4,7 @@
 
 from ._blame import BlamedParts, JoinedEvidence, find_blamed
 from ._evidence import BackendId, CrashReport, Evidence, SoundPart
+from ._fingerprint import RequestFingerprint
 from ._part_quarantine import PartQuarantine
 
 __all__ = [
@@ -13,6 +14,7 @@
     "Evidence",
     "JoinedEvidence",
     "PartQuarantine",
+    "RequestFingerprint",
     "SoundPart",
     "find_blamed",
 ]
