Quarantine requests that crash the backend servers which run them

Cause: the quarantine knew parts of prompts only, without the last one. A request to a plain service has none, so each repeat, at any instance, ended two backend servers more. Of a generation it blamed the parts that sound requests share. Change: a lost request is evidence as well, by two keys of fixed size: path, caller and body, and these with the prompt, since generations may share a body. Three crashes blame it; what has the same crashes is blamed together; its crashes count against no other part. The one attempt of a blamed request is not repeated. Reports, rows, trial and bounds are the same. The soak draws such a request.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -112,10 +112,13 @@
         self.crash_request: CrashingRequest | None = None
         """Request on which the runner crashes soon after it began to run it."""
         self.crashed_at: list[float] = []
-        """Times of crashes on a request, on the monotonic clock."""
+        """Times of crashes on the crashing part, on the monotonic clock."""
+        self.crashing_runs: list[float] = []
+        """Times at which the runner began to run the crashing request."""
+        self.crashed_on_request_at: list[float] = []
+        """Times of crashes on the crashing request."""
         self.crashing_arrivals: list[float] = []
-        """Times of arrived requests with the crashing part, and of runs of the crashing
-        request."""
+        """Times of arrived requests with the crashing part."""
         self.named_limit = ""
         """Limit that all answers name, in requests a second; empty for none."""
         self.arrived_at: list[float] = []
@@ -191,15 +194,18 @@
         self._order_count = self._last_fence = 0
         self._write_entry()
 
-    async def crash(self) -> None:
+    async def crash(self, times: list[float]) -> None:
         """Reset all connections, refuse new ones for a while, then restart empty.
 
         Streams without framing are reset as well: whether one that is closed in order
         between two events is complete cannot be told.
+
+        Args:
+            times: Extended by the time of the crash.
         """
         if self.faults.active.outage == "refuse":
             return
-        self.crashed_at.append(time.monotonic())
+        times.append(time.monotonic())
         self.faults.set(outage="refuse", outage_seconds=self.DOWN_SECONDS)
         for req in list(self._open):
             UnframedResponse().reset(req)
@@ -329,9 +335,9 @@
         self._open.append(req)
         try:
             if self.crash_request and self.crash_request.is_repeated_by(run):
-                self.crashing_arrivals.append(run.at)
+                self.crashing_runs.append(run.at)
                 await asyncio.sleep(self.CRASH_DELAY_SECONDS)
-                self.spawn(self.crash())
+                self.spawn(self.crash(self.crashed_on_request_at))
             await asyncio.sleep(self.spec.work_seconds)
             respond = (
                 self._respond_as_stream if self.spec.engine else self._respond_at_once
@@ -386,7 +392,7 @@
         await resp.prepare(req)
         if self._crashes_on(req.headers.get(HEADERS.parts, "")):
             await asyncio.sleep(self.CRASH_DELAY_SECONDS)
-            self.spawn(self.crash())
+            self.spawn(self.crash(self.crashed_at))
         first = int(req.headers.get(HEADERS.last_event, 0)) + 1
         for number in range(first, self.spec.events + 1):
             if self.cut_after_events >= 0 and number > self.cut_after_events:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_callers.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_callers.py
@@ -11,7 +11,12 @@
 from yarl import URL
 
 from guavajunction.connections import StrictConnector
-from guavajunction_fakes.deployment import HEADERS, HOST, LocalDeployment
+from guavajunction_fakes.deployment import (
+    HEADERS,
+    HOST,
+    CrashingRequest,
+    LocalDeployment,
+)
 
 from ._history import Call
 
@@ -32,6 +37,8 @@
     DIRECTORY_CACHE_SECONDS = 1.0
     """Time for which a caller caches the directory's response; every third caller
     caches it three times as long."""
+    CALLS_PER_REPEAT = 25
+    """One of this many calls repeats the request on which all runners crash."""
     CALLS_PER_CRASHING_CALL = 12
     """One of this many requests to a model has the part on which engines crash."""
     ARTIFACTS = ("m1", "m1", "m1/a1", "m1/a2", "m2", "m2/a1")
@@ -43,6 +50,7 @@
         seed: int,
         next_key: Callable[[], str],
         crashing_part: str = "",
+        crashing_request: CrashingRequest | None = None,
     ) -> None:
         """Create the callers.
 
@@ -51,6 +59,7 @@
             seed: Seed of the random requests.
             next_key: Returns the API key of the next request.
             crashing_part: Part that some prompts have; empty for none.
+            crashing_request: Request that is repeated now and then, if any.
         """
         self.calls: list[Call] = []
         """Requests with their results, in the order in which the requests ended."""
@@ -58,6 +67,7 @@
         self._seed = seed
         self._next_key = next_key
         self._crashing_part = crashing_part
+        self._crashing_request = crashing_request
         self._sent = 0
 
     async def run(self, count: int) -> None:
@@ -100,13 +110,18 @@
     ) -> None:
         """Send a request; resume its stream, at any instance, if it breaks."""
         kind = rng.choice([*PLAIN_ROUTES, *MODEL_ROUTES])
+        target = f"/{kind}/x%2Fy/{rng.randrange(100)}?q=%20"
+        crashing = kind in MODEL_ROUTES and self._is_crashing()
+        repeated = self._crashing_request
+        if repeated is not None and self._sent % self.CALLS_PER_REPEAT == 0:
+            kind, target, crashing = "look", repeated.target, True
         call = Call(
             request_id=self._next_id(),
             kind=kind,
-            target=f"/{kind}/x%2Fy/{rng.randrange(100)}?q=%20",
+            target=target,
             key=self._next_key(),
             sent_at=time.monotonic(),
-            crashing=kind in MODEL_ROUTES and self._is_crashing(),
+            crashing=crashing,
         )
         artifact = rng.choice(self.ARTIFACTS) if kind in MODEL_ROUTES else ""
         call = await self._send_request(session, rng, addresses, call, artifact)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
@@ -23,6 +23,10 @@
 MAX_LATER_ARRIVALS = 3
 """Number of requests with a part that crashes engines that may still reach runners some
 time after the fifth crash."""
+MAX_REQUEST_CRASHES = 3
+MAX_LATER_RUNS = 3
+"""Number of times that a request which crashes runners may still reach them some time
+after the third crash."""
 CRASH_EFFECT_SECONDS = 2.0
 """Time before and after a crash in which requests may fail: they run on the engine, or
 wait until it has started again and loaded its models."""
@@ -168,7 +172,7 @@
 
 def _check_crashing_part(history: History) -> Iterator[str]:
     """Check that engines stop crashing on one part of a prompt."""
-    crashes = _crashes_since_loss(history)
+    crashes = _since_loss(history, history.crashes)
     if len(crashes) < MAX_CRASHES:
         return
     fifth = crashes[MAX_CRASHES - 1]
@@ -181,9 +185,24 @@
         )
 
 
-def _crashes_since_loss(history: History) -> list[Crash]:
+def _check_crashing_request(history: History) -> Iterator[str]:
+    """Check that runners stop crashing on one request."""
+    crashes = _since_loss(history, history.request_crashes)
+    if len(crashes) < MAX_REQUEST_CRASHES:
+        return
+    third = crashes[MAX_REQUEST_CRASHES - 1]
+    deadline = _change_deadline(Change(third.at, "crash", third.runner), history)
+    later = [at for at in history.crashing_runs if at > deadline]
+    if len(later) > MAX_LATER_RUNS:
+        yield (
+            f"the crashing request reached runners {len(later)} times after"
+            f" {deadline - third.at:.1f} s from the third of {len(crashes)} crashes"
+        )
+
+
+def _since_loss(history: History, crashes: tuple[Crash, ...]) -> list[Crash]:
     """Return the crashes since the fleet could last have lost its reports of them."""
-    return sorted(c for c in history.crashes if c.at > history.reports_lost_at)
+    return sorted(c for c in crashes if c.at > history.reports_lost_at)
 
 
 def _check_named_limit(history: History) -> Iterator[str]:
@@ -220,7 +239,12 @@
 
 def _check_recovery(history: History) -> Iterator[str]:
     withdrawn = {c.subject for c in history.changes if c.kind == "keys"}
-    allowed = [crash.at for crash in _crashes_since_loss(history)[:MAX_CRASHES]]
+    on_part = _since_loss(history, history.crashes)[:MAX_CRASHES]
+    on_request = _since_loss(history, history.request_crashes)
+    allowed = [
+        crash.at
+        for crash in on_part + on_request[: MAX_REQUEST_CRASHES + MAX_LATER_RUNS]
+    ]
     after_recovery = [
         call
         for call in history.calls
@@ -245,6 +269,7 @@
     _check_draining_runners,
     _check_withdrawn_keys,
     _check_crashing_part,
+    _check_crashing_request,
     _check_named_limit,
     _check_processes,
     _check_recovery,
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
@@ -30,7 +30,8 @@
     resume_after: int = 0
     """Number of the last event that the caller has of the stream."""
     crashing: bool = False
-    """Whether its prompt has the part on which engines crash."""
+    """Whether its prompt has the part on which engines crash, or it is the request on
+    which all runners crash."""
 
     @property
     def stream(self) -> str:
@@ -56,7 +57,7 @@
 
 
 class Crash(NamedTuple):
-    """A crash of a runner on a part of a prompt."""
+    """A crash of a runner on a request, or on a part of a prompt."""
 
     at: float
     runner: str
@@ -98,6 +99,9 @@
     last rows, so that no report of a crash may have been left."""
     crashing_arrivals: tuple[float, ...] = ()
     """Times at which requests with the crashing part reached runners."""
+    request_crashes: tuple[Crash, ...] = ()
+    crashing_runs: tuple[float, ...] = ()
+    """Times at which runners began to run the crashing request."""
     limited: LimitedRunner | None = None
     orders: tuple[OrderBody, ...] = ()
     """Orders that reached runners, including refused ones."""
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
@@ -104,6 +104,8 @@
     """Part of a prompt on which all engines crash; empty for none."""
     named_limit: float | None
     """Requests a second that one runner names as its limit; None for no limit."""
+    crashing_request: bool = False
+    """Whether all runners crash on one request, which callers repeat."""
 
 
 CRASHING_PART = "bad0"
@@ -117,7 +119,8 @@
     """
     rng = random.Random(f"conditions/{seed}")
     crashing_part = CRASHING_PART if rng.random() < 0.5 else ""
-    return Conditions(crashing_part, rng.choice(NAMED_LIMITS))
+    named_limit = rng.choice(NAMED_LIMITS)
+    return Conditions(crashing_part, named_limit, rng.random() < 0.5)
 
 
 MIN_FAULT_SECONDS = 0.3
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from guavajunction_fakes.deployment import LocalDeployment
+from guavajunction_fakes.deployment import CrashingRequest, LocalDeployment
 
 from ._callers import Callers
 from ._fault_injector import FaultInjector, LinkProxies
@@ -42,8 +42,9 @@
     def __str__(self) -> str:
         answers = ", ".join(f"{k}: {n}" for k, n in sorted(self.answers.items()))
         verdict = "kept" if not self.violations else f"{len(self.violations)} broken"
-        part, limit = self.conditions
+        part, limit, crashes_on_request = self.conditions
         drawn = f"crashing part {part or 'none'}, named limit {limit or 'none'}"
+        drawn += f", crashing request {'drawn' if crashes_on_request else 'none'}"
         returns = sum(f.kind is FaultKind.STORE_RETURNS for f in self.plan)
         drawn += f", returns of the store {returns}"
         return f"seed {self.seed}: {verdict}; {drawn}; {answers}"
@@ -59,6 +60,7 @@
     CALLER_COUNT = 6
     OLD_KEY_FRACTION = 0.2
     """Fraction of the requests that use the last withdrawn key, if there is one."""
+    CUSTOMER = "atelier"
     LIMITED_RUNNER = "booking-1"
     """Runner that names a limit, if the soak draws one."""
     WATCH_INTERVAL_SECONDS = 0.05
@@ -120,12 +122,19 @@
                 self._seed,
                 lambda: self._choose_key(injector),
                 self._conditions.crashing_part,
+                self._crashing_request(),
             )
             return await self._run_faults(deployment, injector, callers)
 
+    def _crashing_request(self) -> CrashingRequest | None:
+        if not self._conditions.crashing_request:
+            return None
+        return CrashingRequest("/look/crashes?q=1", self.CUSTOMER, b"")
+
     def _apply_conditions(self, deployment: LocalDeployment) -> None:
         for runner in deployment.runners.values():
             runner.crash_part = self._conditions.crashing_part
+            runner.crash_request = self._crashing_request()
         if self._conditions.named_limit is not None:
             limited = deployment.runners[self.LIMITED_RUNNER]
             limited.named_limit = f"{self._conditions.named_limit}"
@@ -166,7 +175,7 @@
             failed_stops=tuple(injector.failed_stops),
             recovery_deadline=faults_ended_at + self.RECOVERY_SECONDS,
             stream_events=3,
-            customer="atelier",
+            customer=self.CUSTOMER,
             crashes=tuple(
                 Crash(at, name)
                 for name, runner in deployment.runners.items()
@@ -178,6 +187,16 @@
                 for runner in deployment.runners.values()
                 for at in runner.crashing_arrivals
             ),
+            request_crashes=tuple(
+                Crash(at, name)
+                for name, runner in deployment.runners.items()
+                for at in runner.crashed_on_request_at
+            ),
+            crashing_runs=tuple(
+                at
+                for runner in deployment.runners.values()
+                for at in runner.crashing_runs
+            ),
             limited=self._limited_runner(deployment),
             orders=tuple(
                 order for r in deployment.runners.values() for order in r.orders
--- a/packages/guavajunction/src/guavajunction/errors.py
+++ b/packages/guavajunction/src/guavajunction/errors.py
@@ -157,10 +157,16 @@
     TYPE = "stream_not_resumable"
 
 
-class PromptQuarantined(RequestError):
-    """Backend servers crash on a part of the request's prompt."""
+class RequestQuarantined(RequestError):
+    """Backend servers crash on the request, whichever attempt of it they run."""
 
     STATUS = 503
+    TYPE = "request_quarantined"
+
+
+class PromptQuarantined(RequestQuarantined):
+    """Backend servers crash on a part of the request's prompt."""
+
     TYPE = "prompt_quarantined"
 
 
--- a/packages/guavajunction/src/guavajunction/gateway/_admission.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_admission.py
@@ -11,8 +11,8 @@
 import math
 from typing import NamedTuple
 
-from guavajunction.errors import PromptQuarantined
-from guavajunction.quarantine import BlamedParts, PartQuarantine
+from guavajunction.errors import PromptQuarantined, RequestQuarantined
+from guavajunction.quarantine import BlamedParts, PartQuarantine, RequestFingerprint
 
 from ._backend_selection import PREFILL_TOKENS_PER_SECOND
 from ._request import GenerationSize
@@ -89,16 +89,21 @@
 
 
 def find_blamed_parts(
-    quarantine: PartQuarantine, size: GenerationSize | None
+    quarantine: PartQuarantine,
+    size: GenerationSize | None,
+    fingerprint: RequestFingerprint,
 ) -> BlamedParts | None:
-    """Return the blamed parts of a request's prompt, or None if it has none."""
-    if size is None:
-        return None
-    return quarantine.blamed_in(part.part_id for part in size.parts)
+    """Return the blamed parts of a request, or itself, or None if it may be sent."""
+    parts = size.parts if size else ()
+    return quarantine.blamed_in((part.part_id for part in parts), fingerprint)
 
 
-def prompt_quarantined(blamed: BlamedParts) -> PromptQuarantined:
-    """Return the refusal of a request because of parts of its prompt."""
+def quarantined(blamed: BlamedParts) -> RequestQuarantined:
+    """Return the refusal of a request because backend servers crash on it."""
+    if blamed.is_request:
+        return RequestQuarantined(
+            f"{len(blamed.crashes)} backend servers crashed on this request"
+        )
     return PromptQuarantined(
         f"{len(blamed.crashes)} backend servers crashed on prompts with "
         f"{', '.join(map(repr, sorted(blamed.parts)))}"
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -73,7 +73,7 @@
     software_version: str | None
     """Version of the backend servers that may serve it, None for any."""
     trial: bool
-    """Whether it is the one attempt with a quarantined part of a prompt."""
+    """Whether it is the one attempt while it is quarantined."""
     fingerprint: RequestFingerprint
     """Identifies its repeats."""
 
@@ -196,7 +196,15 @@
         service = self._find_service(route, origin)
         if resumes and origin is None:
             origin = self._only_origin(service)
-        trial = await self._check_prompt(req)
+        fingerprint = RequestFingerprint(
+            caller=customer.name if customer else None,
+            method=req.method,
+            host=req.host,
+            target=req.target,
+            body=req.body,
+            prompt=req.size.prompt_identity() if req.size else None,
+        )
+        trial = await self._check_quarantine(req, fingerprint)
         if customer is not None:
             self._charge(customer, req)
         if self._parts.clock.monotonic() > self.streams_until and req.size is not None:
@@ -214,28 +222,24 @@
             ends_at=req.arrived_at + min(req.caller_seconds, route.timeout_seconds),
             software_version=origin.software_version if origin else None,
             trial=trial,
-            fingerprint=RequestFingerprint(
-                caller=customer.name if customer else None,
-                method=req.method,
-                host=req.host,
-                target=req.target,
-                body=req.body,
-            ),
+            fingerprint=fingerprint,
         )
 
-    async def _check_prompt(self, req: GatewayRequest) -> bool:
-        """Return whether a request is the one attempt with a quarantined part.
+    async def _check_quarantine(
+        self, req: GatewayRequest, fingerprint: RequestFingerprint
+    ) -> bool:
+        """Return whether a request is the one attempt while it is quarantined.
 
         Raises:
-            PromptQuarantined: It has such a part, and is not the attempt.
+            RequestQuarantined: It is quarantined, and is not the attempt.
         """
         quarantine = self._parts.quarantine
-        blamed = _admission.find_blamed_parts(quarantine, req.size)
+        blamed = _admission.find_blamed_parts(quarantine, req.size, fingerprint)
         if blamed is None:
             return False
         if await quarantine.may_try(blamed):
             return True
-        raise _admission.prompt_quarantined(blamed)
+        raise _admission.quarantined(blamed)
 
     def _find_route(self, req: GatewayRequest) -> tuple[Route, Customer | None]:
         if self._routes is None:
@@ -315,6 +319,7 @@
             priority=admitted.priority,
             software_version=admitted.software_version,
             trial=admitted.trial,
+            fingerprint=admitted.fingerprint,
             ends_at=admitted.ends_at,
             first_event_by=admitted.req.arrived_at + admitted.route.patience_seconds,
             only=frozenset(sent) if exhausted else None,
@@ -372,7 +377,7 @@
                     self._record_origin(admitted, backend)
                 self._parts.queue.on_first_event(req, backend)
                 await self._relay(admitted, backend, answer, sink, progress)
-                self._record_answered(req, backend, answer.head, progress)
+                self._record_answered(admitted, backend, answer.head, progress)
         except (BackendFailed, OutcomeUnknown, AnswerCut, NotSent) as exc:
             self._record_failure(backend, exc, left)
             if isinstance(exc, OutcomeUnknown | AnswerCut) and exc.connection_lost:
@@ -474,6 +479,8 @@
     ) -> bool:
         now = self._parts.clock.monotonic()
         may_have_run = not isinstance(exc, BackendRefused)
+        if may_have_run and admitted.trial:
+            return False
         if may_have_run and not admitted.route.retryable:
             return False
         if may_have_run and len(set(sent)) >= admitted.route.max_attempts:
@@ -523,34 +530,36 @@
             answer_ms=None if seconds is None else round(seconds * 1000),
             chunks=progress.chunks,
         )
-        if req.size is not None:
-            self._parts.quarantine.note_lost(
-                backend.identity,
-                req.size.shared_part_ids,
-                answer_seconds=seconds,
-                chunks=progress.chunks,
-            )
+        self._parts.quarantine.note_lost(
+            backend.identity,
+            req.size.shared_part_ids if req.size else (),
+            admitted.fingerprint,
+            answer_seconds=seconds,
+            chunks=progress.chunks,
+        )
 
     def _record_answered(
         self,
-        req: GatewayRequest,
+        admitted: _AdmittedRequest,
         backend: BackendRecord,
         head: AnswerHead,
         progress: AnswerProgress,
     ) -> None:
-        if req.size is None or not head.succeeded:
+        if not head.succeeded:
             return
-        parts = req.size.shared_part_ids
+        size = admitted.req.size
+        parts = size.shared_part_ids if size else ()
         if head.framing is Framing.CONNECTION:
             # The connection of a crashed backend server ends like this, too.
             self._parts.quarantine.note_lost(
                 backend.identity,
                 parts,
+                admitted.fingerprint,
                 answer_seconds=progress.seconds,
                 chunks=progress.chunks,
             )
         else:
-            self._parts.quarantine.note_answered(parts)
+            self._parts.quarantine.note_answered(parts, admitted.fingerprint)
             self._parts.quarantine.note_alive(backend.identity)
 
     def _log_failure(self, req: GatewayRequest, exc: RequestError) -> None:
--- a/packages/guavajunction/src/guavajunction/gateway/_request.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request.py
@@ -39,6 +39,10 @@
         """Return the ids of the parts that other requests may share."""
         return [part.part_id for part in self.parts[:-1]]
 
+    def prompt_identity(self) -> list[str]:
+        """Return the model or adapter and the ids of all parts."""
+        return [self.artifact, *(part.part_id for part in self.parts)]
+
     def logged_part_ids(self) -> list[str]:
         """Return the start of the ids of the first parts, to log them."""
         return [part.part_id[:MAX_LOGGED_ID] for part in self.parts[:MAX_LOGGED_PARTS]]
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -12,13 +12,13 @@
     InstanceNotReady,
     NoReplica,
     Overloaded,
-    PromptQuarantined,
     RequestError,
+    RequestQuarantined,
     StreamNotResumable,
 )
 from guavajunction.health import PassiveHealth
 from guavajunction.namedlimits import PermitDesk, ServerLimits
-from guavajunction.quarantine import PartQuarantine
+from guavajunction.quarantine import PartQuarantine, RequestFingerprint
 
 from . import _admission, _backend_selection
 from ._admission import WaitEstimate
@@ -48,7 +48,9 @@
     software_version: str | None
     """Version of the backend servers that it may be sent to; None for any."""
     trial: bool
-    """Whether it may be sent although a part of its prompt is quarantined."""
+    """Whether it may be sent although it is quarantined."""
+    fingerprint: RequestFingerprint
+    """Identifies the repeats of the request."""
     fut: asyncio.Future[BackendRecord]
     """Resolved with the backend server to send the request to."""
 
@@ -172,7 +174,7 @@
             NoReplica: No backend server with the model or adapter is expected before
                 the deadline.
             StreamNotResumable: No backend server of the required version is left.
-            PromptQuarantined: Backend servers crash on a part of its prompt.
+            RequestQuarantined: Backend servers crash on it or on a part of its prompt.
             InstanceNotReady: This instance stops before the request could end.
         """
         self._waiting.append(queued)
@@ -238,7 +240,7 @@
             del self._missing_since[ended]
 
     def _try_dispatch(self, queued: QueuedRequest, ahead: Counter[str]) -> None:
-        quarantined = self._check_prompt(queued)
+        quarantined = self._check_quarantine(queued)
         if quarantined is not None:
             queued.fut.set_exception(quarantined)
             return
@@ -279,15 +281,17 @@
             )
         )
 
-    def _check_prompt(self, queued: QueuedRequest) -> PromptQuarantined | None:
-        """Return the refusal of a request whose prompt crashes backend servers.
+    def _check_quarantine(self, queued: QueuedRequest) -> RequestQuarantined | None:
+        """Return the refusal of a request that crashes backend servers.
 
-        A part may be blamed while the request waits, or before it is retried.
+        It may be blamed while it waits, or before it is retried.
         """
         if queued.trial:
             return None
-        blamed = _admission.find_blamed_parts(self._quarantine, queued.req.size)
-        return None if blamed is None else _admission.prompt_quarantined(blamed)
+        blamed = _admission.find_blamed_parts(
+            self._quarantine, queued.req.size, queued.fingerprint
+        )
+        return None if blamed is None else _admission.quarantined(blamed)
 
     def _outlasts_instance(
         self, queued: QueuedRequest, estimate: WaitEstimate, now: float
--- a/packages/guavajunction/src/guavajunction/quarantine/_blame.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_blame.py
@@ -1,8 +1,13 @@
-"""Finds the parts of prompts that crash backend servers.
+"""Finds the requests and the parts of prompts that crash backend servers.
 
-The load that this answers: one part crashes each backend server that begins to answer
-a prompt with it, while backend servers also crash for other reasons. A crash ends all
-requests on a backend server, so the parts of sound requests are seen in crashes too.
+The load that this answers: one request that is repeated crashes each backend server
+that begins to run it, or one part crashes each that begins to answer a prompt with it,
+while backend servers also crash for other reasons. A crash ends all requests on a
+backend server, so sound requests and their parts are seen in crashes too.
+
+A request is blamed if it is present in `MIN_CRASHES`, and not only in crashes of a
+request with more of them. Its crashes do not count against other parts of its prompt,
+which sound requests share: a part to blame crashes backend servers in many requests.
 
 A part is blamed if it is present in `MIN_CRASHES`, and in more while many backend
 servers crash without it. The parts with the most crashes come first; a part is not
@@ -17,6 +22,7 @@
 from typing import NamedTuple
 
 from ._evidence import BackendId, CrashReport, Evidence
+from ._fingerprint import common_start, is_request_key
 
 MIN_CRASHES = 3
 """Number of backend servers that must have ended on a part. Two sound requests of one
@@ -38,19 +44,37 @@
 
 
 class BlamedParts(NamedTuple):
-    """Parts that were present in the same crashes, usually one.
+    """A request, or parts that were present in the same crashes, usually one.
 
-    Only a request with all of them is known to crash backend servers.
+    Only a request with all parts is known to crash backend servers.
     """
 
     parts: frozenset[str]
+    """Keys of the request, if it is blamed, and of the parts."""
     crashes: frozenset[BackendId]
     newest_at: float
     """Unix time of the newest report of these crashes, in seconds."""
 
+    @property
+    def is_request(self) -> bool:
+        """Return whether a request is blamed, rather than parts of prompts."""
+        return any(map(is_request_key, self.parts))
+
+    @property
+    def trial_part(self) -> str | None:
+        """Return the key of the one attempt with these parts.
+
+        Returns:
+            None if several parts of prompts might be the cause.
+        """
+        requests = sorted(filter(is_request_key, self.parts))
+        if requests:
+            return requests[0]
+        return next(iter(self.parts)) if len(self.parts) == 1 else None
+
 
 class JoinedEvidence:
-    """Crashes by part, from the reports of all instances."""
+    """Crashes by request and by part, from the reports of all instances."""
 
     def __init__(self, evidence: Iterable[Evidence], *, since: float) -> None:
         """Join the reports of all instances.
@@ -77,7 +101,9 @@
         self.crashes: dict[str, frozenset[BackendId]] = _crashes_by_part(
             reports, self.newest_at, sound_at
         )
-        """Crashes that count against each part."""
+        """Crashes that count against each request and part."""
+        self.has_requests = any(map(is_request_key, self.crashes))
+        """Whether any crash counts against a request."""
 
 
 def _crashes_by_part(
@@ -94,24 +120,76 @@
     return {part: frozenset(crashes) for part, crashes in by_part.items()}
 
 
+class _Candidate(NamedTuple):
+    """What may be to blame for some crashes."""
+
+    crashes: frozenset[BackendId]
+    keys: frozenset[str]
+
+
 def find_blamed(joined: JoinedEvidence) -> list[BlamedParts]:
-    """Return the parts to blame, those with the most crashes first."""
+    """Return what to blame: requests first, then those with the most crashes."""
     by_crashes: defaultdict[frozenset[BackendId], set[str]] = defaultdict(set)
-    for part, crashes in joined.crashes.items():
-        if _is_cause(crashes, joined.crashed_at):
-            by_crashes[crashes].add(part)
-    blamed: list[BlamedParts] = []
+    for key, crashes in joined.crashes.items():
+        if len(crashes) >= MIN_CRASHES:
+            by_crashes[crashes].add(key)
+    requests: list[_Candidate] = []
+    parts: list[_Candidate] = []
+    for crashes, keys in by_crashes.items():
+        if any(map(is_request_key, keys)):
+            requests += _request_candidates(crashes, keys)
+        elif _is_cause(crashes, joined.crashed_at):
+            parts.append(_Candidate(crashes, frozenset(keys)))
     explained: set[BackendId] = set()
-    for count in sorted({len(crashes) for crashes in by_crashes}, reverse=True):
+    blamed = _blame_largest(requests, explained) + _blame_largest(parts, explained)
+    return [
+        BlamedParts(
+            candidate.keys,
+            candidate.crashes,
+            max(map(joined.newest_at.__getitem__, candidate.crashes)),
+        )
+        for candidate in blamed
+    ]
+
+
+def _request_candidates(
+    crashes: frozenset[BackendId], keys: set[str]
+) -> list[_Candidate]:
+    """Return the requests that were present in exactly these crashes.
+
+    Args:
+        crashes: The crashes.
+        keys: Keys of all requests and parts that were present in all of them and in no
+            other one. The parts belong to the request if there is one only.
+    """
+    requests: defaultdict[str, set[str]] = defaultdict(set)
+    for key in filter(is_request_key, keys):
+        requests[common_start(key)].add(key)
+    if len(requests) == 1:
+        return [_Candidate(crashes, frozenset(keys))]
+    return [_Candidate(crashes, frozenset(own)) for own in requests.values()]
+
+
+def _blame_largest(
+    candidates: list[_Candidate], explained: set[BackendId]
+) -> list[_Candidate]:
+    """Return the candidates that no larger one explains, and add their crashes.
+
+    Args:
+        candidates: Requests, or groups of parts.
+        explained: Crashes that are explained already; extended in place.
+    """
+    blamed: list[_Candidate] = []
+    for count in sorted({len(c.crashes) for c in candidates}, reverse=True):
         causes = [
-            crashes
-            for crashes in by_crashes
-            if len(crashes) == count and _is_unexplained(crashes, explained)
+            candidate
+            for candidate in candidates
+            if len(candidate.crashes) == count
+            and _is_unexplained(candidate.crashes, explained)
         ]
-        for crashes in causes:
-            explained |= crashes
-            newest = max(map(joined.newest_at.__getitem__, crashes))
-            blamed.append(BlamedParts(frozenset(by_crashes[crashes]), crashes, newest))
+        for candidate in causes:
+            explained |= candidate.crashes
+        blamed += causes
     return blamed
 
 
--- a/packages/guavajunction/src/guavajunction/quarantine/_evidence.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_evidence.py
@@ -14,17 +14,17 @@
 
 
 class CrashReport(NamedTuple):
-    """Parts of the prompts that a backend server was working on when it ended."""
+    """What a backend server was working on when it ended."""
 
     backend: BackendId
     at: float
     """Unix time of the crash in seconds, or a later one if the report was renewed."""
     parts: tuple[str, ...]
-    """Keys of the parts."""
+    """Keys of the requests, and of the parts of their prompts."""
 
 
 class SoundPart(NamedTuple):
-    """A part of a prompt that a backend server has answered without a crash."""
+    """A request or part of a prompt that was answered without a crash."""
 
     part: str
     at: float
--- a/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
@@ -11,11 +11,12 @@
 from . import _events as events
 from ._blame import MIN_CRASHES, SOUND_SECONDS, BlamedParts, JoinedEvidence, find_blamed
 from ._evidence import BackendId, CrashReport, Evidence, SoundPart
+from ._fingerprint import RequestFingerprint
 from ._part_key import part_keys
 
 
 class _Suspicion:
-    """A backend server whose connections ended, with the parts that it had begun."""
+    """A backend server whose connections ended, with what it had begun."""
 
     def __init__(self, lost_at: float, unix_at: float) -> None:
         self.lost_at = lost_at
@@ -30,7 +31,10 @@
 
 
 class PartQuarantine:
-    """One instance's view of the parts of prompts that crash backend servers.
+    """One instance's view of what crashes backend servers.
+
+    That is a part of a prompt, or a request with all its repeats, which counts as one
+    more part that only its repeats share.
 
     An instance sees only its own requests, so it reports what it lost in each crash to
     all instances, and joins their reports. All instances blame the same parts.
@@ -68,6 +72,10 @@
     MAX_REPORTED_PARTS = 1500
     """Number of parts in all reports of this instance, which are one row of the store.
     A key has 25 bytes at most, and a row 64 KiB."""
+    MAX_LOST_REQUESTS = 1024
+    """Number of keys of requests lost by this instance whose answers are noticed."""
+    MAX_SUSPICIONS = 1024
+    """Number of backend servers whose connections ended that are remembered."""
     MAX_SOURCES = 1024
     """Number of instances whose reports are kept; several times the largest fleet."""
 
@@ -77,6 +85,7 @@
         self._clock = clock
         self._unix_time = unix_time
         self._sound: dict[str, float] = {}
+        self._lost_requests: dict[str, None] = {}
         self._suspicions: dict[BackendId, _Suspicion] = {}
         self._own_crashes: dict[BackendId, CrashReport] = {}
         self._own_sound: dict[str, float] = {}
@@ -106,18 +115,25 @@
         self._join()
         return list(self._blamed)
 
-    def blamed_in(self, part_ids: Iterable[str]) -> BlamedParts | None:
-        """Return the blamed parts of a prompt, or None if it may be sent.
+    def blamed_in(
+        self, part_ids: Iterable[str], fingerprint: RequestFingerprint | None = None
+    ) -> BlamedParts | None:
+        """Return what a request is blamed for, or None if it may be sent.
 
         Args:
-            part_ids: Ids of all parts of the prompt.
+            part_ids: Ids of all parts of its prompt.
+            fingerprint: Identifies its repeats.
         """
         self._join()
         if not self._blamed:
             return None
         keys = set(part_keys(part_ids))
+        if fingerprint is not None and self._joined.has_requests:
+            keys.update(fingerprint.keys)
         for blamed in self._blamed:
-            if blamed.parts <= keys and not any(map(self._is_sound, blamed.parts)):
+            # What was answered meanwhile is not the cause; the rest is.
+            parts = {part for part in blamed.parts if not self._is_sound(part)}
+            if parts and parts <= keys:
                 self._renew(blamed)
                 return blamed
         return None
@@ -125,13 +141,13 @@
     async def may_try(self, blamed: BlamedParts) -> bool:
         """Return whether this request is the one attempt with blamed parts."""
         since = self._blamed_since.get(blamed.parts, self._clock.monotonic())
+        part = blamed.trial_part
         if (
-            len(blamed.parts) != 1
+            part is None
             or len(blamed.crashes) > self.MAX_CRASHES_FOR_TRIAL
             or self._clock.monotonic() - since < self.TRIAL_SECONDS
         ):
             return False
-        (part,) = blamed.parts
         if part in self._tried:
             return False
         self._tried.add(part)
@@ -139,11 +155,23 @@
         events.TRIAL.log(part=part, claimed=claimed)
         return claimed
 
-    def note_answered(self, shared_parts: Iterable[str]) -> None:
-        """Record that a prompt was answered, so its parts crash no backend server."""
+    def note_answered(
+        self,
+        shared_parts: Iterable[str],
+        fingerprint: RequestFingerprint | None = None,
+    ) -> None:
+        """Record that a request was answered, so it crashes no backend server.
+
+        Args:
+            shared_parts: Ids of the parts of its prompt, without the last one.
+            fingerprint: Identifies its repeats.
+        """
         self._join()
         now = self._clock.monotonic()
-        for part in part_keys(shared_parts):
+        keys = list(part_keys(shared_parts))
+        if fingerprint is not None:
+            keys += self._suspected_keys(fingerprint)
+        for part in keys:
             self._sound.pop(part, None)
             self._sound[part] = now
             if self._counts_against(part):
@@ -154,6 +182,7 @@
         self,
         backend: BackendId,
         shared_parts: Iterable[str],
+        fingerprint: RequestFingerprint | None = None,
         *,
         answer_seconds: float | None,
         chunks: int,
@@ -163,6 +192,7 @@
         Args:
             backend: Where the request was.
             shared_parts: Ids of the parts of its prompt, without the last one.
+            fingerprint: Identifies its repeats.
             answer_seconds: Time for which its answer had been arriving, in seconds;
                 None if it had not begun.
             chunks: Number of chunks that had arrived.
@@ -171,15 +201,21 @@
             answer_seconds is not None and answer_seconds >= self.SOUND_ANSWER_SECONDS
         )
         if long_enough and chunks >= self.SOUND_ANSWER_CHUNKS:
-            self.note_answered(shared_parts)
+            self.note_answered(shared_parts, fingerprint)
             return
-        parts = [part for part in part_keys(shared_parts) if not self._is_sound(part)]
+        keys = list(part_keys(shared_parts))
+        if fingerprint is not None:
+            keys = [*fingerprint.keys, *keys]
+            self._lost_requests |= dict.fromkeys(fingerprint.keys)
+            drop_oldest(self._lost_requests, self.MAX_LOST_REQUESTS)
+        parts = [part for part in keys if not self._is_sound(part)]
         if not parts:
             return
         suspicion = self._suspicions.get(backend)
         if suspicion is None:
             suspicion = _Suspicion(self._clock.monotonic(), self._unix_time())
             self._suspicions[backend] = suspicion
+            drop_oldest(self._suspicions, self.MAX_SUSPICIONS)
         for part in parts[: self.MAX_PARTS_PER_CRASH - len(suspicion.parts)]:
             suspicion.parts[part] = None
         suspicion.reported = False
@@ -259,6 +295,16 @@
                     if report.backend in needed:
                         self._add_own(report)
 
+    def _suspected_keys(self, fingerprint: RequestFingerprint) -> list[str]:
+        """Return the keys of a request that was lost before, here or elsewhere."""
+        if not self._lost_requests and not self._joined.has_requests:
+            return []
+        return [
+            key
+            for key in fingerprint.keys
+            if key in self._lost_requests or key in self._joined.crashes
+        ]
+
     def _is_sound(self, part: str) -> bool:
         answered_at = self._sound.get(part)
         return (
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -73,6 +73,15 @@
         assert not find_violations(history._replace(crashing_arrivals=late[1:]))
         assert not find_violations(history._replace(crashes=crashes[1:]))
 
+    def test_request_that_goes_on_crashing_runners_is_reported(self):
+        crashes = tuple(Crash(20.0 + n, "booking-1") for n in range(3))
+        late = (26.0, 27.0, 28.0, 29.0)
+        history = self.history._replace(request_crashes=crashes, crashing_runs=late)
+        (line,) = find_violations(history)
+        assert "the crashing request reached runners 4 times" in line
+        assert not find_violations(history._replace(crashing_runs=late[1:]))
+        assert not find_violations(history._replace(request_crashes=crashes[1:]))
+
     def test_requests_beyond_a_named_limit_are_reported(self):
         times = tuple(20.0 + n * 0.25 for n in range(40))
         history = self.history._replace(limited=LimitedRunner(1.0, times))
