Failing tests: instances that are cut from all backend servers

Stand-ins: each instance has links of its own to the runners, and a link can refuse new connections or let them hang.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
@@ -31,8 +31,9 @@
         """Return the address, `host:port`, at which instances reach a target.
 
         Args:
-            name: Name of a runner for the links of all instances to it, or `store/`
-                followed by an instance's name for its link to the store.
+            name: Name of a runner for the links of all instances to it, the same
+                followed by `/` and an instance's name for that instance's own link, or
+                `store/` followed by an instance's name for its link to the store.
             address: Address on which the target listens, `host:port`.
         """
         ...
@@ -92,15 +93,16 @@
 
     async def __aenter__(self) -> LocalDeployment:
         self._var.mkdir(parents=True, exist_ok=True)
-        store_url = await self._stack.enter_async_context(self.store.serve())
         self.operator.write()
         for runner in self.runners.values():
             url = await self._stack.enter_async_context(runner.serve())
             runner.register(await self._link_address(runner.spec.name, url))
         for name in self._addresses:
+            store_url = await self._stack.enter_async_context(self.store.serve())
             self._store_addresses[name] = await self._link_address(
                 f"store/{name}", store_url
             )
+            await self._link_to_runners(name, store_url.removeprefix("http://"))
             self.start(name)
         try:
             await asyncio.wait_for(self._all_ready(), self.READY_SECONDS)
@@ -114,6 +116,17 @@
             await process.kill()
         await self._stack.aclose()
 
+    async def _link_to_runners(self, name: str, store_address: str) -> None:
+        """Give an instance links of its own to the runners, so that it can be cut."""
+        if self._links is None:
+            return
+        self.store.address_views[store_address] = {
+            runner.address: await self._link_address(
+                f"{runner.spec.name}/{name}", runner.address
+            )
+            for runner in self.runners.values()
+        }
+
     async def _link_address(self, name: str, url: str) -> str:
         address = url.removeprefix("http://")
         return await self._links.link_address(name, address) if self._links else address
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -141,6 +141,11 @@
         self._started_ms = int(time.time() * 1000)
         self._address = ""
 
+    @property
+    def address(self) -> str:
+        """Return the registered address, `host:port`."""
+        return self._address
+
     @property
     def models(self) -> dict[str, set[str]]:
         """Return the names of resident adapters by resident model."""
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_store.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_store.py
@@ -56,6 +56,9 @@
         self.era: int | None = None
         """How often the store came back from a copy. None sends no era."""
         self._writes: deque[_Write] = deque(maxlen=self.MAX_WRITES)
+        self.address_views: dict[str, dict[str, str]] = {}
+        """By address on which the store listens: the addresses that its readers see in
+        place of those that runners registered."""
 
     def app(self) -> web.Application:
         """Return the web application, whose responses carry the era."""
@@ -147,7 +150,7 @@
         rows = self._tables.get(req.query["table"], {})
         first, last = req.query.get("from", ""), req.query.get("to")
         selected = [
-            self._wire_row(req.query["table"], key, row)
+            self._wire_row(req, key, row)
             for key, row in sorted(rows.items())
             if row.value is not None and key >= first and (last is None or key < last)
         ]
@@ -163,7 +166,7 @@
             if after < self._history_start or after > self._ver:
                 return web.json_response({}, status=410)
             rows = [
-                self._wire_row(table, key, row)
+                self._wire_row(req, key, row)
                 for key, row in self._tables.get(table, {}).items()
                 if row.ver > after
             ]
@@ -186,11 +189,24 @@
             }
         )
 
-    def _wire_row(self, table: str, key: str, row: _Row) -> dict[str, Any]:
+    def _wire_row(self, req: web.Request, key: str, row: _Row) -> dict[str, Any]:
+        table = req.query["table"]
         common = {"table": table, "part": "", "key": key, "ver": row.ver}
         if row.value is None:
             return {**common, "tombstone": True}
-        return {**common, "value": row.value}
+        value = row.value
+        if table == "servers" and self.address_views:
+            value = self._in_view(req, value)
+        return {**common, "value": value}
+
+    def _in_view(self, req: web.Request, value: str) -> str:
+        """Return a runner's entry with the address that a reader connects to."""
+        assert req.transport is not None
+        host, port = req.transport.get_extra_info("sockname")
+        view = self.address_views.get(f"{host}:{port}", {})
+        entry = json.loads(base64.b64decode(value))
+        entry["address"] = view.get(entry["address"], entry["address"])
+        return base64.b64encode(json.dumps(entry).encode()).decode()
 
     def _wake_readers(self) -> None:
         self._changed.set()
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._fault_injector import LinkProxies
+from ._fault_injector import CutKind, LinkProxies
 from ._guarantees import find_violations
 from ._history import Call, Change, Crash, History, LimitedRunner
 from ._link_proxy import LinkProxy
@@ -20,6 +20,7 @@
     "Call",
     "Change",
     "Crash",
+    "CutKind",
     "Fault",
     "FaultKind",
     "History",
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_fault_injector.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_fault_injector.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from contextlib import AsyncExitStack
+from enum import StrEnum
 
 from guavajunction_fakes.deployment import FakeRunner, LocalDeployment
 from guavajunction_fakes.fleet import FleetProcess
@@ -14,6 +15,16 @@
 from ._link_proxy import LinkProxy
 from ._plan import STORE_RETURNS, Fault, FaultKind
 
+
+class CutKind(StrEnum):
+    """What becomes of the connections of an instance that is cut from all runners."""
+
+    HANG = "hang"
+    RESET = "reset"
+    LIVE_ON = "live on"
+    """Open connections live on, and new ones are refused."""
+
+
 STORE_OUTAGES = {
     FaultKind.STORE_HANGS: "hang",
     FaultKind.STORE_FAILS: "error",
@@ -37,6 +48,31 @@
             self.proxies[name] = proxy
         return self.proxies[name].address
 
+    def of_instance(self, instance: str) -> list[LinkProxy]:
+        """Return the proxies of an instance's own links to the runners."""
+        return [
+            proxy
+            for name, proxy in self.proxies.items()
+            if name.endswith(f"/{instance}") and not name.startswith("store/")
+        ]
+
+    async def cut(self, instance: str, kind: CutKind) -> None:
+        """Cut an instance from all runners until `heal`."""
+        for proxy in self.of_instance(instance):
+            if kind is CutKind.HANG:
+                await proxy.ignore()
+                proxy.stall()
+            else:
+                await proxy.refuse()
+            if kind is CutKind.RESET:
+                proxy.reset()
+
+    async def heal(self, instance: str) -> None:
+        """Restore the links of an instance to the runners."""
+        for proxy in self.of_instance(instance):
+            proxy.restore()
+            await proxy.accept()
+
 
 class FaultInjector:
     """Injects the faults of a plan into a deployment."""
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 
 
@@ -11,6 +12,8 @@
     """Relays TCP connections to one target and injects network faults."""
 
     CHUNK_BYTES = 65_536
+    QUEUE_FILLERS = 4
+    """Number of connections that fill the queue of a socket without a queue."""
 
     def __init__(self, target: str) -> None:
         """Create a proxy that does not listen yet.
@@ -25,6 +28,8 @@
         self._link_open.set()
         self._responses_open = asyncio.Event()
         self._responses_open.set()
+        self._server: asyncio.Server | None = None
+        self._full_queue: list[socket.socket] = []
         self.delay_seconds = 0.0
         """Delay of each chunk of data in both directions."""
         self.address = ""
@@ -33,15 +38,55 @@
     @contextlib.asynccontextmanager
     async def listen(self) -> AsyncIterator[None]:
         """Listen and relay connections while the context is open."""
-        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
+        await self._start(0)
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
         try:
             yield
         finally:
-            server.close()
+            self._stop_listening()
             self.reset()
 
+    async def refuse(self) -> None:
+        """Refuse new connections until `accept`; open ones live on."""
+        self._stop_listening()
+
+    async def ignore(self) -> None:
+        """Let new connections hang until `accept`, as without a path to the target."""
+        self._stop_listening()
+        host, port = self._own_address
+        listener = _new_socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, port))
+        listener.listen(0)
+        self._full_queue.append(listener)
+        for _ in range(self.QUEUE_FILLERS):
+            filler = _new_socket()
+            filler.connect_ex((host, port))
+            self._full_queue.append(filler)
+
+    async def accept(self) -> None:
+        """Accept new connections again."""
+        self._stop_listening()
+        await self._start(self._own_address[1])
+
+    @property
+    def _own_address(self) -> tuple[str, int]:
+        host, _, port = self.address.rpartition(":")
+        return host, int(port)
+
+    async def _start(self, port: int) -> None:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+
+    def _stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for sock in self._full_queue:
+            sock.close()
+        self._full_queue.clear()
+
     def stall(self) -> None:
         """Stop relaying in both directions until `restore`."""
         self._link_open.clear()
@@ -126,6 +171,12 @@
                 writer.write_eof()
 
 
+def _new_socket() -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    return sock
+
+
 class _RelayedConnection:
     """The connection from a caller and the matching connection to the target."""
 
--- /dev/null
+++ b/tests/platform/test_cut_instances.py
@@ -0,0 +1,140 @@
+"""Tests of real instances that are cut from all backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from contextlib import AsyncExitStack
+
+import aiohttp
+import pytest
+
+from guavajunction_fakes.deployment import LocalDeployment
+from guavajunction_fakes.soak import CutKind, LinkProxies
+from platform_calls import call, runs, wait_until
+
+from .conftest import PORTS
+
+CONTACT_SECONDS = 3.0
+"""Time after a cut from which callers are served."""
+MEASURED_SECONDS = 3.0
+MIN_SERVED = 2 / 3
+"""Least fraction of first attempts at cut instances that are served."""
+PATHS = ("/look/1", "/book/1", "/draft/1", "/long/1")
+
+_numbers = itertools.count(1)
+
+
+class Fleet:
+    """A deployment whose instances can be cut from the runners one by one."""
+
+    def __init__(self, deployment, links):
+        self.deployment = deployment
+        self.links = links
+
+    async def cut(self, names, kind):
+        for name in names:
+            await self.links.cut(name, kind)
+
+    async def heal(self, names):
+        for name in names:
+            await self.links.heal(name)
+
+    async def send(self, name, path):
+        """Send one request with a short deadline; return its status, 0 for none."""
+        generation = {"model": "m1"} if path[1] in "dl" else {}
+        try:
+            reply = await call(
+                self.deployment,
+                f"{path}/{next(_numbers)}",
+                name=name,
+                X_Deadline_Ms="1500",
+                **generation,
+            )
+        except aiohttp.ClientError:
+            return 0
+        return reply.status
+
+    async def send_for(self, names, seconds):
+        """Send requests of all kinds through some instances; return the statuses."""
+        ends_at = time.monotonic() + seconds
+        statuses = []
+        while time.monotonic() < ends_at:
+            calls = [self.send(name, path) for name in names for path in PATHS]
+            statuses += await asyncio.gather(*calls)
+            await asyncio.sleep(0.05)
+        return statuses
+
+
+@pytest.fixture(params=[(3, 1), (4, 3)], ids=["one-of-3", "3-of-4"])
+async def fleet(tmp_path, request):
+    count, _ = request.param
+    async with AsyncExitStack() as stack:
+        links = LinkProxies(stack)
+        deployment = LocalDeployment(
+            tmp_path, instances=count, ports=PORTS, links=links
+        )
+        yield Fleet(await stack.enter_async_context(deployment), links)
+
+
+@pytest.fixture
+def cut_names(fleet, request):
+    _, count = request.node.callspec.params["fleet"]
+    return list(fleet.deployment.instances)[:count]
+
+
+def assert_served(statuses, least=MIN_SERVED):
+    served = statuses.count(200)
+    assert served >= least * len(statuses), statuses
+
+
+class TestCutInstances:
+    """Instances without a path to any backend server still serve their callers."""
+
+    @pytest.mark.parametrize("kind", list(CutKind))
+    async def test_cut_instances_serve_their_callers(self, fleet, cut_names, kind):
+        assert_served(await fleet.send_for(fleet.deployment.instances, 0.5))
+        await fleet.cut(cut_names, kind)
+        await fleet.send_for(cut_names, CONTACT_SECONDS)
+        assert_served(await fleet.send_for(cut_names, MEASURED_SECONDS))
+        ids = [run.request_id for run in runs(fleet.deployment)]
+        unsafe = [r.request_id for r in runs(fleet.deployment) if "/book" in r.target]
+        assert len(unsafe) == len(set(unsafe))
+        await fleet.heal(cut_names)
+        await asyncio.sleep(1.0)
+        assert_served(await fleet.send_for(cut_names, 1.0), least=0.95)
+        assert len(ids) > 0
+
+    async def test_cut_instances_take_no_part_of_a_prompt_for_the_cause(
+        self, fleet, cut_names
+    ):
+        for _ in range(3):
+            await fleet.cut(cut_names, CutKind.RESET)
+            await fleet.send_for(cut_names, 1.5)
+            await fleet.heal(cut_names)
+            await fleet.send_for(cut_names, 0.7)
+        assert_served(await fleet.send_for(fleet.deployment.instances, 1.0), least=0.95)
+
+    async def test_directory_names_instances_that_reach_backend_servers(
+        self, fleet, cut_names
+    ):
+        await fleet.cut(cut_names, CutKind.RESET)
+        await fleet.send_for(cut_names, 1.0)
+        left = len(fleet.deployment.instances) - len(cut_names)
+
+        async def names_the_others():
+            answers = [
+                await fleet.deployment.resolve(name)
+                for name in fleet.deployment.instances
+            ]
+            return all(len(answer) == left for answer in answers)
+
+        await wait_until(names_the_others)
+        await fleet.heal(cut_names)
+        await wait_until(lambda: self._names_all(fleet))
+
+    async def _names_all(self, fleet):
+        return len(await fleet.deployment.resolve("front-1")) == len(
+            fleet.deployment.instances
+        )
