Connections to backend servers are used again after a response

Cause: aiohttp calls data_received without bytes when it resumes reading. Ruled out: the server (aiohttp's own connector uses one connection for the same requests). Found by a test of tunnels.

--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -49,7 +49,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the transport; fail if they belong to no response."""
-        if self._body is not None and self._body.is_eof():
+        # aiohttp passes no bytes when it resumes reading.
+        if data and self._body is not None and self._body.is_eof():
             self._fail("the server sent bytes after the end of its response")
             return
         super().data_received(data)
