Instances that are cut from all backend servers serve through others

Cause: an instance served only what it reached itself. Refused or hanging connections excluded backend servers for 1.5 s, and what needed one was refused. Callers keep using the instance, as the directory named it before and they keep its answers. Ruled out: handing the request itself to another instance. It would repeat admission, charging, queueing and the count of attempts there, with rules for each of them, and costs the few instances that still have a path the most. Refusing with Retry-After, or closing the listener: callers' first attempts fail. Change: failures and silence raise a suspicion, and connections to up to three backend servers are tried; an instance that opens none is cut (ServerPaths). While it is, each new connection leads through an instance that has a path (TunnelConnector, TunnelListener): the same request, decided here, over other bytes. A tunnel carries one request, leads only to a known backend server, needs the fleet's secret, and passes on how each side ends. A stopping instance accepts no tunnel and waits for open ones. Orders use no tunnels. The test sent a model to the plain route /look, which is corrected: such requests were refused in any case. tests/tunnels/: decisions, replay of three kinds of cut at 2 to 60 requests a second, and both ends over sockets.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -53,6 +53,7 @@
 from ._quarantine_links import QuarantineLinks
 from ._settings import GatewaySettings
 from ._tuning import Tuning
+from ._tunnel_links import TunnelLinkParts, TunnelLinks
 
 BackgroundJob = Callable[[], Coroutine[Any, Any, None]]
 """Creates a coroutine that runs until the process stops."""
@@ -147,6 +148,20 @@
             self._limits,
             clock,
         )
+        self._tunnels = TunnelLinks(
+            settings,
+            TunnelLinkParts(
+                registry=self._registry,
+                queue=self._queue,
+                health=self._health,
+                quarantine=self._quarantine,
+                roster=self._roster,
+                connections=deployment.backend_connections,
+                clock=clock,
+                rng=self._rng,
+            ),
+        )
+        self._tunnels.may_serve = lambda: self._stopping_since is None
         self._limits.on_answered = self._queue.schedule_dispatch
         self._quarantine.on_blamed = self._queue.schedule_dispatch
         self._gateway = Gateway(
@@ -158,6 +173,7 @@
                 streams=self._streams,
                 quarantine=self._quarantine,
                 limits=self._limits,
+                paths=self._tunnels.watch,
                 retries=self._retries,
                 demand=self._demand,
                 caller=deployment.caller,
@@ -222,6 +238,8 @@
         self._offered_in = 0
         self._backends_known = False
         self._backends_era = 0
+        self.metrics.gauge("cut_from_backends", lambda: int(self._tunnels.watch.is_cut))
+        self.metrics.gauge("tunnels_open", lambda: self._tunnels.open)
         self.metrics.gauge("store_era", lambda: self._backends_era)
         self._era_began = asyncio.Event()
         self._crashes_known = False
@@ -477,6 +495,7 @@
             rate_limits=self._rate_limits,
             streams=self._streams,
             limits=self._limits,
+            paths=self._tunnels.watch,
             roster=self._roster,
             feed=self._feed,
             clock=self._clock,
@@ -504,6 +523,7 @@
         self._links = links
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(links.run())
+            tasks.create_task(self._tunnels.run(keys))
             tasks.create_task(self._keep_keys(keys))
 
     async def _keep_keys(self, keys: FleetKeys) -> None:
@@ -557,6 +577,7 @@
 
     async def _maintain(self) -> None:
         while True:
+            self._tunnels.watch.check()
             self._roster.expire()
             self._registry.expire()
             self._loads.keep_only(self._roster.peers())
@@ -606,7 +627,8 @@
         max_end = self._stop_deadline(started)
         min_end = started + self.MIN_STOP_SECONDS
         while (now := self._clock.monotonic()) < max_end:
-            if now >= min_end and not self._gateway.in_flight:
+            in_use = self._gateway.in_flight + self._tunnels.open
+            if now >= min_end and not in_use:
                 return
             await self._clock.sleep(0.05)
 
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_deployment.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_deployment.py
@@ -10,6 +10,7 @@
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.storage import ChangeFeed, TableService
 from guavajunction.swapping import OrderSender
+from guavajunction.tunnels import TunnelConnector
 
 from ._settings import GatewaySettings
 
@@ -54,6 +55,11 @@
         """Return the client that sends requests to backend servers."""
         ...
 
+    @property
+    def backend_connections(self) -> TunnelConnector:
+        """Return the connections of `caller`."""
+        ...
+
     @property
     def orders(self) -> OrderSender:
         """Return the client that sends orders to backend servers."""
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
@@ -39,3 +39,8 @@
     "process:document_read",
     "The configuration was read; its size, the store's version and what was read.",
 )
+TUNNEL_PORT_FAILED = LogEvent(
+    129,
+    "process:tunnel_port_failed",
+    "The port for tunnels can't be listened on, so no other instance is served.",
+)
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -41,6 +41,7 @@
     OrderLeader,
     TermParts,
 )
+from guavajunction.tunnels import PathWatch
 
 from ._deployment import Deployment
 from ._limit_links import LimitLinks, StatedLimit
@@ -67,6 +68,7 @@
     rate_limits: RateLimits
     streams: StreamOrigins
     limits: ServerLimits
+    paths: PathWatch
     roster: Roster
     feed: RelayedFeed
     clock: Clock
@@ -240,6 +242,7 @@
             self._limits.on_statements,
             list[StatedLimit],
         )
+        mesh.add_topic("cut", lambda: parts.paths.is_cut, parts.roster.on_cut, bool)
         mesh.add_peer_topic("hub", relay.status_for, relay.on_hub_status, HubStatus)
         mesh.add_peer_topic(
             "hub-loads",
@@ -259,6 +262,12 @@
             self._only_from_hub(self._limits.on_statements),
             list[StatedLimit],
         )
+        mesh.add_peer_topic(
+            "hub-cut",
+            self._only_for_followers(lambda _: self._cut_instances()),
+            self._only_from_hub(lambda _, names: parts.roster.on_hub_cut(names)),
+            tuple[str, ...],
+        )
         mesh.add_peer_topic(
             "hub-author",
             self._only_for_followers(lambda _: self.leader.latest_status()),
@@ -351,6 +360,11 @@
             self._parts.queue.waiting_by_version(), self._parts.roster.peers()
         )
 
+    def _cut_instances(self) -> tuple[str, ...]:
+        """Return the names of all instances that reach no backend server."""
+        own = {self._me.name} if self._parts.paths.is_cut else set()
+        return tuple(sorted(self._parts.roster.cut() | own))
+
     def _leader_candidates(self) -> list[PeerId]:
         peers = self._parts.roster.peers_matching(lambda member: member.may_give_orders)
         if self._own_member(self.relay.follows).may_give_orders:
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_settings.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_settings.py
@@ -76,4 +76,7 @@
     retries: RetryBounds
     allowances: RateLimitBounds
     orders: OrderBounds
+    tunnel_port: int = 0
+    """Port for tunnels of other instances to backend servers, the same on all
+    instances; 0 for none."""
     capacity: Capacity = Capacity(1.0, 100.0)
--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from ._read_body import BodyTooLarge, read_body
+from ._sockets import NO_LINGER, open_socket, set_timers
 from ._strict_connection import StrictConnection
 from ._strict_connector import StrictConnector
 from ._unframed_response import UnframedResponse
 
 __all__ = [
     "BodyTooLarge",
+    "NO_LINGER",
     "StrictConnection",
     "StrictConnector",
     "UnframedResponse",
+    "open_socket",
     "read_body",
+    "set_timers",
 ]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/connections/_sockets.py
@@ -0,0 +1,42 @@
+"""Socket options by which the end of a silent connection is noticed in time."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+USER_TIMEOUT_MS = 2000
+"""A connection is closed if sent data stays unacknowledged for this long. It also
+decides when keepalive probes give up, whatever their number."""
+KEEPALIVE_IDLE_SECONDS = 1
+"""Idle time of a connection before the first keepalive probe."""
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_PROBES = 2
+"""Number of unanswered keepalive probes after which a connection is closed."""
+
+NO_LINGER = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing a socket resets its connection."""
+
+
+def open_socket(
+    family: int, kind: int = socket.SOCK_STREAM, proto: int = 0
+) -> socket.socket:
+    """Return a non-blocking socket with the timers of the product's connections."""
+    sock = socket.socket(family, kind, proto)
+    set_timers(sock)
+    sock.setblocking(False)
+    return sock
+
+
+def set_timers(sock: socket.socket) -> None:
+    """Set the timers of an open socket."""
+    options = (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, option, value in options:
+        sock.setsockopt(level, option, value)
--- a/packages/guavajunction/src/guavajunction/connections/_unframed_response.py
+++ b/packages/guavajunction/src/guavajunction/connections/_unframed_response.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import socket
-import struct
 from typing import Any
 
 from aiohttp import web
 
-NO_LINGER = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which closing a socket resets its connection."""
+from ._sockets import NO_LINGER
 
 
 class UnframedResponse(web.StreamResponse):
--- a/packages/guavajunction/src/guavajunction/fleet/_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_roster.py
@@ -79,6 +79,33 @@
         self._live: set[str] = set()
         self._hub_members: dict[str, KnownMember] = {}
         self._hub_members_at = float("-inf")
+        self._cut: set[str] = set()
+        self._cut_by_hub: frozenset[str] = frozenset()
+
+    def on_cut(self, peer: PeerId, is_cut: bool) -> None:
+        """Store whether an instance reaches no backend server, from its heartbeat."""
+        if is_cut:
+            self._cut.add(peer.name)
+        else:
+            self._cut.discard(peer.name)
+
+    def on_hub_cut(self, names: Iterable[str]) -> None:
+        """Store a hub's list of the instances that reach no backend server."""
+        self._cut_by_hub = frozenset(names)
+
+    def cut(self) -> frozenset[str]:
+        """Return the names of the live instances that reach no backend server."""
+        live = {known.peer.name for known in self._live_members()}
+        return live & (self._cut | self._cut_by_hub)
+
+    def reaching(self) -> list[tuple[str, Member]]:
+        """Return the other live instances that reach backend servers, by name."""
+        cut = self.cut()
+        return [
+            (known.peer.name, known.member)
+            for known in self._live_members()
+            if known.peer.name not in cut
+        ]
 
     def on_hub_members(self, members: Iterable[KnownMember]) -> None:
         """Store a hub's list of all instances."""
@@ -133,6 +160,7 @@
                 )
             if elapsed > self.SERVING_SECONDS:
                 del self._last_heartbeats[name]
+                self._cut.discard(name)
 
     def peers(self) -> list[PeerId]:
         """Return the other live incarnations."""
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
@@ -192,6 +192,22 @@
             events.BACKEND_UNREACHABLE.log(backend=record.name, address=record.address)
         self._unreachable_until[record.identity] = until
 
+    def forget_unreachable(self) -> None:
+        """Admit all backend servers again that refused connections.
+
+        The refusals were due to this instance's own paths.
+        """
+        self._unreachable_until.clear()
+
+    def note_reachable(self, record: BackendRecord) -> None:
+        """Admit a backend server again that has accepted a connection."""
+        self._unreachable_until.pop(record.identity, None)
+
+    def at_address(self, address: str) -> BackendRecord | None:
+        """Return the backend server at an address, the latest one if several had it."""
+        records = [r for r in self._records.values() if r.address == address]
+        return max(records, key=lambda r: r.incarnation, default=None)
+
     def is_unreachable(self, record: BackendRecord) -> bool:
         """Return whether a backend server recently refused a connection."""
         return (
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -33,7 +33,13 @@
 from ._event_boundary import EventBoundary, is_event_stream
 from ._framing import Framing
 from ._model_demand import ModelDemand
-from ._protocols import AnswerHead, AnswerSink, BackendAnswer, BackendCaller
+from ._protocols import (
+    AnswerHead,
+    AnswerSink,
+    BackendAnswer,
+    BackendCaller,
+    ServerWatch,
+)
 from ._rate_limits import RateLimits
 from ._request import GatewayRequest
 from ._request_queue import QueuedRequest, RequestQueue
@@ -52,6 +58,7 @@
     streams: StreamOrigins
     quarantine: PartQuarantine
     limits: ServerLimits
+    paths: ServerWatch
     retries: RetryBudget
     demand: ModelDemand
     caller: BackendCaller
@@ -167,6 +174,7 @@
                 await self._attempt(admitted, backend, sink, len(sent) + 1)
             except NotSent as exc:
                 unreachable.append(backend.name)
+                await self._parts.paths.settle()
                 if len(unreachable) > self.MAX_UNREACHABLE_BACKENDS:
                     raise self._unreachable_error(admitted, exc) from exc
                 reason = exc.message
@@ -339,6 +347,8 @@
         left = admitted.ends_at - self._parts.clock.monotonic()
         prompt_pending = True
         progress = AnswerProgress()
+        paths = self._parts.paths
+        sent_while_cut = paths.is_cut
         statement = self._parts.limits.book.of(backend.identity)
         events.SENT.log(
             request_id=req.request_id,
@@ -357,7 +367,9 @@
             resume_after=req.resume_after,
             resumed_stream=req.resumed_stream,
             server_limit=statement.rate,
+            cut=sent_while_cut,
         )
+        paths.begin()
         try:
             async with self._parts.caller.send(
                 backend,
@@ -366,7 +378,9 @@
                 priority=min(self.MAX_ENGINE_PRIORITY, admitted.priority),
                 seconds_left=left,
             ) as answer:
-                progress.note_head(self._parts.clock.monotonic())
+                now = self._parts.clock.monotonic()
+                progress.note_head(now)
+                paths.note_bytes(now)
                 self._parts.quarantine.note_alive(backend.identity)
                 self._parts.limits.book.note_answer(
                     backend.identity, answer.head.named_limit, statement
@@ -382,8 +396,10 @@
             self._record_failure(backend, exc, left)
             if isinstance(exc, OutcomeUnknown | AnswerCut) and exc.connection_lost:
                 self._record_loss(admitted, backend, progress)
+                paths.note_lost(backend.identity)
             raise
         finally:
+            paths.end()
             self._parts.queue.release(req, backend, prompt_pending=prompt_pending)
 
     def _record_origin(
@@ -436,7 +452,9 @@
         try:
             async for chunk in answer.chunks():
                 size += len(chunk)
-                progress.note_chunk(self._parts.clock.monotonic())
+                now = self._parts.clock.monotonic()
+                progress.note_chunk(now)
+                self._parts.paths.note_bytes(now)
                 if boundary is not None:
                     boundary.feed(chunk)
                     self._check_event_size(boundary, backend)
@@ -504,6 +522,8 @@
     ) -> None:
         if isinstance(exc, NotSent):
             self._parts.registry.note_unreachable(backend)
+            if time_limit > 0:
+                self._parts.paths.note_refused(backend.identity)
             return
         if isinstance(exc, OutcomeUnknown) and time_limit < self.MIN_FAILURE_SECONDS:
             # A missed short deadline is no evidence that the backend server failed.
--- a/packages/guavajunction/src/guavajunction/gateway/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_protocols.py
@@ -6,6 +6,8 @@
 from contextlib import AbstractAsyncContextManager
 from typing import NamedTuple, Protocol
 
+from guavajunction.quarantine import BackendId
+
 from ._backend import BackendRecord
 from ._framing import Framing
 from ._request import GatewayRequest
@@ -80,6 +82,43 @@
         ...
 
 
+class ServerWatch(Protocol):
+    """Learns whether this instance still reaches any backend server."""
+
+    @property
+    def is_cut(self) -> bool:
+        """Return whether this instance reaches no backend server."""
+        ...
+
+    def begin(self) -> None:
+        """Count a request that waits for bytes of its backend server."""
+        ...
+
+    def end(self) -> None:
+        """Stop counting a request."""
+        ...
+
+    def note_bytes(self, now: float) -> None:
+        """Record that a backend server sent bytes.
+
+        Args:
+            now: Time on the monotonic clock.
+        """
+        ...
+
+    def note_refused(self, backend: BackendId) -> None:
+        """Record that a connection could not be opened."""
+        ...
+
+    def note_lost(self, backend: BackendId) -> None:
+        """Record that an open connection was lost."""
+        ...
+
+    async def settle(self) -> None:
+        """Wait until it is known whether failed connections mean a cut."""
+        ...
+
+
 class AnswerSink(Protocol):
     """Sends an answer to the caller."""
 
--- a/packages/guavajunction/src/guavajunction/health/_passive_health.py
+++ b/packages/guavajunction/src/guavajunction/health/_passive_health.py
@@ -42,6 +42,11 @@
         """Return whether a backend server is currently excluded as suspect."""
         return name in self._suspect_until
 
+    def forget(self) -> None:
+        """Readmit all backend servers; their failures had another cause."""
+        self._suspect_until.clear()
+        self._failures.clear()
+
     def expire(self) -> bool:
         """Readmit the backend servers that have been suspect for `SUSPECT_SECONDS`.
 
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/tunnels/__init__.py
@@ -0,0 +1,20 @@
+"""Paths to backend servers through other instances, for those that have none."""
+
+from __future__ import annotations
+
+from ._path_watch import PathWatch
+from ._server_paths import PathState, ServerPaths
+from ._tunnel_connector import TunnelConnector, TunnelDialer
+from ._tunnel_entrance import TunnelEntrance, TunnelExit
+from ._tunnel_listener import TunnelListener
+
+__all__ = [
+    "PathState",
+    "PathWatch",
+    "ServerPaths",
+    "TunnelConnector",
+    "TunnelDialer",
+    "TunnelEntrance",
+    "TunnelExit",
+    "TunnelListener",
+]
--- a/tests/entry/test_fleet_links.py
+++ b/tests/entry/test_fleet_links.py
@@ -28,6 +28,7 @@
     def __init__(self):
         fake_gateway = FakeGateway()
         self.own_member = member()
+        self.paths = fake_gateway.paths
         self.roster = Roster(ME, fake_gateway.clock)
         parts = FleetLinkParts(
             gateway=fake_gateway.gateway,
@@ -38,6 +39,7 @@
             rate_limits=fake_gateway.rate_limits,
             streams=fake_gateway.streams,
             limits=fake_gateway.limits,
+            paths=fake_gateway.watch,
             roster=self.roster,
             feed=RelayedFeed(None, fake_gateway.clock),
             clock=fake_gateway.clock,
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -32,6 +32,7 @@
         feed=None,
         caller=None,
         orders=None,
+        backend_connections=SimpleNamespace(dialer=None),
         configuration_row=RowAddress("configuration", "head"),
         backends_partition="backends",
         decode_backend=decode,
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -41,6 +41,7 @@
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.namedlimits import ServerLimits
 from guavajunction.quarantine import PartQuarantine
+from guavajunction.tunnels import PathWatch, ServerPaths
 from guavajunction_entry.gateway import (
     GatewaySettings,
     ListenAddress,
@@ -260,6 +261,15 @@
             self.clock,
         )
         self.caller = FakeCaller()
+        self.paths = ServerPaths(self.clock)
+        self.reachable_addresses = None
+        self.watch = PathWatch(
+            self.paths,
+            self.registry.records,
+            self.clock,
+            random.Random(1),
+            connect=self._connect,
+        )
         self.streams = StreamOrigins(self.clock)
         self.rate_limits = RateLimits(RateLimitBounds(8.0, 0.1, 1000.0), self.clock)
         self.gateway = Gateway(
@@ -271,6 +281,7 @@
                 streams=self.streams,
                 quarantine=self.quarantine,
                 limits=self.limits,
+                paths=self.watch,
                 retries=RetryBudget(RetryBounds(0.2, 10.0, 50.0)),
                 demand=ModelDemand(),
                 caller=self.caller,
@@ -283,6 +294,10 @@
             self.registry.put(record)
         self.gateway.configure(RouteTable(document or catalogue()))
 
+    async def _connect(self, address):
+        reachable = self.reachable_addresses
+        return reachable is None or address in reachable
+
     async def serve(self, path="/book/1", **changes):
         sink = FakeSink()
         req = request(path, at=self.clock.monotonic(), **changes)
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -56,3 +56,32 @@
 
     def test_peers_are_filtered_by_their_status(self, roster):
         assert roster.peers_matching(lambda m: m.sees_store) == [A]
+
+
+class TestCutInstances:
+    """Instances that reach no backend server are known from heartbeats and the hub."""
+
+    def reaching(self, roster):
+        return sorted(name for name, _ in roster.reaching())
+
+    def test_heartbeats_tell_which_instances_are_cut(self, roster):
+        assert self.reaching(roster) == ["a", "b"]
+        roster.on_cut(A, True)
+        assert self.reaching(roster) == ["b"]
+        assert roster.cut() == {"a"}
+        roster.on_cut(A, False)
+        assert self.reaching(roster) == ["a", "b"]
+
+    def test_list_of_the_hub_tells_of_instances_that_are_not_heard(self, roster):
+        roster.on_hub_cut(["b", "unknown"])
+        assert self.reaching(roster) == ["a"]
+        assert roster.cut() == {"b"}
+        roster.on_hub_cut([])
+        assert self.reaching(roster) == ["a", "b"]
+
+    def test_instance_that_ends_while_it_is_cut_is_forgotten(self, roster, clock):
+        roster.on_cut(A, True)
+        clock.advance(Roster.SERVING_SECONDS + 0.1)
+        roster.expire()
+        roster.on_heartbeat(A, member("a"))
+        assert self.reaching(roster) == ["a"]
--- a/tests/platform/test_cut_instances.py
+++ b/tests/platform/test_cut_instances.py
@@ -21,7 +21,8 @@
 MEASURED_SECONDS = 3.0
 MIN_SERVED = 2 / 3
 """Least fraction of first attempts at cut instances that are served."""
-PATHS = ("/look/1", "/book/1", "/draft/1", "/long/1")
+GENERATIONS = ("/draft", "/long")
+PATHS = ("/look/1", "/book/1", *(f"{route}/1" for route in GENERATIONS))
 
 _numbers = itertools.count(1)
 
@@ -43,7 +44,7 @@
 
     async def send(self, name, path):
         """Send one request with a short deadline; return its status, 0 for none."""
-        generation = {"model": "m1"} if path[1] in "dl" else {}
+        generation = {"model": "m1"} if path.startswith(GENERATIONS) else {}
         try:
             reply = await call(
                 self.deployment,
