Directory: instances that reach no backend server are left out

Cause: the directory listed every ready instance, so callers went on choosing instances that were cut from all backend servers. Change: it lists the instances that reach backend servers, or all if none does. A cut instance stays ready: callers that keep an old answer are served through others. Evidence: tests/platform/test_cut_instances.py -k directory failed before in both cases and passes now.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -602,8 +602,13 @@
         )
 
     def _addresses(self, data_centre: str | None) -> list[str]:
+        members = [member for _, member in self._roster.reaching()]
+        if not self._tunnels.watch.is_cut:
+            members.append(self._own_member())
+        if not any(member.ready for member in members):
+            members = [*self._roster.members(), self._own_member()]
         return choose_fronts(
-            [*self._roster.members(), self._own_member()],
+            members,
             data_centre,
             near_enough=self._tuning.directory.near_enough,
             rng=self._rng,
