Orders: a leader that reaches no backend server makes way

Cause: the leader needs a path to backend servers, and only its path to the store was checked. While it was cut from them, no model or adapter was loaded for the whole fleet. Change: instances that reach no backend server are no candidates, and a leader that becomes one releases its lease. Orders do not lead through tunnels, as backend servers would take them for those of another instance. Evidence: test_leader_that_reaches_no_backend_server_is_replaced and test_instance_that_reaches_no_backend_server_is_no_candidate failed before, pass now.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -206,6 +206,7 @@
         relay.on_hub_changed = self._reset_peer_state
         parts.feed.source = relay
         self.leader.hub = relay.hub_peer
+        self.leader.is_cut = lambda: parts.paths.is_cut
         parts.queue.loads_due = self.leader.loads_due
         parts.queue.on_adapter_wanted = self.leader.request_adapter
         mesh.set_topic_selector(self._topics_for)
@@ -366,10 +367,11 @@
         return tuple(sorted(self._parts.roster.cut() | own))
 
     def _leader_candidates(self) -> list[PeerId]:
+        cut = self._cut_instances()
         peers = self._parts.roster.peers_matching(lambda member: member.may_give_orders)
         if self._own_member(self.relay.follows).may_give_orders:
             peers.append(self._me)
-        return peers
+        return [peer for peer in peers if peer.name not in cut]
 
     async def _on_holding(self, peer: PeerId, notice: HoldingNotice) -> None:
         self._parts.registry.note_holding(notice)
--- a/packages/guavajunction/src/guavajunction/swapping/_leader.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_leader.py
@@ -106,6 +106,8 @@
         ] = {}
         self.stopping = False
         """Whether this instance is shutting down and must not start a term."""
+        self.is_cut: Callable[[], bool] = lambda: False
+        """Returns whether this instance reaches no backend server."""
         self.hub: Callable[[], PeerId | None] = lambda: None
         """Returns the hub that relays requests to the leader, or None."""
         self.loads_due: dict[str, float] = {}
@@ -311,6 +313,8 @@
             self._fence()
             if self.stopping:
                 raise LeaseLost("this instance is shutting down")
+            if self.is_cut():
+                raise LeaseLost("this instance reaches no backend server")
             await self._clock.sleep(self.CHECK_SECONDS)
 
     def _fence(self) -> int:
--- a/tests/entry/test_fleet_links.py
+++ b/tests/entry/test_fleet_links.py
@@ -84,3 +84,13 @@
         assert node.candidates() == ["good", "me"]
         node.own_member = status
         assert node.candidates() == ["good"]
+
+    def test_instance_that_reaches_no_backend_server_is_no_candidate(self, node):
+        good = PeerId("good", "1")
+        node.roster.on_cut(good, True)
+        assert node.candidates() == ["me"]
+        node.roster.on_cut(good, False)
+        node.paths.begin_probe()
+        node.paths.end_probe(False)
+        assert node.candidates() == ["good"]
+        assert node.links.leader.is_cut()
--- a/tests/swapping/test_leader.py
+++ b/tests/swapping/test_leader.py
@@ -139,6 +139,15 @@
         second = await leader_of(nodes, other_than=first)
         assert second.fence == 2
 
+    async def test_leader_that_reaches_no_backend_server_is_replaced(self, nodes):
+        first = await leader_of(nodes)
+        first.leader.is_cut = lambda: True
+        for node in nodes:
+            node.nodes = [other for other in nodes if other is not first]
+        second = await leader_of(nodes, other_than=first)
+        assert second is not first
+        assert first.fence == 0
+
     async def test_terms_never_overlap(self, nodes):
         first = await leader_of(nodes)
         first.table.down = True
