Quarantine: an instance takes its own cut for no crash

Cause: an instance that is cut from all backend servers loses all its connections at once. It reported a crash of each of them after 0.3 s, with the requests and parts in flight, and three such reports blame them on all instances. Change: crashes wait while the paths are suspect, are taken back if they turn out to be cut, and connections lost directly during a cut count against nothing. What a cut instance loses through a tunnel still counts: a request that crashes servers may come there, too. Evidence: tests/gateway/test_cut_paths.py; the case of an own cut failed before (two crashes reported), passes now.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tunnel_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tunnel_links.py
@@ -44,6 +44,9 @@
 class TunnelLinks:
     """Both ends of the tunnels of one instance."""
 
+    OWN_CUT_SECONDS = 3.0
+    """Time before a cut is noticed in which lost connections are due to it."""
+
     def __init__(self, settings: GatewaySettings, parts: TunnelLinkParts) -> None:
         """Create both ends; nothing is opened before `run`.
 
@@ -63,6 +66,7 @@
         self.watch.on_change = self._on_change
         self.watch.on_reached = parts.registry.note_reachable
         parts.connections.dialer = self._entrance
+        parts.quarantine.is_on_hold = lambda: paths.state is not PathState.OPEN
         self.may_serve = lambda: True
         """Returns whether this instance may begin to serve others."""
 
@@ -91,12 +95,14 @@
     def _may_serve(self) -> bool:
         return not self.watch.is_cut and self.may_serve()
 
-    def _on_change(self, _: PathState) -> None:
+    def _on_change(self, state: PathState) -> None:
         """Forget what the cut made this instance believe of backend servers."""
         parts = self._parts
         parts.registry.forget_unreachable()
         parts.health.forget()
         parts.connections.drop_idle()
+        if state is PathState.CUT:
+            parts.quarantine.forget_since(self.OWN_CUT_SECONDS)
         parts.queue.schedule_dispatch()
 
     def _exits(self) -> list[TunnelExit]:
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -395,7 +395,10 @@
         except (BackendFailed, OutcomeUnknown, AnswerCut, NotSent) as exc:
             self._record_failure(backend, exc, left)
             if isinstance(exc, OutcomeUnknown | AnswerCut) and exc.connection_lost:
-                self._record_loss(admitted, backend, progress)
+                # A direct connection that ends while this instance is cut says nothing
+                # about the backend server.
+                if sent_while_cut or not paths.is_cut:
+                    self._record_loss(admitted, backend, progress)
                 paths.note_lost(backend.identity)
             raise
         finally:
--- a/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
@@ -100,6 +100,9 @@
         """Called when `settle` has something to do."""
         self.claim_trial: Callable[[str], Awaitable[bool]] = _claim_nothing
         """Claims the one attempt with a part for this instance, of the whole fleet."""
+        self.is_on_hold: Callable[[], bool] = lambda: False
+        """Returns whether lost connections may be due to this instance's own paths, so
+        that no crash is confirmed."""
         self.on_blamed: Callable[[], None] = lambda: None
         """Called when parts are newly blamed."""
 
@@ -229,6 +232,9 @@
         # Bytes that were sent before a crash may be read shortly after it.
         if self._clock.monotonic() - suspicion.lost_at < self.CONFIRM_SECONDS:
             return
+        self._retract(backend)
+
+    def _retract(self, backend: BackendId) -> None:
         del self._suspicions[backend]
         if self._own_crashes.pop(backend, None) is not None:
             events.CRASH_RETRACTED.log(
@@ -242,6 +248,8 @@
         Returns:
             This instance's reports if they have changed since the last call.
         """
+        if self.is_on_hold():
+            return None
         confirmed_before = self._clock.monotonic() - self.CONFIRM_SECONDS
         expired_before = self._clock.monotonic() - self.KEEP_SECONDS
         for backend, suspicion in list(self._suspicions.items()):
@@ -257,6 +265,13 @@
         self._join()
         return self.own()
 
+    def forget_since(self, seconds: float) -> None:
+        """Take back the crashes of the last seconds; this instance's paths were cut."""
+        since = self._clock.monotonic() - seconds
+        for backend, suspicion in list(self._suspicions.items()):
+            if suspicion.lost_at >= since:
+                self._retract(backend)
+
     @property
     def unsettled(self) -> bool:
         """Return whether crashes wait to be confirmed."""
--- a/tests/gateway/test_cut_paths.py
+++ b/tests/gateway/test_cut_paths.py
@@ -5,7 +5,8 @@
 import pytest
 
 from fakes_gateway import BOOKINGS, FakeGateway, backend
-from guavajunction.errors import NotSent
+from guavajunction.errors import NotSent, OutcomeUnknown
+from guavajunction.quarantine import Evidence, PartQuarantine
 
 
 @pytest.fixture
@@ -15,6 +16,10 @@
     return one
 
 
+def lost(count):
+    return [OutcomeUnknown("no answer", connection_lost=True) for _ in range(count)]
+
+
 class TestCutPaths:
     """A request waits until it is known whether its instance is cut."""
 
@@ -32,6 +37,40 @@
         await fleet.serve("/book/1")
         assert not fleet.watch.is_cut
 
+    async def test_connections_lost_to_an_own_cut_are_no_crashes(self, fleet):
+        fleet.reachable_addresses = set()
+        fleet.quarantine.is_on_hold = lambda: fleet.paths.state != "open"
+        fleet.watch.on_change = lambda _: fleet.quarantine.forget_since(3.0)
+        fleet.caller.script = lost(2)
+        with pytest.raises(OutcomeUnknown):
+            await fleet.serve("/look/1")
+        await fleet.watch.settle()
+        fleet.clock.advance(PartQuarantine.CONFIRM_SECONDS + 0.1)
+        fleet.quarantine.settle()
+        assert fleet.watch.is_cut
+        assert fleet.quarantine.own() == Evidence()
+
+    async def test_crashes_are_reported_although_the_paths_were_suspect(self, fleet):
+        fleet.quarantine.is_on_hold = lambda: fleet.paths.state != "open"
+        fleet.caller.script = lost(2)
+        with pytest.raises(OutcomeUnknown):
+            await fleet.serve("/look/1")
+        fleet.clock.advance(PartQuarantine.CONFIRM_SECONDS)
+        assert fleet.quarantine.settle() is None
+        await fleet.watch.settle()
+        assert len(fleet.quarantine.settle().crashes) == 2
+
+    async def test_crash_that_a_cut_instance_sees_through_a_tunnel_is_reported(
+        self, fleet
+    ):
+        fleet.paths.begin_probe()
+        fleet.paths.end_probe(False)
+        fleet.caller.script = lost(1)
+        with pytest.raises(OutcomeUnknown):
+            await fleet.serve("/book/1")
+        fleet.clock.advance(PartQuarantine.CONFIRM_SECONDS)
+        assert len(fleet.quarantine.settle().crashes) == 1
+
     async def test_waiting_requests_are_counted_until_their_answer_ends(self, fleet):
         await fleet.serve("/book/1")
         fleet.caller.script = [NotSent("refused")]
