--- a/packages/guavajunction-fakes/src/guavajunction_fakes/commands/soak.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/commands/soak.py
@@ -40,7 +40,7 @@
     flags.DEFINE_integer(
         "port",
         18300,
-        "first of four consecutive ports, the same at each instance's own address",
+        "first of five consecutive ports, the same at each instance's own address",
         flag_values=values,
     )
 
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
@@ -7,9 +7,11 @@
 from ._history import Call, Change, Crash, History, LimitedRunner
 from ._link_proxy import LinkProxy
 from ._plan import (
+    CUT_KINDS,
     Fault,
     FaultKind,
     draw_conditions,
+    draw_cuts,
     draw_plan,
     draw_returns,
     reports_lost_at,
@@ -17,6 +19,7 @@
 from ._soak import Soak, SoakResult
 
 __all__ = [
+    "CUT_KINDS",
     "Call",
     "Change",
     "Crash",
@@ -31,6 +34,7 @@
     "SoakResult",
     "find_violations",
     "draw_conditions",
+    "draw_cuts",
     "draw_plan",
     "draw_returns",
     "reports_lost_at",
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_fault_injector.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_fault_injector.py
@@ -13,7 +13,7 @@
 
 from ._history import Change
 from ._link_proxy import LinkProxy
-from ._plan import STORE_RETURNS, Fault, FaultKind
+from ._plan import CUT_KINDS, STORE_RETURNS, Fault, FaultKind
 
 
 class CutKind(StrEnum):
@@ -132,6 +132,8 @@
             return "store"
         elif kind in (FaultKind.HISTORY, FaultKind.KEYS, FaultKind.KILL_ALL):
             return str(kind)
+        elif kind in CUT_KINDS:
+            return "links to runners"
         else:
             names = sorted(self._deployment.instances)
         name = names[fault.target % len(names)]
@@ -159,6 +161,8 @@
                 *(self._kill(n, self.MIN_DOWNTIME_SECONDS) for n in names)
             )
             self._faulty_targets.difference_update(names)
+        elif kind in CUT_KINDS:
+            await self._cut(fault)
         elif kind is FaultKind.KEYS:
             self._change_key()
         elif kind is FaultKind.HISTORY:
@@ -184,6 +188,20 @@
             )
             process.signal(signal.SIGHUP)
 
+    async def _cut(self, fault: Fault) -> None:
+        """Cut the instances whose bits are set in the fault's target."""
+        cut = CutKind(fault.kind.removeprefix("cut "))
+        names = [
+            name
+            for number, name in enumerate(sorted(self._deployment.instances))
+            if fault.target >> number & 1
+        ]
+        for name in names:
+            await self._links.cut(name, cut)
+        await asyncio.sleep(fault.seconds)
+        for name in names:
+            await self._links.heal(name)
+
     async def _kill(self, name: str, seconds: float) -> None:
         self.stopped_on_purpose.add(name)
         await self._deployment.instances[name].kill()
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
@@ -58,10 +58,19 @@
     """The operator replaces the customer's API key."""
     STORE_RETURNS = "store returns"
     """The store goes away and comes back from an older copy."""
+    CUT_HANG = "cut hang"
+    """Some instances reach no runner; their connections hang."""
+    CUT_RESET = "cut reset"
+    """Some instances reach no runner; their connections are reset."""
+    CUT_LIVE_ON = "cut live on"
+    """Some instances reach no runner by new connections; open ones live on."""
 
 
-DRAWN_KINDS = tuple(kind for kind in FaultKind if kind is not FaultKind.STORE_RETURNS)
-"""Kinds that `draw_plan` draws; `draw_returns` draws the other one."""
+CUT_KINDS = (FaultKind.CUT_HANG, FaultKind.CUT_RESET, FaultKind.CUT_LIVE_ON)
+DRAWN_KINDS = tuple(
+    kind for kind in FaultKind if kind not in (FaultKind.STORE_RETURNS, *CUT_KINDS)
+)
+"""Kinds that `draw_plan` draws; `draw_returns` and `draw_cuts` draw the others."""
 
 INSTANT_KINDS = frozenset(
     (
@@ -188,6 +197,26 @@
     )
 
 
+MAX_CUT_SECONDS = 4.0
+
+
+def draw_cuts(seed: int, seconds: float, *, instances: int) -> list[Fault]:
+    """Draw the times at which instances are cut from all runners, up to three.
+
+    They do not change the plan that is drawn from the same seed. The target of each
+    fault has a bit for each instance that is cut; at least one never is.
+    """
+    rng = random.Random(f"cuts/{seed}")
+    cuts = []
+    for _ in range(rng.choice((0, 0, 1, 2, 3))):
+        duration = rng.uniform(MIN_FAULT_SECONDS, min(MAX_CUT_SECONDS, seconds - 0.5))
+        at = rng.uniform(0.0, seconds - duration)
+        target = rng.randrange(1, 2**instances - 1)
+        kind = rng.choice(CUT_KINDS)
+        cuts.append(Fault(round(at, 2), round(duration, 2), kind, target))
+    return sorted(cuts)
+
+
 REWRITE_SECONDS = 2.0
 """Time after a return in which instances write their rows again."""
 
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
@@ -18,10 +18,12 @@
 from ._guarantees import find_violations
 from ._history import Crash, History, LimitedRunner
 from ._plan import (
+    CUT_KINDS,
     Conditions,
     Fault,
     FaultKind,
     draw_conditions,
+    draw_cuts,
     draw_plan,
     draw_returns,
     reports_lost_at,
@@ -46,7 +48,8 @@
         drawn = f"crashing part {part or 'none'}, named limit {limit or 'none'}"
         drawn += f", crashing request {'drawn' if crashes_on_request else 'none'}"
         returns = sum(f.kind is FaultKind.STORE_RETURNS for f in self.plan)
-        drawn += f", returns of the store {returns}"
+        cuts = sum(f.kind in CUT_KINDS for f in self.plan)
+        drawn += f", returns of the store {returns}, cuts from runners {cuts}"
         return f"seed {self.seed}: {verdict}; {drawn}; {answers}"
 
 
@@ -90,7 +93,9 @@
         self._instances = instances
         self._hubs = hubs
         self._plan = sorted(
-            draw_plan(seed, seconds, faults=faults) + draw_returns(seed, seconds)
+            draw_plan(seed, seconds, faults=faults)
+            + draw_returns(seed, seconds)
+            + draw_cuts(seed, seconds, instances=instances)
         )
         self._conditions = draw_conditions(seed)
         self._rng = random.Random(f"keys/{seed}")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,10 +5,12 @@
 import pytest
 
 from guavajunction_fakes.soak import (
+    CUT_KINDS,
     Fault,
     FaultKind,
     Soak,
     draw_conditions,
+    draw_cuts,
     draw_plan,
     draw_returns,
     reports_lost_at,
@@ -37,13 +39,26 @@
 
     def test_all_conditions_are_drawn(self):
         drawn = {draw_conditions(seed) for seed in range(50)}
-        assert len(drawn) == 8
+        assert len(drawn) == 16
 
     def test_every_kind_is_drawn(self):
         drawn = {f.kind for seed in range(50) for f in draw_plan(seed, 8.0, faults=6)}
         returns = {f.kind for seed in range(50) for f in draw_returns(seed, 8.0)}
-        assert drawn | returns == set(FaultKind)
+        cuts = {f.kind for seed in range(50) for f in self.cuts(seed)}
+        assert drawn | returns | cuts == set(FaultKind)
         assert returns == {FaultKind.STORE_RETURNS}
+        assert cuts == set(CUT_KINDS)
+
+    def cuts(self, seed, instances=4):
+        return draw_cuts(seed, 8.0, instances=instances)
+
+    def test_cuts_end_in_time_and_leave_an_instance_with_paths(self):
+        for instances in (2, 3, 8):
+            plans = [self.cuts(seed, instances) for seed in range(50)]
+            drawn = [fault for plan in plans for fault in plan]
+            assert all(fault.ends_at <= 8.0 for fault in drawn)
+            assert all(0 < fault.target < 2**instances - 1 for fault in drawn)
+            assert {len(plan) for plan in plans} == {0, 1, 2, 3}
 
     def test_returns_end_in_time_and_come_in_series(self):
         plans = [draw_returns(seed, 8.0) for seed in range(50)]
