Backend servers that leave, or want quiet, are believed

Cause: Server-Leaving and the Retry-After of a 503 were passed on to callers like any header. Change: ServerStatements keeps both. A backend server that leaves gets nothing more from any instance until it restarts (heartbeats tell the others), one that named a time nothing from this instance before its end, orders and reports included. Requests that only it could serve wait or are refused at once with the time left. A request without attempts left no longer waits for servers that it may not be sent to.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -34,6 +34,7 @@
 from guavajunction.membership import Lease
 from guavajunction.namedlimits import NO_LIMIT, ServerLimits
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh
+from guavajunction.quarantine import BackendId
 from guavajunction.swapping import (
     LEASE_NAME,
     LeaderStatus,
@@ -192,6 +193,8 @@
 
     async def _acquire_send(self, backend: BackendRecord) -> bool:
         """Wait until an order or a report may be sent to a backend server."""
+        if not self._parts.registry.statements.may_send(backend.identity):
+            return False
         return await self._parts.limits.acquire(
             backend.identity, self.ORDER_PATIENCE_SECONDS
         )
@@ -244,6 +247,15 @@
             list[StatedLimit],
         )
         mesh.add_topic("cut", lambda: parts.paths.is_cut, parts.roster.on_cut, bool)
+        mesh.add_topic(
+            "leaving", self._leaving_backends, self._on_leaving, list[BackendId]
+        )
+        mesh.add_peer_topic(
+            "hub-leaving",
+            self._only_for_followers(lambda _: self._leaving_backends()),
+            self._only_from_hub(self._on_leaving),
+            list[BackendId],
+        )
         mesh.add_peer_topic("hub", relay.status_for, relay.on_hub_status, HubStatus)
         mesh.add_peer_topic(
             "hub-loads",
@@ -348,6 +360,18 @@
         self._parts.loads.update_peer(peer, loads)
         self._parts.queue.schedule_dispatch()
 
+    def _leaving_backends(self) -> list[BackendId]:
+        """Return the known backend servers that leave, to send them with heartbeats."""
+        registry = self._parts.registry
+        if not registry.statements.any_leaving:
+            return []
+        known = {record.identity for record in registry.records()}
+        return registry.statements.leaving_of(known)
+
+    def _on_leaving(self, _: PeerId, backends: list[BackendId]) -> None:
+        if backends and self._parts.registry.statements.note_leaving(backends):
+            self._parts.queue.schedule_dispatch()
+
     def _own_demand(self) -> dict[str, Demand]:
         now = self._parts.clock.monotonic()
         return self._parts.demand.own(self._parts.queue.waiting_by_model(), now)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -121,6 +121,11 @@
         """Times of arrived requests with the crashing part."""
         self.named_limit = ""
         """Limit that all answers name, in requests a second; empty for none."""
+        self.leaving = False
+        """Whether all answers say that the runner leaves."""
+        self.pause = ""
+        """Seconds for which it wants no request after it has turned one away, as it
+        writes them; empty if it turns none away."""
         self.arrived_at: list[float] = []
         """Times of all arrived requests, orders and reports, on the monotonic clock."""
         self.arrived_parts: list[str] = []
@@ -160,15 +165,17 @@
         ]
 
     def app(self) -> web.Application:
-        """Return the web application; all its answers name the limit."""
+        """Return the web application; all its answers have its statements."""
         app = super().app()
-        app.on_response_prepare.append(self._name_limit)
+        app.on_response_prepare.append(self._make_statements)
         app.middlewares.append(self._record_arrival)
         return app
 
-    async def _name_limit(self, _: web.Request, resp: web.StreamResponse) -> None:
+    async def _make_statements(self, _: web.Request, resp: web.StreamResponse) -> None:
         if self.named_limit:
             resp.headers[HEADERS.limit] = self.named_limit
+        if self.leaving:
+            resp.headers[HEADERS.leaving] = "1"
 
     @web.middleware
     async def _record_arrival(
@@ -371,6 +378,9 @@
             resident = self._models.get(model)
             if resident is None or (adapter and adapter not in resident):
                 return web.Response(status=421, headers={HEADERS.not_run: "1"})
+        if self.pause:
+            headers = {HEADERS.not_run: "1", HEADERS.retry_after: self.pause}
+            return web.Response(status=503, headers=headers)
         if self._running >= self.spec.slots:
             return web.Response(status=503, headers={HEADERS.not_run: "1"})
         return None
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
@@ -19,6 +19,8 @@
     target: str = names.TARGET
     not_run: str = names.NOT_RUN
     limit: str = names.SERVER_LIMIT
+    leaving: str = names.SERVER_LEAVING
+    retry_after: str = names.RETRY_AFTER
     priority: str = names.PRIORITY
     last_event: str = names.LAST_EVENT_ID
     resumes: str = names.RESUMES
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
@@ -8,6 +8,7 @@
 
 from guavajunction.bounded import drop_oldest
 from guavajunction.clock import Clock
+from guavajunction.statements import ServerStatements
 
 from . import _events as events
 from ._backend import BackendRecord
@@ -62,6 +63,8 @@
         self._expected_until: dict[str, float] = {}
         self._unreachable_until: dict[tuple[str, int], float] = {}
         self._versions_seen: defaultdict[str, set[str]] = defaultdict(set)
+        self.statements = ServerStatements(clock)
+        """What backend servers say of themselves."""
 
     def records(self) -> Iterable[BackendRecord]:
         """Return every known backend server."""
@@ -215,7 +218,23 @@
         )
 
     def reachable(self, service: str) -> list[BackendRecord]:
-        """Return the reachable backend servers of a service that are not draining."""
+        """Return the backend servers of a service that take requests now.
+
+        They are reachable, do not drain or leave, and want no pause.
+        """
+        return [
+            record
+            for record in self.responsive(service)
+            if self.statements.may_send(record.identity)
+        ]
+
+    def takes_requests(self, name: str) -> bool:
+        """Return whether a backend server takes requests now."""
+        record = self._records.get(name)
+        return record is not None and record in self.reachable(record.service)
+
+    def responsive(self, service: str) -> list[BackendRecord]:
+        """Return the reachable backend servers of a service, also those that pause."""
         return [r for r in self.of_service(service) if not self.is_unreachable(r)]
 
     def adapters(self, record: BackendRecord, model: str) -> frozenset[str]:
@@ -266,9 +285,11 @@
         )
 
     def of_service(self, service: str) -> list[BackendRecord]:
-        """Return the backend servers of a service that are not draining."""
+        """Return the backend servers of a service that neither drain nor leave."""
         return [
             record
             for record in self._records.values()
-            if record.service == service and not record.draining
+            if record.service == service
+            and not record.draining
+            and not self.statements.is_leaving(record.identity)
         ]
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -385,6 +385,7 @@
                 self._parts.limits.book.note_answer(
                     backend.identity, answer.head.named_limit, statement
                 )
+                self._note_statements(answer.head, backend)
                 self._check_head(answer.head, admitted, backend, attempt)
                 prompt_pending = False
                 if admitted.route.resumable:
@@ -411,6 +412,13 @@
         origin = StreamOrigin(admitted.service.name, backend.software_version)
         self._parts.streams.begin(admitted.req.request_id, origin)
 
+    def _note_statements(self, head: AnswerHead, backend: BackendRecord) -> None:
+        statements = self._parts.registry.statements
+        if head.leaving and statements.note_leaving([backend.identity]):
+            self._parts.queue.schedule_dispatch()
+        if head.pause is not None:
+            statements.note_pause(backend.identity, head.pause)
+
     def _check_head(
         self,
         head: AnswerHead,
@@ -508,6 +516,11 @@
             return False
         if len(sent) > admitted.route.max_attempts or now >= admitted.ends_at:
             return False
+        takes_requests = self._parts.registry.takes_requests
+        if len(set(sent)) >= admitted.route.max_attempts and not any(
+            map(takes_requests, sent)
+        ):
+            return False
         return self._parts.retries.take(
             admitted.service.name, now, instances=self.instances
         )
--- a/packages/guavajunction/src/guavajunction/gateway/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_protocols.py
@@ -29,6 +29,11 @@
     named_limit: str | None = None
     """Requests a second that the backend server takes from all instances together, as
     it wrote the number; None if it names no limit."""
+    leaving: bool = False
+    """Whether the backend server says that it leaves."""
+    pause: str | None = None
+    """Seconds for which the backend server wants no request of this instance, as it
+    wrote the number; None if it names no time."""
 
     @property
     def succeeded(self) -> bool:
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -319,7 +319,6 @@
         options = [
             (backend, self._loads.of(backend.name))
             for backend in self._ready_backends(queued)
-            if queued.only is None or backend.name in queued.only
         ]
         return [(b, load) for b, load in options if self._has_capacity(b, load, queued)]
 
@@ -339,13 +338,39 @@
         return best[0] if best else None
 
     def _reachable(self, queued: QueuedRequest) -> list[BackendRecord]:
-        """Return the reachable backend servers whose version may serve a request."""
+        """Return the backend servers that take requests and may serve this one."""
+        return self._of_version(queued, self._registry.reachable(queued.service.name))
+
+    def _responsive(self, queued: QueuedRequest) -> list[BackendRecord]:
+        """Return these backend servers and those that want a pause."""
+        return self._of_version(queued, self._registry.responsive(queued.service.name))
+
+    def _of_version(
+        self, queued: QueuedRequest, backends: list[BackendRecord]
+    ) -> list[BackendRecord]:
         return [
             backend
-            for backend in self._registry.reachable(queued.service.name)
+            for backend in backends
             if queued.software_version in (None, backend.software_version)
+            and (queued.only is None or backend.name in queued.only)
         ]
 
+    def _pause_left(self, queued: QueuedRequest) -> float | None:
+        """Return the shortest pause of the backend servers that could serve a request.
+
+        Returns:
+            Seconds; None if one takes requests now, or if none could serve it.
+        """
+        backends = self._responsive(queued)
+        size = queued.req.size
+        if size is not None and queued.service.engine is not None:
+            backends = [
+                b for b in backends if self._registry.holds_model(b, size.model)
+            ]
+        statements = self._registry.statements
+        pauses = [statements.pause_left(b.identity) for b in backends]
+        return min(pauses) or None if pauses else None
+
     def _ready_backends(self, queued: QueuedRequest) -> list[BackendRecord]:
         backends = self._reachable(queued)
         size = queued.req.size
@@ -367,7 +392,7 @@
         assert size is not None
         return any(
             self._registry.holds_model(backend, size.model)
-            for backend in self._reachable(queued)
+            for backend in self._responsive(queued)
         )
 
     def _estimate_wait(
@@ -379,8 +404,14 @@
                 float("inf"),
                 f"a backend server of version {queued.software_version!r}",
             )
+        pause = self._pause_left(queued)
+        if pause is not None:
+            return WaitEstimate(pause, "slots")
         if not self._reachable(queued):
-            return WaitEstimate(self.NO_BACKEND_SECONDS, "a backend server")
+            # A request that may be sent to no further server does not wait for others.
+            is_hopeless = queued.only is not None
+            seconds = float("inf") if is_hopeless else self.NO_BACKEND_SECONDS
+            return WaitEstimate(seconds, "a backend server")
         if size is None or engine is None:
             return self._estimate_slot_wait(queued, queued.service.name, ahead)
         if not self._model_ready(queued):
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/statements/__init__.py
@@ -0,0 +1,8 @@
+"""What backend servers say of themselves in their answers."""
+
+from __future__ import annotations
+
+from ._seconds import parse_seconds
+from ._server_statements import ServerStatements
+
+__all__ = ["ServerStatements", "parse_seconds"]
