Cut instances: crashes seen through tunnels are reported during the cut

Cause: crashes were held back while the paths are suspect or cut; but in a cut, what is lost was sent through a tunnel, so a request that crashes servers through cut instances would have been reported only after the cut.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tunnel_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tunnel_links.py
@@ -66,7 +66,7 @@
         self.watch.on_change = self._on_change
         self.watch.on_reached = parts.registry.note_reachable
         parts.connections.dialer = self._entrance
-        parts.quarantine.is_on_hold = lambda: paths.state is not PathState.OPEN
+        parts.quarantine.is_on_hold = lambda: paths.state is PathState.SUSPECT
         self.may_serve = lambda: True
         """Returns whether this instance may begin to serve others."""
 
--- a/packages/guavajunction/src/guavajunction/fleet/_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_roster.py
@@ -95,6 +95,8 @@
 
     def cut(self) -> frozenset[str]:
         """Return the names of the live instances that reach no backend server."""
+        if not self._cut and not self._cut_by_hub:
+            return frozenset()
         live = {known.peer.name for known in self._live_members()}
         return live & (self._cut | self._cut_by_hub)
 
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
@@ -222,11 +222,10 @@
 
         They are reachable, do not drain or leave, and want no pause.
         """
-        return [
-            record
-            for record in self.responsive(service)
-            if self.statements.may_send(record.identity)
-        ]
+        records = self.responsive(service)
+        if not self.statements.any_paused:
+            return records
+        return [r for r in records if not self.statements.pause_left(r.identity)]
 
     def takes_requests(self, name: str) -> bool:
         """Return whether a backend server takes requests now."""
@@ -286,10 +285,11 @@
 
     def of_service(self, service: str) -> list[BackendRecord]:
         """Return the backend servers of a service that neither drain nor leave."""
-        return [
+        records = [
             record
             for record in self._records.values()
-            if record.service == service
-            and not record.draining
-            and not self.statements.is_leaving(record.identity)
+            if record.service == service and not record.draining
         ]
+        if not self.statements.any_leaving:
+            return records
+        return [r for r in records if not self.statements.is_leaving(r.identity)]
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -361,13 +361,15 @@
         Returns:
             Seconds; None if one takes requests now, or if none could serve it.
         """
+        statements = self._registry.statements
+        if not statements.any_paused:
+            return None
         backends = self._responsive(queued)
         size = queued.req.size
         if size is not None and queued.service.engine is not None:
             backends = [
                 b for b in backends if self._registry.holds_model(b, size.model)
             ]
-        statements = self._registry.statements
         pauses = [statements.pause_left(b.identity) for b in backends]
         return min(pauses) or None if pauses else None
 
--- a/packages/guavajunction/src/guavajunction/statements/_server_statements.py
+++ b/packages/guavajunction/src/guavajunction/statements/_server_statements.py
@@ -71,6 +71,11 @@
         """Return whether a backend server leaves."""
         return backend in self._leaving
 
+    @property
+    def any_paused(self) -> bool:
+        """Return whether any backend server may want a pause."""
+        return bool(self._paused_until)
+
     @property
     def any_leaving(self) -> bool:
         """Return whether any backend server is known to leave."""
@@ -83,7 +88,13 @@
     def pause_left(self, backend: BackendId) -> float:
         """Return the seconds for which a backend server wants no request, or 0."""
         until = self._paused_until.get(backend)
-        return 0.0 if until is None else max(0.0, until - self._clock.monotonic())
+        if until is None:
+            return 0.0
+        left = until - self._clock.monotonic()
+        if left <= 0:
+            del self._paused_until[backend]
+            return 0.0
+        return left
 
     def may_send(self, backend: BackendId) -> bool:
         """Return whether a backend server takes requests of this instance."""
--- a/packages/guavajunction/src/guavajunction/tunnels/_tunnel_connector.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_tunnel_connector.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from contextlib import ExitStack
 from typing import Any, Protocol
 
 import aiohttp
@@ -64,10 +65,14 @@
             )
         try:
             async with asyncio.timeout(timeout.sock_connect):
-                sock = await self.dialer.dial(f"{req.url.host}:{req.url.port}")
-                transport, connection = await self._loop.create_connection(
-                    self._factory, sock=sock
-                )
+                with ExitStack() as stack:
+                    sock = await self.dialer.dial(f"{req.url.host}:{req.url.port}")
+                    stack.callback(sock.close)
+                    transport, connection = await self._loop.create_connection(
+                        self._factory, sock=sock
+                    )
+                    # The transport owns the socket from now on.
+                    stack.pop_all()
         except OSError as exc:
             raise client_error(req.connection_key, exc) from exc
         connection.force_close()
--- a/tests/gateway/test_cut_paths.py
+++ b/tests/gateway/test_cut_paths.py
@@ -39,7 +39,7 @@
 
     async def test_connections_lost_to_an_own_cut_are_no_crashes(self, fleet):
         fleet.reachable_addresses = set()
-        fleet.quarantine.is_on_hold = lambda: fleet.paths.state != "open"
+        fleet.quarantine.is_on_hold = lambda: fleet.paths.state == "suspect"
         fleet.watch.on_change = lambda _: fleet.quarantine.forget_since(3.0)
         fleet.caller.script = lost(2)
         with pytest.raises(OutcomeUnknown):
@@ -51,7 +51,7 @@
         assert fleet.quarantine.own() == Evidence()
 
     async def test_crashes_are_reported_although_the_paths_were_suspect(self, fleet):
-        fleet.quarantine.is_on_hold = lambda: fleet.paths.state != "open"
+        fleet.quarantine.is_on_hold = lambda: fleet.paths.state == "suspect"
         fleet.caller.script = lost(2)
         with pytest.raises(OutcomeUnknown):
             await fleet.serve("/look/1")
@@ -63,6 +63,7 @@
     async def test_crash_that_a_cut_instance_sees_through_a_tunnel_is_reported(
         self, fleet
     ):
+        fleet.quarantine.is_on_hold = lambda: fleet.paths.state == "suspect"
         fleet.paths.begin_probe()
         fleet.paths.end_probe(False)
         fleet.caller.script = lost(1)
