Soak: a reset passes the link proxy as a reset

Cause: the stand-in crashed and reset the stream; the proxy's abort ended its other side in order, which is how such a stream ends. Change: the proxy resets with SO_LINGER. TestResets failed before, passes now.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
@@ -7,6 +7,8 @@
 import socket
 from collections.abc import AsyncIterator
 
+from guavajunction.connections import NO_LINGER
+
 
 class LinkProxy:
     """Relays TCP connections to one target and injects network faults."""
@@ -133,7 +135,7 @@
                 self._host, self._port
             )
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         connection = _RelayedConnection(writer, target_writer)
         self._connections.add(connection)
@@ -171,6 +173,15 @@
                 writer.write_eof()
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; `abort` alone would end it in order."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    writer.transport.abort()
+
+
 def _new_socket() -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
@@ -191,7 +202,7 @@
     def reset(self) -> None:
         """Reset both connections."""
         for writer in self._writers:
-            writer.transport.abort()
+            _reset(writer)
 
     def close(self) -> None:
         """Close both connections."""
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -57,14 +57,16 @@
 def runs(deployment):
     """Return the times of the runs of the crashing request, in order."""
     return sorted(
-        at for runner in deployment.runners.values() for at in runner.crashing_arrivals
+        at for runner in deployment.runners.values() for at in runner.crashing_runs
     )
 
 
 def later_runs(deployment):
     """Return the number of runs that began after the instances could have known."""
     crashes = sorted(
-        at for runner in deployment.runners.values() for at in runner.crashed_at
+        at
+        for runner in deployment.runners.values()
+        for at in runner.crashed_on_request_at
     )
     limit_from = crashes[CRASHES_BEFORE_LIMIT - 1] + CONTACT_SECONDS
     return sum(at > limit_from for at in runs(deployment))
--- a/tests/soak/test_link_proxy.py
+++ b/tests/soak/test_link_proxy.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
+from guavajunction.connections import NO_LINGER
 from guavajunction_fakes.soak import LinkProxy
 
 
@@ -93,3 +95,27 @@
             began = loop.time()
             await exchange(connection)
             assert loop.time() - began >= 0.2
+
+
+class TestResets:
+    """A reset of the target reaches the caller as a reset, not as an orderly end."""
+
+    async def test_reset_of_the_target_is_a_reset_for_the_caller(self):
+        async def answer_and_reset(reader, writer):
+            await reader.read(10)
+            writer.write(b"begun")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(answer_and_reset, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        proxy = LinkProxy(f"127.0.0.1:{port}")
+        async with proxy.listen(), connect(proxy) as (reader, writer):
+            writer.write(b"hello")
+            assert await reader.read(5) == b"begun"
+            with pytest.raises(ConnectionResetError):
+                await asyncio.wait_for(reader.read(), 1.0)
+        server.close()
