Read again: descriptions of the quarantine's events, choice of probed servers

The descriptions named parts only. choose_probed had a parameter that no caller used, and PathWatch a method that nobody called. Behaviour is the same.

--- a/packages/guavajunction/src/guavajunction/quarantine/_events.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_events.py
@@ -1,4 +1,4 @@
-"""Log events of the quarantine of prompt parts, 1400 to 1499."""
+"""Log events of the quarantine of requests and prompt parts, 1400 to 1499."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 CRASH_REPORTED = LogEvent(
     1400,
     "quarantine:crash_reported",
-    "A backend server ended; the parts of the prompts that it had just begun.",
+    "A backend server ended; the requests and prompt parts that it had just begun.",
 )
 CRASH_RETRACTED = LogEvent(
     1401,
@@ -15,18 +15,20 @@
     "A backend server that had been reported as crashed answers.",
 )
 BLAMED = LogEvent(
-    1402, "quarantine:blamed", "Parts of a prompt are blamed for several crashes."
+    1402,
+    "quarantine:blamed",
+    "A request or parts of a prompt are blamed for several crashes.",
 )
 CLEARED = LogEvent(
-    1403, "quarantine:cleared", "Parts of a prompt are no longer blamed."
+    1403, "quarantine:cleared", "A request or parts of a prompt are no longer blamed."
 )
 PART_SOUND = LogEvent(
     1404,
     "quarantine:part_sound",
-    "A part that was present in several crashes was answered.",
+    "A request or part that was present in several crashes was answered.",
 )
 TRIAL = LogEvent(
     1405,
     "quarantine:trial",
-    "The one attempt with a blamed part was claimed by this instance, or by another.",
+    "The one attempt of what is blamed was claimed by this instance, or by another.",
 )
--- a/packages/guavajunction/src/guavajunction/tunnels/_path_watch.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_path_watch.py
@@ -99,11 +99,6 @@
         if self._probe is not None:
             await asyncio.wait([self._probe])
 
-    def close(self) -> None:
-        """Cancel the running probe."""
-        if self._probe is not None:
-            self._probe.cancel()
-
     def _candidates(self) -> list[BackendRecord]:
         return list(self._records())
 
--- a/packages/guavajunction/src/guavajunction/tunnels/_server_paths.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_server_paths.py
@@ -11,7 +11,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+from collections import Counter
+from collections.abc import Sequence
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -166,27 +167,21 @@
             del failures[next(iter(failures))]
 
 
-def choose_probed(
-    targets: Sequence[ProbeTarget], failed: Collection[str] = ()
-) -> list[ProbeTarget]:
+def choose_probed(targets: Sequence[ProbeTarget]) -> list[ProbeTarget]:
     """Return the backend servers to try, of as many services as possible.
 
     Args:
         targets: All backend servers, in random order.
-        failed: Names of those whose connections failed; others come first.
 
     >>> choose_probed([ProbeTarget("a", "1"), ProbeTarget("a", "2"),
-    ...                ProbeTarget("b", "3"), ProbeTarget("a", "4")], ["1"])
-    [ProbeTarget(service='a', name='2'), ProbeTarget(service='b', name='3'), \
-ProbeTarget(service='a', name='4')]
+    ...                ProbeTarget("b", "3"), ProbeTarget("a", "4")])
+    [ProbeTarget(service='a', name='1'), ProbeTarget(service='b', name='3'), \
+ProbeTarget(service='a', name='2')]
     """
-    ranked: list[tuple[int, bool, int]] = []
-    seen: dict[str, int] = {}
-    order = sorted(range(len(targets)), key=lambda n: targets[n].name in failed)
-    for position in order:
-        target = targets[position]
-        rank = seen.get(target.service, 0)
-        seen[target.service] = rank + 1
-        ranked.append((rank, target.name in failed, position))
-    chosen = sorted(ranked)[: ServerPaths.MAX_PROBED]
-    return [targets[position] for _, _, position in chosen]
+    of_service: Counter[str] = Counter()
+    ranks: list[int] = []
+    for target in targets:
+        ranks.append(of_service[target.service])
+        of_service[target.service] += 1
+    order = sorted(range(len(targets)), key=ranks.__getitem__)
+    return [targets[number] for number in order[: ServerPaths.MAX_PROBED]]
