One function resets a connection, and failures use the bounded mapping

SO_LINGER before abort stood three times (unframed responses, tunnels, the soak's link proxy); connections.reset serves all. ServerPaths had its own loop for drop_oldest.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import AsyncIterator
 
-from guavajunction.connections import NO_LINGER
+from guavajunction.connections import reset
 
 
 class LinkProxy:
@@ -135,7 +135,7 @@
                 self._host, self._port
             )
         except OSError:
-            _reset(writer)
+            reset(writer.transport)
             return
         connection = _RelayedConnection(writer, target_writer)
         self._connections.add(connection)
@@ -173,15 +173,6 @@
                 writer.write_eof()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Reset a connection; `abort` alone would end it in order."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
-        with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    writer.transport.abort()
-
-
 def _new_socket() -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
@@ -202,7 +193,7 @@
     def reset(self) -> None:
         """Reset both connections."""
         for writer in self._writers:
-            _reset(writer)
+            reset(writer.transport)
 
     def close(self) -> None:
         """Close both connections."""
--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ._read_body import BodyTooLarge, read_body
-from ._sockets import NO_LINGER, open_socket, set_timers
+from ._sockets import NO_LINGER, open_socket, reset, set_timers
 from ._strict_connection import StrictConnection
 from ._strict_connector import StrictConnector
 from ._unframed_response import UnframedResponse
@@ -16,5 +16,6 @@
     "UnframedResponse",
     "open_socket",
     "read_body",
+    "reset",
     "set_timers",
 ]
--- a/packages/guavajunction/src/guavajunction/connections/_sockets.py
+++ b/packages/guavajunction/src/guavajunction/connections/_sockets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import socket
 import struct
 
@@ -40,3 +42,15 @@
     )
     for level, option, value in options:
         sock.setsockopt(level, option, value)
+
+
+def reset(transport: asyncio.WriteTransport) -> None:
+    """Reset a connection, which marks what it carried as incomplete.
+
+    `transport.abort` alone would close the connection in order.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
--- a/packages/guavajunction/src/guavajunction/connections/_unframed_response.py
+++ b/packages/guavajunction/src/guavajunction/connections/_unframed_response.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import socket
 from typing import Any
 
 from aiohttp import web
 
-from ._sockets import NO_LINGER
+from ._sockets import reset
 
 
 class UnframedResponse(web.StreamResponse):
@@ -24,13 +23,6 @@
         self.force_close()
 
     def reset(self, req: web.BaseRequest) -> None:
-        """Reset the connection, which marks the body as incomplete.
-
-        `transport.abort` alone would close the connection in order.
-        """
-        if req.transport is None:
-            return
-        sock = req.transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-        req.transport.abort()
+        """Reset the connection, which marks the body as incomplete."""
+        if req.transport is not None:
+            reset(req.transport)
--- a/packages/guavajunction/src/guavajunction/tunnels/_server_paths.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_server_paths.py
@@ -16,6 +16,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from guavajunction.bounded import drop_oldest
 from guavajunction.clock import Clock
 from guavajunction.quarantine import BackendId
 
@@ -163,8 +164,7 @@
     def _note(self, failures: dict[BackendId, float], backend: BackendId) -> None:
         failures.pop(backend, None)
         failures[backend] = self._clock.monotonic()
-        while len(failures) > self.MAX_FAILURES:
-            del failures[next(iter(failures))]
+        drop_oldest(failures, self.MAX_FAILURES)
 
 
 def choose_probed(targets: Sequence[ProbeTarget]) -> list[ProbeTarget]:
--- a/packages/guavajunction/src/guavajunction/tunnels/_tunnel_listener.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_tunnel_listener.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import AsyncIterator, Callable
 
-from guavajunction.connections import NO_LINGER, set_timers
+from guavajunction.connections import reset, set_timers
 
 from . import _events as events
 from ._handshake import (
@@ -145,13 +144,13 @@
             await asyncio.wait({up, down}, return_when=asyncio.FIRST_COMPLETED)
             # The entrance never ends its half alone, so its end cancels the request.
             if not (down.done() and down.result()):
-                _reset(downstream[1])
+                reset(downstream[1].transport)
         finally:
             self.open -= 1
             for task in (up, down):
                 task.cancel()
             await asyncio.gather(up, down, return_exceptions=True)
-            _reset(upstream[1])
+            reset(upstream[1].transport)
 
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -165,12 +164,3 @@
             # uvloop raises `RuntimeError` for a write to a connection that was reset.
             return False
         return True
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Reset a connection, which marks what it carried as incomplete."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
-        with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    writer.transport.abort()
