--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterator
+from typing import NamedTuple
 
 from guavajunction_fakes.deployment import HEADERS, Run
 
@@ -173,33 +174,55 @@
 def _check_crashing_part(history: History) -> Iterator[str]:
     """Check that engines stop crashing on one part of a prompt."""
     crashes = _since_loss(history, history.crashes)
-    if len(crashes) < MAX_CRASHES:
-        return
-    fifth = crashes[MAX_CRASHES - 1]
-    deadline = _change_deadline(Change(fifth.at, "crash", fifth.runner), history)
-    later = [at for at in history.crashing_arrivals if at > deadline]
-    if len(later) > MAX_LATER_ARRIVALS:
+    found = _after_crash(history, crashes, MAX_CRASHES, history.crashing_arrivals)
+    if found is not None and found.later > MAX_LATER_ARRIVALS:
         yield (
-            f"{len(later)} requests with the crashing part reached runners after"
-            f" {deadline - fifth.at:.1f} s from the fifth of {len(crashes)} crashes"
+            f"{found.later} requests with the crashing part reached runners after"
+            f" {found.seconds:.1f} s from the fifth of {len(crashes)} crashes"
         )
 
 
 def _check_crashing_request(history: History) -> Iterator[str]:
     """Check that runners stop crashing on one request."""
     crashes = _since_loss(history, history.request_crashes)
-    if len(crashes) < MAX_REQUEST_CRASHES:
-        return
-    third = crashes[MAX_REQUEST_CRASHES - 1]
-    deadline = _change_deadline(Change(third.at, "crash", third.runner), history)
-    later = [at for at in history.crashing_runs if at > deadline]
-    if len(later) > MAX_LATER_RUNS:
+    found = _after_crash(history, crashes, MAX_REQUEST_CRASHES, history.crashing_runs)
+    if found is not None and found.later > MAX_LATER_RUNS:
         yield (
-            f"the crashing request reached runners {len(later)} times after"
-            f" {deadline - third.at:.1f} s from the third of {len(crashes)} crashes"
+            f"the crashing request reached runners {found.later} times after"
+            f" {found.seconds:.1f} s from the third of {len(crashes)} crashes"
         )
 
 
+class _AfterCrash(NamedTuple):
+    """What reached runners once a crash must have taken effect."""
+
+    later: int
+    """Number of requests."""
+    seconds: float
+    """Time from the crash until it must have taken effect."""
+
+
+def _after_crash(
+    history: History, crashes: list[Crash], number: int, times: tuple[float, ...]
+) -> _AfterCrash | None:
+    """Count the requests after a crash must have taken effect.
+
+    Args:
+        history: Record of the soak.
+        crashes: Crashes in order.
+        number: Number of the crash, counted from 1.
+        times: When requests reached runners.
+
+    Returns:
+        None if there were fewer crashes.
+    """
+    if len(crashes) < number:
+        return None
+    crash = crashes[number - 1]
+    deadline = _change_deadline(Change(crash.at, "crash", crash.runner), history)
+    return _AfterCrash(sum(at > deadline for at in times), deadline - crash.at)
+
+
 def _since_loss(history: History, crashes: tuple[Crash, ...]) -> list[Crash]:
     """Return the crashes since the fleet could last have lost its reports of them."""
     return sorted(c for c in crashes if c.at > history.reports_lost_at)
