--- a/packages/guavajunction/src/guavajunction/namedlimits/__init__.py
+++ b/packages/guavajunction/src/guavajunction/namedlimits/__init__.py
@@ -5,7 +5,7 @@
 from ._limit_book import LimitBook
 from ._permits import PermitDesk
 from ._server_limits import ServerLimits
-from ._statement import NO_LIMIT, LimitStatement, parse_limit
+from ._statement import NO_LIMIT, LimitStatement
 
 __all__ = [
     "NO_LIMIT",
@@ -13,5 +13,4 @@
     "LimitStatement",
     "PermitDesk",
     "ServerLimits",
-    "parse_limit",
 ]
--- a/packages/guavajunction/src/guavajunction/namedlimits/_limit_book.py
+++ b/packages/guavajunction/src/guavajunction/namedlimits/_limit_book.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable, Mapping
 
 from guavajunction.bounded import drop_oldest
+from guavajunction.decimals import parse_decimal
 from guavajunction.quarantine import BackendId
 
 from . import _events as events
-from ._statement import NO_LIMIT, LimitStatement, parse_limit
+from ._statement import NO_LIMIT, LimitStatement
 
 
 class LimitBook:
@@ -53,7 +54,7 @@
         """
         rate = None
         if text is not None:
-            rate = parse_limit(text)
+            rate = parse_decimal(text)
             if rate is None:
                 self._note_unreadable(backend, text)
                 return
--- a/packages/guavajunction/src/guavajunction/statements/__init__.py
+++ b/packages/guavajunction/src/guavajunction/statements/__init__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from ._seconds import parse_seconds
 from ._server_statements import ServerStatements
 
-__all__ = ["ServerStatements", "parse_seconds"]
+__all__ = ["ServerStatements"]
--- a/packages/guavajunction/src/guavajunction/statements/_server_statements.py
+++ b/packages/guavajunction/src/guavajunction/statements/_server_statements.py
@@ -6,10 +6,10 @@
 
 from guavajunction.bounded import drop_oldest
 from guavajunction.clock import Clock
+from guavajunction.decimals import parse_decimal
 from guavajunction.quarantine import BackendId
 
 from . import _events as events
-from ._seconds import parse_seconds
 
 
 class ServerStatements:
@@ -52,7 +52,7 @@
             backend: The backend server.
             text: The time in seconds, as it wrote the number.
         """
-        seconds = parse_seconds(text)
+        seconds = parse_decimal(text)
         if seconds is None:
             events.UNREADABLE.log(
                 backend=backend.name, time=text[: self.MAX_LOGGED_CHARACTERS]
