--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 check: install
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
+	$(PYTHON) tools/check_lock.py
 
 format: install
 	$(VENV)/bin/ruff format .
