A response names its request, and no connection carries a request twice

Cause: a faulty backend server writes a refusal ("not run") once more on the connection that it kept. A refused request that had no other server to go to was sent to the same one again, often on that connection, and the copy was taken for the refusal of the second send, which ran. The id in the response cannot tell the two apart. Second cause, same class: a response to another request was noticed after its body had ended, when aiohttp had given the connection back to the pool already; closing it then did nothing, and the next request could get the late response to the one before. Third: answers to orders and reports name nothing, so that the copy of a report would have been taken for "the order holds". Ruled out: the id of the attempt as a distinction (the same for both sends); closing each connection after a refusal (a new connection for each, and they are priced: the connections matter only to the request that is sent again). Change: StrictConnector takes the name of the header by which responses name their requests. StrictConnection checks it as the head arrives and closes the connection before it can be used again; idle connections that have carried a request are closed before it is sent once more; a connection ends after 256 requests, as it remembers them. Orders and reports use a connection each. Units in tests/connections and test_backend_client.py.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/__init__.py
@@ -4,7 +4,7 @@
 
 from ._local_deployment import LinkProvider, LocalDeployment
 from ._operator import Operator
-from ._runner import CrashingRequest, FakeRunner, Run, RunnerSpec
+from ._runner import CrashingRequest, FakeRunner, RefusalRepeat, Run, RunnerSpec
 from ._store import FakeStore
 from ._wire import HEADERS, HOST, Headers, OrderBody
 
@@ -19,6 +19,7 @@
     "LocalDeployment",
     "Operator",
     "OrderBody",
+    "RefusalRepeat",
     "Run",
     "RunnerSpec",
 ]
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
+from enum import StrEnum
 from typing import NamedTuple
 
 from aiohttp import web
@@ -63,6 +65,15 @@
     """Version of the runner's software."""
 
 
+class RefusalRepeat(StrEnum):
+    """When a faulty runner writes a refusal again on the connection that it kept."""
+
+    NEVER = "never"
+    AT_ONCE = "at once"
+    LATER = "later"
+    BEFORE_NEXT = "before the response to the next request"
+
+
 class CrashingRequest(NamedTuple):
     """A request that crashes each runner that begins to run it."""
 
@@ -82,6 +93,8 @@
     CANCEL_ON_DISCONNECT = True
     CRASH_DELAY_SECONDS = 0.05
     """Time from the beginning of an answer until the runner crashes on it."""
+    REPEAT_SECONDS = 0.06
+    """Longest time after which a refusal is written again."""
     DOWN_SECONDS = 0.4
     """Time from a crash until the runner accepts connections again."""
 
@@ -126,6 +139,10 @@
         self.pause = ""
         """Seconds for which it wants no request after it has turned one away, as it
         writes them; empty if it turns none away."""
+        self.refused_fraction = 0.0
+        """Fraction of the requests that it turns away at random."""
+        self.repeats_refusals = RefusalRepeat.NEVER
+        """When the runner writes each refusal a second time."""
         self.arrived_at: list[float] = []
         """Times of all arrived requests, orders and reports, on the monotonic clock."""
         self.arrived_parts: list[str] = []
@@ -140,6 +157,7 @@
         self._busy = False
         self._running = 0
         self._open: list[web.Request] = []
+        self._copies: dict[asyncio.Transport, bytes] = {}
         self._heartbeat = 0
         self._registered = False
         self._draining = False
@@ -187,6 +205,9 @@
         self, req: web.Request, handler: Handler
     ) -> web.StreamResponse:
         self.arrived_at.append(time.monotonic())
+        copy = self._copies.pop(req.transport, None) if req.transport else None
+        if copy is not None:
+            _write(req.transport, copy)
         return await handler(req)
 
     def register(self, url: str) -> None:
@@ -335,6 +356,7 @@
         rejection = self._rejection(req)
         if rejection is not None:
             rejection.headers[HEADERS.request_id] = req.headers[HEADERS.request_id]
+            self._repeat_later(req, rejection)
             return rejection
         request_id = req.headers[HEADERS.request_id]
         run = Run(
@@ -386,10 +408,26 @@
         if self.pause:
             headers = {HEADERS.not_run: "1", HEADERS.retry_after: self.pause}
             return web.Response(status=503, headers=headers)
-        if self._running >= self.spec.slots:
+        is_full = self._running >= self.spec.slots
+        if is_full or random.random() < self.refused_fraction:
             return web.Response(status=503, headers={HEADERS.not_run: "1"})
         return None
 
+    def _repeat_later(self, req: web.Request, refusal: web.Response) -> None:
+        """Write a refusal a second time on its connection, as a faulty runner would."""
+        transport = req.transport
+        if self.repeats_refusals is RefusalRepeat.NEVER or transport is None:
+            return
+        head = [f"HTTP/1.1 {refusal.status} {refusal.reason}"]
+        head += [f"{name}: {value}" for name, value in refusal.headers.items()]
+        copy = "\r\n".join([*head, "Content-Length: 0", "", ""]).encode()
+        if self.repeats_refusals is RefusalRepeat.BEFORE_NEXT:
+            self._copies[transport] = copy
+            return
+        is_later = self.repeats_refusals is RefusalRepeat.LATER
+        delay = random.uniform(0.0, self.REPEAT_SECONDS) if is_later else 0.0
+        asyncio.get_running_loop().call_later(delay, _write, transport, copy)
+
     async def _respond_at_once(self, _: web.Request, request_id: str) -> web.Response:
         headers = {HEADERS.request_id: request_id, HEADERS.seal: "sealed"}
         status = self.error_status or 200
@@ -429,3 +467,8 @@
             await asyncio.sleep(self.spec.work_seconds)
         await resp.write_eof()
         return resp
+
+
+def _write(transport: asyncio.Transport, data: bytes) -> None:
+    if not transport.is_closing():
+        transport.write(data)
--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -4,7 +4,7 @@
 
 from ._read_body import BodyTooLarge, read_body
 from ._sockets import NO_LINGER, open_socket, reset, set_timers
-from ._strict_connection import StrictConnection
+from ._strict_connection import StrictConnection, WrongResponse
 from ._strict_connector import StrictConnector
 from ._unframed_response import UnframedResponse
 
@@ -14,6 +14,7 @@
     "StrictConnection",
     "StrictConnector",
     "UnframedResponse",
+    "WrongResponse",
     "open_socket",
     "read_body",
     "reset",
--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -11,6 +11,10 @@
 SWITCHING_PROTOCOLS = 101
 
 
+class WrongResponse(ClientPayloadError):
+    """A response belongs to another request, or names none."""
+
+
 class StrictConnection(ResponseHandler):
     """Protocol of one HTTP client connection.
 
@@ -19,7 +23,8 @@
 
     A faulty server may send interim heads, chunk sizes or chunk extensions without end.
     aiohttp reads them until the request times out. Here their size is limited in
-    relation to the body. Bytes after the end of a response close the connection.
+    relation to the body. Bytes after the end of a response close the connection, and so
+    does a response that does not name its request, before the connection is used again.
     """
 
     MAX_FRAMING_BYTES = 262_144
@@ -27,12 +32,43 @@
     MAX_FRAMING_RATIO = 16
     """Further bytes of framing that are accepted for each byte of the body. Chunks of
     one byte need 6."""
+    MAX_CARRIED = 256
+    """Number of requests after which a connection is closed, as it remembers them."""
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
+    def __init__(self, *args: Any, id_header: str = "", **kwargs: Any) -> None:
+        """Create the protocol of a connection that is not open yet.
+
+        Args:
+            args: Arguments of aiohttp's protocol.
+            id_header: Header by which a response names its request.
+            kwargs: Arguments of aiohttp's protocol.
+        """
         super().__init__(*args, **kwargs)
+        self._id_header = id_header
+        self._expected_id: str | None = None
+        self._carried: set[str] = set()
         self._received_bytes = 0
         self._body: Any = None
 
+    @property
+    def should_close(self) -> bool:
+        """Return whether the connection must not be used again."""
+        return len(self._carried) >= self.MAX_CARRIED or super().should_close
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request was sent here, whose response may be copied."""
+        return request_id in self._carried
+
+    def expect(self, request_id: str | None) -> None:
+        """Record the request that is about to be sent.
+
+        Args:
+            request_id: Id that the response must repeat; None if it need not.
+        """
+        self._expected_id = request_id
+        if request_id is not None:
+            self._carried.add(request_id)
+
     def set_response_params(self, **kwargs: Any) -> None:
         """Prepare for the response to the next request."""
         self._received_bytes = 0
@@ -44,6 +80,10 @@
         message, body = data
         is_interim = message.code < 200 and message.code != SWITCHING_PROTOCOLS
         if not is_interim and self._body is None:
+            named_id = message.headers.get(self._id_header)
+            if self._expected_id is not None and named_id != self._expected_id:
+                self._fail(WrongResponse(f"the response is to request {named_id!r}"))
+                return
             self._body = body
         super().feed_data(data, size)
 
@@ -51,14 +91,20 @@
         """Take bytes from the transport; fail if they belong to no response."""
         # aiohttp passes no bytes when it resumes reading.
         if data and self._body is not None and self._body.is_eof():
-            self._fail("the server sent bytes after the end of its response")
+            self._fail(
+                ClientPayloadError(
+                    "the server sent bytes after the end of its response"
+                )
+            )
             return
         super().data_received(data)
         self._received_bytes += len(data)
         body_bytes = self._body.total_bytes if self._body is not None else 0
         limit = self.MAX_FRAMING_BYTES + self.MAX_FRAMING_RATIO * body_bytes
         if self._received_bytes - body_bytes > limit:
-            self._fail(f"the response has over {limit} bytes of framing")
+            self._fail(
+                ClientPayloadError(f"the response has over {limit} bytes of framing")
+            )
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body that the loss of the connection left incomplete."""
@@ -66,8 +112,7 @@
             self._fail_body(ClientPayloadError(f"the connection was lost: {exc}"))
         super().connection_lost(exc)
 
-    def _fail(self, reason: str) -> None:
-        error = ClientPayloadError(reason)
+    def _fail(self, error: ClientPayloadError) -> None:
         self._fail_body(error)
         self.set_exception(error)
         if self.transport is not None:
--- a/packages/guavajunction/src/guavajunction/connections/_strict_connector.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connector.py
@@ -6,14 +6,45 @@
 from typing import Any
 
 import aiohttp
+from aiohttp.connector import Connection
 
 from ._strict_connection import StrictConnection
 
 
 class StrictConnector(aiohttp.TCPConnector):
-    """Opens the connections of an `aiohttp.ClientSession`."""
+    """Opens the connections of an `aiohttp.ClientSession`.
 
-    def __init__(self, **kwargs: Any) -> None:
+    A faulty server may write a response a second time, also after the next request has
+    arrived. If responses name their requests, each connection carries one request at
+    most once, so that the copy of an earlier response can't pass for the response to
+    the same request.
+    """
+
+    def __init__(self, *, id_header: str | None = None, **kwargs: Any) -> None:
+        """Create an empty pool.
+
+        Args:
+            id_header: Header of a request that its response must repeat; None if
+                responses do not name their requests.
+            kwargs: Arguments of `aiohttp.TCPConnector`.
+        """
         super().__init__(**kwargs)
+        self._id_header = id_header
         # aiohttp has no public way to choose the type of a connection's protocol.
-        self._factory = partial(StrictConnection, loop=self._loop)
+        self._factory = partial(
+            StrictConnection, loop=self._loop, id_header=id_header or ""
+        )
+
+    async def connect(
+        self, req: aiohttp.ClientRequest, *args: Any, **kwargs: Any
+    ) -> Connection:
+        """Return a connection that has not carried the request."""
+        request_id = req.headers.get(self._id_header) if self._id_header else None
+        if request_id is not None:
+            for connection, _ in self._conns.get(req.connection_key, ()):
+                if connection.has_carried(request_id):
+                    connection.close()
+        connection = await super().connect(req, *args, **kwargs)
+        assert isinstance(connection.protocol, StrictConnection)
+        connection.protocol.expect(request_id)
+        return connection
--- a/tests/connections/test_reused_connections.py
+++ b/tests/connections/test_reused_connections.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import aiohttp
 import pytest
 from aiohttp import web
 
-from guavajunction.connections import StrictConnector
+from guavajunction.connections import (
+    StrictConnection,
+    StrictConnector,
+    WrongResponse,
+)
+from raw_server import raw_server
+
+ID_HEADER = "X-Id"
 
 
 @pytest.fixture
@@ -18,7 +27,8 @@
         peers.append(req.transport.get_extra_info("peername"))
         body = b"x" * int(req.query.get("size", 4))
         if "chunks" not in req.query:
-            return web.Response(body=body)
+            headers = {ID_HEADER: req.headers.get(ID_HEADER, "")}
+            return web.Response(body=body, headers=headers)
         resp = web.StreamResponse()
         resp.enable_chunked_encoding()
         await resp.prepare(req)
@@ -49,3 +59,57 @@
                 async with session.get(url + query) as resp:
                     await resp.read()
         assert len(set(peers)) == 1
+
+
+def open_session():
+    return aiohttp.ClientSession(connector=StrictConnector(id_header=ID_HEADER))
+
+
+async def get(session, server, request_id):
+    async with session.get(server.url, headers={ID_HEADER: request_id}) as resp:
+        return await resp.read()
+
+
+class TestNamedResponses:
+    """A response must name its request, and no connection carries a request twice."""
+
+    async def test_response_to_another_request_closes_its_connection(self):
+        waiting = []
+
+        async def respond(writer, head):
+            # Each request gets the response to the one before it.
+            waiting.append(head.partition(f"{ID_HEADER}: ")[2].partition("\r\n")[0])
+            body = waiting[max(0, len(waiting) - 2)]
+            writer.write(
+                f"HTTP/1.1 200 OK\r\n{ID_HEADER}: {body}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+            )
+
+        async with raw_server(respond) as server, open_session() as session:
+            assert await get(session, server, "a") == b"a"
+            with pytest.raises(WrongResponse):
+                await get(session, server, "b")
+            await asyncio.wait_for(server.ended.wait(), 1.0)
+
+    async def test_request_that_is_sent_again_gets_another_connection(self, server):
+        url, peers = server
+        async with open_session() as session:
+            for request_id in ("a", "b", "a", "b"):
+                async with session.get(url, headers={ID_HEADER: request_id}) as resp:
+                    await resp.read()
+        assert peers[0] == peers[1]
+        assert peers[2] == peers[3]
+        assert peers[1] != peers[2]
+
+    async def test_connection_that_remembers_too_many_requests_is_closed(
+        self, server, monkeypatch
+    ):
+        monkeypatch.setattr(StrictConnection, "MAX_CARRIED", 3)
+        url, peers = server
+        async with open_session() as session:
+            for number in range(6):
+                headers = {ID_HEADER: str(number)}
+                async with session.get(url, headers=headers) as resp:
+                    await resp.read()
+        assert len(set(peers[:3])) == len(set(peers[3:])) == 1
+        assert peers[2] != peers[3]
--- a/tests/platform/test_backend_client.py
+++ b/tests/platform/test_backend_client.py
@@ -11,9 +11,16 @@
 
 from fakes_gateway import backend, request
 from guavajunction.errors import AnswerCut, NotSent, OutcomeUnknown
+from guavajunction.swapping import Order, OrderKind, OrderOutcome
 from guavajunction_platform import _names as names
 from guavajunction_platform._backend_client import BackendClient
-from guavajunction_platform._deployment import _open_session
+from guavajunction_platform._deployment import (
+    _open_session,
+    new_tunnel_connector,
+    open_order_session,
+)
+from guavajunction_platform._order_client import OrderClient
+from raw_server import raw_server
 
 OK = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n"
 RESET = struct.pack("ii", 1, 0)
@@ -99,7 +106,7 @@
     async def test_closed_keepalive_connection_causes_no_second_send(self, method):
         async with (
             serving(complete_response(), close, complete_response()) as (seen, port),
-            _open_session() as http,
+            _open_session(new_tunnel_connector()) as http,
         ):
             assert await send(http, port, method=method) == b"done"
             with pytest.raises(OutcomeUnknown):
@@ -109,7 +116,7 @@
     async def test_answer_to_another_request_is_outcome_unknown(self):
         async with (
             serving(response_to_another_request) as (_, port),
-            _open_session() as http,
+            _open_session(new_tunnel_connector()) as http,
         ):
             with pytest.raises(OutcomeUnknown):
                 await send(http, port)
@@ -117,14 +124,14 @@
     async def test_body_without_a_length_ends_with_its_connection(self):
         async with (
             serving(unframed_response(reset=False)) as (_, port),
-            _open_session() as http,
+            _open_session(new_tunnel_connector()) as http,
         ):
             assert await send(http, port) == b"part"
 
     async def test_body_without_a_length_that_is_reset_is_cut(self):
         async with (
             serving(unframed_response(reset=True)) as (_, port),
-            _open_session() as http,
+            _open_session(new_tunnel_connector()) as http,
         ):
             with pytest.raises(AnswerCut):
                 await send(http, port)
@@ -133,6 +140,28 @@
         with socket.socket() as sock:
             sock.bind(("127.0.0.1", 0))
             port = sock.getsockname()[1]
-        async with _open_session() as http:
+        async with _open_session(new_tunnel_connector()) as http:
             with pytest.raises(NotSent):
                 await send(http, port)
+
+
+class TestOrders:
+    """The copy of an earlier answer does not pass for the answer to an order."""
+
+    async def test_order_after_a_report_that_is_answered_twice(self):
+        async def respond(writer, head):
+            if head.startswith("POST"):
+                writer.write(b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n")
+                return
+            body = b'{"sequence": 1, "busy": false, "models": []}'
+            text = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            answer = text.encode() + body
+            writer.write(answer)
+            asyncio.get_running_loop().call_later(0.001, writer.write, answer)
+
+        async with raw_server(respond) as server, open_order_session() as session:
+            client = OrderClient(session)
+            record = backend("b1", "engines", address=server.address)
+            await client.report(record)
+            order = Order(OrderKind.UNLOAD, "m1", "", "front-1", 1, 1)
+            assert await client.send(record, order) is OrderOutcome.CONFLICT
