Own stack: the refusal of another request is not believed

Cause: an engine's status was looked at before the request that the response names, so a 503 of another request, written twice on a kept connection, refused this one as "not run" while the engine ran it. Change: the connections to engines check the named request, which the engine may leave out; `engine_session` opens them, and no connection carries a request twice. Ruled out: plain services of this stack; they get one connection for each request. Test: test_relay.py::test_refusal_of_another_request_is_not_believed failed before.

--- a/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
@@ -42,6 +42,7 @@
     RetryBudget,
     Selector,
     ServiceRouter,
+    engine_session,
     least_loaded_selector,
     random_selector,
     single_send_session,
@@ -255,8 +256,10 @@
         return AffinitySelector(self.inventory, self.load_tracker, self._rng)
 
     def _build_routers(self, budget: RetryBudget) -> None:
+        engines = engine_session(limit=MAX_ENGINE_CONNECTIONS)
+        self._stack.push_async_callback(engines.close)
         self.inference = InferenceRouter(
-            self._open_session(limit=MAX_ENGINE_CONNECTIONS),
+            engines,
             self.dispatcher,
             self.inventory,
             budget,
--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -35,16 +35,20 @@
     MAX_CARRIED = 256
     """Number of requests after which a connection is closed, as it remembers them."""
 
-    def __init__(self, *args: Any, id_header: str = "", **kwargs: Any) -> None:
+    def __init__(
+        self, *args: Any, id_header: str = "", id_required: bool = True, **kwargs: Any
+    ) -> None:
         """Create the protocol of a connection that is not open yet.
 
         Args:
             args: Arguments of aiohttp's protocol.
             id_header: Header by which a response names its request.
+            id_required: Whether a response without that header is wrong as well.
             kwargs: Arguments of aiohttp's protocol.
         """
         super().__init__(*args, **kwargs)
         self._id_header = id_header
+        self._id_required = id_required
         self._expected_id: str | None = None
         self._carried: set[str] = set()
         self._received_bytes = 0
@@ -81,7 +85,7 @@
         is_interim = message.code < 200 and message.code != SWITCHING_PROTOCOLS
         if not is_interim and self._body is None:
             named_id = message.headers.get(self._id_header)
-            if self._expected_id is not None and named_id != self._expected_id:
+            if not self._is_expected(named_id):
                 self._fail(WrongResponse(f"the response is to request {named_id!r}"))
                 return
             self._body = body
@@ -112,6 +116,11 @@
             self._fail_body(ClientPayloadError(f"the connection was lost: {exc}"))
         super().connection_lost(exc)
 
+    def _is_expected(self, named_id: str | None) -> bool:
+        if self._expected_id is None or (named_id is None and not self._id_required):
+            return True
+        return named_id == self._expected_id
+
     def _fail(self, error: ClientPayloadError) -> None:
         self._fail_body(error)
         self.set_exception(error)
--- a/packages/guavajunction/src/guavajunction/connections/_strict_connector.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connector.py
@@ -20,19 +20,29 @@
     the same request.
     """
 
-    def __init__(self, *, id_header: str | None = None, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        *,
+        id_header: str | None = None,
+        id_required: bool = True,
+        **kwargs: Any,
+    ) -> None:
         """Create an empty pool.
 
         Args:
             id_header: Header of a request that its response must repeat; None if
                 responses do not name their requests.
+            id_required: Whether a response without that header is wrong as well.
             kwargs: Arguments of `aiohttp.TCPConnector`.
         """
         super().__init__(**kwargs)
         self._id_header = id_header
         # aiohttp has no public way to choose the type of a connection's protocol.
         self._factory = partial(
-            StrictConnection, loop=self._loop, id_header=id_header or ""
+            StrictConnection,
+            loop=self._loop,
+            id_header=id_header or "",
+            id_required=id_required,
         )
 
     async def connect(
--- a/packages/guavajunction/src/guavajunction/routing/__init__.py
+++ b/packages/guavajunction/src/guavajunction/routing/__init__.py
@@ -8,7 +8,7 @@
 from ._decision_log import DecisionLog
 from ._demand_meter import DemandMeter, DemandRate
 from ._dispatcher import Dispatcher, Grant
-from ._engine_call import EngineRequest
+from ._engine_call import EngineRequest, engine_session
 from ._fair_queue import FairQueue, FifoQueue
 from ._inference_router import InferenceRouter
 from ._load_tracker import LoadTracker
@@ -60,6 +60,7 @@
     "ServiceReplicas",
     "ServiceRequest",
     "ServiceRouter",
+    "engine_session",
     "least_loaded_selector",
     "random_selector",
     "single_send_session",
--- a/packages/guavajunction/src/guavajunction/routing/_engine_call.py
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -8,7 +8,7 @@
 import aiohttp
 import msgspec
 
-from guavajunction.connections import read_body
+from guavajunction.connections import StrictConnector, WrongResponse, read_body
 from guavajunction.errors import BackendFailed, GuavaError
 
 from . import _events as events
@@ -23,6 +23,22 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 
 
+def engine_session(*, limit: int = 0) -> aiohttp.ClientSession:
+    """Open a session for `EngineCall`. The caller closes it.
+
+    An engine need not name the request in its response, but must not name another one.
+
+    Args:
+        limit: Maximum number of connections; 0 for no limit.
+    """
+    connector = StrictConnector(
+        limit=limit, id_header=REQUEST_ID_HEADER, id_required=False
+    )
+    return aiohttp.ClientSession(
+        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+    )
+
+
 class EngineRequest(NamedTuple):
     """A request in the form in which it is sent to an engine."""
 
@@ -107,12 +123,14 @@
         try:
             async with self._post(address) as resp:
                 await self._check_status(resp)
-                self._check_identity(resp, backend)
                 if self._engine_req.stream:
                     return await self._relay_stream(resp, backend)
                 return await self._relay_whole(resp, backend)
         except aiohttp.ClientConnectorError as exc:
             raise NotBegun(f"cannot connect to {backend}: {exc.os_error}") from exc
+        except WrongResponse as exc:
+            self._record_foreign_event(backend)
+            raise StreamCut(f"{backend} answered another request: {exc}") from exc
         except TimeoutError as exc:
             raise StreamCut(f"{backend}: {type(exc).__name__}") from exc
         except aiohttp.ClientError as exc:
@@ -150,13 +168,6 @@
             not_run="true" if resp.status < 500 else "unknown",
         )
 
-    def _check_identity(self, resp: aiohttp.ClientResponse, backend: str) -> None:
-        echoed = resp.headers.get(REQUEST_ID_HEADER)
-        if echoed not in (None, self._engine_req.req.request_id):
-            self._record_foreign_event(backend)
-            resp.close()
-            raise StreamCut(f"{backend} answered another request")
-
     async def _relay_whole(
         self, resp: aiohttp.ClientResponse, backend: str
     ) -> AnswerSummary:
--- a/tests/connections/test_reused_connections.py
+++ b/tests/connections/test_reused_connections.py
@@ -61,8 +61,9 @@
         assert len(set(peers)) == 1
 
 
-def open_session():
-    return aiohttp.ClientSession(connector=StrictConnector(id_header=ID_HEADER))
+def open_session(**options):
+    connector = StrictConnector(id_header=ID_HEADER, **options)
+    return aiohttp.ClientSession(connector=connector)
 
 
 async def get(session, server, request_id):
@@ -91,6 +92,21 @@
                 await get(session, server, "b")
             await asyncio.wait_for(server.ended.wait(), 1.0)
 
+    @pytest.mark.parametrize("id_required", [True, False])
+    async def test_response_that_names_no_request(self, id_required):
+        async def respond(writer, _):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        async with (
+            raw_server(respond) as server,
+            open_session(id_required=id_required) as session,
+        ):
+            if not id_required:
+                assert await get(session, server, "a") == b""
+                return
+            with pytest.raises(WrongResponse):
+                await get(session, server, "a")
+
     async def test_request_that_is_sent_again_gets_another_connection(self, server):
         url, peers = server
         async with open_session() as session:
--- a/tests/routing/test_relay.py
+++ b/tests/routing/test_relay.py
@@ -9,7 +9,6 @@
 import random
 from contextlib import AsyncExitStack
 
-import aiohttp
 import pytest
 from aiohttp import web
 
@@ -42,6 +41,7 @@
     RetryBudget,
     ServiceRequest,
     ServiceRouter,
+    engine_session,
     single_send_session,
 )
 
@@ -145,6 +145,10 @@
         await response.write(b"id: 1\ndata: [DONE]\n\n")
         return response
 
+    async def refusal_of_another(self, req):
+        headers = {"X-Request-Id": "another", "Retry-After": "1"}
+        return web.Response(status=503, headers=headers)
+
     async def completion(self, req):
         name = req.headers["X-Request-Id"]
         return web.Response(text=f'{{"id":"chatcmpl-{name}","choices":[]}}')
@@ -196,7 +200,7 @@
             f"e{i}": await serve(stack, engine.on_chat)
             for i, engine in enumerate(engines)
         }
-        session = await stack.enter_async_context(aiohttp.ClientSession())
+        session = await stack.enter_async_context(engine_session())
         clock = SystemClock()
         replicas = FakeReplicas(*(State(name) for name in addresses))
         load_tracker = LoadTracker(clock)
@@ -288,6 +292,13 @@
         with pytest.raises(BackendFailed):
             await route_to(engine, other)
 
+    async def test_refusal_of_another_request_is_not_believed(self):
+        engine = ScriptedEngine()
+        engine.script = [engine.refusal_of_another] * InferenceRouter.MAX_ATTEMPTS
+        with pytest.raises(BackendFailed) as caught:
+            await route_to(engine)
+        assert caught.value.not_run != "true"
+
     async def test_stream_that_cannot_be_completed_ends_with_a_typed_error(self):
         engine = ScriptedEngine()
         engine.script = [engine.cut, engine.broken, engine.broken, engine.broken]
