Streams are owned by contexts: connections that were never closed

Cause: servers and clients of tests, the stand-in's link proxy and the tunnel listener left connections open: a handler that waits when its server closes is never resumed, and a replaced or unused writer never closed. On Python 3.11.6 `StreamWriter.__del__` closes such a writer, after its event loop has closed; pytest reports that at whichever test is next (seen on arm64: 14 of 14 runs of tests/connections and test_backend_client.py ended with that error; a whole run ended early with an internal error of pytest). Ruled out: the unraisable check of pytest; it stays. Change: `serve_streams` and `open_stream` own their connections and tasks; the tunnel listener, the link proxy's tasks and the tests use them.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
@@ -31,6 +31,7 @@
         self._responses_open = asyncio.Event()
         self._responses_open.set()
         self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
         self._full_queue: list[socket.socket] = []
         self.delay_seconds = 0.0
         """Delay of each chunk of data in both directions."""
@@ -49,6 +50,9 @@
         finally:
             self._stop_listening()
             self.reset()
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def refuse(self) -> None:
         """Refuse new connections until `accept`; open ones live on."""
@@ -119,23 +123,25 @@
         for connection in list(self._connections):
             connection.reset()
 
-    async def _accept(
+    def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        # Suppresses cancellation: asyncio logs a traceback for a cancelled callback.
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._relay(reader, writer)
+        task = asyncio.ensure_future(self._relay(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await self._link_open.wait()
         try:
+            await self._link_open.wait()
             target_reader, target_writer = await asyncio.open_connection(
                 self._host, self._port
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError) as exc:
             reset(writer.transport)
+            if isinstance(exc, asyncio.CancelledError):
+                raise
             return
         connection = _RelayedConnection(writer, target_writer)
         self._connections.add(connection)
--- a/packages/guavajunction/src/guavajunction/tunnels/_tunnel_listener.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_tunnel_listener.py
@@ -6,7 +6,7 @@
 import contextlib
 from collections.abc import AsyncIterator, Callable
 
-from guavajunction.connections import reset, set_timers
+from guavajunction.connections import Stream, reset, serve_streams, set_timers
 
 from . import _events as events
 from ._handshake import (
@@ -61,13 +61,9 @@
         Yields:
             The address of the listener, `host:port`.
         """
-        server = await asyncio.start_server(
-            self._accept, host, port, limit=self.CHUNK_BYTES
-        )
-        try:
-            yield f"{host}:{server.sockets[0].getsockname()[1]}"
-        finally:
-            server.close()
+        serving = serve_streams(self._accept, host, port, limit=self.CHUNK_BYTES)
+        async with serving as address:
+            yield address
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -75,13 +71,10 @@
         """Serve one connection of an instance."""
         set_timers(writer.get_extra_info("socket"))
         self._connections += 1
-        # asyncio logs a traceback for a cancelled callback.
-        with contextlib.suppress(asyncio.CancelledError):
-            try:
-                await self._serve(reader, writer)
-            finally:
-                self._connections -= 1
-                writer.close()
+        try:
+            await self._serve(reader, writer)
+        finally:
+            self._connections -= 1
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -113,9 +106,7 @@
             return None
         return decode_wanted(await reader.readexactly(size), nonce, self._secret)
 
-    async def _connect(
-        self, backend: str
-    ) -> tuple[TunnelReply, tuple[asyncio.StreamReader, asyncio.StreamWriter] | None]:
+    async def _connect(self, backend: str) -> tuple[TunnelReply, Stream | None]:
         address = self._address_of(backend)
         is_full = self._connections > self.MAX_TUNNELS
         if address is None or is_full or not self._may_serve():
@@ -133,8 +124,8 @@
 
     async def _carry(
         self,
-        downstream: tuple[asyncio.StreamReader, asyncio.StreamWriter],
-        upstream: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        downstream: Stream,
+        upstream: Stream,
     ) -> None:
         """Copy bytes both ways until either side ends its connection."""
         self.open += 1
--- a/tests/platform/test_backend_client.py
+++ b/tests/platform/test_backend_client.py
@@ -10,6 +10,7 @@
 import pytest
 
 from fakes_gateway import backend, request
+from guavajunction.connections import serve_streams
 from guavajunction.errors import AnswerCut, NotSent, OutcomeUnknown
 from guavajunction.swapping import Order, OrderKind, OrderOutcome
 from guavajunction_platform import _names as names
@@ -43,11 +44,9 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 seen.append(head.decode())
                 await script.pop(0)(writer, _request_id_in(head.decode()))
-        writer.close()
 
-    server = await asyncio.start_server(handle, "127.0.0.1", 0)
-    async with server:
-        yield seen, server.sockets[0].getsockname()[1]
+    async with serve_streams(handle, "127.0.0.1") as address:
+        yield seen, int(address.rpartition(":")[2])
 
 
 def _request_id_in(head):
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -8,6 +8,8 @@
 import socket
 import struct
 
+from guavajunction.connections import serve_streams
+
 NO_LINGER = struct.pack("ii", 1, 0)
 """SO_LINGER value with which closing a socket resets the connection."""
 
@@ -42,7 +44,6 @@
                 if writer.is_closing():
                     break
         self.ended.set()
-        writer.close()
 
     async def send_endlessly(self, writer, piece, *, pause_seconds=0.0):
         """Send a piece of bytes until the client closes the connection."""
@@ -57,12 +58,9 @@
 async def raw_server(respond):
     """Serve on a free port while the context is open."""
     running = RawServer(respond)
-    server = await asyncio.start_server(running.handle, "127.0.0.1", 0)
-    running.port = server.sockets[0].getsockname()[1]
-    try:
+    async with serve_streams(running.handle, "127.0.0.1") as address:
+        running.port = int(address.rpartition(":")[2])
         yield running
-    finally:
-        server.close()
 
 
 def reset(writer):
--- a/tests/soak/test_link_proxy.py
+++ b/tests/soak/test_link_proxy.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 
 import pytest
 
-from guavajunction.connections import NO_LINGER
+from guavajunction.connections import NO_LINGER, open_stream, serve_streams
 from guavajunction_fakes.soak import LinkProxy
 
 
@@ -17,24 +16,16 @@
     async def echo(reader, writer):
         while chunk := await reader.read(1000):
             writer.write(b"<" + chunk + b">")
-        writer.close()
 
-    server = await asyncio.start_server(echo, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    proxy = LinkProxy(f"127.0.0.1:{port}")
-    async with proxy.listen():
-        yield proxy
-    server.close()
+    async with serve_streams(echo, "127.0.0.1") as address:
+        proxy = LinkProxy(address)
+        async with proxy.listen():
+            yield proxy
 
 
-@contextlib.asynccontextmanager
-async def connect(proxy):
+def connect(proxy):
     host, _, port = proxy.address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    try:
-        yield reader, writer
-    finally:
-        writer.close()
+    return open_stream(host, int(port))
 
 
 async def exchange(connection, data=b"hello", within=0.5):
@@ -110,12 +101,10 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
             writer.transport.abort()
 
-        server = await asyncio.start_server(answer_and_reset, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        proxy = LinkProxy(f"127.0.0.1:{port}")
-        async with proxy.listen(), connect(proxy) as (reader, writer):
-            writer.write(b"hello")
-            assert await reader.read(5) == b"begun"
-            with pytest.raises(ConnectionResetError):
-                await asyncio.wait_for(reader.read(), 1.0)
-        server.close()
+        async with serve_streams(answer_and_reset, "127.0.0.1") as address:
+            proxy = LinkProxy(address)
+            async with proxy.listen(), connect(proxy) as (reader, writer):
+                writer.write(b"hello")
+                assert await reader.read(5) == b"begun"
+                with pytest.raises(ConnectionResetError):
+                    await asyncio.wait_for(reader.read(), 1.0)
--- a/tests/system/test_refusals.py
+++ b/tests/system/test_refusals.py
@@ -7,6 +7,7 @@
 import pytest
 
 from fleet_caller import is_expected_answer
+from guavajunction.connections import open_stream
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -17,13 +18,11 @@
 async def send_raw(fleet, text: bytes, *, half_close: bool = False) -> bytes:
     """Send bytes on a new connection and return the response bytes."""
     entry = fleet.entries[0]
-    reader, writer = await asyncio.open_connection("127.0.0.1", entry.http_port)
-    writer.write(text)
-    if half_close:
-        writer.write_eof()
-    answer = await asyncio.wait_for(reader.read(), 10)
-    writer.close()
-    return answer
+    async with open_stream("127.0.0.1", entry.http_port) as (reader, writer):
+        writer.write(text)
+        if half_close:
+            writer.write_eof()
+        return await asyncio.wait_for(reader.read(), 10)
 
 
 class TestKeys:
--- a/tests/tunnels/test_tunnels.py
+++ b/tests/tunnels/test_tunnels.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import socket
 import time
@@ -12,7 +13,12 @@
 from aiohttp import web
 
 from guavajunction.clock import SystemClock
-from guavajunction.connections import NO_LINGER, UnframedResponse
+from guavajunction.connections import (
+    NO_LINGER,
+    UnframedResponse,
+    open_stream,
+    serve_streams,
+)
 from guavajunction.quarantine import BackendId
 from guavajunction.tunnels import (
     ServerPaths,
@@ -54,16 +60,13 @@
             pass
         finally:
             self.closed.set()
-            writer.close()
 
 
 @pytest.fixture
 async def server():
     one = Server()
-    listener = await asyncio.start_server(one.serve, "127.0.0.1", 0)
-    one.address = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
-    yield one
-    listener.close()
+    async with serve_streams(one.serve, "127.0.0.1") as one.address:
+        yield one
 
 
 class Exit:
@@ -102,8 +105,16 @@
     return await entrance(*addresses, **changes).dial("10.0.0.1:80")
 
 
+@contextlib.asynccontextmanager
 async def open_tunnel(far):
-    return await asyncio.open_connection(sock=await dial(far.address))
+    async with open_stream(sock=await dial(far.address)) as tunnel:
+        yield tunnel
+
+
+def connect(far):
+    """Connect to an exit without a handshake."""
+    host, _, port = far.address.rpartition(":")
+    return open_stream(host, int(port))
 
 
 async def exchange(tunnel, data=b"ping"):
@@ -116,34 +127,35 @@
     """A tunnel carries bytes unchanged, and how each side ends its connection."""
 
     async def test_bytes_pass_in_both_directions(self, far):
-        tunnel = await open_tunnel(far)
-        for _ in range(3):
-            assert await exchange(tunnel) == b"pong"
-        assert far.listener.open == 1
+        async with open_tunnel(far) as tunnel:
+            for _ in range(3):
+                assert await exchange(tunnel) == b"pong"
+            assert far.listener.open == 1
 
     async def test_large_answers_pass_whole(self, far, server):
         server.reply = bytes(range(256)) * 20_000
-        reader, writer = await open_tunnel(far)
-        writer.write(b"ping")
-        received = await asyncio.wait_for(reader.readexactly(len(server.reply)), 5.0)
+        size = len(server.reply)
+        async with open_tunnel(far) as (reader, writer):
+            writer.write(b"ping")
+            received = await asyncio.wait_for(reader.readexactly(size), 5.0)
         assert received == server.reply
 
     async def test_orderly_end_of_the_server_is_orderly(self, far):
-        reader, writer = await open_tunnel(far)
-        writer.write(b"close")
-        assert await asyncio.wait_for(reader.read(), 1.0) == b"bye"
+        async with open_tunnel(far) as (reader, writer):
+            writer.write(b"close")
+            assert await asyncio.wait_for(reader.read(), 1.0) == b"bye"
 
     async def test_reset_of_the_server_is_a_reset(self, far):
-        reader, writer = await open_tunnel(far)
-        writer.write(b"reset")
-        with pytest.raises(ConnectionResetError):
-            await asyncio.wait_for(reader.read(), 1.0)
+        async with open_tunnel(far) as (reader, writer):
+            writer.write(b"reset")
+            with pytest.raises(ConnectionResetError):
+                await asyncio.wait_for(reader.read(), 1.0)
 
     async def test_end_of_the_entrance_ends_the_connection_of_the_server(
         self, far, server
     ):
-        _, writer = await open_tunnel(far)
-        writer.close()
+        async with open_tunnel(far):
+            pass
         await asyncio.wait_for(server.closed.wait(), 0.5)
         assert far.listener.open == 0
 
@@ -180,13 +192,11 @@
         async def hang(reader, _):
             await reader.read()
 
-        mute = await asyncio.start_server(hang, "127.0.0.1", 0)
-        address = f"127.0.0.1:{mute.sockets[0].getsockname()[1]}"
-        began = time.monotonic()
-        with pytest.raises(OSError, match="no instance"):
-            await dial(address)
-        assert time.monotonic() - began < 2 * TunnelEntrance.EXIT_SECONDS
-        mute.close()
+        async with serve_streams(hang, "127.0.0.1") as address:
+            began = time.monotonic()
+            with pytest.raises(OSError, match="no instance"):
+                await dial(address)
+            assert time.monotonic() - began < 2 * TunnelEntrance.EXIT_SECONDS
 
     async def test_unknown_reply_is_given_up(self, far):
         async def answer(reader, writer):
@@ -194,30 +204,26 @@
             await reader.read(10)
             writer.write(b"\xff")
 
-        odd = await asyncio.start_server(answer, "127.0.0.1", 0)
-        address = f"127.0.0.1:{odd.sockets[0].getsockname()[1]}"
-        with pytest.raises(OSError, match="no instance"):
-            await dial(address)
-        odd.close()
+        async with serve_streams(answer, "127.0.0.1") as address:
+            with pytest.raises(OSError, match="no instance"):
+                await dial(address)
 
     @pytest.mark.parametrize(
         "data", [b"", b"\x00", b"\xff\xff" + bytes(3000), b"\x00\x03abc"]
     )
     async def test_malformed_message_is_refused(self, far, server, data):
-        host, _, port = far.address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        await reader.readexactly(16)
-        writer.write(data)
-        writer.write_eof()
-        assert await asyncio.wait_for(reader.read(), 3.0) == b""
+        async with connect(far) as (reader, writer):
+            await reader.readexactly(16)
+            writer.write(data)
+            writer.write_eof()
+            assert await asyncio.wait_for(reader.read(), 3.0) == b""
         assert not server.connections
 
     async def test_idle_connection_is_closed(self, far):
-        host, _, port = far.address.rpartition(":")
-        reader, _ = await asyncio.open_connection(host, int(port))
-        await reader.readexactly(16)
         limit = TunnelListener.HANDSHAKE_SECONDS + 0.5
-        assert await asyncio.wait_for(reader.read(), limit) == b""
+        async with connect(far) as (reader, _):
+            await reader.readexactly(16)
+            assert await asyncio.wait_for(reader.read(), limit) == b""
 
     async def test_replayed_message_is_refused(self, far, server):
         one = entrance(far.address)
@@ -234,20 +240,19 @@
             (await one.dial("10.0.0.1:80")).close()
         finally:
             loop.sock_sendall = send
-        host, _, port = far.address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        await reader.readexactly(16)
-        writer.write(sent[0])
-        assert await asyncio.wait_for(reader.read(), 1.0) == b""
+        async with connect(far) as (reader, writer):
+            await reader.readexactly(16)
+            writer.write(sent[0])
+            assert await asyncio.wait_for(reader.read(), 1.0) == b""
         assert len(server.connections) == 1
 
     async def test_number_of_tunnels_is_limited(self, far, monkeypatch):
         monkeypatch.setattr(TunnelListener, "MAX_TUNNELS", 3)
-        tunnels = [await open_tunnel(far) for _ in range(3)]
-        with pytest.raises(OSError, match="no instance"):
-            await open_tunnel(far)
-        for _, writer in tunnels:
-            writer.close()
+        async with contextlib.AsyncExitStack() as stack:
+            for _ in range(3):
+                await stack.enter_async_context(open_tunnel(far))
+            with pytest.raises(OSError, match="no instance"):
+                await dial(far.address)
 
     async def test_name_beyond_a_message_is_refused_before_it_is_sent(self, far):
         with pytest.raises(OSError, match="no instance"):
--- a/tests/wire_session.py
+++ b/tests/wire_session.py
@@ -29,10 +29,14 @@
     def __init__(self) -> None:
         self._lines: list[str] = []
         self._reader: asyncio.StreamReader
-        self._writer: asyncio.StreamWriter
+        self._writer: asyncio.StreamWriter | None = None
 
     async def connect(self, port: int, name: str) -> None:
-        """Open a connection, also to another instance, and record it."""
+        """Open a connection, also to another instance, and record it.
+
+        The one before it is closed.
+        """
+        self.close()
         self._reader, self._writer = await asyncio.open_connection("127.0.0.1", port)
         self._lines.append(f"-- connection to {name}")
 
@@ -58,6 +62,7 @@
         if body:
             lines.append(f"Content-Length: {len(body.encode())}")
         request = "\r\n".join([*lines, "", body])
+        assert self._writer is not None
         self._writer.write(request.encode())
         self._record(">", request)
         response_head, response_body = await asyncio.wait_for(self._read_response(), 20)
@@ -72,8 +77,9 @@
             return False
 
     def close(self) -> None:
-        """Close the connection."""
-        self._writer.close()
+        """Close the connection, if any."""
+        if self._writer is not None:
+            self._writer.close()
 
     def transcript(self) -> str:
         """Return the session with placeholders for values that vary between runs."""
