A caller is not told the id of another request

The message of a response to another request, new in this sitting, named that request's id, and the message reaches the caller.

--- a/packages/guavajunction/src/guavajunction/routing/_engine_call.py
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -130,7 +130,7 @@
             raise NotBegun(f"cannot connect to {backend}: {exc.os_error}") from exc
         except WrongResponse as exc:
             self._record_foreign_event(backend)
-            raise StreamCut(f"{backend} answered another request: {exc}") from exc
+            raise StreamCut(f"{backend} answered another request") from exc
         except TimeoutError as exc:
             raise StreamCut(f"{backend}: {type(exc).__name__}") from exc
         except aiohttp.ClientError as exc:
