Store: one instance reads it for all hubs

Cause: each hub read three tables of the store itself. In a fleet of up to 20 instances all are hubs, and the changes of backend servers alone cost 2.5 calls a second each. Ruled out: longer waits of the quiet tables (an answer that the store lost would be missed for as long; a configuration must be in force within seconds); a longer pause between reads of backend servers (their news would be as much later). Change: hubs take the rows from the order leader, or from the best hub while there is no leader, by the same notices and requests as followers from their hub. The source changes after 0.6 s without a status, or if the store stops answering it, and meanwhile an instance reads the store itself. Whether an instance reaches the store is now known from its own calls (ObservedStore): reachable until calls have failed for 3.8 s. The list of instances is read every 30 s while there is a source. A relayed table confirms the version that its source has read, so that a change of source finds no lag. An instance no longer writes its crash reports again because rows that a peer relayed are older than its row (test_row_is_not_written_again_for_older_rows_of_a_peer failed before).

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -43,7 +43,13 @@
 from guavajunction.namedlimits import ServerLimits
 from guavajunction.peers import FleetKeys, PeerId
 from guavajunction.quarantine import PartQuarantine
-from guavajunction.storage import Changes, PartitionWatcher, RowChange, era_of
+from guavajunction.storage import (
+    Changes,
+    ObservedStore,
+    PartitionWatcher,
+    RowChange,
+    era_of,
+)
 from guavajunction_entry import _events as events
 
 from . import _events as gateway_events
@@ -82,8 +88,6 @@
     It is twice the number of backend servers of the largest deployment, because a new
     version of a row is compared with the previous version.
     """
-    STORE_TIMEOUT_SECONDS = 3.8
-    """Time since the store's last answer after which it counts as unreachable."""
     STOP_MARGIN_SECONDS = 0.7
     """Time by which the process ends before the platform would kill it."""
     STREAM_ACCEPT_SECONDS = 1.0
@@ -185,7 +189,8 @@
         self._decode_backend = functools.lru_cache(self.DECODE_CACHE_ROWS)(
             self._decode_new_backend
         )
-        self._feed = RelayedFeed(deployment.feed, clock)
+        self._store = ObservedStore(deployment.store, clock)
+        self._feed = RelayedFeed(self._store, clock)
         configuration = deployment.configuration_row.partition
         self._configuration = PartitionWatcher(
             self._feed,
@@ -244,11 +249,11 @@
         self._era_began = asyncio.Event()
         self._crashes_known = False
         self._quarantine_links = QuarantineLinks(
-            deployment.table, self._me, self._quarantine, clock
+            self._store, self._me, self._quarantine, clock
         )
         self._links: FleetLinks | None = None
         self._store_roster = StoreRoster(
-            deployment.table, self._me, self._own_entry(), clock
+            self._store, self._me, self._own_entry(), clock
         )
 
     def stop(self) -> None:
@@ -485,7 +490,7 @@
             return None
 
     async def _run_links(self) -> None:
-        keys = await obtain_keys(self._deployment.table, self._clock)
+        keys = await obtain_keys(self._store, self._clock)
         parts = FleetLinkParts(
             gateway=self._gateway,
             queue=self._queue,
@@ -498,6 +503,7 @@
             paths=self._tunnels.watch,
             roster=self._roster,
             feed=self._feed,
+            table=self._store,
             clock=self._clock,
         )
         links = FleetLinks(
@@ -513,7 +519,8 @@
         for partition, rows in self._rows_by_partition.items():
             links.relay.offer_partition(partition, rows, self._watchers[partition].age)
         self._store_roster.on_read = links.set_listed
-        self._store_roster.has_hub = lambda: links.relay.hub_peer() is not None
+        self._store_roster.is_joined = lambda: links.relay.source_peer() is not None
+        self._store_roster.is_store_failing = lambda: self._store.is_failing
         self._store_roster.live_names = lambda: [
             peer.name for peer in self._roster.peers()
         ]
@@ -531,7 +538,7 @@
         while True:
             await self._era_began.wait()
             self._era_began.clear()
-            await keep_keys(self._deployment.table, self._clock, keys)
+            await keep_keys(self._store, self._clock, keys)
 
     def _publish_to_followers(self, partition: str, changes: Changes) -> None:
         notice = self._rows_by_partition[partition].take(changes)
@@ -540,10 +547,10 @@
 
     def _max_read_wait_seconds(self) -> float:
         """Return the maximum wait of one read of the change feed, in seconds."""
-        has_followers = self._links is not None and self._links.relay.followers()
+        has_receivers = self._links is not None and self._links.relay.row_receivers()
         return (
             self.HUB_READ_WAIT_SECONDS
-            if has_followers
+            if has_receivers
             else PartitionWatcher.MAX_WAIT_SECONDS
         )
 
@@ -559,20 +566,16 @@
         )
         return self.LEADER_BATCH_SECONDS if has_many_backends else 0.0
 
-    def _is_store_reachable(self) -> bool:
-        now = self._clock.monotonic()
-        read_at = max(self._backends.read_at, self._configuration.read_at)
-        return now - read_at < self.STORE_TIMEOUT_SECONDS
-
-    def _own_member(self, follows: str = "") -> Member:
+    def _own_member(self, follows: str = "", rows_from: str = "") -> Member:
         routes = self._gateway.routes
         return Member(
             front=str(self._settings.front),
             data_centre=self._settings.data_centre,
             ready=self._ready(),
-            sees_store=self._is_store_reachable(),
+            sees_store=self._store.is_reachable,
             follows=follows,
             configuration=routes.catalogue.version if routes else 0,
+            rows_from=rows_from,
         )
 
     async def _maintain(self) -> None:
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_deployment.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_deployment.py
@@ -8,7 +8,7 @@
 
 from guavajunction.gateway import BackendCaller, BackendRecord, Catalogue, Gateway
 from guavajunction.metrics import MetricsRegistry
-from guavajunction.storage import ChangeFeed, TableService
+from guavajunction.storage import Store
 from guavajunction.swapping import OrderSender
 from guavajunction.tunnels import TunnelConnector
 
@@ -41,13 +41,8 @@
     """Deployment-specific platform access, formats and listeners."""
 
     @property
-    def table(self) -> TableService:
-        """Return the service for conditional reads and writes of the store."""
-        ...
-
-    @property
-    def feed(self) -> ChangeFeed:
-        """Return the change feed of the store."""
+    def store(self) -> Store:
+        """Return the client of the store."""
         ...
 
     @property
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -35,6 +35,7 @@
 from guavajunction.namedlimits import NO_LIMIT, ServerLimits
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh
 from guavajunction.quarantine import BackendId
+from guavajunction.storage import TableService
 from guavajunction.swapping import (
     LEASE_NAME,
     LeaderStatus,
@@ -72,6 +73,7 @@
     paths: PathWatch
     roster: Roster
     feed: RelayedFeed
+    table: TableService
     clock: Clock
 
 
@@ -94,7 +96,7 @@
         keys: FleetKeys,
         deployment: Deployment,
         parts: FleetLinkParts,
-        own_member: Callable[[str], Member],
+        own_member: Callable[[str, str], Member],
     ) -> None:
         """Create the links. Connections are opened by `run`.
 
@@ -105,11 +107,12 @@
             keys: The fleet's key pair.
             deployment: Interface to the deployment.
             parts: Aggregates whose state is exchanged.
-            own_member: Returns this instance's status, given the name of its hub.
+            own_member: Returns this instance's status, given the names of its hub and
+                of its source of the store's rows.
         """
         self._me = me
         self._parts = parts
-        self._own_member = own_member
+        self._own_member = lambda: own_member(self.relay.follows, self.relay.rows_from)
         self._listed_by_name: dict[str, ListedInstance] = {}
         self._target_names: frozenset[str] = frozenset()
         self._names_by_address: dict[str, str] = {}
@@ -160,7 +163,7 @@
     ) -> OrderLeader:
         orders, clock = settings.orders, self._parts.clock
         lease = Lease(
-            deployment.table,
+            self._parts.table,
             LEASE_NAME,
             self._me,
             clock,
@@ -206,7 +209,9 @@
     def _register_topics(self) -> None:
         parts, mesh, relay = self._parts, self._mesh, self.relay
         relay.must_be_hub = lambda: self.leader.is_leader
+        relay.preferred_reader = self._leader_name
         relay.on_hub_changed = self._reset_peer_state
+        relay.on_source_changed = parts.feed.reset_hub
         parts.feed.source = relay
         self.leader.hub = relay.hub_peer
         self.leader.is_cut = lambda: parts.paths.is_cut
@@ -332,7 +337,7 @@
         self.relay.begin_heartbeat()
         self._streams.on_heartbeat()
         self._link_to_targets()
-        return self._own_member(self.relay.follows)
+        return self._own_member()
 
     def _link_to_targets(self) -> None:
         wanted = self.relay.targets & self._listed_by_name.keys()
@@ -350,7 +355,11 @@
         """
         self._parts.loads.keep_only([])
         self._parts.rate_limits.reset_peer_counts()
-        self._parts.feed.reset_hub()
+
+    def _leader_name(self) -> str | None:
+        """Return the order leader, which reads the store with the least delay."""
+        latest = self.leader.latest_status()
+        return latest[0].name if latest is not None else None
 
     def _on_member(self, peer: PeerId, member: Member) -> None:
         self._parts.roster.on_heartbeat(peer, member)
@@ -393,7 +402,7 @@
     def _leader_candidates(self) -> list[PeerId]:
         cut = self._cut_instances()
         peers = self._parts.roster.peers_matching(lambda member: member.may_give_orders)
-        if self._own_member(self.relay.follows).may_give_orders:
+        if self._own_member().may_give_orders:
             peers.append(self._me)
         return [peer for peer in peers if peer.name not in cut]
 
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_quarantine_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_quarantine_links.py
@@ -127,8 +127,8 @@
                 self._apply_row(row, row.body)
         if changes.complete:
             own = {row.sort: row.body for row in changes.rows}.get(self._source)
-            if self._body is not None and own != self._body:
-                # The store has lost the row, or it has not been written yet.
+            if own != self._body and self._is_newer_than_row(changes.version):
+                # The store has lost the row.
                 self._written = False
             self._quarantine.adopt_missing(sources)
         if era_of(changes.version) > self._era:
@@ -138,6 +138,13 @@
         if not self._written or self._expired or self._unwritten_claims:
             self._rows_due.set()
 
+    def _is_newer_than_row(self, version: int) -> bool:
+        """Return whether rows of a version must contain this instance's row.
+
+        Rows that a peer relays may be older than the row.
+        """
+        return bool(self._row_version) and version >= self._row_version
+
     def _apply_row(self, row: RowChange, body: bytes) -> None:
         try:
             evidence = msgspec.msgpack.decode(body, type=Evidence)
--- a/packages/guavajunction/src/guavajunction/fleet/_events.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_events.py
@@ -42,3 +42,8 @@
 ROW_REMOVED = LogEvent(
     1204, "fleet:row_removed", "This instance's row was removed from the store."
 )
+ROWS_SOURCE_CHOSEN = LogEvent(
+    1210,
+    "fleet:rows_source_chosen",
+    "This instance takes the store's rows from another peer, or reads them itself.",
+)
--- a/packages/guavajunction/src/guavajunction/fleet/_hubs.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_hubs.py
@@ -9,6 +9,8 @@
 Every instance computes the hubs independently, from the listed instances and the
 instances that it considers unfit. The results may differ for a short time, so every
 instance that has a follower acts as a hub.
+
+Only one hub, the reader, needs to read the store; it relays the rows to the others.
 """
 
 from __future__ import annotations
@@ -79,21 +81,34 @@
     return own_hubs[_weight(me.name) % len(own_hubs)]
 
 
+def reader_of(
+    listed: Collection[Candidate], by_data_centre: dict[str, list[str]]
+) -> str | None:
+    """Return the name of the best of all hubs, or None without any.
+
+    >>> reader_of([Candidate("a1", "a", False), Candidate("b1", "b", True)],
+    ...           {"a": ["a1"], "b": ["b1"]})
+    'b1'
+    """
+    names = {name for group in by_data_centre.values() for name in group}
+    found = [candidate for candidate in listed if candidate.name in names]
+    best = min(found, key=_order, default=None)
+    return best.name if best is not None else None
+
+
 def _ranked(candidates: Iterable[Candidate]) -> dict[str, list[str]]:
     by_data_centre: defaultdict[str, list[Candidate]] = defaultdict(list)
     for candidate in candidates:
         by_data_centre[candidate.data_centre].append(candidate)
     return {
-        data_centre: [
-            candidate.name
-            for candidate in sorted(group, key=lambda c: (not c.strong, _rank_key(c)))
-        ]
+        data_centre: [candidate.name for candidate in sorted(group, key=_order)]
         for data_centre, group in by_data_centre.items()
     }
 
 
-def _rank_key(candidate: Candidate) -> tuple[int, str]:
-    return _weight(candidate.name), candidate.name
+def _order(candidate: Candidate) -> tuple[bool, int, str]:
+    """Return the sort key of candidates, the best first."""
+    return not candidate.strong, _weight(candidate.name), candidate.name
 
 
 def _weight(name: str) -> int:
--- a/packages/guavajunction/src/guavajunction/fleet/_messages.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_messages.py
@@ -1,4 +1,4 @@
-"""Messages between hubs and their followers."""
+"""Messages between hubs and their followers, and between the reader and the hubs."""
 
 from __future__ import annotations
 
@@ -22,13 +22,16 @@
 
 
 class HubStatus(NamedTuple):
-    """Status that a hub sends to each follower with its heartbeats."""
+    """Status that an instance sends to those that take the store's rows from it.
+
+    It is sent with the heartbeats.
+    """
 
     partitions: dict[str, PartitionStatus]
     """State of each offered partition, by name."""
     members: tuple[KnownMember, ...] | None = None
     """All instances of the fleet except the hub; None if the list is not sent with this
-    heartbeat."""
+    heartbeat. Only followers get it."""
 
 
 class RowsNotice(NamedTuple):
--- a/packages/guavajunction/src/guavajunction/fleet/_relay.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relay.py
@@ -11,7 +11,7 @@
 from guavajunction.storage import Changes
 
 from . import _events as events
-from ._hubs import Candidate, FleetShape, hub_of, hubs
+from ._hubs import Candidate, FleetShape, hub_of, hubs, reader_of
 from ._messages import (
     HubStatus,
     NewerRowsAnswer,
@@ -27,8 +27,15 @@
 AnswerT = TypeVar("AnswerT", RowsAnswer, NewerRowsAnswer)
 
 
+class _HubChoice(NamedTuple):
+    """The hubs of each data centre, and the one that reads the store."""
+
+    by_data_centre: dict[str, list[str]]
+    reader: str | None
+
+
 class _ReceivedStatus(NamedTuple):
-    """The last status that the followed hub sent."""
+    """The last status that the source of the store's rows sent."""
 
     peer: PeerId
     status: HubStatus
@@ -51,7 +58,10 @@
     """Follows a hub, or acts as a hub for the instances that follow this one.
 
     It selects the hub to follow and the receivers of heartbeats, relays rows and
-    messages, and requests rows from the followed hub.
+    messages, and requests rows from their source. Followers take the store's rows from
+    their hub. Hubs take them from the order leader, or from the best hub while there is
+    no leader, so that the number of calls to the store does not grow with the fleet.
+    Without an up-to-date source an instance reads the store itself.
     """
 
     HUB_TIMEOUT_SECONDS = 0.6
@@ -96,13 +106,15 @@
         self._shape = shape
         self._clock = clock
         self._listed: dict[str, Candidate] = {}
-        self._cached_hubs: dict[frozenset[str], dict[str, list[str]]] = {}
+        self._cached_hubs: dict[frozenset[str], _HubChoice] = {}
         self._avoid: dict[str, float] = {}
         self._hub: str | None = None
+        self._source: str | None = None
         self._chosen_at = float("-inf")
         self._settled_at = clock.monotonic() + self.SETTLE_SECONDS
         self._received: _ReceivedStatus | None = None
         self._followers: dict[str, _Follower] = {}
+        self._row_receivers: dict[str, _Follower] = {}
         self._offers: dict[str, _Offer] = {}
         self._relayed_rows: dict[str, RelayedRows] = {}
         self._sent_states: dict[str, tuple[bool, bool]] = {}
@@ -116,6 +128,10 @@
         self.on_hub_changed: Callable[[], None] = lambda: None
         """Called when this instance starts to follow a different hub, when it becomes a
         hub, and when its hub has restarted."""
+        self.preferred_reader: Callable[[], str | None] = lambda: None
+        """Returns the name of an instance that reads the store in any case, if any."""
+        self.on_source_changed: Callable[[], None] = lambda: None
+        """Called when the store's rows have a different source, or it has restarted."""
         links.handle(RowsNotice, self._on_notice)
         links.handle(RowsWanted, self._on_wanted)
         links.handle(NewerRowsWanted, self._on_newer_wanted)
@@ -125,6 +141,11 @@
         """Return the name of the followed hub, or an empty string if this is a hub."""
         return self._hub or ""
 
+    @property
+    def rows_from(self) -> str:
+        """Return the source of the store's rows, an empty string for the store."""
+        return self._source or ""
+
     def offer_partition(
         self, partition: str, rows: ReadRows, age: Callable[[], float]
     ) -> None:
@@ -146,8 +167,8 @@
         return always or self._heartbeat_count % self.OTHER_HUBS_EVERY_HEARTBEATS == 0
 
     def publish(self, notice: RowsNotice) -> None:
-        """Send a notice of changed rows to all followers."""
-        self._links.send_to_each(self.followers(), notice)
+        """Send a notice of changed rows to all instances that take rows from here."""
+        self._links.send_to_each(self.row_receivers(), notice)
 
     def set_listed(self, listed: Iterable[Candidate]) -> None:
         """Set the list of all instances, including this one."""
@@ -158,47 +179,65 @@
     def _choose_hub_and_targets(self, known: Collection[KnownMember]) -> None:
         """Select the hub to follow and the receivers of heartbeats."""
         now = self._clock.monotonic()
-        self._drop_silent_hub(now)
-        by_data_centre = self._hubs_without(frozenset(self._unfit(known, now)))
+        self._drop_silent_source(now)
+        unfit = frozenset(self._unfit(known, now))
+        by_data_centre, best_reader = self._hubs_without(unfit)
         me = self._listed.get(self._links.me.name)
         hub = hub_of(me, by_data_centre) if me else None
         if hub is not None and (self.followers() or self.must_be_hub()):
             hub = None
         if hub != self._hub:
             self._change_hub(hub, now)
+        source = hub or self._choose_reader(best_reader, unfit)
+        if source != self._source:
+            self._change_source(source, now)
         # The preferred hubs receive heartbeats even if they send none. Otherwise a hub
         # that starts or recovers would not be discovered.
-        preferred = self._hubs_without(frozenset())
+        preferred, _ = self._hubs_without(frozenset())
         wanted = {
             name
             for names in (*by_data_centre.values(), *preferred.values())
             for name in names
         }
         wanted.update(m.peer.name for m in known if m.live and m.member.is_hub)
-        if self._hub is not None:
-            wanted.add(self._hub)
+        if self._source is not None:
+            wanted.add(self._source)
         self.targets = frozenset(wanted - {self._links.me.name})
 
-    def _hubs_without(self, unfit: frozenset[str]) -> dict[str, list[str]]:
-        """Return the hubs by data centre, cached because every heartbeat needs them."""
-        by_data_centre = self._cached_hubs.get(unfit)
-        if by_data_centre is None:
+    def _choose_reader(
+        self, best_reader: str | None, unfit: frozenset[str]
+    ) -> str | None:
+        """Return the hub from which this hub takes rows, or None for the store."""
+        me = self._links.me.name
+        if self.must_be_hub():
+            return None
+        preferred = self.preferred_reader()
+        if preferred is not None and preferred not in unfit and preferred != me:
+            return preferred
+        return best_reader if best_reader != me else None
+
+    def _hubs_without(self, unfit: frozenset[str]) -> _HubChoice:
+        """Return the hubs, cached because every heartbeat needs them."""
+        choice = self._cached_hubs.get(unfit)
+        if choice is None:
             if len(self._cached_hubs) >= self.MAX_CACHED_HUB_CHOICES:
                 self._cached_hubs.clear()
-            by_data_centre = hubs(self._listed.values(), unfit, self._shape)
-            self._cached_hubs[unfit] = by_data_centre
-        return by_data_centre
-
-    def _drop_silent_hub(self, now: float) -> None:
-        if self._hub is None:
+            listed = self._listed.values()
+            by_data_centre = hubs(listed, unfit, self._shape)
+            choice = _HubChoice(by_data_centre, reader_of(listed, by_data_centre))
+            self._cached_hubs[unfit] = choice
+        return choice
+
+    def _drop_silent_source(self, now: float) -> None:
+        if self._source is None:
             return
         if self._received is not None:
             elapsed, timeout = now - self._received.at, self.HUB_TIMEOUT_SECONDS
         else:
             elapsed, timeout = now - self._chosen_at, self.FIRST_STATUS_SECONDS
-        if elapsed > timeout and self._avoid.get(self._hub, 0.0) <= now:
-            self._avoid[self._hub] = now + self.AVOID_HUB_SECONDS
-            events.HUB_SILENT.log(hub=self._hub, seconds=round(elapsed, 2))
+        if elapsed > timeout and self._avoid.get(self._source, 0.0) <= now:
+            self._avoid[self._source] = now + self.AVOID_HUB_SECONDS
+            events.HUB_SILENT.log(hub=self._source, seconds=round(elapsed, 2))
 
     def _unfit(self, known: Collection[KnownMember], now: float) -> set[str]:
         unfit = {name for name, until in self._avoid.items() if until > now}
@@ -213,14 +252,27 @@
     def _change_hub(self, hub: str | None, now: float) -> None:
         events.HUB_CHOSEN.log(hub=hub, before=self._hub, listed=len(self._listed))
         self._hub = hub
+        self.on_hub_changed()
+
+    def _change_source(self, source: str | None, now: float) -> None:
+        events.ROWS_SOURCE_CHOSEN.log(source=source, before=self._source)
+        self._source = source
         self._chosen_at = now
-        self._reset_hub()
+        self._reset_source()
 
-    def _reset_hub(self) -> None:
+    def _reset_source(self) -> None:
         self._received = None
         for rows in self._relayed_rows.values():
             rows.clear()
-        self.on_hub_changed()
+        self.on_source_changed()
+
+    def row_receivers(self) -> list[PeerId]:
+        """Return the instances that take the store's rows from this one."""
+        return [
+            receiver.peer
+            for receiver in self._row_receivers.values()
+            if self._still_follows(receiver)
+        ]
 
     def followers(self) -> list[PeerId]:
         """Return the instances that follow this one."""
@@ -240,7 +292,12 @@
         return elapsed < self.FOLLOWER_TIMEOUT_SECONDS
 
     def on_member(self, peer: PeerId, member: Member) -> None:
-        """Update the list of followers from another instance's heartbeat."""
+        """Update the lists of followers and receivers from another's heartbeat."""
+        if member.rows_from == self._links.me.name:
+            receiver = _Follower(peer, self._clock.monotonic())
+            self._row_receivers[peer.name] = receiver
+        else:
+            self._row_receivers.pop(peer.name, None)
         if member.follows == self._links.me.name:
             known = self._followers.get(peer.name)
             self._followers[peer.name] = _Follower(peer, self._clock.monotonic())
@@ -269,8 +326,11 @@
         self._members = known if send_members else None
 
     def status_for(self, peer: PeerId) -> HubStatus | None:
-        """Return the status to send to a follower, or None for other peers."""
-        if not self.has_follower(peer):
+        """Return the status to send to a receiver of rows, or None for other peers."""
+        receiver = self._row_receivers.get(peer.name)
+        if receiver is None or receiver.peer != peer:
+            return None
+        if not self._still_follows(receiver):
             return None
         partitions = {
             partition: PartitionStatus(
@@ -278,23 +338,26 @@
             )
             for partition, offer in self._offers.items()
         }
-        return HubStatus(partitions, self._members)
+        members = self._members if self.has_follower(peer) else None
+        return HubStatus(partitions, members)
 
     def on_hub_status(self, peer: PeerId, status: HubStatus) -> None:
-        """Store the status of the followed hub; ignore the status of other peers."""
-        if peer.name != self._hub:
+        """Store the status of the source of rows; ignore that of other peers."""
+        if peer.name != self._source:
             return
         if self._received is not None and self._received.peer != peer:
-            self._reset_hub()
+            self._reset_source()
+            if peer.name == self._hub:
+                self.on_hub_changed()
         self._received = _ReceivedStatus(peer, status, self._clock.monotonic())
-        if status.members is not None:
+        if status.members is not None and peer.name == self._hub:
             self._roster.on_hub_members(status.members)
 
     def has_joined(self) -> bool:
-        """Return whether the fleet is listed and the followed hub, if any, has rows."""
+        """Return whether the fleet is listed, and the source of rows, if any, ready."""
         if not self._listed:
             return False
-        return self._hub is None or (
+        return self._source is None or (
             self._received is not None
             and any(
                 state.version != UNREAD
@@ -304,6 +367,10 @@
 
     def hub_peer(self) -> PeerId | None:
         """Return the followed hub's incarnation, or None if its last status is old."""
+        return self.source_peer() if self._hub is not None else None
+
+    def source_peer(self) -> PeerId | None:
+        """Return the source of rows, or None if its last status is old."""
         status = self._fresh_status()
         return status.peer if status else None
 
@@ -323,7 +390,7 @@
                 self._links.send(peer, message)
 
     def fresh(self, partition: str) -> bool:
-        """Return whether the followed hub's rows of a partition are up to date."""
+        """Return whether the source's rows of a partition are up to date."""
         last = self._fresh_status()
         state = last.status.partitions.get(partition) if last else None
         if last is None or state is None or state.version == UNREAD:
@@ -332,12 +399,12 @@
         return age < self.STORE_AGE_SECONDS
 
     def sent_version(self, partition: str) -> int:
-        """Return the version of the hub's last notice, as of its last status."""
+        """Return the version of the source's last notice, as of its last status."""
         state = self._partition_status(partition)
         return state.version if state else UNREAD
 
     def read_version(self, partition: str) -> int:
-        """Return the version up to which the hub has read the partition."""
+        """Return the version up to which the source has read the partition."""
         state = self._partition_status(partition)
         return state.read_version if state else UNREAD
 
@@ -350,12 +417,12 @@
         return self._relayed_rows[partition].has_gap(after)
 
     async def request_rows(self, partition: str) -> RowsAnswer | None:
-        """Request all rows of a partition from the hub; None if it does not reply."""
-        hub = self.hub_peer()
-        if hub is None:
+        """Request all rows of a partition from the source; None without a reply."""
+        source = self.source_peer()
+        if source is None:
             return None
         self._relayed_rows[partition].clear()
-        return await self._request(hub, RowsWanted(partition), RowsAnswer)
+        return await self._request(source, RowsWanted(partition), RowsAnswer)
 
     async def request_newer_rows(
         self, partition: str, after: int
@@ -400,7 +467,7 @@
         return hubs[self._newer_rows_requests % len(hubs)]
 
     async def _on_notice(self, peer: PeerId, notice: RowsNotice) -> None:
-        if peer.name == self._hub and notice.partition in self._relayed_rows:
+        if peer.name == self._source and notice.partition in self._relayed_rows:
             self._relayed_rows[notice.partition].add(notice)
 
     async def _on_wanted(self, _: PeerId, wanted: RowsWanted) -> RowsAnswer:
@@ -421,7 +488,7 @@
         )
 
     def _fresh_status(self) -> _ReceivedStatus | None:
-        """Return the hub's last status, or None if it is too old."""
+        """Return the source's last status, or None if it is too old."""
         now = self._clock.monotonic()
         if self._received is None or now - self._received.at > self.HUB_TIMEOUT_SECONDS:
             return None
--- a/packages/guavajunction/src/guavajunction/fleet/_relayed_feed.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relayed_feed.py
@@ -1,4 +1,4 @@
-"""Change feed that reads from a hub, or from the store if no hub is up to date."""
+"""Change feed that reads from a peer, or from the store if no peer is up to date."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class RowsSource(Protocol):
-    """Interface to the hub that this instance follows, if any."""
+    """Interface to the hub that relays the store's rows to this instance, if any."""
 
     def has_joined(self) -> bool:
         """Return whether the fleet is listed and the followed hub, if any, has rows."""
@@ -136,13 +136,25 @@
             if late or source.has_gap(partition, after):
                 raise HistoryGone(f"partition {partition!r}: a notice was lost")
             if now >= ends_at:
-                return Changes((), after, complete=False)
+                return self._record_version(
+                    partition, Changes((), self._confirmed(partition, after), False)
+                )
             await self._clock.sleep(self.POLL_SECONDS)
         self._from_hub.discard(partition)
         left = max(0.0, ends_at - self._clock.monotonic())
         changes = await self._store.changes(partition, after, wait_seconds=left)
         return self._record_version(partition, changes)
 
+    def _confirmed(self, partition: str, after: int) -> int:
+        """Return the version up to which the hub has read, if all rows are here.
+
+        Without it, a feed that switches to another hub would find it behind.
+        """
+        assert self.source is not None
+        if self.source.sent_version(partition) > after:
+            return after
+        return max(after, self.source.read_version(partition))
+
     async def rows_from_peer(self, partition: str, after: int | None) -> Changes | None:
         """Return all rows from a peer if the store does not answer this instance.
 
--- a/packages/guavajunction/src/guavajunction/fleet/_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_roster.py
@@ -25,6 +25,9 @@
     """Name of the followed hub; empty if the instance is a hub."""
     configuration: int = 0
     """Version of the active configuration, 0 before the first one."""
+    rows_from: str = ""
+    """Name of the instance that relays the store's rows to it; empty if it reads the
+    store itself."""
 
     @property
     def is_hub(self) -> bool:
--- a/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
@@ -49,9 +49,10 @@
 
     READ_SECONDS = (0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
     """Pauses between reads after the start; the last one repeats."""
-    READ_SECONDS_WITH_HUB = 30.0
-    """Pause between reads while a hub sends the list of instances. The rows are then
-    only needed to select another hub."""
+    READ_SECONDS_JOINED = 30.0
+    """Pause between reads while this instance has a source of rows. It then knows the
+    others by heartbeats, or from its hub, and needs the rows only to select another
+    source."""
     READ_SECONDS_UNLISTED = 2.0
     """Maximum pause while an instance is live but not in the rows last read, or the
     store may have lost rows. Instances select the same hub only if they have read the
@@ -67,8 +68,10 @@
         self._rng = random.Random(me.incarnation)
         self.on_read: Callable[[list[ListedInstance]], None] = lambda _: None
         """Called with all listed instances after each read."""
-        self.has_hub: Callable[[], bool] = lambda: False
-        """Returns whether a followed hub sends the list of instances."""
+        self.is_joined: Callable[[], bool] = lambda: False
+        """Returns whether another instance relays the store's rows to this one."""
+        self.is_store_failing: Callable[[], bool] = lambda: False
+        """Returns whether the last call of this instance to the store failed."""
         self.live_names: Callable[[], Collection[str]] = tuple
         """Returns the names of the other live instances."""
         self.listed: list[ListedInstance] = []
@@ -86,18 +89,24 @@
         while True:
             await self._attempt(self._read)
             pause = pauses.pop(0) if len(pauses) > 1 else pauses[0]
-            if self.has_hub():
-                pause = max(pause, self.READ_SECONDS_WITH_HUB)
+            if self.is_joined():
+                pause = max(pause, self.READ_SECONDS_JOINED)
             await self._wait(pause * self._rng.uniform(0.8, 1.2))
 
     async def _wait(self, seconds: float) -> None:
-        """Wait before the next read, more briefly if a live instance is not listed."""
+        """Wait before the next read.
+
+        The wait is short if a live instance is not listed, or if it is not known
+        whether the store answers this instance.
+        """
         end = self._clock.monotonic() + seconds
         while (left := end - self._clock.monotonic()) > 0:
             pause = self.READ_SECONDS_UNLISTED * self._rng.uniform(0.5, 1.0)
             await self._clock.sleep(min(left, pause))
-            if self._is_outdated or not self._listed_names.issuperset(
-                self.live_names()
+            if (
+                self._is_outdated
+                or self.is_store_failing()
+                or not self._listed_names.issuperset(self.live_names())
             ):
                 return
 
--- a/packages/guavajunction/src/guavajunction/storage/__init__.py
+++ b/packages/guavajunction/src/guavajunction/storage/__init__.py
@@ -4,6 +4,7 @@
 
 from ._instances import InstanceListClient
 from ._objects import ObjectClient
+from ._observed_store import ObservedStore, Store
 from ._position import MAX_ERA, MAX_VERSION, era_of, position, version_of
 from ._protocols import (
     ChangeFeed,
@@ -29,9 +30,11 @@
     "InstanceRecord",
     "ObjectClient",
     "ObjectStore",
+    "ObservedStore",
     "PartitionWatcher",
     "Row",
     "RowChange",
+    "Store",
     "StoreEra",
     "TableClient",
     "TableService",
--- a/tests/entry/test_fleet_links.py
+++ b/tests/entry/test_fleet_links.py
@@ -42,6 +42,7 @@
             paths=fake_gateway.watch,
             roster=self.roster,
             feed=RelayedFeed(None, fake_gateway.clock),
+            table=None,
             clock=fake_gateway.clock,
         )
         self.links = FleetLinks(
@@ -49,9 +50,9 @@
             gateway_settings(),
             Tuning(),
             FleetKeys("p" * 40, "s" * 40),
-            SimpleNamespace(table=None, orders=SimpleNamespace()),
+            SimpleNamespace(orders=SimpleNamespace()),
             parts,
-            lambda _: self.own_member,
+            lambda *_: self.own_member,
         )
 
     def candidates(self):
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -28,8 +28,7 @@
 @pytest.fixture
 def daemon():
     deployment = SimpleNamespace(
-        table=None,
-        feed=None,
+        store=None,
         caller=None,
         orders=None,
         backend_connections=SimpleNamespace(dialer=None),
--- a/tests/entry/test_quarantine_links.py
+++ b/tests/entry/test_quarantine_links.py
@@ -136,6 +136,17 @@
         await first.wait()
         assert (PARTITION, "front-1.1") in table.rows
 
+    async def test_row_is_not_written_again_for_older_rows_of_a_peer(self, start):
+        table = FakeTable()
+        first = start("front-1", table)
+        await first.crash(1)
+        await first.crash(2)
+        written = table.counts["put"]
+        others = RowChange("other", msgspec.msgpack.encode(Evidence()), 1)
+        first.links.apply(Changes((others,), position(0, 1), complete=True))
+        await first.wait()
+        assert table.counts["put"] == written
+
     async def test_malformed_row_is_ignored(self, start):
         instance = start("front-1", FakeTable())
         instance.read(broken=b"\xff")
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -7,7 +7,7 @@
 from guavajunction.clock import ManualClock
 from guavajunction.errors import PeerTimeout
 from guavajunction.fleet import Candidate, FleetShape, Member, ReadRows, Relay, Roster
-from guavajunction.fleet._hubs import hubs
+from guavajunction.fleet._hubs import hubs, reader_of
 from guavajunction.fleet._messages import NewerRowsAnswer, RowsNotice
 from guavajunction.peers import PeerId
 from guavajunction.storage import Changes, RowChange
@@ -21,14 +21,17 @@
 ]
 BEST = {data_centre: names[0] for data_centre, names in hubs(LISTED, (), SHAPE).items()}
 """Name of the preferred hub of each data centre."""
+READER = reader_of(LISTED, {dc: [name] for dc, name in BEST.items()})
+SECOND = next(name for name in BEST.values() if name != READER)
 
 
 def peer(name, incarnation="1"):
     return PeerId(name, incarnation)
 
 
-def member(name, follows="", *, sees_store=True):
-    return Member(f"{name}:1", name[0], True, sees_store, follows)
+def member(name, follows="", *, sees_store=True, rows_from=None):
+    source = follows if rows_from is None else rows_from
+    return Member(f"{name}:1", name[0], True, sees_store, follows, rows_from=source)
 
 
 class FakeLinks:
@@ -254,6 +257,86 @@
         assert not follower.relay.fresh("p")
 
 
+class TestReader:
+    """One hub reads the store and relays the rows to the other hubs."""
+
+    @pytest.fixture
+    def reader(self, clock):
+        return Node(READER, clock)
+
+    @pytest.fixture
+    def other(self, clock):
+        return Node(SECOND, clock)
+
+    def meet(self, reader, other):
+        """Send one heartbeat in each direction between two hubs."""
+        reader.relay.begin_heartbeat()
+        other.relay.begin_heartbeat()
+        reader.on_heartbeat(SECOND, rows_from=other.relay.rows_from)
+        status = reader.relay.status_for(other.links.me)
+        if status is not None:
+            other.relay.on_hub_status(reader.links.me, status)
+        other.on_heartbeat(READER, rows_from=reader.relay.rows_from)
+
+    def test_best_hub_reads_the_store_and_the_others_read_from_it(self, reader, other):
+        reader.rows.take(Changes((), 5, True))
+        self.meet(reader, other)
+        assert (reader.relay.rows_from, reader.relay.follows) == ("", "")
+        assert (other.relay.rows_from, other.relay.follows) == (READER, "")
+        assert other.relay.fresh("p")
+        assert reader.relay.row_receivers() == [other.links.me]
+
+    def test_hubs_get_rows_but_no_list_of_instances(self, reader, other):
+        self.meet(reader, other)
+        assert reader.relay.status_for(other.links.me).members is None
+        assert not reader.relay.followers()
+        reader.relay.publish("notice")
+        assert reader.links.sent == [(SECOND, "notice")]
+
+    def test_change_of_the_reader_is_no_change_of_hub(self, reader, other):
+        self.meet(reader, other)
+        changes = other.hub_changes
+        other.relay.preferred_reader = lambda: "b9"
+        other.relay.begin_heartbeat()
+        assert other.relay.rows_from == "b9"
+        assert other.hub_changes == changes
+
+    def test_order_leader_is_preferred_and_reads_the_store(self, reader, other):
+        other.relay.must_be_hub = lambda: True
+        reader.relay.preferred_reader = lambda: SECOND
+        self.meet(reader, other)
+        assert other.relay.rows_from == ""
+        assert reader.relay.rows_from == SECOND
+
+    def test_silent_reader_is_replaced(self, clock, reader, other):
+        self.meet(reader, other)
+        clock.advance(Relay.HUB_TIMEOUT_SECONDS + 0.05)
+        assert not other.relay.fresh("p")
+        other.relay.begin_heartbeat()
+        assert other.relay.rows_from != READER
+
+    def test_reader_without_access_to_the_store_is_replaced(self, other):
+        other.on_heartbeat(READER, sees_store=False)
+        other.relay.begin_heartbeat()
+        assert other.relay.rows_from != READER
+
+    @pytest.mark.parametrize("unfit", [(), (BEST["a"],), (BEST["a"], BEST["b"])])
+    def test_no_instances_take_rows_from_each_other_in_a_circle(self, clock, unfit):
+        nodes = {one.name: Node(one.name, clock) for one in LISTED}
+        sources = {}
+        for name, node in nodes.items():
+            for lost in unfit:
+                node.on_heartbeat(lost, sees_store=False)
+            node.relay.begin_heartbeat()
+            sources[name] = node.relay.rows_from
+        for start in sources:
+            name, seen = start, []
+            while name:
+                assert name not in seen
+                seen.append(name)
+                name = sources[name]
+
+
 class TestRowsFromPeers:
     """Tests of the requests of an instance that the store does not answer."""
 
--- a/tests/fleet/test_store_roster.py
+++ b/tests/fleet/test_store_roster.py
@@ -25,7 +25,7 @@
         self.live = set()
         self.roster = StoreRoster(table, PeerId("early", "1"), ENTRY, clock)
         self.roster.on_read = self._on_read
-        self.roster.has_hub = lambda: True
+        self.roster.is_joined = lambda: True
         self.roster.live_names = lambda: self.live
 
     def _on_read(self, listed):
@@ -100,7 +100,7 @@
     """An instance whose row is missing writes it again, unless it leaves."""
 
     async def test_lost_row_is_written_again(self, table, instance):
-        instance.roster.has_hub = lambda: False
+        instance.roster.is_joined = lambda: False
         async with instance.running():
             table.come_back_from({})
             await instance.pass_time(4.0)
@@ -116,7 +116,7 @@
             assert instance.reads == 2
 
     async def test_row_of_an_earlier_incarnation_is_replaced(self, table, instance):
-        instance.roster.has_hub = lambda: False
+        instance.roster.is_joined = lambda: False
         earlier = ENTRY._replace(incarnation="0")
         me = PeerId("early", "0")
         await StoreRoster(table, me, earlier, ManualClock())._register()
@@ -127,7 +127,7 @@
             assert b"\xa11" in table.rows["instance", "early"].body
 
     async def test_row_of_a_later_incarnation_is_not_replaced(self, table, instance):
-        instance.roster.has_hub = lambda: False
+        instance.roster.is_joined = lambda: False
         later = ENTRY._replace(incarnation="2")
         me = PeerId("early", "2")
         async with instance.running():
@@ -138,7 +138,7 @@
     async def test_row_of_a_leaving_instance_is_not_written_again(
         self, table, instance
     ):
-        instance.roster.has_hub = lambda: False
+        instance.roster.is_joined = lambda: False
         async with instance.running():
             await instance.roster.leave()
             await instance.pass_time(20.0)
