Setting: one or all hubs read the store

Cause: the stand-in gives each instance links of its own to the backend servers by the rows that it reads from its view of the store. Change: `readers = all` in the gateway's settings makes each hub read the store itself, as before. The tests of cuts and the soak without hubs use it; the soak with hubs and all other process tests use the default.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -124,7 +124,10 @@
             parts.clock,
             heartbeat_seconds=tuning.timing.heartbeat,
         )
-        shape = FleetShape(tuning.fleet.full_mesh, tuning.fleet.followers)
+        fleet = tuning.fleet
+        shape = FleetShape(
+            fleet.full_mesh, fleet.followers, one_reader=fleet.readers == "one"
+        )
         self.relay = Relay(self._mesh, parts.roster, shape, parts.clock)
         self.leader = self._create_order_leader(settings, deployment)
         self._streams = StreamLinks(
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tuning.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tuning.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 from guavajunction.settings import (
     Count,
     LoggingSettings,
     Seconds,
+    parse_choice,
     read_sections,
 )
 
@@ -42,6 +43,9 @@
     fleets use hubs."""
     followers: Count = 32
     """Number of instances in a data centre for each hub, in fleets that use hubs."""
+    readers: Annotated[str, parse_choice("one", "all")] = "one"
+    """Whether `one` of the hubs reads the store and relays its rows to the others, or
+    `all` hubs read it, which costs as many times the calls."""
 
 
 class Tuning(NamedTuple):
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
@@ -226,10 +226,14 @@
             return old[-1]
         return injector.current_key
 
-    def _write_gateway_settings(self) -> Path | None:
-        if not self._hubs:
-            return None
+    def _write_gateway_settings(self) -> Path:
+        """Write the gateway's settings and return their path.
+
+        Without hubs each instance reads the store itself: the rows of backend servers
+        that it reads lead through links of its own, which can be cut.
+        """
+        fleet = "full_mesh = 1" if self._hubs else "readers = all"
         path = self._var / "gateway.ini"
         path.parent.mkdir(parents=True, exist_ok=True)
-        path.write_text("[fleet]\nfull_mesh = 1\n")
+        path.write_text(f"[fleet]\n{fleet}\n")
         return path
--- a/packages/guavajunction/src/guavajunction/fleet/_hubs.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_hubs.py
@@ -39,6 +39,8 @@
     """Largest number of instances for which each is linked to every other."""
     followers: int
     """Number of instances of a data centre for each of its hubs."""
+    one_reader: bool = True
+    """Whether one hub reads the store for the others."""
 
 
 def hubs(
--- a/packages/guavajunction/src/guavajunction/fleet/_relay.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relay.py
@@ -209,7 +209,7 @@
     ) -> str | None:
         """Return the hub from which this hub takes rows, or None for the store."""
         me = self._links.me.name
-        if self.must_be_hub():
+        if self.must_be_hub() or not self._shape.one_reader:
             return None
         preferred = self.preferred_reader()
         if preferred is not None and preferred not in unfit and preferred != me:
--- a/packages/guavajunction/src/guavajunction/settings/__init__.py
+++ b/packages/guavajunction/src/guavajunction/settings/__init__.py
@@ -17,6 +17,7 @@
     TimingSettings,
 )
 from ._reader import read_sections, read_settings
+from ._values import parse_choice
 
 __all__ = [
     "Count",
@@ -31,6 +32,7 @@
     "Settings",
     "SettingsFault",
     "TimingSettings",
+    "parse_choice",
     "read_sections",
     "read_settings",
 ]
