Cut instances: a path is judged by the answers of backend servers

Cause: an instance took its path for open if a connection opened. Where something on the way accepts connections and passes nothing, or resets them at once, it never noticed that it is cut, and its callers got nothing. Ruled out: probes of the liveness check, which wait for a slot and are priced in calm; they are sent on a suspicion only, as before. Change: a probe asks three backend servers for a report on a direct connection; any answer within 0.5 s counts, also the refusal of a plain service. Not done of the same issue: sound requests that a cut makes look like the cause of crashes.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -161,6 +161,7 @@
                 quarantine=self._quarantine,
                 roster=self._roster,
                 connections=deployment.backend_connections,
+                probe=deployment.orders.answers,
                 clock=clock,
                 rng=self._rng,
             ),
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tunnel_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tunnel_links.py
@@ -16,6 +16,7 @@
 from guavajunction.tunnels import (
     PathState,
     PathWatch,
+    Probe,
     ServerPaths,
     TunnelConnector,
     TunnelEntrance,
@@ -37,6 +38,8 @@
     roster: Roster
     connections: TunnelConnector
     """Connections to backend servers."""
+    probe: Probe
+    """Asks a backend server for an answer."""
     clock: Clock
     rng: random.Random
 
@@ -58,7 +61,9 @@
         self._parts = parts
         self._listener: TunnelListener | None = None
         paths = ServerPaths(parts.clock)
-        self.watch = PathWatch(paths, parts.registry.records, parts.clock, parts.rng)
+        self.watch = PathWatch(
+            paths, parts.registry.records, parts.clock, parts.rng, parts.probe
+        )
         """Tells whether this instance is cut."""
         self._entrance = TunnelEntrance(
             paths, self._exits, self._backend_at, parts.clock, parts.rng
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_fault_injector.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_fault_injector.py
@@ -23,6 +23,10 @@
     RESET = "reset"
     LIVE_ON = "live on"
     """Open connections live on, and new ones are refused."""
+    ACCEPT_IN_SILENCE = "accept in silence"
+    """New connections are accepted on the way; nothing passes on any."""
+    ACCEPT_AND_RESET = "accept and reset"
+    """New connections are accepted on the way and reset at once."""
 
 
 STORE_OUTAGES = {
@@ -59,12 +63,15 @@
     async def cut(self, instance: str, kind: CutKind) -> None:
         """Cut an instance from all runners until `heal`."""
         for proxy in self.of_instance(instance):
+            if kind in (CutKind.HANG, CutKind.ACCEPT_IN_SILENCE):
+                proxy.stall()
             if kind is CutKind.HANG:
                 await proxy.ignore()
-                proxy.stall()
-            else:
+            if kind in (CutKind.RESET, CutKind.LIVE_ON):
                 await proxy.refuse()
-            if kind is CutKind.RESET:
+            if kind is CutKind.ACCEPT_AND_RESET:
+                proxy.reset_new = True
+            if kind in (CutKind.RESET, CutKind.ACCEPT_AND_RESET):
                 proxy.reset()
 
     async def heal(self, instance: str) -> None:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
@@ -35,6 +35,8 @@
         self._full_queue: list[socket.socket] = []
         self.delay_seconds = 0.0
         """Delay of each chunk of data in both directions."""
+        self.reset_new = False
+        """Whether new connections are reset as soon as they are accepted."""
         self.address = ""
         """Address on which the proxy listens, `host:port`."""
 
@@ -110,6 +112,7 @@
         Connections stalled by `stall_open_connections` stay stalled.
         """
         self.delay_seconds = 0.0
+        self.reset_new = False
         self._responses_open.set()
         self._link_open.set()
 
@@ -133,6 +136,9 @@
     async def _relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self.reset_new:
+            reset(writer.transport)
+            return
         try:
             await self._link_open.wait()
             target_reader, target_writer = await asyncio.open_connection(
--- a/packages/guavajunction/src/guavajunction/swapping/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_protocols.py
@@ -79,3 +79,7 @@
             NotSent: The backend server was unreachable or its answer was invalid.
         """
         ...
+
+    async def answers(self, backend: BackendRecord) -> bool:
+        """Return whether a backend server answers on a direct connection."""
+        ...
--- a/packages/guavajunction/src/guavajunction/tunnels/__init__.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._path_watch import PathWatch
+from ._path_watch import PathWatch, Probe
 from ._server_paths import PathState, ServerPaths
 from ._tunnel_connector import NoTunnel, TunnelConnector, TunnelDialer
 from ._tunnel_entrance import TunnelEntrance, TunnelExit
@@ -12,6 +12,7 @@
     "NoTunnel",
     "PathState",
     "PathWatch",
+    "Probe",
     "ServerPaths",
     "TunnelConnector",
     "TunnelDialer",
--- a/packages/guavajunction/src/guavajunction/tunnels/_path_watch.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_path_watch.py
@@ -1,9 +1,8 @@
-"""Tries connections to backend servers when this instance may be cut from them."""
+"""Asks backend servers for an answer when this instance may be cut from them."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Awaitable, Callable, Iterable
 
@@ -14,8 +13,12 @@
 from . import _events as events
 from ._server_paths import PathState, ProbeTarget, ServerPaths, choose_probed
 
-Connect = Callable[[str], Awaitable[bool]]
-"""Returns whether a connection to an address, `host:port`, can be opened."""
+Probe = Callable[[BackendRecord], Awaitable[bool]]
+"""Returns whether a backend server answers on a new connection.
+
+That a connection opens is not enough: something on the way may accept connections and
+pass nothing on.
+"""
 
 
 class PathWatch:
@@ -25,9 +28,9 @@
     """
 
     OTHERS_SECONDS = 0.05
-    """Time for the other connections of a probe once one could be opened."""
-    CONNECT_SECONDS = 0.5
-    """Timeout of a tried connection; backend servers accept one within milliseconds."""
+    """Time for the other backend servers of a probe once one has answered."""
+    ANSWER_SECONDS = 0.5
+    """Timeout of a probed backend server, which answers within milliseconds."""
 
     def __init__(
         self,
@@ -35,7 +38,7 @@
         records: Callable[[], Iterable[BackendRecord]],
         clock: Clock,
         rng: random.Random,
-        connect: Connect | None = None,
+        probe: Probe,
     ) -> None:
         """Create a watch without a running probe.
 
@@ -44,19 +47,19 @@
             records: Returns the known backend servers.
             clock: Source of time.
             rng: Chooses the backend servers to try.
-            connect: Tries a connection; TCP if omitted.
+            probe: Asks a backend server for an answer.
         """
         self.paths = paths
         """State of the paths."""
         self._records = records
         self._clock = clock
         self._rng = rng
-        self._connect = connect or self._connect_tcp
+        self._ask = probe
         self._probe: asyncio.Task[None] | None = None
         self.on_change: Callable[[PathState], None] = lambda _: None
         """Called when this instance was cut, and when it has a path again."""
         self.on_reached: Callable[[BackendRecord], None] = lambda _: None
-        """Called with each backend server to which a probe opened a connection."""
+        """Called with each backend server that answered a probe."""
 
     @property
     def is_cut(self) -> bool:
@@ -128,10 +131,9 @@
             self.on_change(self.paths.state)
 
     async def _reach(self, records: list[BackendRecord]) -> list[BackendRecord]:
-        """Return the backend servers that accept a connection, soon after the first."""
+        """Return the backend servers that answer, soon after the first."""
         attempts = {
-            asyncio.ensure_future(self._connect(record.address)): record
-            for record in records
+            asyncio.ensure_future(self._answers(record)): record for record in records
         }
         try:
             for attempt in asyncio.as_completed(attempts):
@@ -143,17 +145,12 @@
             for attempt in attempts:
                 attempt.cancel()
 
-    async def _connect_tcp(self, address: str) -> bool:
-        host, _, port = address.rpartition(":")
+    async def _answers(self, record: BackendRecord) -> bool:
         try:
-            async with asyncio.timeout(self.CONNECT_SECONDS):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
+            async with asyncio.timeout(self.ANSWER_SECONDS):
+                return await self._ask(record)
+        except TimeoutError:
             return False
-        writer.close()
-        with contextlib.suppress(OSError):
-            await writer.wait_closed()
-        return True
 
     def _on_probe_done(self, probe: asyncio.Task[None]) -> None:
         self._probe = None
--- a/packages/guavajunction/src/guavajunction/tunnels/_server_paths.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_server_paths.py
@@ -2,11 +2,12 @@
 
 The load that this answers: some or nearly all instances reach no backend server for
 seconds, while callers, the store and the other instances reach them. Connections hang,
-or are reset, or live on while new ones are refused. A cut must be told from the end of
-a few backend servers, and from one that is silent for a second.
+or are reset, or live on while new ones are refused; or new ones are accepted on the way
+and pass nothing. A cut must be told from the end of a few backend servers, and from one
+that is silent for a second.
 
-Failures and silence only raise a suspicion. Then connections to several backend servers
-are tried; an instance that can open none of them is cut, until one can be opened.
+Failures and silence only raise a suspicion. Then several backend servers are asked for
+an answer; an instance that gets none is cut, until it gets one.
 """
 
 from __future__ import annotations
@@ -140,7 +141,7 @@
         """Apply the result of a probe.
 
         Args:
-            reached: Whether any connection could be opened.
+            reached: Whether any backend server answered.
         """
         now = self._clock.monotonic()
         was_cut = self._state is PathState.CUT
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -30,7 +30,7 @@
     deployment = SimpleNamespace(
         store=None,
         caller=None,
-        orders=None,
+        orders=SimpleNamespace(answers=None),
         backend_connections=SimpleNamespace(dialer=None),
         configuration_row=RowAddress("configuration", "head"),
         backends_partition="backends",
--- a/tests/entry/test_tunnel_links.py
+++ b/tests/entry/test_tunnel_links.py
@@ -43,14 +43,14 @@
                 quarantine=self.fleet.quarantine,
                 roster=self.roster,
                 connections=self.connections,
+                probe=self._probe,
                 clock=self.fleet.clock,
                 rng=random.Random(1),
             ),
         )
         self.reachable = True
-        self.links.watch._connect = self._connect
 
-    async def _connect(self, _):
+    async def _probe(self, _):
         return self.reachable
 
     def hear(self, name, *, ready=True, cut=False):
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -270,7 +270,7 @@
             self.registry.records,
             self.clock,
             random.Random(1),
-            connect=self._connect,
+            self._probe,
         )
         self.streams = StreamOrigins(self.clock)
         self.rate_limits = RateLimits(RateLimitBounds(8.0, 0.1, 1000.0), self.clock)
@@ -296,9 +296,9 @@
             self.registry.put(record)
         self.gateway.configure(RouteTable(document or catalogue()))
 
-    async def _connect(self, address):
+    async def _probe(self, record):
         reachable = self.reachable_addresses
-        return reachable is None or address in reachable
+        return reachable is None or record.address in reachable
 
     async def serve(self, path="/book/1", **changes):
         sink = FakeSink()
--- a/tests/platform/test_cut_instances.py
+++ b/tests/platform/test_cut_instances.py
@@ -27,6 +27,16 @@
 _numbers = itertools.count(1)
 
 
+def own_reads(tmp_path):
+    """Write settings with which each instance reads the store itself.
+
+    The rows of backend servers that it reads lead through links of its own.
+    """
+    settings = tmp_path / "gateway.ini"
+    settings.write_text("[fleet]\nreaders = all\n")
+    return settings
+
+
 class Fleet:
     """A deployment whose instances can be cut from the runners one by one."""
 
@@ -74,7 +84,11 @@
     async with AsyncExitStack() as stack:
         links = LinkProxies(stack)
         deployment = LocalDeployment(
-            tmp_path, instances=count, ports=PORTS, links=links
+            tmp_path,
+            instances=count,
+            ports=PORTS,
+            links=links,
+            gateway_settings=own_reads(tmp_path),
         )
         yield Fleet(await stack.enter_async_context(deployment), links)
 
@@ -146,7 +160,13 @@
     """Two instances, of which the first one is cut and noticed it."""
     async with AsyncExitStack() as stack:
         links = LinkProxies(stack)
-        deployment = LocalDeployment(tmp_path, instances=2, ports=PORTS, links=links)
+        deployment = LocalDeployment(
+            tmp_path,
+            instances=2,
+            ports=PORTS,
+            links=links,
+            gateway_settings=own_reads(tmp_path),
+        )
         fleet = Fleet(await stack.enter_async_context(deployment), links)
         await fleet.cut(["front-1"], CutKind.RESET)
         await fleet.send_for(["front-1"], 1.0)
