Quarantine: an answer after a restart under the same name retracts no crash

Cause, from the log of a second play in which it broke again: an instance retracts its report of a crash when the backend server answers it. A backend server that had crashed 3.8 s before was back under its name, and its first answer came before its new record, so the report of its last incarnation was retracted; with two crashes left the request was released on all instances, and it crashed more. Ruled out: evidence that never arrived (all instances blamed the request at 6.47 s). Change: only an answer within 2 s of the loss retracts a crash; backend servers that crash are back after some seconds. Test: test_answer_after_a_restart_under_the_same_name_retracts_nothing failed before.

--- a/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
@@ -47,6 +47,10 @@
     CONFIRM_SECONDS = 0.3
     """Time without an answer after which a backend server whose connection ended counts
     as crashed."""
+    RETRACT_SECONDS = 2.0
+    """Time after the loss of a connection in which an answer shows that the backend
+    server has not crashed. A later one may be of a restart under the same name, whose
+    record has not arrived yet."""
     SOUND_ANSWER_SECONDS = 1.0
     """An answer that had been arriving for this long did not crash its backend server;
     a crash follows within some tenths of a second after the beginning."""
@@ -230,9 +234,9 @@
         if suspicion is None:
             return
         # Bytes that were sent before a crash may be read shortly after it.
-        if self._clock.monotonic() - suspicion.lost_at < self.CONFIRM_SECONDS:
-            return
-        self._retract(backend)
+        elapsed = self._clock.monotonic() - suspicion.lost_at
+        if self.CONFIRM_SECONDS <= elapsed <= self.RETRACT_SECONDS:
+            self._retract(backend)
 
     def _retract(self, backend: BackendId) -> None:
         del self._suspicions[backend]
--- a/tests/quarantine/test_part_quarantine.py
+++ b/tests/quarantine/test_part_quarantine.py
@@ -151,6 +151,15 @@
         lose(quarantine, 1, "worse")
         assert quarantine.unsettled
 
+    def test_answer_after_a_restart_under_the_same_name_retracts_nothing(self):
+        quarantine, clock = one()
+        blame(quarantine, clock)
+        # The record that names the new incarnation has not arrived yet.
+        clock.advance(3.0)
+        quarantine.note_alive(BackendId("ebad1", 1))
+        quarantine.settle()
+        assert quarantine.blamed_in(["bad"]) is not None
+
     def test_bytes_read_just_after_the_crash_do_not_retract_it(self):
         quarantine, clock = one()
         lose(quarantine, 1, "bad")
