--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/__init__.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from ._local_deployment import LinkProvider, LocalDeployment
-from ._operator import Operator
+from ._operator import BOOKING_SERVICE, ENGINE_SERVICE, Operator
 from ._runner import CrashingRequest, FakeRunner, RefusalRepeat, Run, RunnerSpec
 from ._store import FakeStore
 from ._wire import HEADERS, HOST, Headers, OrderBody
 
 __all__ = [
+    "BOOKING_SERVICE",
+    "ENGINE_SERVICE",
     "HEADERS",
     "HOST",
     "CrashingRequest",
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
@@ -6,7 +6,7 @@
 import json
 import os
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any, Protocol
@@ -60,6 +60,7 @@
         ports: list[int],
         gateway_settings: Path | None = None,
         links: LinkProvider | None = None,
+        runners: Iterable[RunnerSpec] | None = None,
     ) -> None:
         """Create a deployment; entering it starts the processes.
 
@@ -70,6 +71,7 @@
             gateway_settings: INI file of the gateway; the defaults if omitted.
             links: Provides the addresses of the store and the runners; instances
                 connect to them directly if omitted.
+            runners: Properties of the runners; two for each service if omitted.
         """
         self._links = links
         self._flags = [f"--settings={gateway_settings}"] if gateway_settings else []
@@ -79,7 +81,8 @@
         self.store = FakeStore()
         self.operator = Operator(self.store)
         self.runners = {
-            spec.name: FakeRunner(spec, self.store) for spec in _runner_specs()
+            spec.name: FakeRunner(spec, self.store)
+            for spec in (_runner_specs() if runners is None else runners)
         }
         self.instances: dict[str, FleetProcess] = {}
         """Processes of the instances by name."""
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -6,8 +6,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
+from collections import deque
+from collections.abc import AsyncIterator
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -32,6 +35,8 @@
     """Whether the runner serves models and streams its responses."""
     slots: int = 8
     """Maximum number of concurrent requests."""
+    queue_slots: int = 0
+    """Maximum number of requests that wait for a slot; more are rejected."""
     sizes: dict[str, float] = {}
     """Size of each model's weights in MB."""
     memory_mb: float = 100.0
@@ -97,6 +102,10 @@
     """Longest time after which a refusal is written again."""
     DOWN_SECONDS = 0.4
     """Time from a crash until the runner accepts connections again."""
+    BRITTLE_DOWN_SECONDS = 2.0
+    """Time from a fall under rejected requests until it accepts connections again."""
+    REJECTION_WINDOW_SECONDS = 1.0
+    """Time in which a brittle runner bears only so many rejections."""
 
     def __init__(self, spec: RunnerSpec, store: FakeStore) -> None:
         super().__init__()
@@ -141,6 +150,15 @@
         writes them; empty if it turns none away."""
         self.refused_fraction = 0.0
         """Fraction of the requests that it turns away at random."""
+        self.brittle = ""
+        """Number of rejections in a second that the runner says it bears; empty if it
+        bears any number."""
+        self.queue_slots = spec.queue_slots
+        """Maximum number of requests that wait for a slot."""
+        self.rejected_at: list[float] = []
+        """Times of requests rejected for want of room, on the monotonic clock."""
+        self.fell_at: list[float] = []
+        """Times at which the runner fell over under the requests that it rejected."""
         self.repeats_refusals = RefusalRepeat.NEVER
         """When the runner writes each refusal a second time."""
         self.arrived_at: list[float] = []
@@ -156,6 +174,7 @@
         self._last_fence = 0
         self._busy = False
         self._running = 0
+        self._waiting: deque[asyncio.Future[None]] = deque()
         self._open: list[web.Request] = []
         self._copies: dict[asyncio.Transport, bytes] = {}
         self._heartbeat = 0
@@ -199,6 +218,8 @@
             resp.headers[HEADERS.limit] = self.named_limit
         if self.leaving:
             resp.headers[HEADERS.leaving] = "1"
+        if self.brittle:
+            resp.headers[HEADERS.brittle] = self.brittle
 
     @web.middleware
     async def _record_arrival(
@@ -232,7 +253,9 @@
         self._order_count = self._last_fence = 0
         self._write_entry()
 
-    async def crash(self, times: list[float]) -> None:
+    async def crash(
+        self, times: list[float], down_seconds: float = DOWN_SECONDS
+    ) -> None:
         """Reset all connections, refuse new ones for a while, then restart empty.
 
         Streams without framing are reset as well: whether one that is closed in order
@@ -240,16 +263,17 @@
 
         Args:
             times: Extended by the time of the crash.
+            down_seconds: Time until it accepts connections again.
         """
         if self.faults.active.outage == "refuse":
             return
         times.append(time.monotonic())
-        self.faults.set(outage="refuse", outage_seconds=self.DOWN_SECONDS)
+        self.faults.set(outage="refuse", outage_seconds=down_seconds)
         for req in list(self._open):
             UnframedResponse().reset(req)
         self._models.clear()
         self._busy = False
-        await asyncio.sleep(self.DOWN_SECONDS)
+        await asyncio.sleep(down_seconds)
         self.restart()
 
     def restart_as(self, version: str) -> None:
@@ -358,6 +382,44 @@
             rejection.headers[HEADERS.request_id] = req.headers[HEADERS.request_id]
             self._repeat_later(req, rejection)
             return rejection
+        async with self._slot(req):
+            return await self._execute(req)
+
+    @contextlib.asynccontextmanager
+    async def _slot(self, req: web.Request) -> AsyncIterator[None]:
+        """Wait for a slot and hold it."""
+        self._open.append(req)
+        try:
+            if self._running >= self.spec.slots:
+                turn = asyncio.get_running_loop().create_future()
+                self._waiting.append(turn)
+                try:
+                    await turn
+                except asyncio.CancelledError:
+                    if turn in self._waiting:
+                        self._waiting.remove(turn)
+                    else:
+                        self._free_slot()
+                    raise
+            else:
+                self._running += 1
+            try:
+                yield
+            finally:
+                self._free_slot()
+        finally:
+            self._open.remove(req)
+
+    def _free_slot(self) -> None:
+        """Pass a slot on to the next waiting request, if any."""
+        while self._waiting:
+            turn = self._waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self._running -= 1
+
+    async def _execute(self, req: web.Request) -> web.StreamResponse:
         request_id = req.headers[HEADERS.request_id]
         run = Run(
             request_id=request_id,
@@ -370,8 +432,6 @@
             version=self.spec.version,
         )
         self.runs.append(run)
-        self._running += 1
-        self._open.append(req)
         try:
             if self.crash_request and self.crash_request.is_repeated_by(run):
                 self.crashing_runs.append(run.at)
@@ -389,9 +449,6 @@
         except ConnectionResetError:
             # The caller has closed the connection, which is no error of the runner.
             return web.Response(status=499)
-        finally:
-            self._running -= 1
-            self._open.remove(req)
 
     def _crashes_on(self, parts: str) -> bool:
         ids = [part.partition(":")[0] for part in parts.split(",")]
@@ -408,11 +465,24 @@
         if self.pause:
             headers = {HEADERS.not_run: "1", HEADERS.retry_after: self.pause}
             return web.Response(status=503, headers=headers)
-        is_full = self._running >= self.spec.slots
+        is_full = len(self._waiting) >= self.queue_slots and (
+            self._running >= self.spec.slots
+        )
+        if is_full:
+            self._count_rejection()
         if is_full or random.random() < self.refused_fraction:
             return web.Response(status=503, headers={HEADERS.not_run: "1"})
         return None
 
+    def _count_rejection(self) -> None:
+        """Fall over if a brittle runner has rejected too many requests."""
+        now = time.monotonic()
+        self.rejected_at.append(now)
+        since = now - self.REJECTION_WINDOW_SECONDS
+        recent = sum(at > since for at in self.rejected_at[-1000:])
+        if self.brittle and recent > float(self.brittle):
+            self.spawn(self.crash(self.fell_at, self.BRITTLE_DOWN_SECONDS))
+
     def _repeat_later(self, req: web.Request, refusal: web.Response) -> None:
         """Write a refusal a second time on its connection, as a faulty runner would."""
         transport = req.transport
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
@@ -20,6 +20,7 @@
     not_run: str = names.NOT_RUN
     limit: str = names.SERVER_LIMIT
     leaving: str = names.SERVER_LEAVING
+    brittle: str = names.SERVER_BRITTLE
     retry_after: str = names.RETRY_AFTER
     priority: str = names.PRIORITY
     last_event: str = names.LAST_EVENT_ID
--- a/packages/guavajunction/src/guavajunction/gateway/_events.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_events.py
@@ -54,6 +54,11 @@
     "gateway:limit_received",
     "A backend server named the requests a second that it takes from all instances.",
 )
+REJECTED = LogEvent(
+    1018,
+    "gateway:rejected",
+    "A backend server rejected a request without running it.",
+)
 CONFIGURED = LogEvent(1020, "gateway:configured", "A newer configuration was applied.")
 CONFIGURATION_REFUSED = LogEvent(
     1021, "gateway:configuration_refused", "A configuration could not be decoded."
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -445,6 +445,15 @@
         if head.misdirected and admitted.req.size is not None:
             self._parts.registry.note_missing(backend.name, admitted.req.size.artifact)
         if head.not_run or head.misdirected:
+            events.REJECTED.log(
+                request_id=admitted.req.request_id,
+                backend=backend.name,
+                incarnation=backend.incarnation,
+                status=head.status,
+                slots=backend.slots,
+                running_known=self._parts.queue.running_at(backend.name),
+                bears_rejections=head.bears_rejections,
+            )
             raise BackendRefused(
                 f"{message}: not run", retry_after=self.RETRY_AFTER_SECONDS
             )
--- a/packages/guavajunction/src/guavajunction/gateway/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_protocols.py
@@ -34,6 +34,9 @@
     pause: str | None = None
     """Seconds for which the backend server wants no request of this instance, as it
     wrote the number; None if it names no time."""
+    bears_rejections: str | None = None
+    """Number of requests that the backend server can reject in a second without falling
+    over, as it wrote the number; None if it names none."""
 
     @property
     def succeeded(self) -> bool:
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -143,6 +143,10 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    def running_at(self, backend: str) -> int:
+        """Return the known number of requests in flight at a backend server."""
+        return self._loads.of(backend).running
+
     def waiting_by_model(self) -> dict[str, int]:
         """Return the number of requests that wait for a model load, by model."""
         return self._waiting_for("")
--- /dev/null
+++ b/tests/platform/test_brittle_servers.py
@@ -0,0 +1,118 @@
+"""Tests of real instances whose backend servers fall over if they reject too much."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from collections import Counter
+
+import pytest
+
+from guavajunction_fakes.deployment import (
+    BOOKING_SERVICE,
+    LocalDeployment,
+    RunnerSpec,
+)
+from platform_calls import call
+
+from .conftest import PORTS
+
+SERVERS = 4
+SLOTS = 2
+WORK_SECONDS = 0.15
+WAITING_BEFORE = 12
+WAITING_WHILE_BRITTLE = 1
+CONTACT_SECONDS = 3.0
+"""Time from the first statement until fewer requests may wait."""
+MEASURED_SECONDS = 8.0
+ALLOWED_FALLS = 2 + SERVERS / 10
+MIN_USED_FRACTION = 0.8
+"""Part of the slots' time that must be used while requests wait for them."""
+
+
+@pytest.fixture(params=[4])
+async def deployment(tmp_path, request):
+    specs = [
+        RunnerSpec(
+            f"booking-{n}",
+            BOOKING_SERVICE,
+            slots=SLOTS,
+            queue_slots=WAITING_BEFORE,
+            work_seconds=WORK_SECONDS,
+        )
+        for n in range(1, SERVERS + 1)
+    ]
+    async with LocalDeployment(
+        tmp_path, instances=request.param, ports=PORTS, runners=specs
+    ) as running:
+        yield running
+
+
+class Load:
+    """Requests at a constant rate, at the instances in turn."""
+
+    def __init__(self, deployment, path="/book/1"):
+        self.statuses = Counter()
+        self.slowest_refusal = 0.0
+        self._deployment = deployment
+        self._path = path
+        self._tasks = []
+
+    async def run(self, seconds, per_second):
+        began = time.monotonic()
+        names = itertools.cycle(self._deployment.instances)
+        for number in range(int(seconds * per_second)):
+            await asyncio.sleep(began + number / per_second - time.monotonic())
+            self._tasks.append(asyncio.create_task(self._call(next(names))))
+
+    async def end(self):
+        await asyncio.gather(*self._tasks)
+
+    async def _call(self, name):
+        began = time.monotonic()
+        reply = await call(self._deployment, self._path, name=name)
+        self.statuses[reply.status] += 1
+        if reply.status == 503:
+            took = time.monotonic() - began
+            self.slowest_refusal = max(self.slowest_refusal, took)
+
+
+def turn_brittle(deployment, bears):
+    for runner in deployment.runners.values():
+        runner.brittle = bears
+
+
+def let_fewer_wait(deployment):
+    for runner in deployment.runners.values():
+        runner.queue_slots = WAITING_WHILE_BRITTLE
+
+
+def falls(deployment):
+    return sum(len(runner.fell_at) for runner in deployment.runners.values())
+
+
+class TestOverload:
+    """Brittle servers keep serving under more requests than their slots can run."""
+
+    @pytest.mark.parametrize("bears", ["2", "0"])
+    async def test_brittle_servers_do_not_fall_over_under_overload(
+        self, deployment, bears
+    ):
+        load = Load(deployment)
+        await load.run(2.0, 70)
+        turn_brittle(deployment, bears)
+        await load.run(CONTACT_SECONDS, 70)
+        let_fewer_wait(deployment)
+        began = time.monotonic()
+        await load.run(MEASURED_SECONDS, 70)
+        runs = sum(
+            began <= run.at < began + MEASURED_SECONDS
+            for runner in deployment.runners.values()
+            for run in runner.runs
+        )
+        await load.end()
+        slots_allow = SERVERS * SLOTS * MEASURED_SECONDS / WORK_SECONDS
+        assert falls(deployment) <= ALLOWED_FALLS
+        assert runs >= MIN_USED_FRACTION * slots_allow
+        assert load.statuses[504] == 0
