Brittle backend servers: one instance hands out their places

What callers saw: bookings answered 504 and 503 while the servers that had to run them fell over again and again. Cause: what a server bears (Server-Brittle) was read nowhere, and each instance filled a server up to twice its slots by its own view and its peers' counts of the last heartbeat. The sum over instances overran the shortened queue, and after each fall the whole load met the server that looked idle. Class: a bound on a sum over all instances that each of them knows alone. Change: a server of which an answer says so, and those of its service that have not answered since, get a request only for a place. Places are as many as slots; one instance for each server hands them out, first come first served, takes them back at the end of the request, when they are too old or their instance is silent, and hands out fewer after a rejection. Two ways were weighed and dropped: a part of the slots for each instance (6 slots at 80 instances), one instance that sends for all (every body through one process).

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -11,6 +11,7 @@
 from contextlib import AsyncExitStack
 from typing import Any
 
+from guavajunction.brittle import BrittlePlaces
 from guavajunction.clock import Clock
 from guavajunction.errors import DocumentInvalid, SettingsInvalid
 from guavajunction.fleet import (
@@ -144,12 +145,14 @@
         self._roster = Roster(self._me, clock)
         self._quarantine = PartQuarantine(clock)
         self._limits = ServerLimits(clock)
+        self._places = BrittlePlaces(clock)
         self._queue = RequestQueue(
             self._registry,
             self._loads,
             self._health,
             self._quarantine,
             self._limits,
+            self._places,
             clock,
         )
         self._tunnels = TunnelLinks(
@@ -168,6 +171,8 @@
         )
         self._tunnels.may_serve = lambda: self._stopping_since is None
         self._limits.on_answered = self._queue.schedule_dispatch
+        self._places.on_granted = self._queue.use_place
+        self._places.on_refused = self._queue.schedule_dispatch
         self._quarantine.on_blamed = self._queue.schedule_dispatch
         self._gateway = Gateway(
             GatewayParts(
@@ -178,6 +183,7 @@
                 streams=self._streams,
                 quarantine=self._quarantine,
                 limits=self._limits,
+                places=self._places,
                 paths=self._tunnels.watch,
                 retries=self._retries,
                 demand=self._demand,
@@ -246,6 +252,9 @@
         self._backends_era = 0
         self.metrics.gauge("cut_from_backends", lambda: int(self._tunnels.watch.is_cut))
         self.metrics.gauge("tunnels_open", lambda: self._tunnels.open)
+        self.metrics.gauge(
+            "brittle_services", lambda: len(self._places.brittle_services())
+        )
         self.metrics.gauge("store_era", lambda: self._backends_era)
         self._era_began = asyncio.Event()
         self._crashes_known = False
@@ -501,6 +510,7 @@
             rate_limits=self._rate_limits,
             streams=self._streams,
             limits=self._limits,
+            places=self._places,
             paths=self._tunnels.watch,
             roster=self._roster,
             feed=self._feed,
@@ -589,6 +599,8 @@
             self._rate_limits.limit_to_share(self._roster.live_fraction, serving - 1)
             self._gateway.instances = serving
             self._limits.keep_only({r.identity for r in self._registry.records()})
+            self._places.refresh(self._registry.records())
+            self._places.instances = serving
             if self._gateway.routes is None:
                 self._activate_offered()
             await self._clock.sleep(self.MAINTENANCE_INTERVAL_SECONDS)
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Collection
 from typing import Any, NamedTuple
 
+from guavajunction.brittle import BrittlePlaces
 from guavajunction.clock import Clock
 from guavajunction.fleet import (
     Candidate,
@@ -47,6 +48,7 @@
 
 from ._deployment import Deployment
 from ._limit_links import LimitLinks, StatedLimit
+from ._place_links import PlaceLinks
 from ._quarantine_links import QuarantineLinks
 from ._settings import GatewaySettings
 from ._stream_links import StreamLinks
@@ -70,6 +72,7 @@
     rate_limits: RateLimits
     streams: StreamOrigins
     limits: ServerLimits
+    places: BrittlePlaces
     paths: PathWatch
     roster: Roster
     feed: RelayedFeed
@@ -136,6 +139,9 @@
         self._limits = LimitLinks(
             me, self._mesh, self.relay, parts.roster, parts.limits, parts.clock
         )
+        self._places = PlaceLinks(
+            me, self._mesh, self.relay, parts.roster, parts.places, parts.clock
+        )
         self._register_topics()
 
     async def run(self) -> None:
@@ -254,6 +260,12 @@
             self._limits.on_statements,
             list[StatedLimit],
         )
+        mesh.add_topic(
+            "brittle",
+            self._places.statements,
+            self._places.on_statements,
+            list[StatedLimit],
+        )
         mesh.add_topic("cut", lambda: parts.paths.is_cut, parts.roster.on_cut, bool)
         mesh.add_topic(
             "leaving", self._leaving_backends, self._on_leaving, list[BackendId]
@@ -283,6 +295,12 @@
             self._only_from_hub(self._limits.on_statements),
             list[StatedLimit],
         )
+        mesh.add_peer_topic(
+            "hub-brittle",
+            self._only_for_followers(lambda _: self._places.statements()),
+            self._only_from_hub(self._places.on_statements),
+            list[StatedLimit],
+        )
         mesh.add_peer_topic(
             "hub-cut",
             self._only_for_followers(lambda _: self._cut_instances()),
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_limit_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_limit_links.py
@@ -1,17 +1,10 @@
-"""Shares the limits of backend servers, and the sends that they allow, with peers.
-
-The sends to a limited backend server are handed out by one instance, which all choose
-alike among those that hear each other: the hubs, which is every instance in a fleet
-without followers. A follower asks its hub, which passes the question on.
-"""
+"""Shares the limits of backend servers, and the sends that they allow, with peers."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import NamedTuple
 
-import xxhash
-
 from guavajunction.clock import Clock
 from guavajunction.errors import PeerError
 from guavajunction.fleet import Relay, Roster
@@ -20,6 +13,7 @@
 from guavajunction.quarantine import BackendId
 
 from . import _events as events
+from ._desk_routes import DeskRoutes
 
 
 class PermitWanted(NamedTuple):
@@ -65,8 +59,8 @@
     ) -> None:
         self._me = me
         self._links = links
-        self._relay = relay
         self._roster = roster
+        self._routes = DeskRoutes(me, relay, roster)
         self._limits = limits
         self._clock = clock
         self._desk = PermitDesk()
@@ -84,7 +78,7 @@
             self._limits.book.merge(dict(stated))
 
     def _ask(self, backend: BackendId) -> None:
-        if not self._relay.follows and self._holder(backend) == self._me:
+        if self._routes.next_peer(backend) == self._me:
             self._limits.on_answer(backend, self._take(backend))
             return
         task = asyncio.ensure_future(self._ask_remote(backend))
@@ -98,16 +92,15 @@
 
     async def _pass_on(self, wanted: PermitWanted) -> PermitAnswer:
         """Return the answer of this instance's hub, or of the holder."""
-        if self._relay.follows:
-            hub = self._relay.hub_peer()
-            if hub is None:
-                return PermitAnswer(None)
-            return await self._request(hub, wanted, self.FORWARDED_ANSWER_SECONDS)
-        holder = self._holder(wanted.backend)
-        if holder == self._me:
+        peer = self._routes.next_peer(wanted.backend)
+        if peer is None:
+            return PermitAnswer(None)
+        if peer == self._me:
             return PermitAnswer(self._take(wanted.backend))
+        if self._routes.follows:
+            return await self._request(peer, wanted, self.FORWARDED_ANSWER_SECONDS)
         wanted = wanted._replace(forwarded=True)
-        return await self._request(holder, wanted, self.ANSWER_SECONDS)
+        return await self._request(peer, wanted, self.ANSWER_SECONDS)
 
     async def _request(
         self, peer: PeerId, wanted: PermitWanted, timeout: float
@@ -128,11 +121,6 @@
             return PermitAnswer(self._take(wanted.backend))
         return await self._pass_on(wanted)
 
-    def _holder(self, backend: BackendId) -> PeerId:
-        """Return the instance that hands out the sends to a backend server."""
-        hubs = self._roster.peers_matching(lambda member: member.is_hub)
-        return max([*hubs, self._me], key=lambda peer: _weight(backend, peer))
-
     def _take(self, backend: BackendId) -> float:
         """Take a send from the part of the limit that this side of a cut may use."""
         rate = self._limits.book.rate(backend)
@@ -140,7 +128,3 @@
             return 0.0
         share = self._roster.live_fraction
         return self._desk.take(backend, rate * share, self._clock.monotonic())
-
-
-def _weight(backend: BackendId, peer: PeerId) -> int:
-    return xxhash.xxh3_64_intdigest(f"{backend.name}/{peer.name}".encode())
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/brittle/_desk.py
@@ -0,0 +1,222 @@
+"""Hands out the slots of brittle backend servers to the instances.
+
+The load that this answers: more requests than the slots can run, at many instances,
+and servers that end if more than a few requests a second find no room. An instance that
+knows only its own requests and old counts of its peers' would overfill the queue of a
+server together with them. A fixed share for each instance would be less than one
+request. So one instance hands out single places for all; a place is used for one
+request and given back at its end.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Collection
+from typing import NamedTuple
+
+from guavajunction.bounded import drop_oldest
+from guavajunction.peers import PeerId
+from guavajunction.quarantine import BackendId
+
+
+class PlaceKey(NamedTuple):
+    """Identifies a question for a place, and the place that answers it."""
+
+    peer: PeerId
+    """The instance that asks."""
+    number: int
+    """Number of its question."""
+
+
+class PlaceQuestion(NamedTuple):
+    """Asks for a place at a brittle backend server."""
+
+    backend: BackendId
+    slots: int
+    """Number of requests that the backend server runs at once."""
+    bears: float
+    """Number of rejections that it bears in a second."""
+    run_seconds: float
+    """Usual time that a request runs."""
+    longest_seconds: float
+    """Time after which the place is free again, even if it is not given back."""
+
+
+class _Server:
+    """The places of one backend server."""
+
+    def __init__(self, question: PlaceQuestion, now: float) -> None:
+        self.slots = question.slots
+        self.bears = question.bears
+        self.held: dict[PlaceKey, float] = {}
+        """When each place is free again at the latest, on the monotonic clock."""
+        self.waiting: dict[PlaceKey, PlaceQuestion] = {}
+        self.withheld = 0
+        """Number of places that are not used since the backend server rejected."""
+        self.restore_at = 0.0
+        self.rejected_at: deque[float] = deque(maxlen=PlaceDesk.MAX_REJECTIONS)
+        span = max(PlaceDesk.HANDOVER_SECONDS, 2 * question.run_seconds)
+        self.assumed_until = [
+            now + span * (n + 1) / self.slots for n in range(self.slots)
+        ]
+
+    def advance(self, now: float) -> None:
+        """Free places whose time is over, and use withheld ones again."""
+        for key, until in list(self.held.items()):
+            if until <= now:
+                del self.held[key]
+        self.assumed_until = [until for until in self.assumed_until if until > now]
+        while self.withheld and self.restore_at <= now:
+            self.withheld -= 1
+            self.restore_at += PlaceDesk.RESTORE_SECONDS
+
+    def room(self, share: float, now: float) -> int:
+        """Return the number of places that may be handed out now."""
+        since = now - PlaceDesk.REJECTION_WINDOW_SECONDS
+        recent = sum(at > since for at in self.rejected_at)
+        if recent and recent >= PlaceDesk.USED_REJECTIONS * self.bears:
+            return 0
+        usable = max(1, round(self.slots * share)) - self.withheld
+        return max(1, usable) - len(self.held) - len(self.assumed_until)
+
+    def grant(self, share: float, now: float) -> list[PlaceKey]:
+        """Hand out free places to those that wait, in order of their questions."""
+        granted = []
+        for key in list(self.waiting)[: max(0, self.room(share, now))]:
+            question = self.waiting.pop(key)
+            self.held[key] = now + question.longest_seconds
+            granted.append(key)
+        return granted
+
+
+class PlaceDesk:
+    """The places of all brittle backend servers that one instance hands out.
+
+    >>> desk = PlaceDesk()
+    >>> here, e1 = PeerId("front-1", "a"), BackendId("e1", 1)
+    >>> question = PlaceQuestion(e1, 1, 2.0, 0.03, 5.0)
+    >>> desk.ask(PlaceKey(here, 1), question, 0.0)
+    []
+    >>> desk.advance(1.0)
+    [PlaceKey(peer=PeerId(name='front-1', incarnation='a'), number=1)]
+    """
+
+    HANDOVER_SECONDS = 1.0
+    """Time in which the slots of a backend server that is new to this desk become free,
+    one after the other. The desk before may have handed all of them out just now."""
+    REJECTION_WINDOW_SECONDS = 1.0
+    """Time in which backend servers count their rejections."""
+    USED_REJECTIONS = 0.5
+    """Part of the rejections that a backend server bears after which it gets nothing
+    until they are a second old. The rest is for requests that are on their way."""
+    RESTORE_SECONDS = 1.0
+    """Time after a rejection until one more place is used again."""
+    SILENT_SECONDS = 2.0
+    """Time after which the places of a silent instance are free. Its connections end
+    with it, or its requests end meanwhile."""
+    MAX_REJECTIONS = 256
+    """Number of rejections that are remembered of each backend server."""
+    MAX_SLOTS = 65_536
+    """Largest number of slots that is used; entries of backend servers come from
+    outside."""
+    MAX_BACKENDS = 4096
+    """Number of backend servers whose places are known; several times the number in the
+    largest deployment."""
+
+    def __init__(self) -> None:
+        self._servers: dict[BackendId, _Server] = {}
+        self.share = 1.0
+        """Part of the slots that this side of a cut may use, 0 to 1."""
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether a question is open."""
+        return any(server.waiting for server in self._servers.values())
+
+    def ask(self, key: PlaceKey, question: PlaceQuestion, now: float) -> list[PlaceKey]:
+        """Ask for a place.
+
+        Args:
+            key: Identifies the question.
+            question: What is asked for.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The questions that got a place, this one among them unless it has to wait.
+        """
+        question = question._replace(slots=max(1, min(question.slots, self.MAX_SLOTS)))
+        server = self._servers.get(question.backend)
+        if server is None:
+            server = self._servers[question.backend] = _Server(question, now)
+            drop_oldest(self._servers, self.MAX_BACKENDS)
+        server.slots, server.bears = question.slots, question.bears
+        server.waiting[key] = question
+        server.advance(now)
+        return server.grant(self.share, now)
+
+    def withdraw(self, backend: BackendId, key: PlaceKey) -> None:
+        """Remove a question that waits no longer."""
+        server = self._servers.get(backend)
+        if server is not None:
+            server.waiting.pop(key, None)
+
+    def free(
+        self, backend: BackendId, key: PlaceKey, now: float, *, rejected: bool
+    ) -> list[PlaceKey]:
+        """Take a place back.
+
+        Args:
+            backend: The backend server.
+            key: The question that got the place; an unknown one changes nothing.
+            now: Monotonic time in seconds.
+            rejected: Whether the backend server had no room for the request.
+
+        Returns:
+            The questions that got a place.
+        """
+        server = self._servers.get(backend)
+        if server is None:
+            return []
+        server.waiting.pop(key, None)
+        server.held.pop(key, None)
+        if rejected:
+            server.rejected_at.append(now)
+            server.withheld = min(server.slots - 1, server.withheld + 1)
+            server.restore_at = now + self.RESTORE_SECONDS
+        server.advance(now)
+        return server.grant(self.share, now)
+
+    def advance(self, now: float) -> list[PlaceKey]:
+        """Hand out the places that time has freed.
+
+        Returns:
+            The questions that got a place.
+        """
+        granted = []
+        for server in self._servers.values():
+            server.advance(now)
+            granted += server.grant(self.share, now)
+        return granted
+
+    def keep_only(self, peers: Collection[PeerId], now: float) -> None:
+        """Take the places of instances back that are not listed, after a while."""
+        for server in self._servers.values():
+            for key in [key for key in server.held if key.peer not in peers]:
+                until = min(server.held[key], now + self.SILENT_SECONDS)
+                server.held[key] = until
+
+    def keep_backends(self, backends: Collection[BackendId]) -> None:
+        """Forget the backend servers that have left or are no longer brittle."""
+        for backend in self._servers.keys() - set(backends):
+            if not self._servers[backend].waiting:
+                del self._servers[backend]
+
+
+def usual_rate(slots: int, run_seconds: float, instances: int) -> float:
+    """Return the requests a second that one of several instances may expect to send.
+
+    >>> usual_rate(6, 0.03, 80)
+    2.5
+    """
+    return slots / max(run_seconds, math.ulp(1.0)) / max(1, instances)
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -6,6 +6,7 @@
 import random
 from typing import NamedTuple
 
+from guavajunction.brittle import BrittlePlaces
 from guavajunction.clock import Clock
 from guavajunction.errors import (
     AnswerCut,
@@ -59,6 +60,7 @@
     streams: StreamOrigins
     quarantine: PartQuarantine
     limits: ServerLimits
+    places: BrittlePlaces
     paths: ServerWatch
     retries: RetryBudget
     demand: ModelDemand
@@ -351,6 +353,8 @@
         paths = self._parts.paths
         sent_while_cut = paths.is_cut
         statement = self._parts.limits.book.of(backend.identity)
+        brittleness = self._parts.places.book.of(backend.identity)
+        rejected = complete = False
         events.SENT.log(
             request_id=req.request_id,
             backend=backend.name,
@@ -386,13 +390,18 @@
                 self._parts.limits.book.note_answer(
                     backend.identity, answer.head.named_limit, statement
                 )
+                self._parts.places.note_answer(
+                    backend, answer.head.bears_rejections, brittleness
+                )
                 self._note_statements(answer.head, backend)
+                rejected = answer.head.not_run and not answer.head.misdirected
                 self._check_head(answer.head, admitted, backend, attempt)
                 prompt_pending = False
                 if admitted.route.resumable:
                     self._record_origin(admitted, backend)
                 self._parts.queue.on_first_event(req, backend)
                 await self._relay(admitted, backend, answer, sink, progress)
+                complete = True
                 self._record_answered(admitted, backend, answer.head, progress)
         except (BackendFailed, OutcomeUnknown, AnswerCut, NotSent) as exc:
             # A direct connection that fails while this instance is cut says nothing
@@ -407,7 +416,13 @@
             raise
         finally:
             paths.end()
-            self._parts.queue.release(req, backend, prompt_pending=prompt_pending)
+            self._parts.queue.release(
+                req,
+                backend,
+                prompt_pending=prompt_pending,
+                rejected=rejected,
+                complete=complete,
+            )
 
     def _record_origin(
         self, admitted: _AdmittedRequest, backend: BackendRecord
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from bisect import insort
 from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
+from guavajunction.brittle import BrittlePlaces
 from guavajunction.clock import Clock
 from guavajunction.errors import (
     InstanceNotReady,
@@ -18,7 +20,7 @@
 )
 from guavajunction.health import PassiveHealth
 from guavajunction.namedlimits import PermitDesk, ServerLimits
-from guavajunction.quarantine import PartQuarantine, RequestFingerprint
+from guavajunction.quarantine import BackendId, PartQuarantine, RequestFingerprint
 
 from . import _admission, _backend_selection
 from ._admission import WaitEstimate
@@ -73,6 +75,46 @@
     model: str
 
 
+class _Target(NamedTuple):
+    """What decides to which backend servers a request may be sent."""
+
+    group: str
+    service: str
+    software_version: str | None
+    only: frozenset[str] | None
+
+
+class _Choice(NamedTuple):
+    """Where to send a request."""
+
+    backend: BackendRecord | None
+    """None to hold it."""
+    is_held: bool = False
+    """Whether it waits for an answer of the instance that hands out sends."""
+
+
+class _Pass:
+    """What one consideration of the queue has found so far.
+
+    Requests with the same target share it, so that a long queue costs little: if a more
+    urgent request finds no capacity, the next one finds none either.
+    """
+
+    def __init__(self) -> None:
+        self.ahead: Counter[str] = Counter()
+        """Requests that wait for slots, by group."""
+        self.full: set[_Target] = set()
+        """Targets without capacity."""
+        self.seconds_each: dict[_Target, float] = {}
+        """Time until the next slot, for targets whose requests wait for slots."""
+
+    def next_slot(self, queued: QueuedRequest, seconds_each: float) -> WaitEstimate:
+        """Return when a request gets a slot, after those that are ahead of it."""
+        group = _group(queued)
+        self.ahead[group] += 1
+        return WaitEstimate(self.ahead[group] * seconds_each, "slots")
+
+
 class RequestQueue:
     """Assigns queued requests to backend servers as they get free capacity.
 
@@ -112,9 +154,11 @@
         health: PassiveHealth,
         quarantine: PartQuarantine,
         limits: ServerLimits,
+        places: BrittlePlaces,
         clock: Clock,
     ) -> None:
         self._limits = limits
+        self._places = places
         self._quarantine = quarantine
         self._registry = registry
         self._loads = loads
@@ -181,9 +225,7 @@
             RequestQuarantined: Backend servers crash on it or on a part of its prompt.
             InstanceNotReady: This instance stops before the request could end.
         """
-        self._waiting.append(queued)
-        self._waiting.sort(key=lambda waiting: waiting.rank)
-        self._dispatch()
+        self._enqueue(queued)
         try:
             return await queued.fut
         except RequestError:
@@ -197,12 +239,48 @@
             if queued in self._waiting:
                 self._waiting.remove(queued)
 
+    def _enqueue(self, queued: QueuedRequest) -> None:
+        """Add a request and consider it.
+
+        The others were considered at the last change. If one is pending, those that are
+        more urgent come first.
+        """
+        insort(self._waiting, queued, key=lambda waiting: waiting.rank)
+        if self._dispatch_timer is not None:
+            self._dispatch()
+            return
+        seen = _Pass()
+        for waiting in self._waiting:
+            if waiting is queued:
+                break
+            seen.ahead[_group(waiting)] += 1
+        self._try_dispatch(queued, seen)
+        self._places.return_unused()
+
     def release(
-        self, req: GatewayRequest, backend: BackendRecord, *, prompt_pending: bool
+        self,
+        req: GatewayRequest,
+        backend: BackendRecord,
+        *,
+        prompt_pending: bool,
+        rejected: bool = False,
+        complete: bool = False,
     ) -> None:
-        """Remove a request that ended from the load of its backend server."""
+        """Remove a request that ended from the load of its backend server.
+
+        Args:
+            req: The request.
+            backend: The backend server that it was assigned to.
+            prompt_pending: Whether its first event has not arrived.
+            rejected: Whether the backend server had no room for it.
+            complete: Whether its answer was received completely.
+        """
         self._loads.end(backend.name, req.size, prompt_pending=prompt_pending)
-        self.schedule_dispatch()
+        self._places.on_ended(
+            backend, req.request_id, rejected=rejected, complete=complete
+        )
+        if not self._places.is_brittle(backend):
+            self.schedule_dispatch()
 
     def on_first_event(self, req: GatewayRequest, backend: BackendRecord) -> None:
         """Stop counting the prompt of a request as pending."""
@@ -217,6 +295,52 @@
                 self.DISPATCH_DELAY_SECONDS, self._dispatch
             )
 
+    def use_place(self, identity: BackendId) -> None:
+        """Send the first request that can use a place, and ask for the next one.
+
+        A place is unused until then, so the other requests are not considered.
+        """
+        backend = self._registry.get(identity.name)
+        if backend is not None and backend.identity == identity:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._use_place, backend)
+        else:
+            self._places.return_unused()
+
+    def _use_place(self, backend: BackendRecord) -> None:
+        usable = self._registry.takes_requests(backend.name)
+        for queued in self._waiting if usable else ():
+            if queued.fut.done() or not self._can_use(queued, backend):
+                continue
+            if self._places.has_place(backend) and self._may_send(backend):
+                self._assign(queued, backend)
+            else:
+                self._ask_to_send(backend, queued)
+                break
+        self._places.return_unused()
+
+    def _can_use(self, queued: QueuedRequest, backend: BackendRecord) -> bool:
+        """Return whether a request may be sent to a backend server of its service."""
+        if queued.service.name != backend.service:
+            return False
+        if not self._of_version(queued, [backend]) or backend.name in queued.avoid:
+            return False
+        if self._check_quarantine(queued) is not None:
+            return False
+        if queued.service.engine is not None:
+            size = queued.req.size
+            if size and not self._registry.holds(backend, size.model, size.adapter):
+                return False
+        return self._has_capacity(backend, self._loads.of(backend.name), queued)
+
+    def _assign(self, queued: QueuedRequest, backend: BackendRecord) -> None:
+        """Count a request in the load of a backend server and let it be sent there."""
+        self._loads.begin(backend.name, queued.req.size)
+        self._limits.on_sent(backend.identity)
+        self._places.on_sent(backend, queued.req.request_id)
+        self._wait_reasons.pop(queued.req.request_id, None)
+        queued.fut.set_result(backend)
+
     async def run(self) -> None:
         """Re-evaluate queued requests periodically until cancelled."""
         while True:
@@ -232,31 +356,33 @@
         if self._dispatch_timer is not None:
             self._dispatch_timer.cancel()
             self._dispatch_timer = None
-        ahead: Counter[str] = Counter()
+        seen = _Pass()
         for queued in list(self._waiting):
             if not queued.fut.done():
-                self._try_dispatch(queued, ahead)
+                self._try_dispatch(queued, seen)
         self._waiting = [queued for queued in self._waiting if not queued.fut.done()]
+        self._places.return_unused()
         missing = {_MissingModel("", model) for model in self.waiting_by_model()}
         for version, models in self.waiting_by_version().items():
             missing |= {_MissingModel(version, model) for model in models}
         for ended in set(self._missing_since) - missing:
             del self._missing_since[ended]
 
-    def _try_dispatch(self, queued: QueuedRequest, ahead: Counter[str]) -> None:
+    def _try_dispatch(self, queued: QueuedRequest, seen: _Pass) -> None:
         quarantined = self._check_quarantine(queued)
         if quarantined is not None:
             queued.fut.set_exception(quarantined)
             return
-        backend = self._choose(queued)
-        if backend is not None:
-            self._loads.begin(backend.name, queued.req.size)
-            self._limits.on_sent(backend.identity)
-            self._wait_reasons.pop(queued.req.request_id, None)
-            queued.fut.set_result(backend)
-            return
+        target = _target(queued)
+        if target not in seen.full:
+            choice = self._choose(queued)
+            if choice.backend is not None:
+                self._assign(queued, choice.backend)
+                return
+            if not choice.is_held:
+                seen.full.add(target)
         now = self._clock.monotonic()
-        estimate = self._estimate_wait(queued, ahead, now)
+        estimate = self._estimate_wait(queued, seen, now)
         self._wait_reasons[queued.req.request_id] = estimate.reason
         if self._outlasts_instance(queued, estimate, now):
             queued.fut.set_exception(
@@ -304,20 +430,55 @@
         ends = now + estimate.seconds + _admission.service_seconds(queued.req.size)
         return ends > self.stops_at
 
-    def _choose(self, queued: QueuedRequest) -> BackendRecord | None:
-        """Return the backend server to send a request to, or None to hold it."""
+    def _choose(self, queued: QueuedRequest) -> _Choice:
+        """Choose the backend server to send a request to, or hold it."""
         options = self._options(queued)
+        at_hand = [o for o in options if self._places.has_place(o[0])]
+        if at_hand:
+            chosen = self._choose_among(at_hand, queued)
+            if chosen is not None and self._may_send(chosen):
+                return _Choice(chosen)
         while options:
             chosen = self._choose_among(options, queued)
-            if chosen is None or self._limits.may_send(chosen.identity):
-                return chosen
-            if self._limits.ask_to_send(chosen.identity, queued.req.request_id):
-                return None
-            if self._limits.may_send(chosen.identity):
+            if chosen is None or self._may_send(chosen):
+                return _Choice(chosen)
+            if self._ask_to_send(chosen, queued):
+                return _Choice(None, is_held=True)
+            if self._may_send(chosen):
                 # The answer came at once, as this instance hands out the sends.
-                return chosen
+                return _Choice(chosen)
             options = [option for option in options if option[0] is not chosen]
-        return None
+        return _Choice(None)
+
+    def _may_send(self, backend: BackendRecord) -> bool:
+        return self._limits.may_send(backend.identity) and self._places.may_send(
+            backend
+        )
+
+    def _ask_to_send(self, backend: BackendRecord, queued: QueuedRequest) -> bool:
+        """Ask for what a backend server requires of a request.
+
+        Returns:
+            Whether to hold the request for the answer.
+        """
+        request_id = queued.req.request_id
+        if not self._limits.may_send(backend.identity):
+            # A place would be unused while the request waits for its turn.
+            return self._limits.ask_to_send(backend.identity, request_id)
+        if self._places.may_send(backend):
+            return False
+        return self._places.ask_to_send(
+            backend,
+            request_id,
+            run_seconds=self._run_seconds(queued),
+            longest_seconds=queued.ends_at - self._clock.monotonic(),
+        )
+
+    def _run_seconds(self, queued: QueuedRequest) -> float:
+        """Return the mean time that such a request occupies a slot."""
+        if queued.req.size is None:
+            return _admission.PLAIN_SERVICE_SECONDS
+        return self.MEAN_RUN_SECONDS
 
     def _options(self, queued: QueuedRequest) -> list[tuple[BackendRecord, Load]]:
         options = [
@@ -402,9 +563,12 @@
         )
 
     def _estimate_wait(
-        self, queued: QueuedRequest, ahead: Counter[str], now: float
+        self, queued: QueuedRequest, seen: _Pass, now: float
     ) -> WaitEstimate:
         size, engine = queued.req.size, queued.service.engine
+        seconds_each = seen.seconds_each.get(_target(queued))
+        if seconds_each is not None:
+            return seen.next_slot(queued, seconds_each)
         if not self._version_serves(queued):
             return WaitEstimate(
                 float("inf"),
@@ -419,7 +583,7 @@
             seconds = float("inf") if is_hopeless else self.NO_BACKEND_SECONDS
             return WaitEstimate(seconds, "a backend server")
         if size is None or engine is None:
-            return self._estimate_slot_wait(queued, queued.service.name, ahead)
+            return self._estimate_slot_wait(queued, seen)
         if not self._model_ready(queued):
             return self._estimate_model_wait(queued, size, engine, now)
         if not self._ready_backends(queued):
@@ -427,24 +591,22 @@
                 size, queued.service.name, queued.software_version or ""
             )
             return WaitEstimate(self.ADAPTER_SECONDS, "an adapter")
-        return self._estimate_slot_wait(queued, size.artifact, ahead)
+        return self._estimate_slot_wait(queued, seen)
 
-    def _estimate_slot_wait(
-        self, queued: QueuedRequest, group: str, ahead: Counter[str]
-    ) -> WaitEstimate:
-        ahead[group] += 1
+    def _estimate_slot_wait(self, queued: QueuedRequest, seen: _Pass) -> WaitEstimate:
         backends = self._ready_backends(queued)
         slots = sum(backend.slots for backend in backends)
-        plain = queued.req.size is None
-        run_seconds = (
-            _admission.PLAIN_SERVICE_SECONDS if plain else self.MEAN_RUN_SECONDS
-        )
-        wait = ahead[group] * run_seconds / max(1, slots)
+        seconds_each = self._run_seconds(queued) / max(1, slots)
+        if self._places.any_brittle and backends:
+            place_rate = self._places.rate({b.identity for b in backends})
+            if place_rate is not None:
+                seconds_each = max(seconds_each, 1.0 / place_rate)
         rates = [self._limits.book.rate(backend.identity) for backend in backends]
         if rates and None not in rates:
             rate = max(sum(filter(None, rates)), PermitDesk.MIN_RATE)
-            wait = max(wait, ahead[group] / rate)
-        return WaitEstimate(wait, "slots")
+            seconds_each = max(seconds_each, 1.0 / rate)
+        seen.seconds_each[_target(queued)] = seconds_each
+        return seen.next_slot(queued, seconds_each)
 
     def _estimate_model_wait(
         self,
@@ -483,6 +645,18 @@
         return spec.store_load_seconds
 
 
+def _group(queued: QueuedRequest) -> str:
+    """Return what requests have in common that wait for the same slots."""
+    size = queued.req.size
+    return queued.service.name if size is None else size.artifact
+
+
+def _target(queued: QueuedRequest) -> _Target:
+    return _Target(
+        _group(queued), queued.service.name, queued.software_version, queued.only
+    )
+
+
 def _slot_usage(option: tuple[BackendRecord, Load]) -> float:
     backend, load = option
     return load.running / max(1, backend.slots)
--- a/packages/guavajunction/src/guavajunction/namedlimits/_limit_book.py
+++ b/packages/guavajunction/src/guavajunction/namedlimits/_limit_book.py
@@ -6,6 +6,7 @@
 
 from guavajunction.bounded import drop_oldest
 from guavajunction.decimals import parse_decimal
+from guavajunction.events import LogEvent
 from guavajunction.quarantine import BackendId
 
 from . import _events as events
@@ -24,7 +25,19 @@
     """Number of backend servers whose statements are kept; several times the number in
     the largest deployment."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        changed: LogEvent = events.LIMIT_CHANGED,
+        unreadable: LogEvent = events.LIMIT_UNREADABLE,
+    ) -> None:
+        """Create an empty book.
+
+        Args:
+            changed: Logged when the limit of a backend server has changed.
+            unreadable: Logged at the first malformed limit of a backend server.
+        """
+        self._changed = changed
+        self._unreadable_event = unreadable
         self._statements: dict[BackendId, LimitStatement] = {}
         self._unreadable: set[BackendId] = set()
         self.on_change: Callable[[BackendId], None] = lambda _: None
@@ -82,14 +95,14 @@
             if len(self._unreadable) >= self.MAX_BACKENDS:
                 self._unreadable.clear()
             self._unreadable.add(backend)
-            events.LIMIT_UNREADABLE.log(backend=backend.name, limit=text[:16])
+            self._unreadable_event.log(backend=backend.name, limit=text[:16])
 
     def _set(self, backend: BackendId, statement: LimitStatement) -> None:
         before = self._statements.pop(backend, NO_LIMIT)
         self._statements[backend] = statement
         drop_oldest(self._statements, self.MAX_BACKENDS)
         if statement.rate != before.rate:
-            events.LIMIT_CHANGED.log(
+            self._changed.log(
                 backend=backend.name,
                 incarnation=backend.incarnation,
                 limit=statement.rate,
--- a/tests/entry/test_fleet_links.py
+++ b/tests/entry/test_fleet_links.py
@@ -39,6 +39,7 @@
             rate_limits=fake_gateway.rate_limits,
             streams=fake_gateway.streams,
             limits=fake_gateway.limits,
+            places=fake_gateway.places,
             paths=fake_gateway.watch,
             roster=self.roster,
             feed=RelayedFeed(None, fake_gateway.clock),
--- a/tests/entry/test_limit_links.py
+++ b/tests/entry/test_limit_links.py
@@ -236,7 +236,11 @@
     async def test_request_is_not_held_for_a_silent_peer(self):
         fleet = Fleet(2, 0)
         fleet.name_limit("2")
-        asked = [i for i in fleet.instances.values() if i.links._holder(ENGINE) != i.me]
+        asked = [
+            i
+            for i in fleet.instances.values()
+            if i.links._routes.holder(ENGINE) != i.me
+        ]
         limits = asked[0].limits
         limits.ask = lambda _: None
         assert limits.ask_to_send(ENGINE, "r1")
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -6,6 +6,7 @@
 import random
 from typing import NamedTuple
 
+from guavajunction.brittle import BrittlePlaces
 from guavajunction.clock import ManualClock
 from guavajunction.errors import AnswerCut
 from guavajunction.gateway import (
@@ -254,12 +255,14 @@
         self.health = PassiveHealth(self.clock)
         self.quarantine = PartQuarantine(self.clock, self.clock.monotonic)
         self.limits = ServerLimits(self.clock)
+        self.places = BrittlePlaces(self.clock)
         self.queue = RequestQueue(
             self.registry,
             self.loads,
             self.health,
             self.quarantine,
             self.limits,
+            self.places,
             self.clock,
         )
         self.caller = FakeCaller()
@@ -283,6 +286,7 @@
                 streams=self.streams,
                 quarantine=self.quarantine,
                 limits=self.limits,
+                places=self.places,
                 paths=self.watch,
                 retries=RetryBudget(RetryBounds(0.2, 10.0, 50.0)),
                 demand=ModelDemand(),
