Plain requests are refused by the measured time that they run

Found while brittle servers were measured: of 910 bookings at servers that work 150 ms, 1 to 4 were sent so late that they ended with 504 (16 to 46 of 4,550 with a saturated machine). The time that a plain request runs was the constant 30 ms.

--- a/packages/guavajunction/src/guavajunction/gateway/_admission.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_admission.py
@@ -45,14 +45,20 @@
     """Seconds; None if a retry is useless."""
 
 
-def service_seconds(size: GenerationSize | None) -> float:
+def service_seconds(
+    size: GenerationSize | None, plain_seconds: float = PLAIN_SERVICE_SECONDS
+) -> float:
     """Return the seconds from the start of a request to the end of its answer.
 
+    Args:
+        size: Size of the generation, None for a plain service.
+        plain_seconds: Service time of a plain request.
+
     >>> service_seconds(None)
     0.03
     """
     if size is None:
-        return PLAIN_SERVICE_SECONDS
+        return plain_seconds
     return first_event_seconds(size) + size.max_output_tokens * SECONDS_PER_OUTPUT_TOKEN
 
 
@@ -62,6 +68,7 @@
     *,
     seconds_left: float,
     first_event_left: float,
+    plain_seconds: float = PLAIN_SERVICE_SECONDS,
 ) -> Refusal | None:
     """Return a refusal if a request would miss a deadline, or None if it may wait.
 
@@ -70,6 +77,7 @@
         size: Size of the generation, None for a plain service.
         seconds_left: Time until the deadline for the complete answer.
         first_event_left: Time until the deadline for the first event.
+        plain_seconds: Service time of a plain request.
 
     >>> check_deadline(
     ...     WaitEstimate(1.0, "slots"), None, seconds_left=0.5, first_event_left=9
@@ -80,7 +88,7 @@
     ... )
     """
     first_event_in = estimate.seconds + first_event_seconds(size)
-    end_in = estimate.seconds + service_seconds(size)
+    end_in = estimate.seconds + service_seconds(size, plain_seconds)
     if first_event_in <= first_event_left and end_in <= seconds_left:
         return None
     if math.isinf(estimate.seconds):
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -374,6 +374,7 @@
             server_limit=statement.rate,
             cut=sent_while_cut,
         )
+        sent_at = self._parts.clock.monotonic()
         paths.begin()
         try:
             async with self._parts.caller.send(
@@ -402,6 +403,9 @@
                 self._parts.queue.on_first_event(req, backend)
                 await self._relay(admitted, backend, answer, sink, progress)
                 complete = True
+                if req.size is None:
+                    seconds = self._parts.clock.monotonic() - sent_at
+                    self._parts.queue.run_times.note(admitted.service.name, seconds)
                 self._record_answered(admitted, backend, answer.head, progress)
         except (BackendFailed, OutcomeUnknown, AnswerCut, NotSent) as exc:
             # A direct connection that fails while this instance is cut says nothing
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -29,6 +29,7 @@
 from ._catalogue import EngineSpec, ModelSpec, Route, Service
 from ._load_view import Load, LoadView
 from ._request import GatewayRequest, GenerationSize
+from ._run_times import RunTimes
 
 
 class QueuedRequest(NamedTuple):
@@ -168,6 +169,8 @@
         self._dispatch_timer: asyncio.TimerHandle | None = None
         self._missing_since: dict[_MissingModel, float] = {}
         self._wait_reasons: dict[str, str] = {}
+        self.run_times = RunTimes()
+        """How long plain requests run."""
         self.on_adapter_wanted: AdapterRequest = lambda *_: None
         """Called for a request that lacks only its adapter."""
         self.stops_at = float("inf")
@@ -395,6 +398,7 @@
         refusal = _admission.check_deadline(
             estimate,
             queued.req.size,
+            plain_seconds=self.run_times.mean(queued.service.name),
             seconds_left=queued.ends_at - now,
             first_event_left=queued.first_event_by - now,
         )
@@ -427,7 +431,9 @@
         self, queued: QueuedRequest, estimate: WaitEstimate, now: float
     ) -> bool:
         """Return whether this instance stops before a request could end."""
-        ends = now + estimate.seconds + _admission.service_seconds(queued.req.size)
+        plain_seconds = self.run_times.mean(queued.service.name)
+        ends = now + estimate.seconds
+        ends += _admission.service_seconds(queued.req.size, plain_seconds)
         return ends > self.stops_at
 
     def _choose(self, queued: QueuedRequest) -> _Choice:
