Entries of backend servers are checked where they are decoded

What callers saw (stand-ins): answers 500 while an entry had an address that no socket takes; after the sound servers had left, the new one got nothing. Cause: an entry was taken as it stood. An address that fails before a byte is sent left a server that looks idle, chosen again and again; numbers beyond 64 bits can't be sent to peers; nesting and bytes that are not UTF-8 raised errors other than the decoder's. The entry of test_translation.py has an address that a socket takes now (it was 'a:1').

--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_body.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_body.py
@@ -8,6 +8,7 @@
 import msgspec
 from aiohttp import web
 
+from guavajunction.decoding import decode
 from guavajunction.errors import (
     BadRequest,
     RequestTimeout,
@@ -68,6 +69,9 @@
         return "\n".join(system + user)
 
 
+_body_decoder = msgspec.json.Decoder(InferenceBody)
+
+
 class BodyReader:
     """Reads request bodies within a size limit and a timeout."""
 
@@ -119,6 +123,6 @@
             raise WrongContentType("the body must be application/json")
         raw = await self.read(req)
         try:
-            return raw, msgspec.json.decode(raw, type=InferenceBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            return raw, decode(_body_decoder, raw)
+        except msgspec.DecodeError as exc:
             raise BadRequest(f"the body is not accepted: {exc}") from None
--- a/packages/guavajunction/src/guavajunction/backends/_client.py
+++ b/packages/guavajunction/src/guavajunction/backends/_client.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from guavajunction.connections import read_body
+from guavajunction.decoding import decode
 from guavajunction.errors import OrderRefused
 
 from ._errors import (
@@ -140,16 +141,19 @@
     raise OrderRefused(f"{address}: status {status}")
 
 
+_refusal_decoder = msgspec.json.Decoder(_RefusalBody)
+
+
 def _refusal(body: bytes) -> _RefusalBody:
     try:
-        return msgspec.json.decode(body, type=_RefusalBody)
+        return decode(_refusal_decoder, body)
     except msgspec.DecodeError:
         return {}
 
 
 def _decode(body: bytes, body_type: Any) -> Any:
     try:
-        return msgspec.json.decode(body, type=body_type)
+        return decode(msgspec.json.Decoder(body_type), body)
     except msgspec.DecodeError as exc:
         raise BackendUnreachable(f"malformed response: {exc}") from exc
 
--- a/packages/guavajunction/src/guavajunction/configuration/_operator_guard.py
+++ b/packages/guavajunction/src/guavajunction/configuration/_operator_guard.py
@@ -10,6 +10,7 @@
 import msgspec
 from aiohttp import web
 
+from guavajunction.decoding import decode
 from guavajunction.errors import (
     AcceptanceUnknown,
     DocumentInvalid,
@@ -76,8 +77,8 @@
     """
     body = await _read_limited(req)
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return decode(msgspec.json.Decoder(kind), body)
+    except msgspec.DecodeError as exc:
         raise OperatorRequestInvalid(f"The body is malformed: {exc}") from exc
 
 
--- a/packages/guavajunction/src/guavajunction/peers/_mesh.py
+++ b/packages/guavajunction/src/guavajunction/peers/_mesh.py
@@ -13,6 +13,7 @@
 import zmq.asyncio
 
 from guavajunction.clock import Clock
+from guavajunction.decoding import decode
 from guavajunction.errors import PeerError, PeerTimeout, PeerUnknown
 from guavajunction.storage import InstanceRecord
 
@@ -478,7 +479,7 @@
 
     def _on_payload(self, payload: bytes) -> None:
         try:
-            envelope = self._envelope_decoder.decode(payload)
+            envelope = decode(self._envelope_decoder, payload)
             self._on_envelope(unpack(envelope, self.MAX_MESSAGE_BYTES), len(payload))
         except msgspec.DecodeError as exc:
             self.counts["malformed"] += 1
@@ -520,7 +521,7 @@
         return peer
 
     def _on_heartbeat(self, peer: Peer, envelope: Envelope) -> None:
-        heartbeat = self._heartbeat_decoder.decode(envelope.body)
+        heartbeat = decode(self._heartbeat_decoder, envelope.body)
         if envelope.to == self._me.incarnation:
             peer.echoed_at = max(peer.echoed_at, self._sent_at(heartbeat.echo))
         if heartbeat.sequence <= peer.sequence:
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -44,9 +44,9 @@
         ("changes", "message"),
         [
             ({"node": 7}, r"boot.json: .*str.*int.*\$\.node"),
-            ({"listen": {"front": "a:1"}}, r"boot.json: .*ready"),
+            ({"listen": {"front": "10.0.0.1:1"}}, r"boot.json: .*ready"),
             (
-                {"listen": {"front": "a", "ready": "a:1"}},
+                {"listen": {"front": "a", "ready": "10.0.0.1:1"}},
                 r"boot.json: field 'listen.front': expected `host:port`, found 'a'",
             ),
         ],
@@ -133,7 +133,7 @@
     def _entry(self, **changes):
         entry = wire.runner_entry(
             service="engines",
-            address="a:1",
+            address="10.0.0.1:1",
             slots=4,
             draining=False,
             started_ms=17,
