An answer that is no stream of events is no success on a route of streams

What callers saw (stand-ins): of streams that were taken up again, an answer 200 of text/html by the next server was relayed, and its body went on the caller's stream. Cause: the kind of an answer was never compared with the kind of the route. Change: on a route of streams a success without text/event-stream counts as a failed attempt; a stream that may be resumed goes on at another backend server, others end with 502. Heads that stop midway were no success before either, on all kinds of routes, and resumed streams went on elsewhere: kept as tests. The answers of the tests' fakes to streams are streams now.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -123,6 +123,10 @@
         """Status of all responses that are not streamed; 0 for normal responses."""
         self.cut_after_events = -1
         """Number of an event after which streams are aborted; -1 for never."""
+        self.stream_type = "text/event-stream"
+        """Content type of streams; another one makes it a page of text."""
+        self.stops_in_head = False
+        """Whether responses end in the middle of their head."""
         self.unframed_streams = False
         """Whether streams have neither a length nor chunks."""
         self.close_inside_event = -1
@@ -438,6 +442,10 @@
                 await asyncio.sleep(self.CRASH_DELAY_SECONDS)
                 self.spawn(self.crash(self.crashed_on_request_at))
             await asyncio.sleep(self.spec.work_seconds)
+            if self.stops_in_head:
+                _write(req.transport, b"HTTP/1.1 200 OK\r\nContent-Le")
+                req.transport.close()
+                raise ConnectionResetError
             respond = (
                 self._respond_as_stream if self.spec.engine else self._respond_at_once
             )
@@ -511,7 +519,7 @@
         headers = {
             HEADERS.request_id: request_id,
             HEADERS.seal: "sealed",
-            "Content-Type": "text/event-stream",
+            "Content-Type": self.stream_type,
         }
         response_type = (
             UnframedResponse if self.unframed_streams else web.StreamResponse
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -452,7 +452,8 @@
 
         Raises:
             BackendRefused: The backend server did not run the request.
-            BackendFailed: The backend server failed and a retry is allowed.
+            BackendFailed: The backend server failed and a retry is allowed, or its
+                answer is not of the kind of the route.
         """
         if head.named_limit is not None:
             events.LIMIT_RECEIVED.log(
@@ -476,6 +477,10 @@
             raise BackendRefused(
                 f"{message}: not run", retry_after=self.RETRY_AFTER_SECONDS
             )
+        is_stream = admitted.route.kind is RequestKind.STREAM
+        if head.succeeded and is_stream and not is_event_stream(head.headers):
+            # The caller would take it for events of its stream.
+            raise BackendFailed(f"{message} without a stream of events")
         failed = head.status >= 500 and admitted.route.kind is RequestKind.SAFE
         if failed and attempt < admitted.route.max_attempts:
             raise BackendFailed(message)
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -181,6 +181,13 @@
             raise AnswerCut("cut")
 
 
+def fake_stream(chunks=(b"data: done\n\n",), **changes):
+    """Return an answer with a stream of events."""
+    return FakeAnswer(
+        chunks=chunks, headers=(("Content-Type", "text/event-stream"),), **changes
+    )
+
+
 class FakeCaller:
     """Answers requests from a script of answers and exceptions."""
 
@@ -191,7 +198,10 @@
     @contextlib.asynccontextmanager
     async def send(self, backend, req, *, customer, priority, seconds_left):
         self.sent.append(Sent(backend.name, req.request_id, customer, seconds_left))
-        step = self.script.pop(0) if self.script else FakeAnswer()
+        if self.script:
+            step = self.script.pop(0)
+        else:
+            step = FakeAnswer() if req.size is None else fake_stream()
         if callable(step):
             step = step()
         if isinstance(step, Exception):
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -14,6 +14,7 @@
     FakeSink,
     backend,
     catalogue,
+    fake_stream,
     request,
     route,
     size,
@@ -140,7 +141,7 @@
 
     async def test_cut_answer_is_never_finished(self):
         fleet = FakeGateway(backend("e1", models=["m1"]))
-        fleet.caller.script = [FakeAnswer(200, (b"a",), cut=True)]
+        fleet.caller.script = [fake_stream((b"a",), cut=True)]
         sink = FakeSink()
         with pytest.raises(AnswerCut):
             await fleet.gateway.serve(request(at=1000.0), sink)
--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -9,12 +9,20 @@
     ENGINES,
     FakeAnswer,
     FakeGateway,
+    FakeSink,
     backend,
     catalogue,
+    fake_stream,
+    request,
     route,
     size,
 )
-from guavajunction.errors import NoReplica, StreamNotResumable
+from guavajunction.errors import (
+    BackendFailed,
+    NoReplica,
+    RequestError,
+    StreamNotResumable,
+)
 from guavajunction.gateway import (
     Framing,
     RequestKind,
@@ -47,6 +55,37 @@
     return fleet
 
 
+HTML = (("Content-Type", "text/html"),)
+
+
+class TestKindOfAnswer:
+    """What is no stream of events is no success on a route of streams."""
+
+    @pytest.mark.parametrize("headers", [HTML, ()], ids=["text/html", "no type"])
+    async def test_other_kind_of_answer_is_never_relayed(self, headers):
+        fleet = fleet_of("v1", document=stream_routes(max_attempts=1))
+        fleet.streams.note(StreamBegan("s1", ORIGIN))
+        fleet.caller.script = [FakeAnswer(200, (b"<html>",), headers=headers)]
+        sink = FakeSink()
+        with pytest.raises(BackendFailed):
+            await fleet.gateway.serve(request("/draft/1", **RESUME), sink)
+        assert not sink.started
+
+    async def test_resumed_stream_goes_on_at_another_backend_server(self):
+        fleet = fleet_of("v1", "v1")
+        fleet.streams.note(StreamBegan("s1", ORIGIN))
+        fleet.caller.script = [FakeAnswer(200, (b"<html>",), headers=HTML)]
+        sink = await fleet.serve("/draft/1", **RESUME)
+        assert sink.body == b"data: done\n\n"
+
+    async def test_stream_that_cannot_be_resumed_is_sent_once(self):
+        fleet = fleet_of("v1", "v1", document=stream_routes(resumable=False))
+        fleet.caller.script = [FakeAnswer(200, (b"<html>",), headers=HTML)]
+        with pytest.raises(RequestError):
+            await fleet.serve("/draft/1")
+        assert len(fleet.caller.sent) == 1
+
+
 class TestVersions:
     """A stream goes on only at a backend server of the version that began it."""
 
@@ -63,7 +102,7 @@
 
     async def test_origin_is_recorded_before_the_answer_is_relayed(self):
         fleet = fleet_of("v1", "v2")
-        fleet.caller.script = [FakeAnswer(cut=True, framing=Framing.CHUNKS)]
+        fleet.caller.script = [fake_stream(cut=True, framing=Framing.CHUNKS)]
         with pytest.raises(Exception, match="cut"):
             await fleet.serve("/draft/1", request_id="s1")
         assert fleet.streams.get("s1") == StreamOrigin(ENGINES, "v2")
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -43,6 +43,38 @@
     return await call(deployment, "/long/1", model="m1", name=name, **sent)
 
 
+class TestBrokenAnswers:
+    """What another backend server answers never becomes a part of a stream."""
+
+    async def test_page_of_text_never_becomes_a_part_of_a_stream(self, deployment):
+        await begin(deployment, "s0")
+        for runner in deployment.runners.values():
+            runner.stream_type = "text/html"
+        for number in range(8):
+            reply = await resume(deployment, f"r{number}", "s0")
+            assert reply.status >= 500
+            assert b"token" not in reply.body
+
+    @pytest.mark.parametrize("path", ["/book/1", "/look/1", "/draft/1", "/long/1"])
+    async def test_head_that_stops_midway_is_no_success(self, deployment, path):
+        model = "m1" if path in ("/draft/1", "/long/1") else None
+        for runner in deployment.runners.values():
+            runner.stops_in_head = True
+        for _ in range(4):
+            reply = await call(deployment, path, model=model)
+            assert reply.status >= 500
+
+    async def test_resumed_stream_goes_on_elsewhere_after_a_head_that_stops(
+        self, deployment
+    ):
+        await begin(deployment, "s0")
+        deployment.runners["engine-1"].stops_in_head = True
+        for number in range(4):
+            reply = await resume(deployment, f"r{number}", "s0")
+            assert reply.status == 200
+            assert reply.body.count(b"data: token") == 2
+
+
 @pytest.fixture
 async def two_versions(deployment):
     """A deployment whose engines serve with software of two versions."""
