--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
@@ -33,6 +33,9 @@
 wait until it has started again and loaded its models."""
 LIMIT_WINDOW_SECONDS = 4.0
 LIMIT_RATIO = 1.5
+MAX_FALLS = 2
+MAX_FALLS_RATIO = 0.1
+"""Brittle runners may fall over this often in all, and this often for each of them."""
 LIMIT_SLACK = 5
 """A runner that names a limit may get this many requests more, in a window, than this
 multiple of what the limit allows."""
@@ -246,6 +249,21 @@
             return
 
 
+def _check_falls(history: History) -> Iterator[str]:
+    """Check that brittle runners do not fall over while no fault is active."""
+    falls = [
+        fall
+        for fall in history.falls
+        if not any(
+            begins < fall.at < ends + CHANGE_TIMEOUT_SECONDS
+            for begins, ends in history.fault_periods
+        )
+    ]
+    plain = {fall.runner for fall in history.falls}
+    if len(falls) > MAX_FALLS + MAX_FALLS_RATIO * len(plain):
+        yield f"brittle runners fell over {len(falls)} times without a fault"
+
+
 def _check_processes(history: History) -> Iterator[str]:
     for name in history.unexpected_exits:
         yield f"{name} exited unexpectedly"
@@ -294,6 +312,7 @@
     _check_crashing_part,
     _check_crashing_request,
     _check_named_limit,
+    _check_falls,
     _check_processes,
     _check_recovery,
 )
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
@@ -103,5 +103,7 @@
     crashing_runs: tuple[float, ...] = ()
     """Times at which runners began to run the crashing request."""
     limited: LimitedRunner | None = None
+    falls: tuple[Crash, ...] = ()
+    """When brittle runners fell over under the requests that they rejected."""
     orders: tuple[OrderBody, ...] = ()
     """Orders that reached runners, including refused ones."""
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
@@ -115,10 +115,14 @@
     """Requests a second that one runner names as its limit; None for no limit."""
     crashing_request: bool = False
     """Whether all runners crash on one request, which callers repeat."""
+    brittle: float | None = None
+    """Rejections a second that the plain runners say they bear; None if they are not
+    brittle."""
 
 
 CRASHING_PART = "bad0"
 NAMED_LIMITS = (None, 0.3, 2.0, 5.0)
+BORNE_REJECTIONS = (None, None, 0.0, 2.0)
 
 
 def draw_conditions(seed: int) -> Conditions:
@@ -129,7 +133,9 @@
     rng = random.Random(f"conditions/{seed}")
     crashing_part = CRASHING_PART if rng.random() < 0.5 else ""
     named_limit = rng.choice(NAMED_LIMITS)
-    return Conditions(crashing_part, named_limit, rng.random() < 0.5)
+    crashing_request = rng.random() < 0.5
+    brittle = rng.choice(BORNE_REJECTIONS)
+    return Conditions(crashing_part, named_limit, crashing_request, brittle)
 
 
 MIN_FAULT_SECONDS = 0.3
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
@@ -15,7 +15,7 @@
 
 from ._callers import Callers
 from ._fault_injector import FaultInjector, LinkProxies
-from ._guarantees import find_violations
+from ._guarantees import CHANGE_TIMEOUT_SECONDS, find_violations
 from ._history import Crash, History, LimitedRunner
 from ._plan import (
     CUT_KINDS,
@@ -44,9 +44,11 @@
     def __str__(self) -> str:
         answers = ", ".join(f"{k}: {n}" for k, n in sorted(self.answers.items()))
         verdict = "kept" if not self.violations else f"{len(self.violations)} broken"
-        part, limit, crashes_on_request = self.conditions
+        part, limit, crashes_on_request, brittle = self.conditions
         drawn = f"crashing part {part or 'none'}, named limit {limit or 'none'}"
         drawn += f", crashing request {'drawn' if crashes_on_request else 'none'}"
+        bears = "any rejections" if brittle is None else f"{brittle:g} rejections"
+        drawn += f", plain runners bear {bears}"
         returns = sum(f.kind is FaultKind.STORE_RETURNS for f in self.plan)
         cuts = sum(f.kind in CUT_KINDS for f in self.plan)
         drawn += f", returns of the store {returns}, cuts from runners {cuts}"
@@ -66,6 +68,12 @@
     CUSTOMER = "atelier"
     LIMITED_RUNNER = "booking-1"
     """Runner that names a limit, if the soak draws one."""
+    BRITTLE_SLOTS = 2
+    """Slots of a plain runner that turns brittle, so that callers fill them."""
+    BRITTLE_AFTER_SECONDS = 1.0
+    """Time from the start of traffic until plain runners turn brittle."""
+    BRITTLE_QUEUE_SLOTS = (8, 0)
+    """Requests that may wait at a brittle runner, at first and after some seconds."""
     WATCH_INTERVAL_SECONDS = 0.05
 
     def __init__(
@@ -119,6 +127,11 @@
             # Streams must not be joined from both versions.
             newer = deployment.runners["engine-2"]
             newer.spec = newer.spec._replace(version="v1.1")
+            if self._conditions.brittle is not None:
+                for runner in deployment.runners.values():
+                    if not runner.spec.engine:
+                        runner.spec = runner.spec._replace(slots=self.BRITTLE_SLOTS)
+                        runner.queue_slots = self.BRITTLE_QUEUE_SLOTS[0]
             await stack.enter_async_context(deployment)
             self._apply_conditions(deployment)
             injector = FaultInjector(deployment, links)
@@ -144,6 +157,18 @@
             limited = deployment.runners[self.LIMITED_RUNNER]
             limited.named_limit = f"{self._conditions.named_limit}"
 
+    async def _turn_brittle(self, deployment: LocalDeployment) -> None:
+        """Let the plain runners say that they are brittle, then let fewer wait."""
+        if self._conditions.brittle is None:
+            return
+        await asyncio.sleep(self.BRITTLE_AFTER_SECONDS)
+        brittle = [r for r in deployment.runners.values() if not r.spec.engine]
+        for runner in brittle:
+            runner.brittle = f"{self._conditions.brittle:g}"
+        await asyncio.sleep(CHANGE_TIMEOUT_SECONDS)
+        for runner in brittle:
+            runner.queue_slots = self.BRITTLE_QUEUE_SLOTS[1]
+
     def _limited_runner(self, deployment: LocalDeployment) -> LimitedRunner | None:
         limit = self._conditions.named_limit
         runner = deployment.runners[self.LIMITED_RUNNER]
@@ -154,13 +179,14 @@
     ) -> SoakResult:
         started_at = time.monotonic()
         traffic_task = asyncio.create_task(callers.run(self.CALLER_COUNT))
+        brittle_task = asyncio.create_task(self._turn_brittle(deployment))
         watch_task = asyncio.create_task(self._watch_processes(deployment, injector))
         try:
             await injector.run(self._plan, started_at)
             faults_ended_at = time.monotonic()
             await asyncio.sleep(self.RECOVERY_SECONDS + self.STEADY_SECONDS)
         finally:
-            for task in (traffic_task, watch_task):
+            for task in (traffic_task, watch_task, brittle_task):
                 task.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
@@ -203,6 +229,11 @@
                 for at in runner.crashing_runs
             ),
             limited=self._limited_runner(deployment),
+            falls=tuple(
+                Crash(at, name)
+                for name, runner in deployment.runners.items()
+                for at in runner.fell_at
+            ),
             orders=tuple(
                 order for r in deployment.runners.values() for order in r.orders
             ),
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -474,6 +474,8 @@
                 running_known=self._parts.queue.running_at(backend.name),
                 bears_rejections=head.bears_rejections,
             )
+            service = admitted.service.name
+            self._parts.metrics.count("rejections_total", service=service)
             raise BackendRefused(
                 f"{message}: not run", retry_after=self.RETRY_AFTER_SECONDS
             )
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -89,6 +89,14 @@
         assert "a limit of 1.0 requests a second received 16 in 4 s" in line
         assert not find_violations(history._replace(limited=LimitedRunner(2.0, times)))
 
+    def test_brittle_runners_that_fall_over_are_reported(self):
+        falls = tuple(Crash(20.0 + n, "booking-1") for n in range(3))
+        history = self.history._replace(falls=falls)
+        assert "fell over 3 times" in self.only(history)
+        assert not find_violations(history._replace(falls=falls[1:]))
+        during = history._replace(fault_periods=((19.0, 21.0),))
+        assert not find_violations(during)
+
     def test_stream_joined_from_two_versions_is_reported(self):
         event = b"id: 1\ndata: token 1\n\n"
         rest = b"id: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -38,8 +38,8 @@
             assert all(fault.ends_at <= 8.0 for fault in draw_plan(seed, 8.0, faults=9))
 
     def test_all_conditions_are_drawn(self):
-        drawn = {draw_conditions(seed) for seed in range(50)}
-        assert len(drawn) == 16
+        drawn = {draw_conditions(seed) for seed in range(500)}
+        assert len(drawn) == 48
 
     def test_every_kind_is_drawn(self):
         drawn = {f.kind for seed in range(50) for f in draw_plan(seed, 8.0, faults=6)}
