Places: a request that was rejected uses the next place; idle servers are forgotten

Found on reading: a place was used only by requests that had not been sent to that server, so one that the only server had rejected waited until its deadline.

--- a/packages/guavajunction/src/guavajunction/brittle/_desk.py
+++ b/packages/guavajunction/src/guavajunction/brittle/_desk.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from collections.abc import Collection
 from typing import NamedTuple
@@ -47,6 +46,7 @@
     """The places of one backend server."""
 
     def __init__(self, question: PlaceQuestion, now: float) -> None:
+        self.asked_at = now
         self.slots = question.slots
         self.bears = question.bears
         self.held: dict[PlaceKey, float] = {}
@@ -124,6 +124,8 @@
     message may be lost."""
     MIN_HELD_SECONDS = 0.3
     """Shortest time for which a place is held that is not given back."""
+    IDLE_SECONDS = 60.0
+    """Time without a question after which a backend server is forgotten."""
     MAX_REJECTIONS = 256
     """Number of rejections that are remembered of each backend server."""
     MAX_SLOTS = 65_536
@@ -160,6 +162,7 @@
             server = self._servers[question.backend] = _Server(question, now)
             drop_oldest(self._servers, self.MAX_BACKENDS)
         server.slots, server.bears = question.slots, question.bears
+        server.asked_at = now
         server.waiting[key] = question
         server.advance(now)
         return server.grant(self.share, now)
@@ -203,9 +206,11 @@
             The questions that got a place.
         """
         granted = []
-        for server in self._servers.values():
+        for backend, server in list(self._servers.items()):
             server.advance(now)
             granted += server.grant(self.share, now)
+            if now - server.asked_at > self.IDLE_SECONDS:
+                del self._servers[backend]
         return granted
 
     def keep_only(self, peers: Collection[PeerId], now: float) -> None:
@@ -214,18 +219,3 @@
             for key in [key for key in server.held if key.peer not in peers]:
                 until = min(server.held[key], now + self.SILENT_SECONDS)
                 server.held[key] = until
-
-    def keep_backends(self, backends: Collection[BackendId]) -> None:
-        """Forget the backend servers that have left or are no longer brittle."""
-        for backend in self._servers.keys() - set(backends):
-            if not self._servers[backend].waiting:
-                del self._servers[backend]
-
-
-def usual_rate(slots: int, run_seconds: float, instances: int) -> float:
-    """Return the requests a second that one of several instances may expect to send.
-
-    >>> usual_rate(6, 0.03, 80)
-    2.5
-    """
-    return slots / max(run_seconds, math.ulp(1.0)) / max(1, instances)
--- a/packages/guavajunction/src/guavajunction/brittle/_places.py
+++ b/packages/guavajunction/src/guavajunction/brittle/_places.py
@@ -10,7 +10,7 @@
 from guavajunction.quarantine import BackendId
 
 from . import _events as events
-from ._desk import PlaceQuestion, usual_rate
+from ._desk import PlaceQuestion
 
 
 class Server(Protocol):
@@ -53,6 +53,15 @@
     """Seconds between two of them."""
 
 
+def equal_share(slots: int, run_seconds: float, instances: int) -> float:
+    """Return the requests a second that each of several instances may send to a server.
+
+    >>> equal_share(6, 0.03, 80)
+    2.5
+    """
+    return slots / run_seconds / max(1, instances)
+
+
 class BrittlePlaces:
     """One instance's places at brittle backend servers.
 
@@ -242,9 +251,11 @@
         bears = self.book.rate(identity)
         if bears is None:
             bears = self._services.get(server.service, 0.0)
-        rate = max(usual_rate(server.slots, run_seconds, self.instances), self.MIN_RATE)
+        share = equal_share(server.slots, run_seconds, self.instances)
         own = self._own_places.get(identity, _OwnPlaces(now, 0.0))
-        self._own_places[identity] = own._replace(spacing=1.0 / rate)
+        self._own_places[identity] = own._replace(
+            spacing=1.0 / max(share, self.MIN_RATE)
+        )
         self.ask(
             number,
             PlaceQuestion(identity, server.slots, bears, run_seconds, longest_seconds),
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -312,7 +312,9 @@
 
     def _use_place(self, backend: BackendRecord) -> None:
         usable = self._registry.takes_requests(backend.name)
-        for queued in self._waiting if usable else ():
+        # Those that were sent there before come last.
+        candidates = sorted(self._waiting, key=lambda q: backend.name in q.avoid)
+        for queued in candidates if usable else ():
             if queued.fut.done() or not self._can_use(queued, backend):
                 continue
             if self._places.has_place(backend) and self._may_send(backend):
@@ -326,7 +328,7 @@
         """Return whether a request may be sent to a backend server of its service."""
         if queued.service.name != backend.service:
             return False
-        if not self._of_version(queued, [backend]) or backend.name in queued.avoid:
+        if not self._of_version(queued, [backend]):
             return False
         if self._check_quarantine(queued) is not None:
             return False
