Test of brittle servers measures the time for which slots are in use

The number of runs depends on how long a run takes in the test's own process; the stated target is the use of the slots (0.8).

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -161,6 +161,8 @@
         """Maximum number of requests that wait for a slot."""
         self.rejected_at: list[float] = []
         """Times of requests rejected for want of room, on the monotonic clock."""
+        self.busy_seconds = 0.0
+        """Time for which slots were in use, summed over the slots."""
         self.fell_at: list[float] = []
         """Times at which the runner fell over under the requests that it rejected."""
         self.repeats_refusals = RefusalRepeat.NEVER
@@ -407,9 +409,11 @@
                     raise
             else:
                 self._running += 1
+            began = time.monotonic()
             try:
                 yield
             finally:
+                self.busy_seconds += time.monotonic() - began
                 self._free_slot()
         finally:
             self._open.remove(req)
