Places: time without requests does not count as a wait

Found on reading: a wait that began with a question before an idle minute made the next rate of places 0.25 a second, so that requests which could be served would be refused. Change: a question continues a wait only within 1.5 s of the one before. Test: test_idle_time_does_not_count_as_a_wait_for_a_place, 0.25 before, 5 after.

--- a/packages/guavajunction/src/guavajunction/brittle/_places.py
+++ b/packages/guavajunction/src/guavajunction/brittle/_places.py
@@ -47,6 +47,13 @@
     """Whether this instance took it itself, as nobody answered."""
 
 
+class _Wait(NamedTuple):
+    since: float
+    """When the first of its questions was asked, on the monotonic clock."""
+    asked_at: float
+    """When the latest one was asked."""
+
+
 class _OwnPlaces(NamedTuple):
     next_at: float
     spacing: float
@@ -88,6 +95,9 @@
     completely. The backend server may still be at work."""
     NEWEST_WAIT_WEIGHT = 0.3
     """Weight of the newest wait for a place in the mean of waits."""
+    MAX_QUESTION_SECONDS = 1.5
+    """Time after a question in which the next one continues its wait. Without one, no
+    request waits any more."""
     MIN_WAIT_SECONDS = 0.002
     """Shortest wait for a place that is expected."""
     UNDECIDED_SECONDS = 10.0
@@ -117,8 +127,8 @@
         """Places that this instance may take itself."""
         self._mean_waits: dict[BackendId, float] = {}
         """Seconds from the first question to a place."""
-        self._waits_since: dict[BackendId, float] = {}
-        """When the first question was asked of those that got no place yet."""
+        self._waits: dict[BackendId, _Wait] = {}
+        """Waits for a place that go on, also over several questions."""
         self._last_number = 0
         self._unanswered_since: float | None = None
         self.ask: Callable[[int, PlaceQuestion], None] = lambda *_: None
@@ -189,7 +199,7 @@
             self._ask_again_at,
             self._own_places,
             self._mean_waits,
-            self._waits_since,
+            self._waits,
         ):
             for identity in known_of.keys() - present:
                 del known_of[identity]
@@ -247,7 +257,10 @@
         self._last_number += 1
         number = self._last_number
         self._questions[identity] = _OpenQuestion(number, asker, now)
-        self._waits_since.setdefault(identity, now)
+        wait = self._waits.get(identity)
+        if wait is None or now - wait.asked_at > self.MAX_QUESTION_SECONDS:
+            wait = _Wait(now, now)
+        self._waits[identity] = wait._replace(asked_at=now)
         bears = self.book.rate(identity)
         if bears is None:
             bears = self._services.get(server.service, 0.0)
@@ -278,10 +291,9 @@
             self._unanswered_since = now
         if granted:
             self._granted[backend] = _Place(backend, number, is_own=False)
-            wait = now - self._waits_since.pop(backend, now)
-            mean = self._mean_waits.get(backend, wait)
-            mean += self.NEWEST_WAIT_WEIGHT * (wait - mean)
-            self._mean_waits[backend] = mean
+            self._note_wait(
+                backend, now - self._waits.pop(backend, _Wait(now, now)).since
+            )
         elif granted is None:
             self.give_back(backend, number, False, 0.0)
             self._take_own(backend, number, now)
@@ -290,6 +302,11 @@
         else:
             self.on_refused()
 
+    def _note_wait(self, backend: BackendId, seconds: float) -> None:
+        mean = self._mean_waits.get(backend, seconds)
+        mean += self.NEWEST_WAIT_WEIGHT * (seconds - mean)
+        self._mean_waits[backend] = mean
+
     def _take_own(self, backend: BackendId, number: int, now: float) -> None:
         """Take a place without an answer, as often as an equal share allows."""
         own = self._own_places.get(backend)
@@ -360,7 +377,7 @@
             max(
                 self.MIN_WAIT_SECONDS,
                 self._mean_waits.get(backend, 0.0),
-                now - self._waits_since.get(backend, now),
+                now - self._waits.get(backend, _Wait(now, now)).since,
             )
             for backend in backends
         )
--- a/tests/gateway/test_brittle_servers.py
+++ b/tests/gateway/test_brittle_servers.py
@@ -96,6 +96,36 @@
         assert fleet.places.is_brittle(restarted)
 
 
+class TestWaits:
+    """The rate of places is that of waits that go on."""
+
+    async def test_idle_time_does_not_count_as_a_wait_for_a_place(self):
+        fleet = Fleet(BRITTLE, granted=False)
+        await fleet.serve(answer("2"))
+        clock, places = fleet.gateway.clock, fleet.places
+        ask = {"run_seconds": 0.03, "longest_seconds": 1.0}
+        places.ask_to_send(BRITTLE, "r1", **ask)
+        clock.advance(0.5)
+        places.on_answer(BRITTLE.identity, 1, False)
+        clock.advance(60.0)
+        places.ask_to_send(BRITTLE, "r2", **ask)
+        clock.advance(0.2)
+        assert places.rate({BRITTLE.identity}) == pytest.approx(5.0)
+
+    async def test_wait_goes_on_over_several_questions(self):
+        fleet = Fleet(BRITTLE, granted=False)
+        await fleet.serve(answer("2"))
+        clock, places = fleet.gateway.clock, fleet.places
+        ask = {"run_seconds": 0.03, "longest_seconds": 1.0}
+        for number in range(1, 4):
+            places.ask_to_send(BRITTLE, f"r{number}", **ask)
+            clock.advance(0.5)
+            places.on_answer(BRITTLE.identity, number, False)
+        places.ask_to_send(BRITTLE, "r4", **ask)
+        clock.advance(0.5)
+        assert places.rate({BRITTLE.identity}) == pytest.approx(0.5)
+
+
 class TestPlaces:
     """A request goes to a brittle backend server only with a place."""
 
