Places granted at once are used, not given back and granted again for ever

An instance that hands out the places of a server itself, with one free and two requests waiting, asked for the second one, got the place at once, gave it back as unused, got it again, and so on: a busy loop that served nobody through places. Cause: the search for users of a place stopped after a question, also if the answer was there.

--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -317,11 +317,13 @@
         for queued in candidates if usable else ():
             if queued.fut.done() or not self._can_use(queued, backend):
                 continue
-            if self._places.has_place(backend) and self._may_send(backend):
-                self._assign(queued, backend)
-            else:
+            if not self._places.has_place(backend):
                 self._ask_to_send(backend, queued)
+                if not self._places.has_place(backend):
+                    break
+            if not self._may_send(backend):
                 break
+            self._assign(queued, backend)
         self._places.return_unused()
 
     def _can_use(self, queued: QueuedRequest, backend: BackendRecord) -> bool:
--- a/tests/gateway/test_brittle_servers.py
+++ b/tests/gateway/test_brittle_servers.py
@@ -96,6 +96,22 @@
         assert fleet.places.is_brittle(restarted)
 
 
+class TestGrantedAtOnce:
+    """An instance that hands places out itself gets them without waiting."""
+
+    async def test_places_granted_at_once_are_used_one_after_the_other(self):
+        fleet = Fleet(BRITTLE, granted=False)
+        await fleet.serve(answer("2"))
+        fleet.gateway.caller.script = [answer("2")] * 3
+        tasks = [asyncio.ensure_future(fleet.gateway.serve()) for _ in range(3)]
+        await wait_until(lambda: fleet.asked)
+        fleet.granted = True
+        fleet.places.on_answer(BRITTLE.identity, 1, True)
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            await asyncio.gather(*tasks)
+        assert len(fleet.asked) < 10
+
+
 class TestWaits:
     """The rate of places is that of waits that go on."""
 
