--- a/packages/guavajunction/src/guavajunction/decoding.py
+++ b/packages/guavajunction/src/guavajunction/decoding.py
@@ -26,7 +26,7 @@
 
     >>> decode(msgspec.json.Decoder(list[int]), b"[1, 2]")
     [1, 2]
-    >>> decode(msgspec.json.Decoder(Any), b"[" * 100_000)
+    >>> decode(msgspec.json.Decoder(), b"[" * 100_000)
     Traceback (most recent call last):
     msgspec.DecodeError: the content is nested too deeply
     """
