--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -160,7 +160,7 @@
         self.queue_slots = spec.queue_slots
         """Maximum number of requests that wait for a slot."""
         self.rejected_at: list[float] = []
-        """Times of requests rejected for want of room, on the monotonic clock."""
+        """Times of requests rejected by a full queue, on the monotonic clock."""
         self.busy_seconds = 0.0
         """Time for which slots were in use, summed over the slots."""
         self.fell_at: list[float] = []
--- a/packages/guavajunction/src/guavajunction/brittle/_places.py
+++ b/packages/guavajunction/src/guavajunction/brittle/_places.py
@@ -44,7 +44,7 @@
     number: int
     """Number of the question that got it."""
     is_own: bool
-    """Whether this instance took it itself, as nobody answered."""
+    """Whether this instance took it itself, as no instance answered."""
 
 
 class _Wait(NamedTuple):
@@ -337,7 +337,8 @@
             complete: Whether its answer was received completely.
         """
         place = self._in_use.pop((request_id, server.identity.name), None)
-        if rejected and self.is_brittle(server):
+        counts = rejected and self.is_brittle(server)
+        if counts:
             events.REJECTION_COUNTED.log(
                 request_id=request_id,
                 backend=server.identity.name,
@@ -345,7 +346,7 @@
                 had_place=place is not None,
             )
         if place is None:
-            if rejected and self.is_brittle(server):
+            if counts:
                 self.give_back(server.identity, 0, True, 0.0)
             return
         if not place.is_own or rejected:
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -334,9 +334,7 @@
             return False
         if self._check_quarantine(queued) is not None:
             return False
-        plain_seconds = self.run_times.mean(queued.service.name)
-        run_seconds = _admission.service_seconds(queued.req.size, plain_seconds)
-        if self._clock.monotonic() + run_seconds > queued.ends_at:
+        if self._clock.monotonic() + self._service_seconds(queued) > queued.ends_at:
             # The next pass refuses it.
             return False
         if queued.service.engine is not None:
@@ -440,9 +438,7 @@
         self, queued: QueuedRequest, estimate: WaitEstimate, now: float
     ) -> bool:
         """Return whether this instance stops before a request could end."""
-        plain_seconds = self.run_times.mean(queued.service.name)
-        ends = now + estimate.seconds
-        ends += _admission.service_seconds(queued.req.size, plain_seconds)
+        ends = now + estimate.seconds + self._service_seconds(queued)
         return ends > self.stops_at
 
     def _choose(self, queued: QueuedRequest) -> _Choice:
@@ -485,15 +481,15 @@
         return self._places.ask_to_send(
             backend,
             request_id,
-            run_seconds=max(
-                self._run_seconds(queued),
-                _admission.service_seconds(
-                    queued.req.size, self.run_times.mean(queued.service.name)
-                ),
-            ),
+            run_seconds=max(self._run_seconds(queued), self._service_seconds(queued)),
             longest_seconds=queued.ends_at - self._clock.monotonic(),
         )
 
+    def _service_seconds(self, queued: QueuedRequest) -> float:
+        """Return the seconds from the start of a request to the end of its answer."""
+        plain_seconds = self.run_times.mean(queued.service.name)
+        return _admission.service_seconds(queued.req.size, plain_seconds)
+
     def _run_seconds(self, queued: QueuedRequest) -> float:
         """Return the mean time that such a request occupies a slot."""
         if queued.req.size is None:
