Instances that were all killed at once know brittle services from the store

What callers saw: after a kill of all instances, brittle servers fell over again, as no instance knew of their statements before its own first answer or a peer's heartbeat. Cause: what the servers say is kept by the instances alone. Change: the instance that answers for a service's name writes one row when the service turns brittle or its number changes, and removes it at the end. An instance that starts reads the rows once, before it knows any server, and takes the servers of these services for brittle until they answer, 10 s at most. A row that was left behind is removed by the next one that answers for it. Cost: one read a start; two writes a brittle time; nothing else. Ruled out: rows in the partition of crash reports (older builds would log each as malformed); a fourth feed (a long wait of each reader for something that changes twice a day). Tests: three of six cases of test_servers_do_not_fall_over_after_all_instances_were_killed and test_instances_that_were_all_killed_know_brittle_services failed before.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -55,6 +55,7 @@
 
 from . import _events as gateway_events
 from . import _quarantine_links as quarantine_links
+from ._brittle_rows import BrittleRows
 from ._deployment import Deployment, ListenerParts
 from ._fleet_links import FleetLinkParts, FleetLinks
 from ._quarantine_links import QuarantineLinks
@@ -261,6 +262,7 @@
         self._quarantine_links = QuarantineLinks(
             self._store, self._me, self._quarantine, clock
         )
+        self._brittle_rows = BrittleRows(self._store, self._places, clock)
         self._links: FleetLinks | None = None
         self._store_roster = StoreRoster(
             self._store, self._me, self._own_entry(), clock
@@ -311,6 +313,7 @@
             "backends": self._follow_backends,
             "crashes": self._follow_crashes,
             "quarantine": self._quarantine_links.run,
+            "brittle-rows": self._brittle_rows.run,
             "waiting-room": self._queue.run,
             "links": self._run_links,
             "roster": self._store_roster.run,
@@ -429,6 +432,8 @@
 
     async def _follow_backends(self) -> None:
         async for changes in self._backends:
+            if not self._backends_known:
+                await self._brittle_rows.wait_until_read()
             self._apply_backend_changes(changes)
             self._backends_known = True
             self._queue.schedule_dispatch()
@@ -445,6 +450,7 @@
         if came_back:
             self._era_began.set()
             self._store_roster.read_again()
+            self._brittle_rows.write_again()
         if changes.complete:
             decoded = [self._decode_backend(r.sort, r.body) for r in changes.rows]
             listed = [record for record in decoded if record is not None]
@@ -536,6 +542,7 @@
             peer.name for peer in self._roster.peers()
         ]
         links.exchange_crash_reports(self._quarantine_links)
+        self._brittle_rows.answers_for = links.answers_for
         if self._store_roster.listed:
             links.set_listed(self._store_roster.listed)
         self._links = links
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_desk_routes.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_desk_routes.py
@@ -56,10 +56,17 @@
 
     def holder(self, backend: BackendId) -> PeerId:
         """Return the instance that answers, in the view of a hub."""
+        return self._heaviest(backend.name)
+
+    def answers_for(self, name: str) -> bool:
+        """Return whether this instance is the one that answers for a name."""
+        return not self.follows and self._heaviest(name) == self._me
+
+    def _heaviest(self, name: str) -> PeerId:
         hubs = self._roster.peers_matching(lambda member: member.is_hub)
         able = [peer for peer in hubs if self._answers(peer)]
-        return max([*able, self._me], key=lambda peer: _weight(backend, peer))
+        return max([*able, self._me], key=lambda peer: _weight(name, peer))
 
 
-def _weight(backend: BackendId, peer: PeerId) -> int:
-    return xxhash.xxh3_64_intdigest(f"{backend.name}/{peer.name}".encode())
+def _weight(name: str, peer: PeerId) -> int:
+    return xxhash.xxh3_64_intdigest(f"{name}/{peer.name}".encode())
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
@@ -1,4 +1,4 @@
-"""Log events of the gateway process, 120 to 129."""
+"""Log events of the gateway process, 120 to 129 and 190."""
 
 from __future__ import annotations
 
@@ -34,6 +34,11 @@
     "process:permit_not_answered",
     "An instance did not answer whether a limited backend server takes a request.",
 )
+BRITTLE_ROW_FAILED = LogEvent(
+    190,
+    "process:brittle_row_failed",
+    "The rows of brittle services could not be read, or one could not be written.",
+)
 DOCUMENT_READ = LogEvent(
     124,
     "process:document_read",
--- a/packages/guavajunction/src/guavajunction/brittle/_places.py
+++ b/packages/guavajunction/src/guavajunction/brittle/_places.py
@@ -149,6 +149,16 @@
         """Return the rejections a second that the servers of brittle services bear."""
         return dict(self._services)
 
+    def presume(self, service: str, bears: float) -> None:
+        """Take the servers of a service for brittle until they have answered.
+
+        Args:
+            service: Name of the service.
+            bears: Rejections a second that its servers bore before this instance began.
+        """
+        if service not in self._services:
+            self._begin(service, bears)
+
     def note_answer(
         self, server: Server, text: str | None, known: LimitStatement
     ) -> None:
@@ -187,6 +197,8 @@
         for service, bears in brittle.items():
             self._begin(service, bears)
         since = now - self.UNDECIDED_SECONDS
+        # The servers of a service may not be known yet.
+        undecided |= self._services.keys() - {server.service for server in servers}
         recent = {s for s in undecided if self._stated_at.get(s, since) > since}
         for service in set(self._services) - set(brittle) - recent:
             del self._services[service]
--- a/tests/brittle_fleet.py
+++ b/tests/brittle_fleet.py
@@ -8,6 +8,7 @@
 from collections import Counter, deque
 
 from fakes_gateway import BOOKINGS, FakeAnswer, FakeGateway, FakeSink, backend, request
+from fakes_platform import FakeTable
 from guavajunction.errors import (
     NotSent,
     OutcomeUnknown,
@@ -17,6 +18,7 @@
 from guavajunction.fleet import Member
 from guavajunction.gateway import AnswerHead, Framing
 from guavajunction.peers import PeerId
+from guavajunction_entry.gateway._brittle_rows import BrittleRows
 from guavajunction_entry.gateway._place_links import PlaceLinks
 from virtual_time import VirtualClock
 
@@ -143,12 +145,15 @@
         self.places = self.gateway.places
         self.handlers = {}
         self.links = PlaceLinks(self.me, self, self, self, self.places, fleet.clock)
+        self.rows = BrittleRows(fleet.table, self.places, fleet.clock)
+        self.rows.answers_for = self.links.answers_for
         queue = self.gateway.queue
         self.places.on_granted = queue.use_place
         self.places.on_refused = queue.schedule_dispatch
         self.tasks = {
             asyncio.ensure_future(queue.run()),
             asyncio.ensure_future(self.refresh()),
+            asyncio.ensure_future(self.rows.run()),
         }
 
     async def refresh(self):
@@ -236,6 +241,7 @@
     def __init__(self, hubs, followers, *, servers=4, seed=1, **properties):
         self.rng = random.Random(seed)
         self.clock = VirtualClock()
+        self.table = FakeTable()
         self.outcomes = Counter()
         self.tasks = set()
         properties = {"slots": 2, "waiting": 12, "work_seconds": 0.15} | properties
--- a/tests/entry/test_place_links.py
+++ b/tests/entry/test_place_links.py
@@ -123,6 +123,28 @@
 
         run(replay())
 
+    @SHAPES
+    @pytest.mark.parametrize("bears", [0, 2])
+    def test_servers_do_not_fall_over_after_all_instances_were_killed(
+        self, hubs, followers, bears
+    ):
+        async def replay():
+            fleet = BrittleFleet(hubs, followers)
+            await overload(fleet, bears=bears)
+            await fleet.run(4.0, OVERLOAD_PER_SECOND)
+            for name in list(fleet.instances):
+                fleet.kill(name)
+            await asyncio.sleep(1.0)
+            for name in fleet.hub_of:
+                fleet.start(name)
+            since, falls = fleet.clock.monotonic(), fleet.falls()
+            await fleet.run(MEASURED_SECONDS, OVERLOAD_PER_SECOND)
+            assert fleet.falls() - falls <= allowed_falls(fleet)
+            assert used_fraction(fleet, since) >= MOST
+            fleet.close()
+
+        run(replay())
+
     def test_servers_do_not_fall_over_while_the_fleet_is_cut_in_two(self):
         async def replay():
             fleet = BrittleFleet(8, 0)
--- a/tests/platform/test_brittle_servers.py
+++ b/tests/platform/test_brittle_servers.py
@@ -7,6 +7,7 @@
 import time
 from collections import Counter
 
+import aiohttp
 import pytest
 
 from guavajunction_fakes.deployment import (
@@ -15,7 +16,7 @@
     LocalDeployment,
     RunnerSpec,
 )
-from platform_calls import call
+from platform_calls import call, wait_until
 
 from .conftest import PORTS
 
@@ -90,7 +91,13 @@
 
     async def _call(self, name):
         began = time.monotonic()
-        reply = await call(self._deployment, self._path, name=name, model=self._model)
+        try:
+            reply = await call(
+                self._deployment, self._path, name=name, model=self._model
+            )
+        except (OSError, aiohttp.ClientError):
+            self.statuses["lost"] += 1
+            return
         self.statuses[reply.status] += 1
         if reply.status == 503:
             took = time.monotonic() - began
@@ -148,3 +155,47 @@
         await load.end()
         assert falls(engines) <= ALLOWED_FALLS
         assert load.statuses[200] > 0
+
+
+class TestKilledInstances:
+    """Instances that start know which servers are brittle before they send to them."""
+
+    @pytest.mark.parametrize("bears", ["2", "0"])
+    async def test_servers_do_not_fall_over_after_all_instances_were_killed(
+        self, deployment, bears
+    ):
+        load = Load(deployment)
+        await load.run(1.0, 70)
+        turn_brittle(deployment, bears)
+        await load.run(CONTACT_SECONDS, 70)
+        let_fewer_wait(deployment)
+        await load.run(2.0, 70)
+        await restart_all(deployment)
+        await load.run(4.0, 70)
+        before = load.statuses[200]
+        await load.run(2.0, 70)
+        await load.end()
+        assert falls(deployment) <= ALLOWED_FALLS
+        assert load.statuses[200] > before
+
+    async def test_instances_that_were_all_killed_know_brittle_services(
+        self, deployment
+    ):
+        turn_brittle(deployment, "2")
+        for name in deployment.instances:
+            await call(deployment, "/book/1", name=name)
+        await wait_until(lambda: deployment.store.rows("guava-brittle"))
+        await restart_all(deployment)
+        for name in deployment.instances:
+            await wait_until(lambda name=name: deployment.is_ready(name))
+        logs = [process.log_path for process in deployment.instances.values()]
+        for log in logs:
+            since_start = log.read_text().rpartition('"process:started"')[2]
+            assert '"brittle:service"' in since_start
+
+
+async def restart_all(deployment):
+    for process in deployment.instances.values():
+        await process.kill()
+    for name in deployment.instances:
+        deployment.start(name)
