An instance hands out places only once it can have heard the others

Cause: until the first heartbeats, each instance is the only one it knows and hands out all slots of every server. The trace shows three places within 71 ms at a server of two slots. Change: the first place is handed out 0.6 s after the start, then one after the other as before. A heartbeat comes every 0.5 s. Ruled out: a part of the slots by the number of listed instances (a list has rows of those that are gone, and says nothing of hubs).

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_place_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_place_links.py
@@ -69,6 +69,9 @@
     over."""
     ADVANCE_SECONDS = 0.05
     """Interval at which places are handed out that time has freed."""
+    HEAR_SECONDS = 0.6
+    """Time after the start in which the first heartbeats of the others arrive. Until
+    then each instance would take itself for the one that hands out places."""
     ABLE_SECONDS = 5.0
     """Time after its last statements for which a peer is taken to hand out places."""
 
@@ -88,6 +91,7 @@
         self._places = places
         self._clock = clock
         self._desk = PlaceDesk()
+        self._desk.opens_at = clock.monotonic() + self.HEAR_SECONDS
         self._able_until: dict[str, float] = {}
         self._waiting: dict[PlaceKey, asyncio.Future[None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
--- a/packages/guavajunction/src/guavajunction/brittle/_desk.py
+++ b/packages/guavajunction/src/guavajunction/brittle/_desk.py
@@ -45,7 +45,7 @@
 class _Server:
     """The places of one backend server."""
 
-    def __init__(self, question: PlaceQuestion, now: float) -> None:
+    def __init__(self, question: PlaceQuestion, now: float, opens_at: float) -> None:
         self.asked_at = now
         self.slots = question.slots
         self.bears = question.bears
@@ -60,8 +60,9 @@
         self.extend_at = now + PlaceDesk.EXTEND_SECONDS
         self.rejected_at: deque[float] = deque(maxlen=PlaceDesk.MAX_REJECTIONS)
         span = max(PlaceDesk.HANDOVER_SECONDS, 2 * question.run_seconds)
+        since = max(now, opens_at)
         self.assumed_until = [
-            now + span * (n + 1) / self.slots for n in range(self.slots)
+            since + span * (n + 1) / self.slots for n in range(self.slots)
         ]
 
     def advance(self, now: float) -> None:
@@ -175,6 +176,8 @@
         self._servers: dict[BackendId, _Server] = {}
         self.share = 1.0
         """Part of the slots that this side of a cut may use, 0 to 1."""
+        self.opens_at = float("-inf")
+        """When the first place may be handed out, on the monotonic clock."""
 
     @property
     def is_waiting(self) -> bool:
@@ -195,7 +198,8 @@
         question = question._replace(slots=max(1, min(question.slots, self.MAX_SLOTS)))
         server = self._servers.get(question.backend)
         if server is None:
-            server = self._servers[question.backend] = _Server(question, now)
+            server = _Server(question, now, self.opens_at)
+            self._servers[question.backend] = server
             drop_oldest(self._servers, self.MAX_BACKENDS)
         server.slots, server.bears = question.slots, question.bears
         server.asked_at = now
--- a/tests/entry/test_place_links.py
+++ b/tests/entry/test_place_links.py
@@ -7,6 +7,7 @@
 import pytest
 
 from brittle_fleet import BrittleFleet
+from fakes_gateway import BOOKINGS
 from virtual_time import run
 
 CONTACT_SECONDS = 3.0
@@ -145,6 +146,24 @@
 
         run(replay())
 
+    def test_instances_that_start_together_hand_out_no_more_than_the_slots(self):
+        async def replay():
+            fleet = BrittleFleet(8, 0)
+            # The first heartbeats of the instances below are half a second away.
+            await asyncio.sleep(0.0)
+            for name in list(fleet.instances):
+                fleet.kill(name)
+                fleet.start(name)
+            for instance in fleet.instances.values():
+                instance.places.presume(BOOKINGS, 0)
+            fleet.let_fewer_wait(0)
+            fleet.turn_brittle(0)
+            await fleet.run(2.0, 300)
+            assert fleet.falls() == 0
+            fleet.close()
+
+        run(replay())
+
     def test_servers_do_not_fall_over_while_the_fleet_is_cut_in_two(self):
         async def replay():
             fleet = BrittleFleet(8, 0)
