Streams go on after all instances were killed at once

Cause: only instances know which software version began a stream, and several copies of that knowledge end together. Same class as brittle services: what must outlive every instance at once. Change: one hub writes the new streams of a second in one row of a ring of 30; nothing is removed. The rows are read only if no instance that answers knows a stream, at most every 2 s. What is in no row stays unknown and is refused, so no versions are joined. Cost: a call a second while streams of routes that may be resumed begin; none at a start. Ruled out: an origin that follows from the versions that serve now (the old one may have just left); a row for each stream (40 to 400 calls a second). Test: test_streams_go_on_after_all_instances_were_killed failed before (503).

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -60,6 +60,7 @@
 from ._fleet_links import FleetLinkParts, FleetLinks
 from ._quarantine_links import QuarantineLinks
 from ._settings import GatewaySettings
+from ._stream_rows import StreamRows
 from ._tuning import Tuning
 from ._tunnel_links import TunnelLinkParts, TunnelLinks
 
@@ -263,6 +264,7 @@
             self._store, self._me, self._quarantine, clock
         )
         self._brittle_rows = BrittleRows(self._store, self._places, clock)
+        self._stream_rows = StreamRows(self._store, self._me, self._streams, clock)
         self._links: FleetLinks | None = None
         self._store_roster = StoreRoster(
             self._store, self._me, self._own_entry(), clock
@@ -314,6 +316,7 @@
             "crashes": self._follow_crashes,
             "quarantine": self._quarantine_links.run,
             "brittle-rows": self._brittle_rows.run,
+            "stream-rows": self._stream_rows.run,
             "waiting-room": self._queue.run,
             "links": self._run_links,
             "roster": self._store_roster.run,
@@ -543,6 +546,7 @@
         ]
         links.exchange_crash_reports(self._quarantine_links)
         self._brittle_rows.answers_for = links.answers_for
+        self._stream_rows.answers_for = links.answers_for
         if self._store_roster.listed:
             links.set_listed(self._store_roster.listed)
         self._links = links
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_events.py
@@ -1,4 +1,4 @@
-"""Log events of the gateway process, 120 to 129 and 190."""
+"""Log events of the gateway process, 120 to 129 and 190 to 199."""
 
 from __future__ import annotations
 
@@ -39,6 +39,11 @@
     "process:brittle_row_failed",
     "The rows of brittle services could not be read, or one could not be written.",
 )
+STREAM_ROW_FAILED = LogEvent(
+    191,
+    "process:stream_row_failed",
+    "The rows of streams could not be read, or one could not be written.",
+)
 DOCUMENT_READ = LogEvent(
     124,
     "process:document_read",
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -154,9 +154,9 @@
         """Exchange reports of crashes with the peers."""
         quarantine.connect(self._mesh, self.relay)
 
-    def answers_for(self, service: str) -> bool:
-        """Return whether this instance writes the row of a brittle service."""
-        return self._places.answers_for(service)
+    def answers_for(self, name: str) -> bool:
+        """Return whether this instance writes the rows that have a name."""
+        return self._places.answers_for(name)
 
     def set_listed(self, listed: list[ListedInstance]) -> None:
         """Set the instances that are listed in the store."""
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_place_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_place_links.py
@@ -111,9 +111,9 @@
         if stated:
             self._places.book.merge(dict(stated))
 
-    def answers_for(self, service: str) -> bool:
-        """Return whether this instance writes the row of a brittle service."""
-        return self._routes.answers_for(service)
+    def answers_for(self, name: str) -> bool:
+        """Return whether this instance writes the rows that have a name."""
+        return self._routes.answers_for(name)
 
     def _is_able(self, peer: PeerId) -> bool:
         return self._able_until.get(peer.name, 0.0) > self._clock.monotonic()
--- a/packages/guavajunction/src/guavajunction/gateway/_stream_origins.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_stream_origins.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -54,6 +55,8 @@
         """Called for each stream that begins on this instance."""
         self.ask_peers: Callable[[str], Awaitable[StreamOrigin | None]] = _ask_nobody
         """Returns the origin of a stream that another instance knows, or None."""
+        self.look_up: Callable[[str], Awaitable[StreamOrigin | None]] = _ask_nobody
+        """Returns the origin of a stream that no instance knows but that was stored."""
 
     def __len__(self) -> int:
         return len(self._known)
@@ -76,19 +79,27 @@
             if known.own
         ]
 
+    def known_since(self, since: float) -> list[StreamBegan]:
+        """Return the streams learned of after a monotonic time, the oldest first."""
+        newest = itertools.takewhile(
+            lambda item: item[1].known_since > since, reversed(self._known.items())
+        )
+        return [StreamBegan(stream, known.origin) for stream, known in newest][::-1]
+
     def get(self, stream: str) -> StreamOrigin | None:
         """Return the origin of a stream if this instance knows it."""
         known = self._known.get(stream)
         return known.origin if known else None
 
     async def find(self, stream: str) -> StreamOrigin | None:
-        """Return the origin of a stream, or None if no instance that replies knows it.
+        """Return the origin of a stream, or None if it is not known.
 
-        Other instances are asked only if this one does not know the stream.
+        Other instances are asked only if this one does not know the stream, and what
+        was stored is read only if none of them does.
         """
         origin = self.get(stream)
         if origin is None:
-            origin = await self.ask_peers(stream)
+            origin = await self.ask_peers(stream) or await self.look_up(stream)
             if origin is not None:
                 self.note(StreamBegan(stream, origin))
         return origin
--- /dev/null
+++ b/tests/entry/test_stream_rows.py
@@ -0,0 +1,140 @@
+"""Tests of the rows that keep the origins of streams if all instances end."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from fakes_clock import QuickClock
+from fakes_platform import FakeTable
+from guavajunction.gateway import StreamOrigin, StreamOrigins
+from guavajunction.peers import PeerId
+from guavajunction_entry.gateway._stream_rows import PARTITION, StreamRows
+
+V1 = StreamOrigin("engines", "v1")
+V2 = StreamOrigin("engines", "v2")
+
+
+class Instance:
+    """The streams and rows of one instance that answers for all of them."""
+
+    def __init__(self, table, name="front-1", answers_for=True):
+        self.clock = QuickClock()
+        self.table = table.client()
+        self.origins = StreamOrigins(self.clock)
+        me = PeerId(name, "a")
+        self.rows = StreamRows(
+            self.table, me, self.origins, self.clock, unix_time=self.clock.monotonic
+        )
+        self.rows.answers_for = lambda _: answers_for
+
+    async def begin(self, *streams, origin=V1):
+        self.clock.advance(0.5)
+        for stream in streams:
+            self.origins.begin(stream, origin)
+        self.clock.advance(0.5)
+        await self.rows.write_new()
+
+
+class TestWrites:
+    """One instance writes the new streams of all."""
+
+    async def test_streams_of_an_interval_share_a_row(self):
+        instance = Instance(FakeTable())
+        await instance.begin("s1", "s2")
+        await instance.begin("s3", origin=V2)
+        await instance.begin()
+        assert instance.table.counts["put"] == 2
+
+    async def test_rows_form_a_ring(self):
+        instance = Instance(FakeTable())
+        for number in range(instance.rows.RING_ROWS + 5):
+            await instance.begin(f"s{number}")
+        assert len(instance.table.rows) == instance.rows.RING_ROWS
+
+    @pytest.mark.parametrize("pause", [1.0, 30.0])
+    async def test_restarted_instance_writes_over_its_oldest_rows(self, pause):
+        table = FakeTable()
+        await Instance(table).begin("s1")
+        restarted = Instance(table)
+        restarted.clock.advance(pause)
+        await restarted.begin("s2")
+        started = Instance(table, "front-2")
+        assert await started.origins.find("s2") == V1
+        assert await started.origins.find("s1") == (V1 if pause == 1.0 else None)
+
+    async def test_other_instances_write_nothing(self):
+        instance = Instance(FakeTable(), answers_for=False)
+        await instance.begin("s1")
+        assert not instance.table.rows
+
+    async def test_successor_writes_the_latest_streams_of_the_instance_before(self):
+        table = FakeTable()
+        instance = Instance(table, answers_for=False)
+        await instance.begin("s1")
+        instance.rows.answers_for = lambda _: True
+        await instance.begin()
+        assert await Instance(table, "front-2").origins.find("s1") == V1
+
+    async def test_failed_write_is_repeated_with_the_next_one(self):
+        table = FakeTable()
+        instance = Instance(table)
+        instance.table.down = True
+        await instance.begin("s1")
+        instance.table.down = False
+        await instance.begin("s2")
+        started = Instance(table, "front-2")
+        assert await started.origins.find("s1") == V1
+        assert await started.origins.find("s2") == V1
+
+
+class TestReads:
+    """A stream that no instance knows is looked up."""
+
+    async def test_stream_keeps_its_version(self):
+        table = FakeTable()
+        instance = Instance(table)
+        await instance.begin("s1")
+        await instance.begin("s2", origin=V2)
+        started = Instance(table, "front-2")
+        assert await started.origins.find("s1") == V1
+        assert await started.origins.find("s2") == V2
+
+    async def test_streams_are_looked_up_together(self):
+        table = FakeTable()
+        await Instance(table).begin(*(f"s{number}" for number in range(20)))
+        started = Instance(table, "front-2")
+        found = [started.origins.find(f"s{number}") for number in range(20)]
+        assert await asyncio.gather(*found) == [V1] * 20
+        assert started.table.counts["query"] == 1
+
+    async def test_unknown_streams_are_looked_up_at_intervals(self):
+        started = Instance(FakeTable())
+        for number in range(20):
+            assert await started.origins.find(f"s{number}") is None
+        assert started.table.counts["query"] == 1
+
+    async def test_caller_that_leaves_does_not_end_the_read_of_others(self):
+        table = FakeTable()
+        await Instance(table).begin("s1")
+        started = Instance(table, "front-2")
+        leaving = asyncio.ensure_future(started.origins.find("s1"))
+        staying = asyncio.ensure_future(started.origins.find("s1"))
+        await asyncio.sleep(0)
+        leaving.cancel()
+        assert await staying == V1
+
+    async def test_stream_is_unknown_while_the_store_is_away(self):
+        table = FakeTable()
+        await Instance(table).begin("s1")
+        started = Instance(table, "front-2")
+        started.table.down = True
+        assert await started.origins.find("s1") is None
+
+    @pytest.mark.parametrize("body", [b"", b"\xc1", b"\x01", b"\x91" * 2000])
+    async def test_malformed_row_is_left_out(self, body):
+        table = FakeTable()
+        await table.put(PARTITION, "front-9/0", body, expected=0)
+        await Instance(table).begin("s1")
+        assert await Instance(table, "front-2").origins.find("s1") == V1
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import aiohttp
+import msgspec
 import pytest
 
 from guavajunction_fakes.deployment import HEADERS
@@ -125,6 +126,24 @@
         assert reply.status == 200
         assert runner_of(two_versions, "r1").spec == began.spec
 
+    async def test_streams_go_on_after_all_instances_were_killed(self, two_versions):
+        for number in range(6):
+            await begin(two_versions, f"s{number}")
+        await wait_until(lambda: stored_streams(two_versions) == 6)
+        for process in two_versions.instances.values():
+            await process.kill()
+        for name in two_versions.instances:
+            two_versions.start(name)
+        for name in two_versions.instances:
+            await wait_until(lambda name=name: two_versions.is_ready(name), 15.0)
+        for number in range(6):
+            reply = await resume(two_versions, f"r{number}", f"s{number}")
+            assert reply.status == 200
+            began = runner_of(two_versions, f"s{number}")
+            assert runner_of(two_versions, f"r{number}").spec == began.spec
+        reply = await resume(two_versions, "r9", "never-seen")
+        assert reply.status == 503
+
     async def test_stream_of_an_unknown_version_is_not_resumed(self, two_versions):
         reply = await resume(two_versions, "r1", "never-seen")
         assert reply.status == 503
@@ -141,5 +160,12 @@
         assert runner_of(two_versions, "r1") is None
 
 
+def stored_streams(deployment):
+    rows = deployment.store.rows("guava-stream").values()
+    return sum(
+        len(streams) for body in rows for *_, streams in msgspec.msgpack.decode(body)
+    )
+
+
 async def _lists_both(deployment):
     return len(await deployment.resolve("front-2")) == 2
