Streams after a kill of all instances: versions are stored, streams only while they differ

Change: one row holds the versions that each service had in the last 30 s. While there are several, new streams are written every 0.25 s, those of before when the second version appears. Tests: test_streams_of_the_only_version_go_on_after_all_were_killed failed before (503); test_stream_rows.py, among it that nothing is guessed if the version that serves now is another.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -265,6 +265,7 @@
         )
         self._brittle_rows = BrittleRows(self._store, self._places, clock)
         self._stream_rows = StreamRows(self._store, self._me, self._streams, clock)
+        self._stream_rows.versions = self._registry.versions
         self._links: FleetLinks | None = None
         self._store_roster = StoreRoster(
             self._store, self._me, self._own_entry(), clock
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
@@ -156,6 +156,10 @@
             if until <= now:
                 self.drop(name)
 
+    def versions(self) -> set[tuple[str, str]]:
+        """Return each service with each software version of its backend servers."""
+        return {(r.service, r.software_version) for r in self._records.values()}
+
     def versions_seen(self, service: str) -> frozenset[str]:
         """Return the software versions of a service's backend servers so far.
 
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -201,7 +201,7 @@
         resumes = req.resume_after is not None and route.kind is RequestKind.STREAM
         origin = None
         if resumes and req.resumed_stream is not None:
-            origin = await self._find_origin(req.resumed_stream)
+            origin = await self._find_origin(req.resumed_stream, route)
             # The configuration may have changed meanwhile.
             route, customer = self._find_route(req)
         service = self._find_service(route, origin)
@@ -260,13 +260,14 @@
         route = self._routes.find(req.host, req.path)
         return route, self._routes.customer_of(route, req.key)
 
-    async def _find_origin(self, stream: str) -> StreamOrigin:
+    async def _find_origin(self, stream: str, route: Route) -> StreamOrigin:
         """Return what began the stream that a request resumes.
 
         Raises:
-            StreamNotResumable: No instance that replies knows what began the stream.
+            StreamNotResumable: It is not known what began the stream.
         """
-        origin = await self._parts.streams.find(stream)
+        only = route.services[0].service if len(route.services) == 1 else None
+        origin = await self._parts.streams.find(stream, only)
         if origin is None:
             raise StreamNotResumable(
                 f"it is not known which software version began stream {stream!r}",
--- a/packages/guavajunction/src/guavajunction/gateway/_stream_origins.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_stream_origins.py
@@ -35,10 +35,18 @@
     own: bool
 
 
+StreamLookUp = Callable[[str, str | None], Awaitable[StreamOrigin | None]]
+"""Called with a stream and with its service, if that is certain."""
+
+
 async def _ask_nobody(_: str) -> StreamOrigin | None:
     return None
 
 
+async def _look_nowhere(_: str, __: str | None) -> StreamOrigin | None:
+    return None
+
+
 class StreamOrigins:
     """The origins of recent streams, and of those that other instances know."""
 
@@ -55,8 +63,8 @@
         """Called for each stream that begins on this instance."""
         self.ask_peers: Callable[[str], Awaitable[StreamOrigin | None]] = _ask_nobody
         """Returns the origin of a stream that another instance knows, or None."""
-        self.look_up: Callable[[str], Awaitable[StreamOrigin | None]] = _ask_nobody
-        """Returns the origin of a stream that no instance knows but that was stored."""
+        self.look_up: StreamLookUp = _look_nowhere
+        """Returns the origin of a stream that no instance knows, if it is stored."""
 
     def __len__(self) -> int:
         return len(self._known)
@@ -91,15 +99,23 @@
         known = self._known.get(stream)
         return known.origin if known else None
 
-    async def find(self, stream: str) -> StreamOrigin | None:
+    async def find(
+        self, stream: str, service: str | None = None
+    ) -> StreamOrigin | None:
         """Return the origin of a stream, or None if it is not known.
 
         Other instances are asked only if this one does not know the stream, and what
-        was stored is read only if none of them does.
+        is stored is read only if none of them does.
+
+        Args:
+            stream: Request id of the attempt that received its first event.
+            service: The service that must have begun it; None if it may be several.
         """
         origin = self.get(stream)
         if origin is None:
-            origin = await self.ask_peers(stream) or await self.look_up(stream)
+            origin = await self.ask_peers(stream)
+            if origin is None:
+                origin = await self.look_up(stream, service)
             if origin is not None:
                 self.note(StreamBegan(stream, origin))
         return origin
--- a/tests/entry/test_stream_rows.py
+++ b/tests/entry/test_stream_rows.py
@@ -19,7 +19,7 @@
 class Instance:
     """The streams and rows of one instance that answers for all of them."""
 
-    def __init__(self, table, name="front-1", answers_for=True):
+    def __init__(self, table, name="front-1", answers_for=True, versions=(V1, V2)):
         self.clock = QuickClock()
         self.table = table.client()
         self.origins = StreamOrigins(self.clock)
@@ -28,13 +28,17 @@
             self.table, me, self.origins, self.clock, unix_time=self.clock.monotonic
         )
         self.rows.answers_for = lambda _: answers_for
+        self.rows.versions = lambda: versions
 
     async def begin(self, *streams, origin=V1):
-        self.clock.advance(0.5)
+        self.clock.advance(StreamRows.WRITE_SECONDS / 2)
         for stream in streams:
             self.origins.begin(stream, origin)
-        self.clock.advance(0.5)
-        await self.rows.write_new()
+        self.clock.advance(StreamRows.WRITE_SECONDS / 2)
+        await self.rows.write_changes()
+
+    def stored_streams(self):
+        return [key for _, key in self.table.rows if "/" in key]
 
 
 class TestWrites:
@@ -45,15 +49,15 @@
         await instance.begin("s1", "s2")
         await instance.begin("s3", origin=V2)
         await instance.begin()
-        assert instance.table.counts["put"] == 2
+        assert len(instance.stored_streams()) == 2
 
     async def test_rows_form_a_ring(self):
         instance = Instance(FakeTable())
         for number in range(instance.rows.RING_ROWS + 5):
             await instance.begin(f"s{number}")
-        assert len(instance.table.rows) == instance.rows.RING_ROWS
+        assert len(instance.stored_streams()) == instance.rows.RING_ROWS
 
-    @pytest.mark.parametrize("pause", [1.0, 30.0])
+    @pytest.mark.parametrize("pause", [1.0, StreamRows.KEEP_SECONDS])
     async def test_restarted_instance_writes_over_its_oldest_rows(self, pause):
         table = FakeTable()
         await Instance(table).begin("s1")
@@ -89,6 +93,65 @@
         assert await started.origins.find("s2") == V1
 
 
+class TestOneVersion:
+    """While a service has one version, its streams are of that version."""
+
+    async def test_streams_are_not_stored(self):
+        instance = Instance(FakeTable(), versions=(V1,))
+        for number in range(10):
+            await instance.begin(f"s{number}")
+        assert not instance.stored_streams()
+        assert instance.table.counts["put"] == 1
+
+    async def test_unknown_stream_is_of_the_only_version(self):
+        table = FakeTable()
+        await Instance(table, versions=(V1,)).begin("s1")
+        started = Instance(table, "front-2", versions=(V1,))
+        assert await started.origins.find("s1", "engines") == V1
+        assert await started.origins.find("s2") is None
+        assert await started.origins.find("s3", "others") is None
+
+    async def test_streams_of_before_are_stored_when_a_second_version_appears(self):
+        table = FakeTable()
+        instance = Instance(table, versions=(V1,))
+        await instance.begin("s1")
+        instance.rows.versions = lambda: (V1, V2)
+        await instance.begin("s2", origin=V2)
+        started = Instance(table, "front-2")
+        assert await started.origins.find("s1", "engines") == V1
+        assert await started.origins.find("s2", "engines") == V2
+        assert await started.origins.find("s3", "engines") is None
+
+    @pytest.mark.parametrize("versions", [(V2,), (V1, V2)])
+    async def test_nothing_is_guessed_if_the_present_version_is_another(self, versions):
+        table = FakeTable()
+        await Instance(table, versions=(V1,)).begin("s1")
+        started = Instance(table, "front-2", versions=versions)
+        assert await started.origins.find("s1", "engines") is None
+
+    async def test_version_that_has_left_counts_while_its_streams_may_run(self):
+        table = FakeTable()
+        instance = Instance(table)
+        await instance.begin("s1")
+        instance.rows.versions = lambda: (V2,)
+        await instance.begin()
+        started = Instance(table, "front-2", versions=(V2,))
+        assert await started.origins.find("s9", "engines") is None
+        instance.clock.advance(StreamRows.KEEP_SECONDS + 1)
+        await instance.begin()
+        later = Instance(table, "front-2", versions=(V2,))
+        assert await later.origins.find("s9", "engines") == V2
+
+    async def test_versions_of_before_a_start_of_all_instances_count(self):
+        table = FakeTable()
+        await Instance(table, versions=(V1,)).begin("s1")
+        restarted = Instance(table, versions=(V2,))
+        await restarted.begin("s2", origin=V2)
+        started = Instance(table, "front-2", versions=(V2,))
+        assert await started.origins.find("s1", "engines") is None
+        assert await started.origins.find("s2", "engines") == V2
+
+
 class TestReads:
     """A stream that no instance knows is looked up."""
 
@@ -112,7 +175,7 @@
     async def test_unknown_streams_are_looked_up_at_intervals(self):
         started = Instance(FakeTable())
         for number in range(20):
-            assert await started.origins.find(f"s{number}") is None
+            assert await started.origins.find(f"s{number}", "engines") is None
         assert started.table.counts["query"] == 1
 
     async def test_caller_that_leaves_does_not_end_the_read_of_others(self):
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -130,12 +130,7 @@
         for number in range(6):
             await begin(two_versions, f"s{number}")
         await wait_until(lambda: stored_streams(two_versions) == 6)
-        for process in two_versions.instances.values():
-            await process.kill()
-        for name in two_versions.instances:
-            two_versions.start(name)
-        for name in two_versions.instances:
-            await wait_until(lambda name=name: two_versions.is_ready(name), 15.0)
+        await restart_all(two_versions)
         for number in range(6):
             reply = await resume(two_versions, f"r{number}", f"s{number}")
             assert reply.status == 200
@@ -144,6 +139,18 @@
         reply = await resume(two_versions, "r9", "never-seen")
         assert reply.status == 503
 
+    async def test_streams_of_the_only_version_go_on_after_all_were_killed(
+        self, deployment
+    ):
+        await wait_until(lambda: "versions" in deployment.store.rows("guava-stream"))
+        for number in range(6):
+            await begin(deployment, f"s{number}")
+        await restart_all(deployment)
+        for number in range(6):
+            reply = await resume(deployment, f"r{number}", f"s{number}")
+            assert reply.status == 200
+        assert stored_streams(deployment) == 0
+
     async def test_stream_of_an_unknown_version_is_not_resumed(self, two_versions):
         reply = await resume(two_versions, "r1", "never-seen")
         assert reply.status == 503
@@ -160,6 +167,15 @@
         assert runner_of(two_versions, "r1") is None
 
 
+async def restart_all(deployment):
+    for process in deployment.instances.values():
+        await process.kill()
+    for name in deployment.instances:
+        deployment.start(name)
+    for name in deployment.instances:
+        await wait_until(lambda name=name: deployment.is_ready(name), 15.0)
+
+
 def stored_streams(deployment):
     rows = deployment.store.rows("guava-stream").values()
     return sum(
