--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_desk_routes.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_desk_routes.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any, TypeVar
 
 import xxhash
 
+from guavajunction.errors import PeerError
 from guavajunction.fleet import Relay, Roster
-from guavajunction.peers import PeerId
+from guavajunction.peers import Links, PeerId
 from guavajunction.quarantine import BackendId
 
+from . import _events as events
+
+T = TypeVar("T")
+
 
 class DeskRoutes:
     """The way of a question from an instance to the one that answers it.
@@ -68,5 +74,33 @@
         return max([*able, self._me], key=lambda peer: _weight(name, peer))
 
 
+async def ask_desk(
+    links: Links,
+    peer: PeerId,
+    backend: BackendId,
+    question: tuple[Any, ...],
+    unanswered: T,
+    *,
+    timeout: float,
+) -> T:
+    """Send a question about a backend server to a peer, and return its answer.
+
+    Args:
+        links: Links to the peers.
+        peer: The peer to ask.
+        backend: The backend server.
+        question: The message to send.
+        unanswered: Returned if the peer does not answer; an answer has the same type.
+        timeout: Seconds to wait for an answer.
+    """
+    try:
+        return await links.request(peer, question, type(unanswered), timeout=timeout)
+    except PeerError as exc:
+        events.PERMIT_NOT_ANSWERED.log(
+            backend=backend.name, instance=peer.name, reason=exc.message
+        )
+        return unanswered
+
+
 def _weight(name: str, peer: PeerId) -> int:
     return xxhash.xxh3_64_intdigest(f"{name}/{peer.name}".encode())
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_limit_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_limit_links.py
@@ -6,14 +6,12 @@
 from typing import NamedTuple
 
 from guavajunction.clock import Clock
-from guavajunction.errors import PeerError
 from guavajunction.fleet import Relay, Roster
 from guavajunction.namedlimits import LimitStatement, PermitDesk, ServerLimits
 from guavajunction.peers import Links, PeerId
 from guavajunction.quarantine import BackendId
 
-from . import _events as events
-from ._desk_routes import DeskRoutes
+from ._desk_routes import DeskRoutes, ask_desk
 
 
 class PermitWanted(NamedTuple):
@@ -105,15 +103,10 @@
     async def _request(
         self, peer: PeerId, wanted: PermitWanted, timeout: float
     ) -> PermitAnswer:
-        try:
-            return await self._links.request(
-                peer, wanted, PermitAnswer, timeout=timeout
-            )
-        except PeerError as exc:
-            events.PERMIT_NOT_ANSWERED.log(
-                backend=wanted.backend.name, instance=peer.name, reason=exc.message
-            )
-            return PermitAnswer(None)
+        unanswered = PermitAnswer(None)
+        return await ask_desk(
+            self._links, peer, wanted.backend, wanted, unanswered, timeout=timeout
+        )
 
     async def _on_wanted(self, _: PeerId, wanted: PermitWanted) -> PermitAnswer:
         self._limits.book.merge({wanted.backend: wanted.statement})
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_place_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_place_links.py
@@ -8,14 +8,12 @@
 
 from guavajunction.brittle import BrittlePlaces, PlaceDesk, PlaceKey, PlaceQuestion
 from guavajunction.clock import Clock
-from guavajunction.errors import PeerError
 from guavajunction.fleet import Relay, Roster
 from guavajunction.namedlimits import LimitStatement
 from guavajunction.peers import Links, PeerId
 from guavajunction.quarantine import BackendId
 
-from . import _events as events
-from ._desk_routes import DeskRoutes
+from ._desk_routes import DeskRoutes, ask_desk
 from ._limit_links import StatedLimit
 
 
@@ -150,15 +148,10 @@
     async def _request(
         self, peer: PeerId, wanted: PlaceWanted, timeout: float
     ) -> PlaceAnswer:
-        try:
-            return await self._links.request(peer, wanted, PlaceAnswer, timeout=timeout)
-        except PeerError as exc:
-            events.PERMIT_NOT_ANSWERED.log(
-                backend=wanted.question.backend.name,
-                instance=peer.name,
-                reason=exc.message,
-            )
-            return PlaceAnswer(None)
+        backend, unanswered = wanted.question.backend, PlaceAnswer(None)
+        return await ask_desk(
+            self._links, peer, backend, wanted, unanswered, timeout=timeout
+        )
 
     async def _on_wanted(self, sender: PeerId, wanted: PlaceWanted) -> PlaceAnswer:
         self._places.book.merge({wanted.question.backend: wanted.statement})
