A generation that may end in time is sent at once again

Since a request was not sent at once if it would end too late; for a generation that is computed from the maximum of its output, of which most use a part. Plain requests keep the check. Test: test_generation_is_sent_at_once_though_its_maximum_would_end_late failed before (503).

--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -384,7 +384,9 @@
             queued.fut.set_exception(quarantined)
             return
         target = _target(queued)
-        if target not in seen.full and self._ends_in_time(queued):
+        # The size of a generation is its maximum, so one that is sent at once may end.
+        may_end = queued.req.size is not None or self._ends_in_time(queued)
+        if target not in seen.full and may_end:
             choice = self._choose(queued)
             if choice.backend is not None:
                 self._assign(queued, choice.backend)
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -238,6 +238,11 @@
             await fleet.gateway.serve(late, FakeSink())
         assert not fleet.caller.sent
 
+    async def test_generation_is_sent_at_once_though_its_maximum_would_end_late(self):
+        fleet = FakeGateway(*ENGINES)
+        sink = await fleet.serve("/draft/1", size=size(output=900), seconds=3.0)
+        assert sink.finished
+
     async def test_run_times_are_forgotten_where_nothing_is_sent(self):
         fleet = FakeGateway(backend("b1", BOOKINGS, slots=1))
         fleet.queue.run_times.note(BOOKINGS, 2.0)
