Stored versions are compared again after the store came back from a copy

A copy may lack a version that appeared since. If all instances then ended too, a stream of that version could be taken for one of the only version that is stored (ORDER). Same as for the rows of brittle services. Test: test_version_that_the_store_lost_is_written_again, failed without the call.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -455,6 +455,7 @@
             self._era_began.set()
             self._store_roster.read_again()
             self._brittle_rows.write_again()
+            self._stream_rows.write_again()
         if changes.complete:
             decoded = [self._decode_backend(r.sort, r.body) for r in changes.rows]
             listed = [record for record in decoded if record is not None]
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_stream_rows.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_stream_rows.py
@@ -100,6 +100,10 @@
             await self._clock.sleep(self.WRITE_SECONDS)
             await self.write_changes()
 
+    def write_again(self) -> None:
+        """Compare the row of versions with the store, which may have lost it."""
+        self._stored_versions = None
+
     async def write_changes(self) -> None:
         """Write the versions if they have changed, and new streams of mixed services.
 
--- a/tests/entry/test_stream_rows.py
+++ b/tests/entry/test_stream_rows.py
@@ -152,6 +152,23 @@
         assert await started.origins.find("s2", "engines") == V2
 
 
+class TestStoreComesBackFromACopy:
+    """What the store has lost is written again."""
+
+    async def test_version_that_the_store_lost_is_written_again(self):
+        table = FakeTable()
+        instance = Instance(table, versions=(V1,))
+        await instance.begin("s1")
+        copy = dict(table.rows)
+        instance.rows.versions = lambda: (V1, V2)
+        await instance.begin("s2", origin=V2)
+        table.come_back_from(copy)
+        instance.rows.write_again()
+        await instance.begin()
+        started = Instance(table, "front-2", versions=(V1,))
+        assert await started.origins.find("s2", "engines") is None
+
+
 class TestReads:
     """A stream that no instance knows is looked up."""
 
