--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_stream_rows.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_stream_rows.py
@@ -51,6 +51,8 @@
     WRITE_SECONDS = 0.25
     """Interval at which changes are written. Streams of the last interval before a kill
     are lost, and many streams last about a second."""
+    RETRY_SECONDS = 1.0
+    """Pause after a write that failed. All changes of an outage share the next one."""
     HEAR_SECONDS = 1.2
     """Time after the start in which the first heartbeats of the others arrive. Until
     then each instance would take itself for the one that writes."""
@@ -97,17 +99,19 @@
         """Write changes until cancelled."""
         await self._clock.sleep(self.HEAR_SECONDS)
         while True:
-            await self._clock.sleep(self.WRITE_SECONDS)
-            await self.write_changes()
+            done = await self.write_changes()
+            await self._clock.sleep(self.WRITE_SECONDS if done else self.RETRY_SECONDS)
 
     def write_again(self) -> None:
         """Compare the row of versions with the store, which may have lost it."""
         self._stored_versions = None
 
-    async def write_changes(self) -> None:
+    async def write_changes(self) -> bool:
         """Write the versions if they have changed, and new streams of mixed services.
 
-        A write that fails is repeated with the next changes.
+        Returns:
+            Whether nothing is left to write. What failed is written with the next
+            changes.
         """
         now = self._clock.monotonic()
         self._present_at.update((version, now) for version in self.versions())
@@ -118,7 +122,7 @@
         if not self.answers_for(ANSWERED_NAME):
             self._stored_versions = None
             self._written_until = oldest
-            return
+            return True
         try:
             await self._write_versions()
             mixed = self._mixed_services()
@@ -129,6 +133,8 @@
         except (PlatformError, ConditionFailed) as exc:
             self._stored_versions = None
             events.STREAM_ROW_FAILED.log(call="write", reason=exc.message)
+            return False
+        return True
 
     async def _write_versions(self) -> None:
         if self._stored_versions is None:
--- a/tests/entry/test_stream_rows.py
+++ b/tests/entry/test_stream_rows.py
@@ -93,6 +93,28 @@
         assert await started.origins.find("s2") == V1
 
 
+class TestOutage:
+    """The store is asked less often while it is away."""
+
+    async def test_failed_writes_are_repeated_after_a_pause(self):
+        table = FakeTable()
+        table.down = True
+        instance = Instance(table)
+        instance.origins.begin("s1", V1)
+        ends_at = instance.clock.monotonic() + 10.0
+        write = instance.rows.write_changes
+
+        async def write_until_the_end():
+            if instance.clock.monotonic() >= ends_at:
+                raise TimeoutError
+            return await write()
+
+        instance.rows.write_changes = write_until_the_end
+        with pytest.raises(TimeoutError):
+            await instance.rows.run()
+        assert instance.table.counts.total() <= 11
+
+
 class TestOneVersion:
     """While a service has one version, its streams are of that version."""
 
