The model of a refused take-up is loaded on its version

Cause: a take-up is refused if its model can't be loaded on the version in time, and only waiting ones count as a need of that version. So nothing was loaded, the Retry-After (the time of a load) was not true, and the next try was refused alike. Change: the model of a refused take-up counts as wanted for 5 s. Test: test_model_of_a_refused_stream_is_wanted_until_its_caller_is_back failed before.

--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from guavajunction.bounded import drop_oldest
 from guavajunction.brittle import BrittlePlaces
 from guavajunction.clock import Clock
 from guavajunction.errors import (
@@ -63,6 +64,9 @@
         return self.priority, self.req.arrived_at + self.route.target_seconds
 
 
+MODEL_REASON = "a model"
+"""Reason of a wait for a model load."""
+
 AdapterRequest = Callable[[GenerationSize, str, str], None]
 """Called with the size, service and software version of a request; the version is empty
 if any will do."""
@@ -145,6 +149,11 @@
     """Estimated wait for an adapter that is being loaded."""
     OTHER_INSTANCE_RETRY_SECONDS = 0.05
     """Retry delay if another instance can serve the request immediately."""
+    REFUSED_MODEL_SECONDS = 5.0
+    """Time for which a model is wanted after a resumed stream was refused for it: a
+    load, the retry delay and two heartbeats."""
+    MAX_REFUSED_MODELS = 256
+    """Number of such models that are kept."""
     SWAP_SECONDS = 0.3
     """Estimated delay of a load, because another model has to be unloaded first."""
 
@@ -169,6 +178,8 @@
         self._dispatch_timer: asyncio.TimerHandle | None = None
         self._missing_since: dict[_MissingModel, float] = {}
         self._wait_reasons: dict[str, str] = {}
+        self._refused_until: dict[_MissingModel, float] = {}
+        """Until when the models of refused streams are wanted."""
         self.run_times = RunTimes(clock)
         """How long plain requests run."""
         self.on_adapter_wanted: AdapterRequest = lambda *_: None
@@ -201,10 +212,18 @@
     def waiting_by_version(self) -> dict[str, dict[str, int]]:
         """Return the resumed streams that wait for a model load, by version and model.
 
-        They can only be served by backend servers of that software version.
+        They can only be served by backend servers of that software version. Those that
+        were refused for it count for a while: their callers were told to come back.
         """
         versions = {queued.software_version or "" for queued in self._waiting} - {""}
         waiting = {version: self._waiting_for(version) for version in versions}
+        now = self._clock.monotonic()
+        for missing, until in list(self._refused_until.items()):
+            if until <= now:
+                del self._refused_until[missing]
+                continue
+            models = waiting.setdefault(missing.software_version, {})
+            models.setdefault(missing.model, 1)
         return {version: models for version, models in waiting.items() if models}
 
     def _waiting_for(self, version: str) -> dict[str, int]:
@@ -413,6 +432,8 @@
         )
         if refusal is None:
             return
+        if queued.software_version and estimate.reason == MODEL_REASON:
+            self._note_refused(queued, now)
         error_type = Overloaded if refusal.reason == "slots" else NoReplica
         if queued.software_version is not None and refusal.retry_after is None:
             error_type = StreamNotResumable
@@ -424,6 +445,14 @@
             )
         )
 
+    def _note_refused(self, queued: QueuedRequest, now: float) -> None:
+        """Keep the need of a resumed stream that was refused for its model."""
+        assert queued.req.size is not None
+        missing = _MissingModel(queued.software_version or "", queued.req.size.model)
+        self._refused_until.pop(missing, None)
+        self._refused_until[missing] = now + self.REFUSED_MODEL_SECONDS
+        drop_oldest(self._refused_until, self.MAX_REFUSED_MODELS)
+
     def _check_quarantine(self, queued: QueuedRequest) -> RequestQuarantined | None:
         """Return the refusal of a request that crashes backend servers.
 
@@ -659,11 +688,11 @@
         since = self._missing_since.setdefault(_MissingModel(version, size.model), now)
         due = self.loads_due.get(size.model)
         if due is not None and not version:
-            return WaitEstimate(max(0.1, due - now), "a model")
+            return WaitEstimate(max(0.1, due - now), MODEL_REASON)
         load_seconds = self._load_seconds(queued, spec)
         return WaitEstimate(
             max(load_seconds, load_seconds + self.SWAP_SECONDS - (now - since)),
-            "a model",
+            MODEL_REASON,
         )
 
     def _version_serves(self, queued: QueuedRequest) -> bool:
--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -107,6 +107,15 @@
             await fleet.serve("/draft/1", request_id="s1")
         assert fleet.streams.get("s1") == StreamOrigin(ENGINES, "v2")
 
+    async def test_model_of_a_refused_stream_is_wanted_until_its_caller_is_back(self):
+        fleet = fleet_of("v1", "v2")
+        fleet.streams.note(StreamBegan("s1", ORIGIN))
+        with pytest.raises(NoReplica):
+            await fleet.serve("/draft/1", size=size("m2"), seconds=1.0, **RESUME)
+        assert fleet.queue.waiting_by_version() == {"v1": {"m2": 1}}
+        fleet.clock.advance(fleet.queue.REFUSED_MODEL_SECONDS + 0.1)
+        assert not fleet.queue.waiting_by_version()
+
     async def test_retry_of_a_resumed_stream_stays_with_its_version(self):
         fleet = fleet_of("v1", "v2", "v1")
         fleet.streams.note(StreamBegan("s1", ORIGIN))
