An instance whose row was lost lists itself at once

A fleet of three has no hubs, so it followed none, while the others took it for a follower of theirs. The list is read again early only if a live instance is missing, so this lasted up to 30 s. Change: the instance adds itself to the list that it read. Ruled out: another read at once (a call more for each instance after each return; an existing test counts them). Test: test_instance_whose_row_was_lost_is_soon_in_its_own_list failed before.

--- a/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
@@ -143,6 +143,10 @@
         if self._was_lost(own) and not self._leaving:
             await self._register()
             events.ENTERED.log(instance=self._me.name, incarnation=self._me.incarnation)
+            # The rows were read before this one was written again.
+            others = [e for e in self.listed if e.record.name != self._me.name]
+            self.listed = [*others, _listed_entry(self._me.name, self._entry)]
+            self._listed_names.add(self._me.name)
         self.on_read(self.listed)
 
     def _was_lost(self, own: Row | None) -> bool:
@@ -186,9 +190,12 @@
 
 
 def _listed(row: Row) -> ListedInstance:
-    entry = _decode(row)
+    return _listed_entry(row.sort, _decode(row))
+
+
+def _listed_entry(name: str, entry: InstanceEntry) -> ListedInstance:
     record = InstanceRecord(
-        name=row.sort,
+        name=name,
         data_centre=entry.data_centre,
         address=entry.address,
         http_port=entry.front_port,
--- a/tests/fleet/test_store_roster.py
+++ b/tests/fleet/test_store_roster.py
@@ -106,6 +106,16 @@
             await instance.pass_time(4.0)
             assert ("instance", "early") in table.rows
 
+    async def test_instance_whose_row_was_lost_is_soon_in_its_own_list(
+        self, table, instance
+    ):
+        async with instance.running():
+            await instance.pass_time(5.0)
+            table.come_back_from({})
+            instance.roster.read_again()
+            await instance.pass_time(4.5)
+        assert instance.listed == {"early"}
+
     async def test_follower_reads_the_list_soon_after_a_return(self, table, instance):
         async with instance.running():
             table.come_back_from({})
