--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_link_proxy.py
@@ -32,7 +32,9 @@
         self._responses_open.set()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._full_queue: list[socket.socket] = []
+        self._placeholders: list[socket.socket] = []
+        """Hold the port while the proxy does not accept, so that no other process gets
+        it."""
         self.delay_seconds = 0.0
         """Delay of each chunk of data in both directions."""
         self.reset_new = False
@@ -59,20 +61,24 @@
     async def refuse(self) -> None:
         """Refuse new connections until `accept`; open ones live on."""
         self._stop_listening()
+        self._hold_port()
 
     async def ignore(self) -> None:
         """Let new connections hang until `accept`, as without a path to the target."""
         self._stop_listening()
-        host, port = self._own_address
-        listener = _new_socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, port))
-        listener.listen(0)
-        self._full_queue.append(listener)
+        self._hold_port().listen(0)
         for _ in range(self.QUEUE_FILLERS):
             filler = _new_socket()
-            filler.connect_ex((host, port))
-            self._full_queue.append(filler)
+            filler.connect_ex(self._own_address)
+            self._placeholders.append(filler)
+
+    def _hold_port(self) -> socket.socket:
+        """Bind a socket to the port; connections are refused unless it listens."""
+        holder = _new_socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(self._own_address)
+        self._placeholders.append(holder)
+        return holder
 
     async def accept(self) -> None:
         """Accept new connections again."""
@@ -91,9 +97,9 @@
         if self._server is not None:
             self._server.close()
             self._server = None
-        for sock in self._full_queue:
+        for sock in self._placeholders:
             sock.close()
-        self._full_queue.clear()
+        self._placeholders.clear()
 
     def stall(self) -> None:
         """Stop relaying in both directions until `restore`."""
--- a/tests/soak/test_link_proxy.py
+++ b/tests/soak/test_link_proxy.py
@@ -108,3 +108,23 @@
                 assert await reader.read(5) == b"begun"
                 with pytest.raises(ConnectionResetError):
                     await asyncio.wait_for(reader.read(), 1.0)
+
+
+class TestPort:
+    """The port of a proxy stays its own while the proxy does not accept."""
+
+    @pytest.mark.parametrize("cut", ["refuse", "ignore"])
+    async def test_no_other_listener_gets_the_port(self, proxy, cut):
+        host, _, port = proxy.address.rpartition(":")
+        await getattr(proxy, cut)()
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind((host, int(port)))
+        await proxy.accept()
+        async with connect(proxy) as connection:
+            assert await exchange(connection) == b"<hello>"
+
+    async def test_connections_are_refused(self, proxy):
+        await proxy.refuse()
+        with pytest.raises(ConnectionRefusedError):
+            async with connect(proxy):
+                pass
