--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -213,7 +213,7 @@
         """Return the resumed streams that wait for a model load, by version and model.
 
         They can only be served by backend servers of that software version. Those that
-        were refused for it count for a while: their callers were told to come back.
+        were refused for it count for a while, as their callers try again.
         """
         versions = {queued.software_version or "" for queued in self._waiting} - {""}
         waiting = {version: self._waiting_for(version) for version in versions}
