--- a/review/kit/http.py
+++ b/review/kit/http.py
@@ -95,11 +95,10 @@
 
 
 @contextlib.asynccontextmanager
-async def serve(handle: Handler, host: str, port: int = 0) -> AsyncIterator[str]:
-    """Serve requests while the context is open; yield the address, `host:port`.
-
-    A request is cancelled if its connection ends.
-    """
+async def serve(
+    handle: Handler, host: str, port: int = 0
+) -> AsyncIterator[asyncio.Server]:
+    """Serve requests while the context is open; yield the listening server."""
     tasks: set[asyncio.Task[None]] = set()
 
     async def accept(
@@ -122,7 +121,7 @@
 
     server = await asyncio.start_server(accept, host, port, limit=1 << 20)
     try:
-        yield f"{host}:{server.sockets[0].getsockname()[1]}"
+        yield server
     finally:
         server.close()
         for task in list(tasks):
@@ -130,6 +129,12 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def address_of(server: asyncio.Server) -> str:
+    """Return the address of a listening server, `host:port`."""
+    host, port = server.sockets[0].getsockname()
+    return f"{host}:{port}"
+
+
 class Answer(NamedTuple):
     """What a client got on its connection."""
 
--- a/review/kit/runner.py
+++ b/review/kit/runner.py
@@ -9,7 +9,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
-from .http import Connection, Request, head, serve
+from .http import Connection, Request, address_of, head, serve
 from .record import Record
 from .store import Store
 
@@ -41,8 +41,24 @@
         slots: int = 8,
         models: tuple[str, ...] = (),
         load_seconds: float = 4.0,
+        version: str = "v1",
+        in_memory: tuple[str, ...] = (),
     ) -> None:
-        """Describe a runner; `models` are resident at the start."""
+        """Describe a runner.
+
+        Args:
+            name: Its id.
+            service: Its service.
+            store: Where it writes its entry.
+            record: Takes what it runs.
+            work: Runs its requests.
+            slots: Requests that it runs at once.
+            models: Models that are resident at the start.
+            load_seconds: Time of each load.
+            version: Version of its software.
+            in_memory: Models of which it has a copy in main memory.
+        """
+        self.version, self._in_memory = version, list(in_memory)
         self.name, self.service, self.slots = name, service, slots
         self.models: dict[str, set[str]] = {model: set() for model in models}
         self.orders: list[dict[str, Any]] = []
@@ -53,14 +69,15 @@
         self._born = int(time.time() * 1000)
         self._beats = self._accepted = self._fence = self._running = 0
         self._busy = False
-        self._down_until = 0.0
+        self._is_gone = False
         self._open: set[Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     @contextlib.asynccontextmanager
     async def listen(self, host: str) -> AsyncIterator[None]:
         """Serve requests and write the entry while the context is open."""
-        async with serve(self._handle, host) as self.address:
+        async with serve(self._handle, host) as self._server:
+            self.address = address_of(self._server)
             beating = asyncio.ensure_future(self._beat())
             try:
                 yield
@@ -68,23 +85,16 @@
                 for task in (beating, *self._tasks):
                     task.cancel()
 
-    def crash(self, down_seconds: float) -> None:
-        """Reset all connections and refuse new ones; then start again, empty."""
-        self._down_until = time.monotonic() + down_seconds
+    def crash(self) -> None:
+        """End for good: close the port, reset all connections, report no more."""
+        self._is_gone = True
+        self._server.close()
         for conn in list(self._open):
             conn.reset()
-        self.models.clear()
-        self._beats = self._accepted = self._fence = 0
-        self._busy = False
-        self._born = int((time.time() + down_seconds) * 1000)
-
-    @property
-    def _is_down(self) -> bool:
-        return time.monotonic() < self._down_until
 
     async def _beat(self) -> None:
         while True:
-            if not self._is_down:
+            if not self._is_gone:
                 self._write_entry()
             await asyncio.sleep(self.HEARTBEAT_SECONDS)
 
@@ -94,7 +104,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "here",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": "ready",
             "coldRemainingMs": 0,
@@ -103,6 +113,8 @@
         }
         if self._is_engine:
             entry["models"] = self._wire_models()
+            at_hand = {"inMemory": self._in_memory, "onDisk": self._in_memory}
+            entry["atHand"] = at_hand
         self._store.put("servers", self.name, entry)
 
     def _wire_models(self) -> list[dict[str, Any]]:
@@ -112,9 +124,6 @@
         ]
 
     async def _handle(self, req: Request, conn: Connection) -> bool:
-        if self._is_down:
-            conn.reset()
-            return False
         self._open.add(conn)
         try:
             return await self._answer(req, conn)
@@ -197,10 +206,7 @@
 
     async def _change_model(self, operation: str, model: str) -> None:
         if operation == "load":
-            born = self._born
             await asyncio.sleep(self._load_seconds)
-            if self._born != born:
-                return
             self.models[model] = set()
         else:
             self.models.pop(model, None)
--- a/review/kit/store.py
+++ b/review/kit/store.py
@@ -13,7 +13,7 @@
 from typing import Any, NamedTuple
 from urllib.parse import unquote
 
-from .http import Connection, Request, serve
+from .http import Connection, Request, address_of, serve
 from .waiting import wait_until
 
 LEASE_KEY = "order-author"
@@ -41,8 +41,8 @@
     @contextlib.asynccontextmanager
     async def listen(self, host: str) -> AsyncIterator[str]:
         """Serve the store's calls; yield its address."""
-        async with serve(self._handle, host) as address:
-            yield address
+        async with serve(self._handle, host) as server:
+            yield address_of(server)
 
     def put(self, table: str, key: str, content: Any) -> None:
         """Write a row as the operator or a runner does; None removes it."""
