A part of an answer never looks complete when its instance ends

Cause: the end of such an answer is marked by the end of its connection alone, and the operating system closes the connections of a process that ends in order. Only an error inside a running process reset the connection. At a planned stop, aiohttp's clean-up closes the connections of running answers in order as well. The same holds for each answer without a length to a client of HTTP/1.0, on both interfaces.

Change: RelayedResponse, used by both interfaces. While only the connection can mark the end of the body, the socket has SO_LINGER with a time of zero, so the kernel resets the connection however the process ends. Once the whole body is in the kernel, the option is removed and the connection ends in order. UnframedResponse moves to the stand-ins.

Weighed and dropped: chunks towards the caller.

--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_sink.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_sink.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from guavajunction.connections import RelayedResponse
 from guavajunction.errors import RequestError
 
 from ._errors import REQUEST_ID_HEADER, error_body
@@ -39,7 +40,7 @@
             REQUEST_ID_HEADER: self._request_id,
             "Cache-Control": "no-store",
         }
-        response = web.StreamResponse(status=status, headers=headers)
+        response = RelayedResponse(status=status, headers=headers)
         if self._close_connection:
             response.force_close()
         self._response = response
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -16,8 +16,8 @@
 
 from aiohttp import web
 
-from guavajunction.connections import UnframedResponse
 from guavajunction_fakes._server import FakeServer, Handler
+from guavajunction_fakes.unframed_response import UnframedResponse
 
 from . import _wire as wire
 from ._store import FakeStore
--- a/packages/guavajunction/src/guavajunction/connections/_unframed_response.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/unframed_response.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from ._sockets import reset
+from guavajunction.connections import reset
 
 
 class UnframedResponse(web.StreamResponse):
--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -3,24 +3,33 @@
 from __future__ import annotations
 
 from ._read_body import BodyTooLarge, read_body
-from ._sockets import NO_LINGER, open_socket, reset, set_timers
+from ._relayed_response import RelayedResponse
+from ._sockets import (
+    NO_LINGER,
+    close_in_order,
+    open_socket,
+    reset,
+    reset_when_closed,
+    set_timers,
+)
 from ._streams import Stream, open_stream, serve_streams
 from ._strict_connection import StrictConnection, WrongResponse
 from ._strict_connector import StrictConnector
-from ._unframed_response import UnframedResponse
 
 __all__ = [
     "BodyTooLarge",
     "NO_LINGER",
+    "RelayedResponse",
     "Stream",
     "StrictConnection",
     "StrictConnector",
-    "UnframedResponse",
     "WrongResponse",
+    "close_in_order",
     "open_socket",
     "open_stream",
     "read_body",
     "reset",
+    "reset_when_closed",
     "serve_streams",
     "set_timers",
 ]
--- a/packages/guavajunction/src/guavajunction/connections/_sockets.py
+++ b/packages/guavajunction/src/guavajunction/connections/_sockets.py
@@ -18,6 +18,8 @@
 
 NO_LINGER = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which closing a socket resets its connection."""
+LINGER = struct.pack("ii", 0, 0)
+"""Value of SO_LINGER with which a socket is closed in order."""
 
 
 def open_socket(
@@ -49,8 +51,25 @@
 
     `transport.abort` alone would close the connection in order.
     """
+    reset_when_closed(transport)
+    transport.abort()
+
+
+def reset_when_closed(transport: asyncio.WriteTransport) -> None:
+    """Make any end of this process's side of a connection reset it.
+
+    This includes the end of the process, after which nothing else could.
+    """
+    _set_linger(transport, NO_LINGER)
+
+
+def close_in_order(transport: asyncio.WriteTransport) -> None:
+    """Undo `reset_when_closed`."""
+    _set_linger(transport, LINGER)
+
+
+def _set_linger(transport: asyncio.WriteTransport, value: bytes) -> None:
     sock = transport.get_extra_info("socket")
     if sock is not None:
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    transport.abort()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
--- a/tests/routing/test_relay.py
+++ b/tests/routing/test_relay.py
@@ -20,7 +20,6 @@
     Route,
     Service,
 )
-from guavajunction.connections import UnframedResponse
 from guavajunction.errors import (
     AnswerCut,
     BackendFailed,
@@ -44,6 +43,7 @@
     engine_session,
     single_send_session,
 )
+from guavajunction_fakes.unframed_response import UnframedResponse
 
 TOKENS = 5
 
--- a/tests/tunnels/test_tunnels.py
+++ b/tests/tunnels/test_tunnels.py
@@ -15,7 +15,6 @@
 from guavajunction.clock import SystemClock
 from guavajunction.connections import (
     NO_LINGER,
-    UnframedResponse,
     open_stream,
     serve_streams,
 )
@@ -28,6 +27,7 @@
     TunnelListener,
 )
 from guavajunction.tunnels._handshake import MAX_MESSAGE_BYTES, TunnelReply
+from guavajunction_fakes.unframed_response import UnframedResponse
 
 SECRET = "s" * 40
 NAME = "engine-1"
