A tunnel ends in order only if the connection of the backend server did

When the instance at the tunnel's end was killed or stopped, its operating system closed the tunnel in order, and the cut instance took the part for the whole answer.

`serve_streams` closes a connection in order also when its handler is cancelled.

Evidence: tunnels/test_tunnels.py::TestEndOfTheExit, 2 of 2 failed before (stop and kill), 2 pass.

Change: the downstream socket of a tunnel has SO_LINGER with a time of zero until the backend server has ended its connection in order and all bytes are in the kernel.

--- a/packages/guavajunction/src/guavajunction/tunnels/_tunnel_listener.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_tunnel_listener.py
@@ -6,7 +6,14 @@
 import contextlib
 from collections.abc import AsyncIterator, Callable
 
-from guavajunction.connections import Stream, reset, serve_streams, set_timers
+from guavajunction.connections import (
+    Stream,
+    close_in_order,
+    reset,
+    reset_when_closed,
+    serve_streams,
+    set_timers,
+)
 
 from . import _events as events
 from ._handshake import (
@@ -127,14 +134,23 @@
         downstream: Stream,
         upstream: Stream,
     ) -> None:
-        """Copy bytes both ways until either side ends its connection."""
+        """Copy bytes both ways until either side ends its connection.
+
+        The tunnel ends in order only if the backend server's connection did, not if
+        this process ends meanwhile.
+        """
         self.open += 1
+        # With this limit, `drain` waits until all bytes are in the kernel.
+        downstream[1].transport.set_write_buffer_limits(high=0)
+        reset_when_closed(downstream[1].transport)
         up = asyncio.ensure_future(self._copy(downstream[0], upstream[1]))
         down = asyncio.ensure_future(self._copy(upstream[0], downstream[1]))
         try:
             await asyncio.wait({up, down}, return_when=asyncio.FIRST_COMPLETED)
             # The entrance never ends its half alone, so its end cancels the request.
-            if not (down.done() and down.result()):
+            if down.done() and down.result():
+                close_in_order(downstream[1].transport)
+            else:
                 reset(downstream[1].transport)
         finally:
             self.open -= 1
--- a/tests/tunnels/test_tunnels.py
+++ b/tests/tunnels/test_tunnels.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 import socket
+import sys
 import time
 
 import aiohttp
@@ -262,6 +263,54 @@
         assert [reply.value for reply in TunnelReply] == [0, 1, 2]
 
 
+EXIT_PROGRAM = """
+import asyncio, sys
+from guavajunction.tunnels import TunnelListener
+
+async def main(secret, name, server):
+    listener = TunnelListener(secret, {name: server}.get, lambda: True)
+    async with listener.listen("127.0.0.1", 0) as address:
+        print(address, flush=True)
+        await asyncio.Event().wait()
+
+asyncio.run(main(*sys.argv[1:]))
+"""
+
+
+class TestEndOfTheExit:
+    """Guards against a part of an answer that ends in order because its exit ended."""
+
+    async def test_stopping_exit_resets_open_tunnels(self, server):
+        async with contextlib.AsyncExitStack() as stack:
+            one = Exit({NAME: server.address})
+            listening = one.listener.listen("127.0.0.1", 0)
+            one.address = await listening.__aenter__()
+            tunnel = await stack.enter_async_context(open_tunnel(one))
+            assert await exchange(tunnel) == b"pong"
+            await listening.__aexit__(None, None, None)
+            with pytest.raises(ConnectionError):
+                await tunnel[0].read()
+
+    async def test_killed_exit_resets_open_tunnels(self, server):
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            EXIT_PROGRAM,
+            SECRET,
+            NAME,
+            server.address,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        far = Exit({})
+        far.address = (await process.stdout.readline()).decode().strip()
+        async with open_tunnel(far) as tunnel:
+            assert await exchange(tunnel) == b"pong"
+            process.kill()
+            await process.wait()
+            with pytest.raises(ConnectionError):
+                await tunnel[0].read()
+
+
 class TestChoice:
     """Tunnels are spread over all instances that have a path."""
 
