Silent instances keep their part of rate limits until their rows show that they ended

Cause: silence was taken for absence. An instance without a heartbeat for 8 s no longer counted as serving, so each side of a cut used the whole allowance. A follower without a list of its hub for 2 s even knew nobody but the hubs, and a starting instance that was cut off nobody at all.

Change: SilentInstances (pure). An instance that misses others renews its own row in the store; one that hears most of the others takes a silent one to have ended only if its row was not renewed for 8 s, one that hears fewer after 30 s. An instance that hears fewer and cannot renew its row stops using its part after 5.5 s, before the others may take it. A hub renews for its followers. Instances that are only listed in the store count as serving. A calm fleet makes no further call.

Weighed and dropped: a lease that every instance renews all the time (a write every few seconds each, though calls are the first price at 60 instances and more), and parts that never grow until a row is removed (the part of a killed instance would be lost for good, as nobody removes its row).

Cost: the part of a lost instance is unused for 8 to 10 s as before, and for 30 s if most are lost at once; while the store is out as well, until it is back. One instance lost for good costs one read of each of the others; a restart within 8 s none.

Two tests of the roster asked for the old timeout; they now ask for the row, and that a renewed row keeps its part.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -270,6 +270,11 @@
         self._store_roster = StoreRoster(
             self._store, self._me, self._own_entry(), clock
         )
+        self._store_roster.on_rows = self._roster.on_rows
+        self._store_roster.must_read = self._roster.must_read_rows
+        self._store_roster.must_renew = self._roster.must_renew_row
+        self._store_roster.on_renewal = self._roster.note_renewal
+        self._store_roster.on_renewed = self._roster.note_renewed
 
     def stop(self) -> None:
         """Begin a planned stop."""
@@ -321,6 +326,7 @@
             "waiting-room": self._queue.run,
             "links": self._run_links,
             "roster": self._store_roster.run,
+            "renewals": self._store_roster.keep_renewed,
             "maintenance": self._maintain,
             "settings": self._follow_settings,
         }
@@ -609,7 +615,7 @@
             self._registry.expire()
             self._loads.keep_only(self._roster.peers())
             serving = self._roster.serving
-            self._rate_limits.limit_to_share(self._roster.live_fraction, serving - 1)
+            self._rate_limits.limit_to_share(self._roster.share, serving - 1)
             self._gateway.instances = serving
             self._limits.keep_only({r.identity for r in self._registry.records()})
             self._places.refresh(self._registry.records())
--- a/packages/guavajunction/src/guavajunction/fleet/__init__.py
+++ b/packages/guavajunction/src/guavajunction/fleet/__init__.py
@@ -10,11 +10,13 @@
 from ._relayed_feed import RelayedFeed
 from ._relayed_rows import ReadRows
 from ._roster import KnownMember, Member, Roster
+from ._silent_instances import FleetView, SilentInstance, SilentInstances
 from ._store_roster import InstanceEntry, ListedInstance, StoreRoster
 
 __all__ = [
     "Candidate",
     "FleetShape",
+    "FleetView",
     "HubStatus",
     "InstanceEntry",
     "KnownMember",
@@ -25,6 +27,8 @@
     "RelayedFeed",
     "Roster",
     "RowsNotice",
+    "SilentInstance",
+    "SilentInstances",
     "StoreRoster",
     "choose_fronts",
     "keep_keys",
--- a/packages/guavajunction/src/guavajunction/fleet/_events.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_events.py
@@ -47,3 +47,13 @@
     "fleet:rows_source_chosen",
     "This instance takes the store's rows from another peer, or reads them itself.",
 )
+MEMBER_ENDED = LogEvent(
+    1211,
+    "fleet:member_ended",
+    "An instance is not heard and does not renew its row, so it has ended.",
+)
+ROW_RENEWED = LogEvent(
+    1212,
+    "fleet:row_renewed",
+    "This instance renewed its row, because others do not hear it.",
+)
--- a/packages/guavajunction/src/guavajunction/fleet/_relay.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relay.py
@@ -317,13 +317,14 @@
         known = tuple(self._roster.known())
         self._choose_hub_and_targets(known)
         self._heartbeat_count += 1
-        states = {m.peer.name: (m.live, m.member.ready) for m in known}
+        serving = tuple(self._roster.may_be_serving())
+        states = {m.peer.name: (m.live, m.member.ready) for m in serving}
         changed = states != self._sent_states
         self._sent_states = states
         send_members = (
             changed or self._heartbeat_count % self.MEMBERS_EVERY_HEARTBEATS == 0
         )
-        self._members = known if send_members else None
+        self._members = serving if send_members else None
 
     def status_for(self, peer: PeerId) -> HubStatus | None:
         """Return the status to send to a receiver of rows, or None for other peers."""
--- a/packages/guavajunction/src/guavajunction/fleet/_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_roster.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from guavajunction.clock import Clock
 from guavajunction.peers import PeerId
 
 from . import _events as events
+from ._silent_instances import FleetView, SilentInstance, SilentInstances
 
 
 class Member(NamedTuple):
@@ -63,14 +64,13 @@
 class Roster:
     """Stores the last heartbeat of each instance.
 
-    An instance without a heartbeat for `LIVE_SECONDS` is not returned to callers.
-    After `SERVING_SECONDS` without one it is assumed to have stopped serving, so its
-    part of shared rate limits need not be reserved any more. Instances from which no
-    heartbeats arrive directly are known from the hub's list.
+    An instance without a heartbeat for `LIVE_SECONDS` is not returned to callers. It
+    may still be serving, so its part of shared rate limits stays reserved, until its
+    row in the store shows that it has ended. Instances from which no heartbeats arrive
+    directly are known from the hub's list, and from the list in the store.
     """
 
     LIVE_SECONDS = 1.0
-    SERVING_SECONDS = 8.0
     HUB_LIST_SECONDS = 2.0
     """How long a hub's list is valid: the time of three lists, or of one change of
     hub."""
@@ -82,8 +82,12 @@
         self._live: set[str] = set()
         self._hub_members: dict[str, KnownMember] = {}
         self._hub_members_at = float("-inf")
+        self._is_heard_by_hub = False
         self._cut: set[str] = set()
         self._cut_by_hub: frozenset[str] = frozenset()
+        self._listed: dict[str, PeerId] = {}
+        self._listed_at: dict[str, float] = {}
+        self._silent = SilentInstances()
 
     def on_cut(self, peer: PeerId, is_cut: bool) -> None:
         """Store whether an instance reaches no backend server, from its heartbeat."""
@@ -114,30 +118,125 @@
 
     def on_hub_members(self, members: Iterable[KnownMember]) -> None:
         """Store a hub's list of all instances."""
-        self._hub_members = {
-            known.peer.name: known
-            for known in members
-            if known.peer.name != self._me.name
-        }
+        self._hub_members = {known.peer.name: known for known in members}
+        own = self._hub_members.pop(self._me.name, None)
+        self._is_heard_by_hub = own is not None and own.live
         self._hub_members_at = self._clock.monotonic()
 
+    def on_rows(self, versions: Mapping[PeerId, int], began_at: float) -> None:
+        """Take the list of instances that was read from the store.
+
+        Args:
+            versions: Version of each instance's row.
+            began_at: When the read began, on the monotonic clock.
+        """
+        now = self._clock.monotonic()
+        self._listed = {peer.name: peer for peer in versions if peer != self._me}
+        self._listed.pop(self._me.name, None)
+        self._listed_at = {
+            name: self._listed_at.get(name, began_at) for name in self._listed
+        }
+        self._silent.note_rows(
+            {peer.name: version for peer, version in versions.items()}, began_at, now
+        )
+        view = self._view()
+        for name in self._silent.judge(view):
+            self._hub_members.pop(name, None)
+            events.MEMBER_ENDED.log(
+                instance=name, seconds=round(now - view.silent[name].heard_at, 2)
+            )
+        self.expire()
+
+    def must_read_rows(self) -> bool:
+        """Return whether the list in the store must be read again now."""
+        return self._silent.must_read(self._view(), self._clock.monotonic())
+
+    def must_renew_row(self) -> bool:
+        """Return whether this instance must renew its row in the store now."""
+        if self._is_counted_by_hub():
+            return False
+        return self._silent.must_renew(self._view(), self._clock.monotonic())
+
+    def note_renewal(self) -> None:
+        """Record that a renewal of this instance's row begins."""
+        self._silent.note_attempt(self._clock.monotonic())
+
+    def note_renewed(self, began_at: float) -> None:
+        """Record that the store has confirmed a renewal that began at a time."""
+        self._silent.note_renewed(began_at, self._clock.monotonic())
+
     def known(self) -> list[KnownMember]:
-        """Return the other instances that may be serving.
+        """Return the other instances that were heard and may be serving.
 
         They are known from heartbeats or from the hub's list.
         """
         now = self._clock.monotonic()
-        merged = (
-            dict(self._hub_members)
-            if now - self._hub_members_at <= self.HUB_LIST_SECONDS
-            else {}
-        )
+        if not self._has_hub_list():
+            self._outdate_hub_members()
+        merged = dict(self._hub_members)
         for name, (peer, last) in self._last_heartbeats.items():
             live = now - last.at <= self.LIVE_SECONDS
             if live or name not in merged:
                 merged[name] = KnownMember(peer, last.member, live)
         return list(merged.values())
 
+    def may_be_serving(self) -> list[KnownMember]:
+        """Return the known instances, and those that are only listed in the store.
+
+        An instance that starts while it is cut off has heard none of the others.
+        """
+        known = self.known()
+        if self._has_hub_list():
+            return known
+        names = {one.peer.name for one in known}
+        listed = [
+            KnownMember(peer, Member("", "", ready=False, sees_store=False), live=False)
+            for name, peer in self._listed.items()
+            if name not in names and not self._silent.has_ended(name)
+        ]
+        return known + listed
+
+    def _outdate_hub_members(self) -> None:
+        """Note once that the last list of a hub does not show who is live any more."""
+        if any(known.live for known in self._hub_members.values()):
+            self._hub_members = {
+                name: known._replace(live=False)
+                for name, known in self._hub_members.items()
+            }
+
+    def _is_counted_by_hub(self) -> bool:
+        """Return whether a hub hears this instance, and decides for it who serves."""
+        return self._has_hub_list() and self._is_heard_by_hub
+
+    def _has_hub_list(self) -> bool:
+        now = self._clock.monotonic()
+        return now - self._hub_members_at <= self.HUB_LIST_SECONDS
+
+    def _view(self) -> FleetView:
+        members = self.may_be_serving()
+        heard = {known.peer.name for known in members if known.live}
+        if self._has_hub_list() and not self._is_heard_by_hub:
+            # The others of its list do not hear this instance.
+            heard = set()
+        near = {self._me.name, *heard}
+        silent = {
+            known.peer.name: SilentInstance(
+                self._heard_at(known.peer.name),
+                "" if known.member.follows in near else known.member.follows,
+            )
+            for known in members
+            if known.peer.name not in heard
+        }
+        return FleetView(self._me.name, heard, silent)
+
+    def _heard_at(self, name: str) -> float:
+        """Return when an instance was last heard, or else when it was first listed."""
+        if name in self._last_heartbeats:
+            return self._last_heartbeats[name][1].at
+        if name in self._hub_members:
+            return self._hub_members_at
+        return self._listed_at[name]
+
     def _live_members(self) -> list[KnownMember]:
         return [known for known in self.known() if known.live]
 
@@ -145,6 +244,7 @@
         """Store an instance's heartbeat."""
         now = self._clock.monotonic()
         self._last_heartbeats[peer.name] = peer, _LastHeartbeat(member, now)
+        self._silent.note_heard(peer.name)
         if peer.name not in self._live:
             self._live.add(peer.name)
             events.MEMBER_LIVE.log(
@@ -152,7 +252,7 @@
             )
 
     def expire(self) -> None:
-        """Remove instances without a heartbeat for `SERVING_SECONDS`."""
+        """Note the instances that are silent, and remove those that have ended."""
         now = self._clock.monotonic()
         for name, (peer, last) in list(self._last_heartbeats.items()):
             elapsed = now - last.at
@@ -163,7 +263,7 @@
                     incarnation=peer.incarnation,
                     seconds=round(elapsed, 2),
                 )
-            if elapsed > self.SERVING_SECONDS:
+            if self._silent.has_ended(name):
                 del self._last_heartbeats[name]
                 self._cut.discard(name)
 
@@ -184,10 +284,26 @@
     @property
     def serving(self) -> int:
         """Return the number of instances that may be serving, including this one."""
-        return len(self.known()) + 1
+        return len(self.may_be_serving()) + 1
 
     @property
     def live_fraction(self) -> float:
-        """Return the live fraction of the instances that may be serving, 0 to 1."""
-        known = self.known()
-        return (sum(member.live for member in known) + 1) / (len(known) + 1)
+        """Return the part of those that may be serving that hear each other, 0 to 1."""
+        return self._live_fraction(self._view())
+
+    @property
+    def share(self) -> float:
+        """Return the part of shared rate limits that the live instances may use.
+
+        It is 0 while others may have taken this instance to have ended.
+        """
+        view = self._view()
+        now = self._clock.monotonic()
+        if self._is_counted_by_hub() or self._silent.may_use_part(view, now):
+            return self._live_fraction(view)
+        return 0.0
+
+    @staticmethod
+    def _live_fraction(view: FleetView) -> float:
+        live = len(view.heard) + 1
+        return live / (live + len(view.silent))
--- a/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_store_roster.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -58,6 +58,9 @@
     store may have lost rows. Instances select the same hub only if they have read the
     same list."""
 
+    RENEWAL_CHECK_SECONDS = 0.25
+    """Interval at which it is checked whether the row must be renewed."""
+
     def __init__(
         self, table: TableService, me: PeerId, entry: InstanceEntry, clock: Clock
     ) -> None:
@@ -74,12 +77,24 @@
         """Returns whether the last call of this instance to the store failed."""
         self.live_names: Callable[[], Collection[str]] = tuple
         """Returns the names of the other live instances."""
+        self.on_rows: Callable[[Mapping[PeerId, int], float], None] = lambda *_: None
+        """Called with the versions of all instances' rows after each read, and with the
+        time at which it began."""
+        self.must_read: Callable[[], bool] = lambda: False
+        """Returns whether the rows must be read at once."""
+        self.must_renew: Callable[[], bool] = lambda: False
+        """Returns whether this instance's row must be renewed at once."""
+        self.on_renewal: Callable[[], None] = lambda: None
+        """Called when a renewal begins."""
+        self.on_renewed: Callable[[float], None] = lambda _: None
+        """Called after a renewal, with the time at which it began."""
         self.listed: list[ListedInstance] = []
         """All listed instances as of the last read."""
         self._listed_names: set[str] = set()
         self._is_outdated = False
         self._leaving = False
         self._written_in = 0
+        self._version = 0
 
     async def run(self) -> None:
         """Write this instance's row, then read all rows until cancelled."""
@@ -96,8 +111,8 @@
     async def _wait(self, seconds: float) -> None:
         """Wait before the next read.
 
-        The wait is short if a live instance is not listed, or if it is not known
-        whether the store answers this instance.
+        The wait is short if a live instance is not listed, if a silent one may have
+        ended, or if it is not known whether the store answers this instance.
         """
         end = self._clock.monotonic() + seconds
         while (left := end - self._clock.monotonic()) > 0:
@@ -106,10 +121,33 @@
             if (
                 self._is_outdated
                 or self.is_store_failing()
+                or self.must_read()
                 or not self._listed_names.issuperset(self.live_names())
             ):
                 return
 
+    async def keep_renewed(self) -> None:
+        """Renew this instance's row whenever others must see that it serves."""
+        while True:
+            await self._clock.sleep(self.RENEWAL_CHECK_SECONDS)
+            if self._version and not self._leaving and self.must_renew():
+                self.on_renewal()
+                await self._attempt(self._renew)
+
+    async def _renew(self) -> None:
+        began_at = self._clock.monotonic()
+        try:
+            await self._put(expected=self._version)
+        except ConditionFailed:
+            # A renewal may have taken effect without an answer. Rows that the store
+            # lost are written again after the next read.
+            row = await self._table.get(PARTITION, self._me.name)
+            if row is not None and _decode(row).incarnation == self._me.incarnation:
+                self._version = row.version
+            raise
+        self.on_renewed(began_at)
+        events.ROW_RENEWED.log(instance=self._me.name, version=self._version)
+
     def read_again(self) -> None:
         """Read the rows soon, because the store may have lost some."""
         self._is_outdated = True
@@ -127,14 +165,19 @@
             if row is None or _decode(row).incarnation != self._me.incarnation:
                 await self._put(expected=row.version if row else 0)
             else:
-                self._written_in = era_of(row.version)
+                self._note_written(row)
 
     async def _put(self, *, expected: int) -> None:
         body = msgspec.msgpack.encode(self._entry)
         row = await self._table.put(PARTITION, self._me.name, body, expected=expected)
+        self._note_written(row)
+
+    def _note_written(self, row: Row) -> None:
+        self._version = row.version
         self._written_in = era_of(row.version)
 
     async def _read(self) -> None:
+        began_at = self._clock.monotonic()
         rows = await self._table.query(PARTITION)
         self._is_outdated = False
         self.listed = [_listed(row) for row in rows]
@@ -148,6 +191,8 @@
             self.listed = [*others, _listed_entry(self._me.name, self._entry)]
             self._listed_names.add(self._me.name)
         self.on_read(self.listed)
+        versions = {PeerId(r.sort, _decode(r).incarnation): r.version for r in rows}
+        self.on_rows(versions, began_at)
 
     def _was_lost(self, own: Row | None) -> bool:
         """Return whether the store came back from a copy without this instance's row.
--- a/packages/guavajunction/src/guavajunction/gateway/_pooled_rate_limit.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_pooled_rate_limit.py
@@ -58,6 +58,8 @@
     DEMAND_WINDOW_SECONDS = 2.0
     """Window over which the demand on this instance is measured. Other instances are
     assumed to have the same demand."""
+    NO_PART_RETRY_SECONDS = 1.0
+    """Retry delay while this instance may use no part of the pool."""
     RELAYED_COUNT_AGE_SECONDS = 0.45
     """Age of the newest counts of peers if a hub sends them as a sum."""
 
@@ -107,9 +109,14 @@
         return True
 
     def seconds_until(self, units: float, now: float) -> float:
-        """Return the seconds until the pool has the units for a request."""
+        """Return the seconds until the pool has the units for a request.
+
+        Without a part of the pool, it is the time after which to ask another instance.
+        """
+        if self._share <= 0.0:
+            return self.NO_PART_RETRY_SECONDS
         missing = units + self._unreported(now) - self._overdraft() - self.level(now)
-        return max(0.0, missing / max(self._terms.rate * self._share, 1e-9))
+        return max(0.0, missing / (self._terms.rate * self._share))
 
     def change_terms(self, terms: RateLimitTerms, now: float) -> None:
         """Apply a new rate limit; a lower burst takes effect at once."""
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -5,7 +5,7 @@
 import pytest
 
 from guavajunction.clock import ManualClock
-from guavajunction.fleet import Member, Roster
+from guavajunction.fleet import Member, Roster, SilentInstances
 from guavajunction.peers import PeerId
 
 ME, A, B = PeerId("me", "1"), PeerId("a", "1"), PeerId("b", "1")
@@ -37,17 +37,36 @@
         clock.advance(0.5)
         assert [m.front for m in roster.members()] == ["a:1"]
 
-    def test_instance_without_heartbeat_counts_as_serving_for_longer(
+    def test_instance_without_heartbeat_counts_as_serving_until_its_row_is_old(
         self, roster, clock
     ):
+        roster.on_rows({ME: 1, A: 1, B: 1}, clock.monotonic())
         clock.advance(Roster.LIVE_SECONDS + 0.1)
         roster.on_heartbeat(A, member("a"))
         roster.expire()
         assert (roster.serving, roster.live_fraction) == (3, pytest.approx(2 / 3))
-        clock.advance(Roster.SERVING_SECONDS)
+        clock.advance(SilentInstances.ENDED_SECONDS)
         roster.on_heartbeat(A, member("a"))
         roster.expire()
+        assert (roster.serving, roster.live_fraction) == (3, pytest.approx(2 / 3))
+        assert roster.must_read_rows()
+        roster.on_rows({ME: 1, A: 1, B: 1}, clock.monotonic())
         assert (roster.serving, roster.live_fraction) == (2, 1.0)
+        assert not roster.must_read_rows()
+
+    def test_instance_whose_row_is_renewed_counts_as_serving(self, roster, clock):
+        roster.on_rows({ME: 1, A: 1, B: 1}, clock.monotonic())
+        for version in range(2, 20):
+            clock.advance(SilentInstances.ENDED_SECONDS)
+            roster.on_heartbeat(A, member("a"))
+            roster.on_rows({ME: 1, A: 1, B: version}, clock.monotonic())
+            assert (roster.serving, roster.share) == (3, pytest.approx(2 / 3))
+
+    def test_instance_that_is_only_listed_counts_as_serving(self, clock):
+        roster = Roster(ME, clock)
+        roster.on_rows({ME: 1, A: 1, B: 1}, clock.monotonic())
+        assert (roster.serving, roster.live_fraction) == (3, pytest.approx(1 / 3))
+        assert roster.known() == []
 
     def test_restarted_instance_is_counted_once(self, roster):
         roster.on_heartbeat(PeerId("a", "2"), member("a"))
@@ -81,7 +100,8 @@
 
     def test_instance_that_ends_while_it_is_cut_is_forgotten(self, roster, clock):
         roster.on_cut(A, True)
-        clock.advance(Roster.SERVING_SECONDS + 0.1)
-        roster.expire()
+        clock.advance(SilentInstances.ENDED_SECONDS_OF_MOST + 0.1)
+        roster.on_rows({ME: 1}, clock.monotonic())
+        assert roster.serving == 1
         roster.on_heartbeat(A, member("a"))
         assert self.reaching(roster) == ["a"]
