A stopping instance sends only what it can answer, and answers the rest

Cause, reproduced with real processes under callers that keep using open connections: until the process ends, requests were taken and sent at once wherever a server was free. Whether the answer would outlast the instance was asked only of those that had to wait, and with the mean of the runs. At the stop deadline, what was in progress was closed without an answer.

Change: every send passes one judgement in the queue: first sends, retries, take-ups and sends by a place. A plain request is sent while the process is stopping if its deadline comes before the end of the process, or one and a half times the longest run of the last 10 to 20 s does; else it is refused at once as not run, for another instance. What is left at the deadline gets an error: 503 if it was never sent, 504 if its outcome is unknown.

The stop of generations is as before (none after a second).

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -93,6 +93,8 @@
     """
     STOP_MARGIN_SECONDS = 0.7
     """Time by which the process ends before the platform would kill it."""
+    LAST_RESPONSES_SECONDS = 0.1
+    """Time in which errors are sent for the requests that are left at the deadline."""
     STREAM_ACCEPT_SECONDS = 1.0
     """Time after the stop signal during which new streams are still accepted."""
     MIN_STOP_SECONDS = 2.5
@@ -660,7 +662,7 @@
     async def _drain_requests(self) -> None:
         """Wait for the minimum stop time and the end of all requests.
 
-        The wait ends at the stop deadline at the latest.
+        At the stop deadline, the requests that are left end with an error.
         """
         assert self._stopping_since is not None
         started = self._stopping_since
@@ -671,6 +673,8 @@
             if now >= min_end and not in_use:
                 return
             await self._clock.sleep(0.05)
+        self._gateway.end_requests()
+        await self._clock.sleep(self.LAST_RESPONSES_SECONDS)
 
     def _stop_deadline(self, started: float) -> float:
         return started + self._settings.grace_seconds - self.STOP_MARGIN_SECONDS
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -117,6 +117,8 @@
         """Ids of the requests that were executed without a lost connection."""
         self.overloads: list[str] = []
         """Artifacts whose load orders exceeded the memory or the adapter slots."""
+        self.max_work_seconds = 0.0
+        """Upper end of the range from which the work of a request is drawn."""
         self.wrong_request_ids = False
         """Whether responses have another request's id."""
         self.error_status = 0
@@ -445,7 +447,9 @@
                 self.crashing_runs.append(run.at)
                 await asyncio.sleep(self.CRASH_DELAY_SECONDS)
                 self.spawn(self.crash(self.crashed_on_request_at))
-            await asyncio.sleep(self.spec.work_seconds)
+            await asyncio.sleep(
+                max(self.spec.work_seconds, random.uniform(0.0, self.max_work_seconds))
+            )
             if self.stops_in_head:
                 _write(req.transport, b"HTTP/1.1 200 OK\r\nContent-Le")
                 req.transport.close()
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -88,6 +88,17 @@
     """Identifies its repeats."""
 
 
+class _RequestInFlight:
+    """A request in progress, which ends if the process does."""
+
+    def __init__(self, sink: AnswerSink) -> None:
+        self.sink = sink
+        self.was_sent = False
+        """Whether a backend server may have received it."""
+        self.is_ended = False
+        """Whether it is ended because the process is about to end."""
+
+
 class Gateway:
     """Serves requests, each in the task of its caller."""
 
@@ -117,8 +128,13 @@
         self.streams_until = float("inf")
         """When this instance starts to refuse generation requests, on the monotonic
         clock. Later ones might not end before it stops."""
-        self.in_flight = 0
-        """Number of requests in progress."""
+        self._in_flight: dict[asyncio.Task[None], _RequestInFlight] = {}
+        self._is_ending = False
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests in progress."""
+        return len(self._in_flight)
 
     @property
     def routes(self) -> RouteTable | None:
@@ -145,13 +161,22 @@
         Raises:
             RequestError: The request was refused or failed.
         """
-        self.in_flight += 1
+        task = asyncio.current_task()
+        assert task is not None
+        in_flight = self._in_flight[task] = _RequestInFlight(sink)
         try:
-            await self._serve(req, sink)
+            if self._is_ending:
+                raise self._stopping_error()
+            await self._serve(req, sink, in_flight)
         except RequestError as exc:
             self._log_failure(req, exc)
             raise
         except asyncio.CancelledError:
+            if in_flight.is_ended:
+                task.uncancel()
+                failure = self._ended_error(in_flight)
+                self._log_failure(req, failure)
+                raise failure from None
             events.CALLER_DISCONNECTED.log(
                 request_id=req.request_id,
                 after_ms=self._age_ms(req),
@@ -160,9 +185,33 @@
             )
             raise
         finally:
-            self.in_flight -= 1
+            del self._in_flight[task]
+
+    def end_requests(self) -> None:
+        """End all requests in progress with an error, as the process is about to end.
 
-    async def _serve(self, req: GatewayRequest, sink: AnswerSink) -> None:
+        A response that has begun is left as it is.
+        """
+        self._is_ending = True
+        for task, in_flight in self._in_flight.items():
+            if not in_flight.sink.started and not in_flight.is_ended:
+                in_flight.is_ended = True
+                task.cancel()
+
+    def _ended_error(self, in_flight: _RequestInFlight) -> RequestError:
+        if in_flight.was_sent:
+            return OutcomeUnknown("the instance stopped before the backend server did")
+        return self._stopping_error()
+
+    def _stopping_error(self) -> RequestError:
+        return InstanceNotReady(
+            "the instance stops",
+            retry_after=RequestQueue.OTHER_INSTANCE_RETRY_SECONDS,
+        )
+
+    async def _serve(
+        self, req: GatewayRequest, sink: AnswerSink, in_flight: _RequestInFlight
+    ) -> None:
         admitted = await self._admit(req)
         self._parts.retries.note_request(admitted.service.name, req.arrived_at)
         if req.size is not None:
@@ -173,9 +222,11 @@
         unreachable: list[str] = []
         while True:
             backend = await self._wait_for_backend(admitted, sent, unreachable)
+            in_flight.was_sent = True
             try:
                 await self._attempt(admitted, backend, sink, len(sent) + 1)
             except NotSent as exc:
+                in_flight.was_sent = bool(sent)
                 unreachable.append(backend.name)
                 await self._parts.paths.settle()
                 if len(unreachable) > self.MAX_UNREACHABLE_BACKENDS:
@@ -219,10 +270,7 @@
         if customer is not None:
             self._charge(customer, req)
         if self._parts.clock.monotonic() > self.streams_until and req.size is not None:
-            raise InstanceNotReady(
-                "the instance is about to stop",
-                retry_after=RequestQueue.OTHER_INSTANCE_RETRY_SECONDS,
-            )
+            raise self._stopping_error()
         has_priority = customer is not None and customer.priority is not None
         return _AdmittedRequest(
             req=req,
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from bisect import insort
 from collections import Counter
 from collections.abc import Callable
@@ -353,7 +354,7 @@
             return False
         if self._check_quarantine(queued) is not None:
             return False
-        if not self._ends_in_time(queued):
+        if not self._ends_in_time(queued) or self._outlasts_instance(queued):
             # The next pass refuses it.
             return False
         if queued.service.engine is not None:
@@ -402,6 +403,9 @@
         if quarantined is not None:
             queued.fut.set_exception(quarantined)
             return
+        if self._outlasts_instance(queued):
+            self._refuse_while_stopping(queued)
+            return
         target = _target(queued)
         # The size of a generation is its maximum, so one that is sent at once may end.
         may_end = queued.req.size is not None or self._ends_in_time(queued)
@@ -415,13 +419,8 @@
         now = self._clock.monotonic()
         estimate = self._estimate_wait(queued, seen, now)
         self._wait_reasons[queued.req.request_id] = estimate.reason
-        if self._outlasts_instance(queued, estimate, now):
-            queued.fut.set_exception(
-                InstanceNotReady(
-                    "the instance is about to stop",
-                    retry_after=self.OTHER_INSTANCE_RETRY_SECONDS,
-                )
-            )
+        if self._outlasts_instance(queued, estimate.seconds):
+            self._refuse_while_stopping(queued)
             return
         refusal = _admission.check_deadline(
             estimate,
@@ -466,11 +465,32 @@
         return None if blamed is None else _admission.quarantined(blamed)
 
     def _outlasts_instance(
-        self, queued: QueuedRequest, estimate: WaitEstimate, now: float
+        self, queued: QueuedRequest, wait_seconds: float = 0.0
     ) -> bool:
-        """Return whether this instance stops before a request could end."""
-        ends = now + estimate.seconds + self._service_seconds(queued)
-        return ends > self.stops_at
+        """Return whether this instance may stop before the answer of a request.
+
+        Args:
+            queued: The request.
+            wait_seconds: Time until it can be sent.
+        """
+        if queued.ends_at <= self.stops_at or math.isinf(self.stops_at):
+            return False
+        if queued.req.size is not None:
+            seconds = self._service_seconds(queued) if wait_seconds else 0.0
+        else:
+            bound = self.run_times.upper_bound(queued.service.name)
+            if bound is None:
+                return True
+            seconds = bound
+        return self._clock.monotonic() + wait_seconds + seconds > self.stops_at
+
+    def _refuse_while_stopping(self, queued: QueuedRequest) -> None:
+        queued.fut.set_exception(
+            InstanceNotReady(
+                "the instance stops before the request could end",
+                retry_after=self.OTHER_INSTANCE_RETRY_SECONDS,
+            )
+        )
 
     def _choose(self, queued: QueuedRequest) -> _Choice:
         """Choose the backend server to send a request to, or hold it."""
--- a/packages/guavajunction/src/guavajunction/gateway/_run_times.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_run_times.py
@@ -15,6 +15,10 @@
     deviation: float
     """Mean difference from the mean."""
     noted_at: float
+    maximum: float
+    """Longest request since `maximum_since`, and in the period before."""
+    maximum_before: float
+    maximum_since: float
 
 
 class RunTimes:
@@ -40,6 +44,12 @@
     """Time after the last answer for which the measured times are used. A service that
     gets nothing, as its runs would be too long, could not show that they are shorter
     now."""
+    MAXIMUM_SECONDS = 10.0
+    """Length of a period whose longest request is kept until the next one ends."""
+    BOUND_RATIO = 1.5
+    """Upper bound of a run relative to the longest one of the last period."""
+    MIN_BOUND_SECONDS = 0.3
+    """Least upper bound of a run."""
     MAX_SERVICES = 1024
     """Number of services that are kept."""
 
@@ -50,13 +60,20 @@
     def note(self, service: str, seconds: float) -> None:
         """Count a request that was answered completely."""
         now = self._clock.monotonic()
-        mean, deviation, _ = self._measured.pop(
-            service, _Measured(seconds, seconds / 2, now)
+        before = self._measured.pop(
+            service, _Measured(seconds, seconds / 2, now, seconds, 0.0, now)
+        )
+        difference = seconds - before.mean
+        is_new_period = now - before.maximum_since > self.MAXIMUM_SECONDS
+        spread = abs(difference) - before.deviation
+        self._measured[service] = _Measured(
+            mean=before.mean + self.NEWEST_WEIGHT * difference,
+            deviation=before.deviation + self.NEWEST_DEVIATION_WEIGHT * spread,
+            noted_at=now,
+            maximum=seconds if is_new_period else max(before.maximum, seconds),
+            maximum_before=before.maximum if is_new_period else before.maximum_before,
+            maximum_since=now if is_new_period else before.maximum_since,
         )
-        difference = seconds - mean
-        mean += self.NEWEST_WEIGHT * difference
-        deviation += self.NEWEST_DEVIATION_WEIGHT * (abs(difference) - deviation)
-        self._measured[service] = _Measured(mean, deviation, now)
         drop_oldest(self._measured, self.MAX_SERVICES)
 
     def mean(self, service: str) -> float:
@@ -72,6 +89,21 @@
         longest = measured.mean + self.DEVIATIONS * measured.deviation
         return max(PLAIN_SERVICE_SECONDS, longest)
 
+    def upper_bound(self, service: str) -> float | None:
+        """Return the time within which a run ends, or None if none was seen lately.
+
+        It is for decisions after which a longer run loses its answer.
+        """
+        measured = self._recent(service)
+        if measured is None:
+            return None
+        longest = max(measured.maximum, measured.maximum_before)
+        return max(
+            self.MIN_BOUND_SECONDS,
+            self.BOUND_RATIO * longest,
+            self.longest(service),
+        )
+
     def _recent(self, service: str) -> _Measured | None:
         measured = self._measured.get(service)
         if measured is None:
