An answer that ends with its connection is no sign of a crash by itself

Cause: a whole answer of this form counted as the loss of its connection, so as a crash of its backend server unless another answer began 0.3 to 2 s later. The first part of a prompt is in all requests; once three backend servers counted as crashed, it was blamed, no answer came any more that could take the reports back, and no answer counted as sound.

What HTTP says: an end in order is the mark of a whole answer; a reset, or an end inside an event, is not. The system of a crashed process closes in order, too, so such an end alone tells nothing.

Change: such an answer is kept aside. It counts as whole once its backend server answers again 0.3 to 2 s later, and as lost only if, before that and within 3 s, its backend server refuses a connection or another of its connections is lost.

--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -627,6 +627,7 @@
             return
         if isinstance(exc, NotSent):
             self._parts.registry.note_unreachable(backend)
+            self._parts.quarantine.note_refused(backend.identity)
             if time_limit > 0:
                 self._parts.paths.note_refused(backend.identity)
             return
@@ -675,8 +676,7 @@
         size = admitted.req.size
         parts = size.shared_part_ids if size else ()
         if head.framing is Framing.CONNECTION:
-            # The connection of a crashed backend server ends like this, too.
-            self._parts.quarantine.note_lost(
+            self._parts.quarantine.note_unmarked_end(
                 backend.identity,
                 parts,
                 admitted.fingerprint,
--- a/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import time
+from collections import deque
 from collections.abc import Awaitable, Callable, Collection, Iterable
+from typing import NamedTuple
 
 from guavajunction.bounded import drop_oldest
 from guavajunction.clock import Clock
@@ -26,6 +28,19 @@
         """Whether all parts have been reported."""
 
 
+class _UnmarkedEnd(NamedTuple):
+    """A request whose answer ended with its connection, in order and without a mark.
+
+    The system of a crashed backend server closes connections like that, too.
+    """
+
+    at: float
+    shared_parts: tuple[str, ...]
+    fingerprint: RequestFingerprint | None
+    answer_seconds: float | None
+    chunks: int
+
+
 async def _claim_nothing(_: str) -> bool:
     return False
 
@@ -56,6 +71,11 @@
     a crash follows within some tenths of a second after the beginning."""
     SOUND_ANSWER_CHUNKS = 4
     """Number of chunks of such an answer. A suspended instance sees one late chunk."""
+    UNMARKED_SECONDS = 3.0
+    """Time between an answer without a mark at its end and another sign of a crash of
+    its backend server, after which they are not of the same crash."""
+    MAX_UNMARKED = 64
+    """Number of such answers of one backend server that are remembered."""
     KEEP_SECONDS = 3600.0
     """How long a report is kept after the crash, or after a request with a blamed part
     was last refused."""
@@ -91,6 +111,7 @@
         self._sound: dict[str, float] = {}
         self._lost_requests: dict[str, None] = {}
         self._suspicions: dict[BackendId, _Suspicion] = {}
+        self._unmarked: dict[BackendId, deque[_UnmarkedEnd]] = {}
         self._own_crashes: dict[BackendId, CrashReport] = {}
         self._own_sound: dict[str, float] = {}
         self._sources: dict[str, Evidence] = {}
@@ -218,6 +239,7 @@
         parts = [part for part in keys if not self._is_sound(part)]
         if not parts:
             return
+        self.note_refused(backend)
         suspicion = self._suspicions.get(backend)
         if suspicion is None:
             suspicion = _Suspicion(self._clock.monotonic(), self._unix_time())
@@ -228,8 +250,73 @@
         suspicion.reported = False
         self.on_change()
 
+    def note_unmarked_end(
+        self,
+        backend: BackendId,
+        shared_parts: Iterable[str],
+        fingerprint: RequestFingerprint | None = None,
+        *,
+        answer_seconds: float | None,
+        chunks: int,
+    ) -> None:
+        """Record an answer that ended in order, with its connection as the only mark.
+
+        It was whole unless its backend server crashed. By itself it is no sign of that:
+        backend servers may answer all requests like this.
+
+        Args:
+            backend: Where the request was.
+            shared_parts: Ids of the parts of its prompt, without the last one.
+            fingerprint: Identifies its repeats.
+            answer_seconds: Time for which its answer had been arriving, in seconds.
+            chunks: Number of chunks that had arrived.
+        """
+        now = self._clock.monotonic()
+        end = _UnmarkedEnd(
+            now, tuple(shared_parts), fingerprint, answer_seconds, chunks
+        )
+        suspicion = self._suspicions.get(backend)
+        if suspicion and now - suspicion.lost_at <= self.UNMARKED_SECONDS:
+            self._note_lost(backend, end)
+            return
+        ends = self._unmarked.pop(backend, None) or deque(maxlen=self.MAX_UNMARKED)
+        ends.append(end)
+        self._unmarked[backend] = ends
+        drop_oldest(self._unmarked, self.MAX_SUSPICIONS)
+
+    def note_refused(self, backend: BackendId) -> None:
+        """Record that a backend server refuses connections: it may have crashed."""
+        since = self._clock.monotonic() - self.UNMARKED_SECONDS
+        for end in self._unmarked.pop(backend, ()):
+            if end.at >= since:
+                self._note_lost(backend, end)
+
+    def _note_lost(self, backend: BackendId, end: _UnmarkedEnd) -> None:
+        self.note_lost(
+            backend,
+            end.shared_parts,
+            end.fingerprint,
+            answer_seconds=end.answer_seconds,
+            chunks=end.chunks,
+        )
+
+    def _note_sound_ends(self, backend: BackendId) -> None:
+        """Count answers as whole whose backend server still answers.
+
+        As for the loss of a connection, only answers that follow soon show this.
+        """
+        ends = self._unmarked.get(backend)
+        now = self._clock.monotonic()
+        while ends and now - ends[0].at >= self.CONFIRM_SECONDS:
+            end = ends.popleft()
+            if now - end.at <= self.RETRACT_SECONDS:
+                self.note_answered(end.shared_parts, end.fingerprint)
+        if ends is not None and not ends:
+            del self._unmarked[backend]
+
     def note_alive(self, backend: BackendId) -> None:
         """Record that a backend server sends answers, so it has not crashed."""
+        self._note_sound_ends(backend)
         suspicion = self._suspicions.get(backend)
         if suspicion is None:
             return
