A leader with a short term announces the orders of the leader before as well

Cause: a released lease is taken over before it expires, and the new leader leaves servers alone that had an order lately, by what the old one announces. A leader announced only the orders of its own term and forgot those that it had been told of.

Evidence: swapping/test_leader.py::test_short_term_announces_the_orders_of_the_leader_before failed before, passes now.

--- a/packages/guavajunction/src/guavajunction/swapping/_leader.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_leader.py
@@ -100,7 +100,7 @@
         self._reacquire_at = float("-inf")
         self._ordered_at: dict[str, float] = {}
         self._released_lease: _ReleasedLease | None = None
-        self._not_before: dict[str, float] = {}
+        self._inherited_orders: dict[str, float] = {}
         self._adapter_requests: dict[
             AdapterWanted | ResumeAdapterWanted, asyncio.Task[None]
         ] = {}
@@ -268,7 +268,10 @@
             self._links.me.name,
             self._fence,
             self._clock,
-            not_before=self._not_before,
+            not_before={
+                name: at + self._min_handover_seconds
+                for name, at in self._inherited_orders.items()
+            },
             acquire_send=self._parts.acquire_send,
         )
         self._term = Term(self._parts, manager)
@@ -282,7 +285,10 @@
         except* LeaseLost as group:
             reason = _first_failure(group).message
         finally:
-            self._ordered_at = manager.recent_orders(self._min_handover_seconds)
+            # After a short term, the orders of the leader before are recent, too.
+            self._ordered_at = self._inherited_orders | manager.recent_orders(
+                self._min_handover_seconds
+            )
             self._term = None
             self._released_fence = self._lease.fence
             self._reacquire_at = self._clock.monotonic() + self.REACQUIRE_PAUSE_SECONDS
@@ -291,14 +297,11 @@
 
     async def _acquire(self) -> None:
         released = self._released_lease
-        self._not_before = {}
+        self._inherited_orders = {}
         if released is not None:
             try:
                 if await self._lease.take_over(released.holder, released.fence):
-                    self._not_before = {
-                        name: at + self._min_handover_seconds
-                        for name, at in released.ordered_at.items()
-                    }
+                    self._inherited_orders = released.ordered_at
                     return
             except PlatformError as exc:
                 events.TAKE_OVER_FAILED.log(
--- a/tests/swapping/test_leader.py
+++ b/tests/swapping/test_leader.py
@@ -148,6 +148,18 @@
         assert second is not first
         assert first.fence == 0
 
+    async def test_short_term_announces_the_orders_of_the_leader_before(self, nodes):
+        """Guards against orders of two leaders to one server within a lease."""
+        first = await leader_of(nodes)
+        first.leader._term._manager._ordered_at["e1"] = first.clock.monotonic()
+        first.leader.stopping = True
+        second = await leader_of(nodes, other_than=first)
+        second.leader.stopping = True
+        async with asyncio.timeout(2):
+            while second.fence:
+                await asyncio.sleep(0.005)
+        assert "e1" in second.leader.status().seconds_since_order
+
     async def test_terms_never_overlap(self, nodes):
         first = await leader_of(nodes)
         first.table.down = True
