The status of an earlier term of a leader is ignored

Cause: a status was applied whatever its fencing number. Now one whose number is lower than that of the newest term is ignored, also as the release of a lease.

Evidence: two tests of swapping/test_leader.py failed before and pass now.

--- a/packages/guavajunction/src/guavajunction/swapping/_leader.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_leader.py
@@ -97,6 +97,8 @@
         self._leader_seen_at = float("-inf")
         self._leader_status = LeaderStatus()
         self._released_fence = 0
+        self._newest_fence = 0
+        """Highest fencing number of a term of any instance, this one included."""
         self._reacquire_at = float("-inf")
         self._ordered_at: dict[str, float] = {}
         self._released_lease: _ReleasedLease | None = None
@@ -134,8 +136,14 @@
         return LeaderStatus(self._lease.fence, store_loads=ages, loads_due=due)
 
     def update_status(self, peer: PeerId, status: LeaderStatus) -> None:
-        """Apply the status received with another instance's heartbeat."""
+        """Apply the status received with another instance's heartbeat.
+
+        That of an earlier term is ignored: a leader that was suspended sends one more.
+        """
         now = self._clock.monotonic()
+        if max(status.fence, status.released_fence) < self._newest_fence:
+            return
+        self._newest_fence = max(self._newest_fence, status.fence)
         if status.released_fence:
             ordered_at = {
                 name: now - seconds
@@ -274,6 +282,7 @@
             },
             acquire_send=self._parts.acquire_send,
         )
+        self._newest_fence = self._lease.fence
         self._term = Term(self._parts, manager)
         events.TERM_BEGAN.log(fence=self._lease.fence)
         self._released_lease = None
--- a/tests/swapping/test_leader.py
+++ b/tests/swapping/test_leader.py
@@ -155,11 +155,35 @@
         first.leader.stopping = True
         second = await leader_of(nodes, other_than=first)
         second.leader.stopping = True
-        async with asyncio.timeout(2):
-            while second.fence:
-                await asyncio.sleep(0.005)
+        await leader_of(nodes, other_than=second)
         assert "e1" in second.leader.status().seconds_since_order
 
+    async def test_status_of_an_earlier_leader_changes_nothing(self, nodes):
+        """Guards against a woken leader that makes its successor forget its loads."""
+        first = await leader_of(nodes)
+        stale = first.leader.status()
+        first.leader.stopping = True
+        second = await leader_of(nodes, other_than=first)
+        third = next(n for n in nodes if n not in (first, second))
+        limiter = second.leader._parts.load_rate_limiter
+        limiter.record(second.clock.monotonic())
+        await asyncio.sleep(0.1)
+        for node in (second, third):
+            node.leader.update_status(first.links.me, stale)
+        assert len(limiter.ages(second.clock.monotonic())) == 1
+        for node in (second, third):
+            assert node.leader.latest_status()[0] == second.links.me
+            ages = node.leader._parts.load_rate_limiter.ages(node.clock.monotonic())
+            assert len(ages) == 1
+
+    async def test_released_lease_of_an_earlier_leader_is_not_taken_over(self, nodes):
+        first = await leader_of(nodes)
+        stale = LeaderStatus(released_fence=first.fence)
+        first.leader.stopping = True
+        second = await leader_of(nodes, other_than=first)
+        second.leader.update_status(first.links.me, stale)
+        assert second.leader._released_lease is None
+
     async def test_terms_never_overlap(self, nodes):
         first = await leader_of(nodes)
         first.table.down = True
