What was read before does not show the only version of a service

It can happen here: an instance that reaches no other looks an unknown stream up in the store. If its service has had one version only, the stream is of that. The rows were read once in 2 s, so this was concluded from a read of before the second version joined.

Change: only a read that began after the question shows the only version. Reads are at least 1 s apart; a later question waits for the next one.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_stream_rows.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_stream_rows.py
@@ -63,7 +63,7 @@
     """Number of rows of one instance, one for each interval."""
     MAX_ROW_STREAMS = 2_000
     """Number of streams in one row, the newest ones."""
-    READ_AGAIN_SECONDS = 2.0
+    READ_AGAIN_SECONDS = 1.0
     """Shortest interval between two reads. A stream that is in no row stays unknown."""
 
     def __init__(
@@ -88,6 +88,7 @@
         self._read_versions: set[tuple[str, str]] | None = None
         """Services and versions of the last read; None without a successful one."""
         self._read_at = float("-inf")
+        self._read_began_at = float("-inf")
         self._reading: asyncio.Task[None] | None = None
         self.answers_for: Callable[[str], bool] = lambda _: False
         """Returns whether this instance answers for a name."""
@@ -184,17 +185,32 @@
     async def _look_up(self, stream: str, service: str | None) -> StreamOrigin | None:
         """Read the rows for a stream that no instance knows.
 
-        It is of the only version that its service has had recently, or in a row.
+        It is of the only version that its service has had recently, or in a row. What
+        was read before does not show the only version: another may have joined since.
         """
+        asked_at = self._clock.monotonic()
+        await self._share_read()
+        origin = self._origins.get(stream)
+        if origin is None and self._read_began_at < asked_at:
+            next_at = self._read_at + self.READ_AGAIN_SECONDS
+            await self._clock.sleep(max(0.0, next_at - self._clock.monotonic()))
+            await self._share_read()
+            origin = self._origins.get(stream)
+        if origin is None and self._read_began_at >= asked_at:
+            origin = self._only_origin(service)
+        return origin
+
+    async def _share_read(self) -> None:
+        """Read the rows unless they were read lately, or wait for a running read."""
         if self._reading is None and (
             self._clock.monotonic() - self._read_at >= self.READ_AGAIN_SECONDS
         ):
+            self._read_began_at = self._clock.monotonic()
             self._reading = asyncio.ensure_future(self._read())
             self._reading.add_done_callback(self._end_reading)
         if self._reading is not None:
             # Others wait for the same read, so one that leaves must not cancel it.
             await asyncio.shield(self._reading)
-        return self._origins.get(stream) or self._only_origin(service)
 
     def _only_origin(self, service: str | None) -> StreamOrigin | None:
         stored = self._read_versions or set()
--- a/tests/entry/test_stream_rows.py
+++ b/tests/entry/test_stream_rows.py
@@ -174,6 +174,36 @@
         assert await started.origins.find("s2", "engines") == V2
 
 
+class TestInstanceOutOfStep:
+    """An instance that is cut off may know nothing of a version that has joined.
+
+    Guards against streams that go on at another version, because the rows were read
+    before the second one joined.
+    """
+
+    async def test_version_that_joined_after_the_last_read_counts(self):
+        table = FakeTable()
+        writer = Instance(table, versions=(V1,))
+        await writer.rows.write_changes()
+        cut = Instance(table, "front-2", answers_for=False, versions=(V1,))
+        assert await cut.origins.find("s1", "engines") == V1
+        writer.rows.versions = lambda: (V1, V2)
+        await writer.rows.write_changes()
+        cut.clock.advance(StreamRows.READ_AGAIN_SECONDS / 4)
+        assert await cut.origins.find("s2", "engines") is None
+
+    async def test_stream_that_began_after_the_last_read_keeps_its_version(self):
+        table = FakeTable()
+        writer = Instance(table, versions=(V1,))
+        await writer.rows.write_changes()
+        cut = Instance(table, "front-2", answers_for=False, versions=(V1,))
+        assert await cut.origins.find("s1", "engines") == V1
+        writer.rows.versions = lambda: (V1, V2)
+        await writer.begin("s2", origin=V2)
+        cut.clock.advance(StreamRows.READ_AGAIN_SECONDS / 4)
+        assert await cut.origins.find("s2", "engines") in (V2, None)
+
+
 class TestStoreComesBackFromACopy:
     """What the store has lost is written again."""
 
