A take-up that waits is judged by how long streams usually are

Cause: a request that waits is refused by the maximum of its output. A new stream that is sent at once is not asked. The rest of a stream that is taken up is no longer than whole streams of its service usually are, which an instance knows from those that it relayed.

Change: for take-ups, the expected output is the mean of the service's streams of the last 10 s, the maximum at most. New requests are judged as before. X-Length-Hint was weighed and left: it says nothing of what is left of a stream.

--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -452,9 +452,11 @@
                 self._parts.queue.on_first_event(req, backend)
                 await self._relay(admitted, backend, answer, sink, progress)
                 complete = True
+                seconds = self._parts.clock.monotonic() - sent_at
                 if req.size is None:
-                    seconds = self._parts.clock.monotonic() - sent_at
                     self._parts.queue.run_times.note(admitted.service.name, seconds)
+                elif answer.head.succeeded and req.resume_after is None:
+                    self._parts.queue.stream_times.note(admitted.service.name, seconds)
                 self._record_answered(admitted, backend, answer.head, progress)
         except (BackendFailed, OutcomeUnknown, AnswerCut, NotSent) as exc:
             # A direct connection that fails while this instance is cut says nothing
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -183,6 +183,8 @@
         """Until when the models of refused streams are wanted."""
         self.run_times = RunTimes(clock)
         """How long plain requests run."""
+        self.stream_times = RunTimes(clock)
+        """How long new streams run."""
         self.on_adapter_wanted: AdapterRequest = lambda *_: None
         """Called for a request that lacks only its adapter."""
         self.stops_at = float("inf")
@@ -424,7 +426,7 @@
             return
         refusal = _admission.check_deadline(
             estimate,
-            queued.req.size,
+            self._expected_size(queued),
             plain_seconds=self._plain_seconds(queued),
             seconds_left=queued.ends_at - now,
             first_event_left=queued.first_event_by - now,
@@ -539,7 +541,22 @@
     def _service_seconds(self, queued: QueuedRequest) -> float:
         """Return the seconds from the start of a request to the end of its answer."""
         plain_seconds = self.run_times.mean(queued.service.name)
-        return _admission.service_seconds(queued.req.size, plain_seconds)
+        return _admission.service_seconds(self._expected_size(queued), plain_seconds)
+
+    def _expected_size(self, queued: QueuedRequest) -> GenerationSize | None:
+        """Return the size of a generation with the output that is expected of it.
+
+        For a new stream, that is its maximum. The rest of a resumed one is no longer
+        than whole streams of its service usually are.
+        """
+        size = queued.req.size
+        if size is None or queued.req.resume_after is None:
+            return size
+        seconds = self.stream_times.measured_mean(queued.service.name)
+        if seconds is None:
+            return size
+        usual = math.ceil(seconds / _admission.SECONDS_PER_OUTPUT_TOKEN)
+        return size._replace(max_output_tokens=min(size.max_output_tokens, usual))
 
     def _plain_seconds(self, queued: QueuedRequest) -> float:
         """Return the seconds that must be left to a plain request that is sent.
@@ -556,7 +573,7 @@
     def _ends_in_time(self, queued: QueuedRequest) -> bool:
         """Return whether a request would end before its deadline if it were sent."""
         seconds = _admission.service_seconds(
-            queued.req.size, self._plain_seconds(queued)
+            self._expected_size(queued), self._plain_seconds(queued)
         )
         return self._clock.monotonic() + seconds <= queued.ends_at
 
--- a/packages/guavajunction/src/guavajunction/gateway/_run_times.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_run_times.py
@@ -1,4 +1,4 @@
-"""Measures how long plain requests take from being sent to their complete answer."""
+"""Measures how long requests take from being sent to their complete answer."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class RunTimes:
-    """Mean and spread of the latest plain requests of each service, in seconds.
+    """Mean and spread of the latest requests of each service, in seconds.
 
     >>> from guavajunction.clock import ManualClock
     >>> times = RunTimes(ManualClock())
@@ -81,6 +81,11 @@
         measured = self._recent(service)
         return max(PLAIN_SERVICE_SECONDS, measured.mean if measured else 0.0)
 
+    def measured_mean(self, service: str) -> float | None:
+        """Return the mean, or None if no run was seen lately."""
+        measured = self._recent(service)
+        return measured.mean if measured else None
+
     def longest(self, service: str) -> float:
         """Return the time that a run hardly exceeds, the mean at least."""
         measured = self._recent(service)
--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from fakes_clock import ManualClock
@@ -86,6 +88,47 @@
         assert len(fleet.caller.sent) == 1
 
 
+class TestExpectedOutput:
+    """A take-up that waits is refused only if it is not expected to end in time.
+
+    Guards against take-ups that are refused by the largest output of their stream.
+    """
+
+    WHOLE_SECONDS = 4.0
+
+    async def take_up(self, *, seconds_left, seen):
+        """Take up a stream whose model must be loaded for 0.6 s; return its answer."""
+        fleet = FakeGateway(backend("e1", in_memory={"m1"}), document=stream_routes())
+        fleet.streams.note(StreamBegan("s1", ORIGIN))
+        if seen:
+            fleet.queue.stream_times.note(ENGINES, self.WHOLE_SECONDS)
+        req = request(
+            "/draft/1",
+            at=fleet.clock.monotonic(),
+            size=size(output=600, prompt=100),
+            seconds=seconds_left,
+            **RESUME,
+        )
+        sink = FakeSink()
+        task = asyncio.ensure_future(fleet.gateway.serve(req, sink))
+        await asyncio.sleep(0)
+        fleet.registry.put(backend("e1", models=["m1"]))
+        fleet.queue.schedule_dispatch()
+        await task
+        return sink
+
+    async def test_usual_stream_would_end_in_time(self):
+        assert (await self.take_up(seconds_left=7.0, seen=True)).finished
+
+    async def test_usual_stream_would_end_late(self):
+        with pytest.raises(NoReplica):
+            await self.take_up(seconds_left=4.0, seen=True)
+
+    async def test_largest_output_counts_while_nothing_is_known(self):
+        with pytest.raises(NoReplica):
+            await self.take_up(seconds_left=7.0, seen=False)
+
+
 class TestVersions:
     """A stream goes on only at a backend server of the version that began it."""
 
