Soak: an instance ends at last while callers keep using it

What a planned stop passes on must be answered, and no part of an answer may look complete. The tests of planned stops use the same callers.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
@@ -4,8 +4,9 @@
 
 from ._fault_injector import CutKind, LinkProxies
 from ._guarantees import find_violations
-from ._history import Call, Change, Crash, History, LimitedRunner
+from ._history import Call, Change, Crash, EndedInstance, History, LimitedRunner
 from ._link_proxy import LinkProxy
+from ._loyal_callers import LoyalCallers
 from ._plan import (
     CUT_KINDS,
     Fault,
@@ -24,12 +25,14 @@
     "Change",
     "Crash",
     "CutKind",
+    "EndedInstance",
     "Fault",
     "FaultKind",
     "History",
     "LimitedRunner",
     "LinkProxies",
     "LinkProxy",
+    "LoyalCallers",
     "Soak",
     "SoakResult",
     "find_violations",
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
@@ -105,7 +105,8 @@
 
 
 def _check_requests_unchanged(history: History) -> Iterator[str]:
-    calls = {call.request_id: call for call in history.calls}
+    sent = history.calls + (history.ended.calls if history.ended else ())
+    calls = {call.request_id: call for call in sent}
     for request_id, runs in _runs_by_id(history).items():
         for runner, run in runs:
             call = calls.get(request_id)
@@ -299,6 +300,30 @@
         yield f"{served} of {len(after_recovery)} requests served after all faults"
 
 
+def _check_ended_instance(history: History) -> Iterator[str]:
+    """Check the answers around the end of an instance that callers kept using.
+
+    What a planned stop passes on is answered, and no part of an answer that a kill
+    breaks off looks complete.
+    """
+    ended = history.ended
+    if ended is None:
+        return
+    yield from _check_answers(history._replace(calls=ended.calls))
+    yield from _check_refused_requests(history._replace(calls=ended.calls))
+    if not ended.planned:
+        return
+    if ended.exit_status != 0:
+        yield f"planned stop: {ended.name} exited with status {ended.exit_status}"
+    runs = _runs_by_id(history)
+    for call in ended.calls:
+        if call.status is None and runs[call.request_id]:
+            yield (
+                f"{call.kind} {call.request_id} ran, but got no answer in the planned"
+                f" stop of {ended.name}"
+            )
+
+
 CHECKS: tuple[Callable[[History], Iterator[str]], ...] = (
     _check_at_most_once,
     _check_refused_requests,
@@ -315,4 +340,5 @@
     _check_falls,
     _check_processes,
     _check_recovery,
+    _check_ended_instance,
 )
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
@@ -72,6 +72,16 @@
     """Times of all requests that arrived, orders and reports included."""
 
 
+class EndedInstance(NamedTuple):
+    """An instance that ended while callers used it, without any other fault."""
+
+    name: str
+    planned: bool
+    """Whether it was stopped, not killed."""
+    exit_status: int | None
+    calls: tuple[Call, ...]
+
+
 class History(NamedTuple):
     """Record of one soak, on which the guarantees are checked."""
 
@@ -107,3 +117,4 @@
     """When brittle runners fell over under the requests that they rejected."""
     orders: tuple[OrderBody, ...] = ()
     """Orders that reached runners, including refused ones."""
+    ended: EndedInstance | None = None
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
@@ -120,6 +120,33 @@
     brittle."""
 
 
+class Ending(NamedTuple):
+    """How an instance ends at last, while callers keep using it."""
+
+    killed: bool
+    """Whether it is killed, not stopped."""
+    work_seconds: float
+    """Longest work of a plain runner."""
+    event_seconds: float
+    """Time after each event of a stream."""
+    unframed: bool
+    """Whether the end of a stream is the end of its connection."""
+
+
+def draw_ending(seed: int) -> Ending:
+    """Draw how an instance ends at last.
+
+    It does not change the plan that is drawn from the same seed.
+    """
+    rng = random.Random(f"ending/{seed}")
+    return Ending(
+        killed=rng.random() < 0.3,
+        work_seconds=rng.choice((0.05, 0.2, 0.4, 0.9)),
+        event_seconds=rng.choice((0.05, 0.3)),
+        unframed=rng.random() < 0.7,
+    )
+
+
 CRASHING_PART = "bad0"
 NAMED_LIMITS = (None, 0.3, 2.0, 5.0)
 BORNE_REJECTIONS = (None, None, 0.0, 2.0)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import signal
 import time
 from collections import Counter
 from contextlib import AsyncExitStack
@@ -16,7 +17,8 @@
 from ._callers import Callers
 from ._fault_injector import FaultInjector, LinkProxies
 from ._guarantees import CHANGE_TIMEOUT_SECONDS, find_violations
-from ._history import Crash, History, LimitedRunner
+from ._history import Crash, EndedInstance, History, LimitedRunner
+from ._loyal_callers import LoyalCallers
 from ._plan import (
     CUT_KINDS,
     Conditions,
@@ -24,6 +26,7 @@
     FaultKind,
     draw_conditions,
     draw_cuts,
+    draw_ending,
     draw_plan,
     draw_returns,
     reports_lost_at,
@@ -63,6 +66,10 @@
     STEADY_SECONDS = 2.0
     """Time after the recovery deadline during which callers still send requests."""
     CALLER_COUNT = 6
+    LOYAL_CALLERS = 12
+    """Number of callers that use an instance until it has ended."""
+    LOYAL_STREAMS = 4
+    """Number of these callers that send streams."""
     OLD_KEY_FRACTION = 0.2
     """Fraction of the requests that use the last withdrawn key, if there is one."""
     CUSTOMER = "atelier"
@@ -190,6 +197,7 @@
                 task.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
+        ended = await self._end_an_instance(deployment, injector.current_key)
         history = History(
             calls=tuple(callers.calls),
             runs={n: tuple(r.runs) for n, r in deployment.runners.items()},
@@ -237,11 +245,32 @@
             orders=tuple(
                 order for r in deployment.runners.values() for order in r.orders
             ),
+            ended=ended,
         )
         answers = Counter(str(call.status or "none") for call in history.calls)
         violations = find_violations(history)
         return SoakResult(self._seed, self._plan, self._conditions, violations, answers)
 
+    async def _end_an_instance(
+        self, deployment: LocalDeployment, key: str
+    ) -> EndedInstance:
+        """End an instance while callers use it, after all other faults."""
+        ending = draw_ending(self._seed)
+        for runner in deployment.runners.values():
+            runner.crash_part, runner.crash_request = "", None
+            if runner.spec.engine:
+                runner.unframed_streams = ending.unframed
+                runner.spec = runner.spec._replace(work_seconds=ending.event_seconds)
+            else:
+                runner.max_work_seconds = ending.work_seconds
+        name = list(deployment.instances)[self._seed % self._instances]
+        callers = LoyalCallers(deployment, name, key, f"end{self._seed}")
+        signum = signal.SIGKILL if ending.killed else signal.SIGTERM
+        await callers.run(self.LOYAL_CALLERS, signum, self.LOYAL_STREAMS)
+        return EndedInstance(
+            name, not ending.killed, callers.exit_status, tuple(callers.calls)
+        )
+
     async def _watch_processes(
         self, deployment: LocalDeployment, injector: FaultInjector
     ) -> None:
