--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_loyal_callers.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_loyal_callers.py
@@ -28,7 +28,10 @@
     """Deadline of a request."""
     PAUSE_SECONDS = 0.02
     """Pause after a request that was not served."""
-    BEFORE_SECONDS = 1.0
+    STAGGER_SECONDS = 0.1
+    """Time between the starts of two callers, so that streams are under way at any
+    time."""
+    BEFORE_SECONDS = 2.0
     """Time for which the instance serves before it is told to end."""
     END_SECONDS = 6.0
     """Time in which the process must have ended."""
@@ -80,6 +83,7 @@
 
     async def _run_caller(self, number: int, sends_streams: bool) -> None:
         kind = STREAM_ROUTE if sends_streams else "book"
+        await asyncio.sleep(number * self.STAGGER_SECONDS)
         async with aiohttp.ClientSession(connector=StrictConnector(limit=1)) as session:
             for count in range(100_000):
                 name = f"{self._prefix}-{number}-{count}"
