--- a/packages/guavajunction/src/guavajunction/fleet/_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_roster.py
@@ -216,7 +216,7 @@
         members = self.may_be_serving()
         heard = {known.peer.name for known in members if known.live}
         if self._has_hub_list() and not self._is_heard_by_hub:
-            # The others of its list do not hear this instance.
+            # This instance is in no list of those that the hub hears.
             heard = set()
         near = {self._me.name, *heard}
         silent = {
@@ -288,7 +288,7 @@
 
     @property
     def live_fraction(self) -> float:
-        """Return the part of those that may be serving that hear each other, 0 to 1."""
+        """Return the fraction of the serving instances that is live, 0 to 1."""
         return self._live_fraction(self._view())
 
     @property
--- a/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
@@ -239,7 +239,7 @@
         parts = [part for part in keys if not self._is_sound(part)]
         if not parts:
             return
-        self.note_refused(backend)
+        self._count_unmarked_as_lost(backend)
         suspicion = self._suspicions.get(backend)
         if suspicion is None:
             suspicion = _Suspicion(self._clock.monotonic(), self._unix_time())
@@ -286,6 +286,10 @@
 
     def note_refused(self, backend: BackendId) -> None:
         """Record that a backend server refuses connections: it may have crashed."""
+        self._count_unmarked_as_lost(backend)
+
+    def _count_unmarked_as_lost(self, backend: BackendId) -> None:
+        """Count recent answers without a mark as lost; there is a sign of a crash."""
         since = self._clock.monotonic() - self.UNMARKED_SECONDS
         for end in self._unmarked.pop(backend, ()):
             if end.at >= since:
