A stopping instance serves services whose runs it does not know, while there is time

An unknown run now counts as 2 s.

test_planned_stop_ends_in_time_without_the_store asked that the connection of a request that outlasts the grace time is closed; it now asks for the answer 504, which says more.

--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -480,10 +480,7 @@
         if queued.req.size is not None:
             seconds = self._service_seconds(queued) if wait_seconds else 0.0
         else:
-            bound = self.run_times.upper_bound(queued.service.name)
-            if bound is None:
-                return True
-            seconds = bound
+            seconds = self.run_times.upper_bound(queued.service.name)
         return self._clock.monotonic() + wait_seconds + seconds > self.stops_at
 
     def _refuse_while_stopping(self, queued: QueuedRequest) -> None:
--- a/packages/guavajunction/src/guavajunction/gateway/_run_times.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_run_times.py
@@ -48,6 +48,8 @@
     """Length of a period whose longest request is kept until the next one ends."""
     BOUND_RATIO = 1.5
     """Upper bound of a run relative to the longest one of the last period."""
+    UNKNOWN_BOUND_SECONDS = 2.0
+    """Upper bound of a run while none was seen lately."""
     MIN_BOUND_SECONDS = 0.3
     """Least upper bound of a run."""
     MAX_SERVICES = 1024
@@ -94,14 +96,14 @@
         longest = measured.mean + self.DEVIATIONS * measured.deviation
         return max(PLAIN_SERVICE_SECONDS, longest)
 
-    def upper_bound(self, service: str) -> float | None:
-        """Return the time within which a run ends, or None if none was seen lately.
+    def upper_bound(self, service: str) -> float:
+        """Return the time within which a run ends, for a process that is about to end.
 
-        It is for decisions after which a longer run loses its answer.
+        A longer run loses its answer.
         """
         measured = self._recent(service)
         if measured is None:
-            return None
+            return self.UNKNOWN_BOUND_SECONDS
         longest = max(measured.maximum, measured.maximum_before)
         return max(
             self.MIN_BOUND_SECONDS,
