A question about an unknown stream begins the read that it waits for

Found by tests: after the commit on the only version of a service, a later question slept until a read was due, and by rounding none began, so its stream was refused (test_streams_of_the_only_version_go_on_after_all_were_killed: 503). It passes now.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_stream_rows.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_stream_rows.py
@@ -189,28 +189,27 @@
         was read before does not show the only version: another may have joined since.
         """
         asked_at = self._clock.monotonic()
-        await self._share_read()
+        if self._reading is not None or self._next_read_at() <= asked_at:
+            await self._share_read()
         origin = self._origins.get(stream)
         if origin is None and self._read_began_at < asked_at:
-            next_at = self._read_at + self.READ_AGAIN_SECONDS
-            await self._clock.sleep(max(0.0, next_at - self._clock.monotonic()))
-            await self._share_read()
+            await self._clock.sleep(self._next_read_at() - self._clock.monotonic())
+            if self._reading is not None or self._read_began_at < asked_at:
+                await self._share_read()
             origin = self._origins.get(stream)
-        if origin is None and self._read_began_at >= asked_at:
-            origin = self._only_origin(service)
-        return origin
+        return origin or self._only_origin(service)
+
+    def _next_read_at(self) -> float:
+        return self._read_at + self.READ_AGAIN_SECONDS
 
     async def _share_read(self) -> None:
-        """Read the rows unless they were read lately, or wait for a running read."""
-        if self._reading is None and (
-            self._clock.monotonic() - self._read_at >= self.READ_AGAIN_SECONDS
-        ):
+        """Wait for the running read, or begin one."""
+        if self._reading is None:
             self._read_began_at = self._clock.monotonic()
             self._reading = asyncio.ensure_future(self._read())
             self._reading.add_done_callback(self._end_reading)
-        if self._reading is not None:
-            # Others wait for the same read, so one that leaves must not cancel it.
-            await asyncio.shield(self._reading)
+        # Others wait for the same read, so one that leaves must not cancel it.
+        await asyncio.shield(self._reading)
 
     def _only_origin(self, service: str | None) -> StreamOrigin | None:
         stored = self._read_versions or set()
