--- a/packages/guavajunction/src/guavajunction/fleet/_roster.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_roster.py
@@ -131,8 +131,8 @@
             began_at: When the read began, on the monotonic clock.
         """
         now = self._clock.monotonic()
-        self._listed = {peer.name: peer for peer in versions if peer != self._me}
-        self._listed.pop(self._me.name, None)
+        others = [peer for peer in versions if peer.name != self._me.name]
+        self._listed = {peer.name: peer for peer in others}
         self._listed_at = {
             name: self._listed_at.get(name, began_at) for name in self._listed
         }
