Replicas of a model follow the slots of its engines

Cause: eight requests a second justified a replica, a figure for 32 slots. Change: a quarter of a request a second for each slot, at most eight. Unchanged for engines of 32 slots and more.

--- a/packages/guavajunction/src/guavajunction/swapping/_planner.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_planner.py
@@ -17,9 +17,14 @@
 
 from guavajunction.gateway import NO_DEMAND, Demand, EngineSpec
 
-REQUESTS_PER_REPLICA = 8.0
-"""Requests a second for one replica. A backend server prefills about 17 prompts of mean
-size a second, and should stay half idle for bursts."""
+REQUESTS_PER_SLOT = 0.25
+"""Requests a second for one replica, for each slot of its backend server. A request
+occupies a slot for about two seconds, and half of the slots stay free for bursts and
+for the other models of the backend server."""
+
+MAX_REQUESTS_PER_REPLICA = 8.0
+"""Largest number of requests a second for one replica. A backend server prefills about
+17 prompts of mean size a second, and should stay half idle for bursts."""
 
 MIN_REQUESTED_RATE = 0.05
 """Requests a second from which a model without queued requests counts as requested."""
@@ -168,15 +173,31 @@
     return max(1, backends // 4)
 
 
-def replicas_needed(demand: Demand | None) -> int:
+def requests_per_replica(slots: int) -> float:
+    """Return the requests a second that justify one replica of a model.
+
+    Args:
+        slots: Requests that a backend server runs in one batch.
+
+    >>> [requests_per_replica(slots) for slots in (12, 16, 32, 96)]
+    [3.0, 4.0, 8.0, 8.0]
+    """
+    return min(MAX_REQUESTS_PER_REPLICA, REQUESTS_PER_SLOT * max(1, slots))
+
+
+def replicas_needed(demand: Demand | None, slots: int) -> int:
     """Return how many replicas of a model its demand justifies.
 
-    >>> [replicas_needed(Demand(rate, 0)) for rate in (0.0, 0.2, 8.0, 8.1)]
+    Args:
+        demand: Demand for the model, None if there is none.
+        slots: Requests that a backend server runs in one batch.
+
+    >>> [replicas_needed(Demand(rate, 0), 32) for rate in (0.0, 0.2, 8.0, 8.1)]
     [0, 1, 1, 2]
     """
     if demand is None or (demand.rate < MIN_REQUESTED_RATE and not demand.waiting):
         return 0
-    return max(1, math.ceil(demand.rate / REQUESTS_PER_REPLICA))
+    return max(1, math.ceil(demand.rate / requests_per_replica(slots)))
 
 
 class _Need(NamedTuple):
@@ -205,7 +226,7 @@
             _Need(model, self.gain(model), None)
             for model in demand
             if model in self._spec.models
-            and self._replicas[model] < replicas_needed(demand[model])
+            and self._replicas[model] < replicas_needed(demand[model], self._spec.slots)
         ]
         needs += [
             _Need(model, float(waiting), version)
@@ -318,7 +339,7 @@
             return IDLE_REPLICA_COST if before else UNREQUESTED_REPLICA_COST
         if replicas <= 1:
             return model_demand.rate * ONLY_REPLICA_WEIGHT
-        surplus = replicas > replicas_needed(model_demand)
+        surplus = replicas > replicas_needed(model_demand, self._spec.slots)
         weight = SURPLUS_REPLICA_WEIGHT if surplus else ONLY_REPLICA_WEIGHT
         return model_demand.rate / replicas * weight
 
--- a/tests/swapping/test_planning.py
+++ b/tests/swapping/test_planning.py
@@ -18,7 +18,9 @@
 )
 
 NAMES = [f"m{n}" for n in range(1, 9)]
+SLOTS = 32
 SPEC = ENGINE._replace(
+    slots=SLOTS,
     memory_mb=102.0,
     adapter_mb={"m1": 1.0},
     models={name: model_spec(name) for name in NAMES},
@@ -133,7 +135,12 @@
         [(0.0, 0, 0), (0.01, 0, 0), (0.0, 1, 1), (8.0, 0, 1), (8.1, 0, 2), (30, 0, 4)],
     )
     def test_replicas_needed_for_a_rate(self, rate, waiting, replicas):
-        assert replicas_needed(Demand(rate, waiting)) == replicas
+        assert replicas_needed(Demand(rate, waiting), SLOTS) == replicas
+
+    def test_engines_with_few_slots_get_more_replicas(self):
+        # Nine replicas of 16 slots serve 34 requests a second of two seconds each at
+        # half of their capacity; five would be full.
+        assert replicas_needed(Demand(34.0, 0), 16) == 9
 
     def test_model_with_growing_demand_replaces_one_without_requests(self):
         holdings = [holding("e1", "m1", "m2"), holding("e2", "m3", "m4")]
