Requests that no server has run are sent again while their budget allows

Two causes: an adapter was announced 16 ms after its order while its load took up to 29 ms, and a server that had crashed was addressed until its record expired, whose successor at the address answered 421. Change: up to three further sends after rejections, with a pause that doubles; adapters that were refused are announced again after 50 ms; a server at whose address another one answers is left out until it reports again, and the send counts as no attempt. The retry budget holds as before.

--- a/packages/guavajunction/src/guavajunction/errors.py
+++ b/packages/guavajunction/src/guavajunction/errors.py
@@ -199,6 +199,10 @@
     TYPE = "backend_refused"
 
 
+class BackendReplaced(BackendRefused):
+    """Another backend server answered at the address; none has run the request."""
+
+
 class _BackendFailure(RequestError):
     """Base class of the failures in which a backend server gave no complete answer."""
 
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
@@ -8,6 +8,7 @@
 
 from guavajunction.bounded import drop_oldest
 from guavajunction.clock import Clock
+from guavajunction.quarantine import BackendId
 from guavajunction.statements import ServerStatements
 
 from . import _events as events
@@ -62,6 +63,9 @@
         self._newest_report_numbers: dict[tuple[str, int], int] = {}
         self._expected_until: dict[str, float] = {}
         self._unreachable_until: dict[tuple[str, int], float] = {}
+        self._replaced: dict[BackendId, int] = {}
+        """Newest report numbers of backend servers that others have replaced at their
+        addresses."""
         self._versions_seen: defaultdict[str, set[str]] = defaultdict(set)
         self.statements = ServerStatements(clock)
         """What backend servers say of themselves."""
@@ -210,16 +214,31 @@
         """Admit a backend server again that has accepted a connection."""
         self._unreachable_until.pop(record.identity, None)
 
+    def note_replaced(self, record: BackendRecord) -> None:
+        """Exclude a backend server at whose address another one answered.
+
+        Its record persists for some heartbeats. A later report admits it again.
+        """
+        self._replaced.pop(record.identity, None)
+        self._replaced[record.identity] = record.report_number
+        drop_oldest(self._replaced, self.MAX_REPORT_NUMBERS)
+        events.BACKEND_REPLACED.log(backend=record.name, address=record.address)
+
+    def _is_replaced(self, record: BackendRecord) -> bool:
+        return self._replaced.get(record.identity, -1) >= record.report_number
+
     def at_address(self, address: str) -> BackendRecord | None:
         """Return the backend server at an address, the latest one if several had it."""
         records = [r for r in self._records.values() if r.address == address]
         return max(records, key=lambda r: r.incarnation, default=None)
 
     def is_unreachable(self, record: BackendRecord) -> bool:
-        """Return whether a backend server recently refused a connection."""
-        return (
-            self._unreachable_until.get(record.identity, 0.0) > self._clock.monotonic()
-        )
+        """Return whether a backend server recently refused a connection.
+
+        So does one at whose address another one answers.
+        """
+        until = self._unreachable_until.get(record.identity, 0.0)
+        return until > self._clock.monotonic() or self._is_replaced(record)
 
     def reachable(self, service: str) -> list[BackendRecord]:
         """Return the backend servers of a service that take requests now.
--- a/packages/guavajunction/src/guavajunction/gateway/_events.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_events.py
@@ -59,6 +59,11 @@
     "gateway:rejected",
     "A backend server rejected a request without running it.",
 )
+BACKEND_REPLACED = LogEvent(
+    1019,
+    "gateway:backend_replaced",
+    "Another backend server answered at the address of one, which has ended.",
+)
 CONFIGURED = LogEvent(1020, "gateway:configured", "A newer configuration was applied.")
 CONFIGURATION_REFUSED = LogEvent(
     1021, "gateway:configuration_refused", "A configuration could not be decoded."
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -12,6 +12,7 @@
     AnswerCut,
     BackendFailed,
     BackendRefused,
+    BackendReplaced,
     InstanceNotReady,
     NoPathToServer,
     NotSent,
@@ -117,6 +118,12 @@
     """Limit on the size of one event of a stream."""
     MAX_UNREACHABLE_BACKENDS = 3
     """A request fails once it has met more unreachable backend servers than this."""
+    MAX_REFUSED_SENDS = 3
+    """Times that a request is sent again after backend servers refused it, beyond the
+    attempts of its route. It has run nowhere, and an adapter may be about to load."""
+    REFUSED_PAUSE_SECONDS = 0.05
+    """Pause before a request is sent for the third time; doubled each time. A backend
+    server that refused it twice is full or still loads its adapter."""
     MAX_ENGINE_PRIORITY = 9
     """Highest priority number, the least urgent one, that an engine accepts."""
 
@@ -233,10 +240,18 @@
                     raise self._unreachable_error(admitted, exc) from exc
                 reason = exc.message
             except (BackendRefused, BackendFailed, OutcomeUnknown) as exc:
-                sent.append(backend.name)
+                if isinstance(exc, BackendReplaced):
+                    unreachable.append(backend.name)
+                else:
+                    sent.append(backend.name)
+                if len(unreachable) > self.MAX_UNREACHABLE_BACKENDS:
+                    raise
                 if not self._may_retry(admitted, sent, exc):
                     raise
                 reason = exc.message
+                if isinstance(exc, BackendRefused) and len(sent) > 1:
+                    pause = self.REFUSED_PAUSE_SECONDS * 2 ** (len(sent) - 2)
+                    await self._parts.clock.sleep(pause)
             else:
                 return
             events.RETRIED.log(
@@ -513,7 +528,10 @@
                 limit=head.named_limit[:16],
             )
         message = f"backend server {backend.name!r} answered {head.status}"
-        if head.misdirected and admitted.req.size is not None:
+        is_replaced = head.misdirected and head.answered_by not in (None, backend.name)
+        if is_replaced:
+            self._parts.registry.note_replaced(backend)
+        elif head.misdirected and admitted.req.size is not None:
             self._parts.registry.note_missing(backend.name, admitted.req.size.artifact)
         if head.not_run or head.misdirected:
             events.REJECTED.log(
@@ -527,7 +545,7 @@
             )
             service = admitted.service.name
             self._parts.metrics.count("rejections_total", service=service)
-            raise BackendRefused(
+            raise (BackendReplaced if is_replaced else BackendRefused)(
                 f"{message}: not run", retry_after=self.RETRY_AFTER_SECONDS
             )
         is_stream = admitted.route.kind is RequestKind.STREAM
@@ -603,7 +621,8 @@
             return False
         if may_have_run and len(set(sent)) >= admitted.route.max_attempts:
             return False
-        if len(sent) > admitted.route.max_attempts or now >= admitted.ends_at:
+        max_sends = admitted.route.max_attempts + self.MAX_REFUSED_SENDS
+        if len(sent) >= max_sends or now >= admitted.ends_at:
             return False
         takes_requests = self._parts.registry.takes_requests
         if len(set(sent)) >= admitted.route.max_attempts and not any(
--- a/packages/guavajunction/src/guavajunction/gateway/_protocols.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_protocols.py
@@ -34,6 +34,9 @@
     pause: str | None = None
     """Seconds for which the backend server wants no request of this instance, as it
     wrote the number; None if it names no time."""
+    answered_by: str | None = None
+    """Name of the backend server that sent a misdirected request back, if it named
+    itself."""
     bears_rejections: str | None = None
     """Number of requests that the backend server can reject in a second without falling
     over, as it wrote the number; None if it names none."""
--- a/packages/guavajunction/src/guavajunction/swapping/_term.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_term.py
@@ -77,6 +77,9 @@
     ADAPTER_SETTLE_SECONDS = 0.016
     """Delay between the acceptance of an adapter load and its use; engines specify 5 to
     14 ms for the load."""
+    ADAPTER_RETRY_SECONDS = 0.05
+    """Delay before an adapter that a backend server holds but refused is announced
+    again. Loads of adapters take up to 29 ms, and longer while many are loaded."""
     RECORD_DELAY_SECONDS = 1.0
     """Delay between the end of a load and the record that shows it."""
 
@@ -339,6 +342,9 @@
             if wanted.adapter in ledger.adapters.get(wanted.model, ())
         ]
         if held:
+            if held[0].record.name in wanted.refused_by:
+                # It is probably still being loaded.
+                await self._parts.clock.sleep(self.ADAPTER_RETRY_SECONDS)
             self._send_holding_notice(held[0])
             return held[0].record.name
         loads = {le.record.name: self._parts.loads.of(le.record.name) for le in ledgers}
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -169,8 +169,17 @@
         cut=False,
         framing=Framing.LENGTH,
         headers=(),
+        answered_by=None,
     ):
-        self.head = AnswerHead(status, "", headers, not_run, status == 421, framing)
+        self.head = AnswerHead(
+            status,
+            "",
+            headers,
+            not_run,
+            status == 421,
+            framing,
+            answered_by=answered_by,
+        )
         self._chunks = chunks
         self._cut = cut
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from fakes_clock import QuickClock
 from fakes_gateway import (
     BOOKINGS,
     FakeAnswer,
@@ -106,7 +107,7 @@
         assert len({sent.backend for sent in fleet.caller.sent}) == 2
 
     async def test_refusal_of_a_backend_server_is_reported_as_not_run(self):
-        fleet = FakeGateway(*PLAIN)
+        fleet = FakeGateway(*PLAIN, clock=QuickClock())
         fleet.caller.script = [FakeAnswer(503, not_run=True)] * 9
         with pytest.raises(BackendRefused) as caught:
             await fleet.serve("/book/1")
@@ -114,12 +115,32 @@
         assert caught.value.not_run == "true"
 
     async def test_retries_after_the_last_attempt_use_the_same_backend_server(self):
-        fleet = FakeGateway(*PLAIN)
+        fleet = FakeGateway(*PLAIN, clock=QuickClock())
         fleet.caller.script = [FakeAnswer(503, not_run=True)] * 9
         with pytest.raises(BackendRefused):
             await fleet.serve("/book/1")
         assert len({sent.backend for sent in fleet.caller.sent}) == 1
 
+    async def test_refused_request_is_sent_again_while_it_has_run_nowhere(self):
+        fleet = FakeGateway(*PLAIN, clock=QuickClock())
+        fleet.caller.script = [FakeAnswer(503, not_run=True)] * 3
+        sink = await fleet.serve("/book/1")
+        assert sink.finished
+        assert len(fleet.caller.sent) == 4
+
+    async def test_server_that_another_one_replaced_does_not_use_up_attempts(self):
+        fleet = FakeGateway(*PLAIN)
+        gone = FakeAnswer(421, answered_by="b9")
+        fleet.caller.script = [gone]
+        sink = await fleet.serve("/book/1")
+        assert sink.finished
+        first, second = (sent.backend for sent in fleet.caller.sent)
+        assert first != second
+        record = fleet.registry.get(first)
+        assert not fleet.registry.takes_requests(first)
+        fleet.registry.put(record._replace(report_number=record.report_number + 1))
+        assert fleet.registry.takes_requests(first)
+
     async def test_safe_request_is_retried_once_and_its_last_failure_returned(self):
         fleet = FakeGateway(*PLAIN)
         fleet.caller.script = [FakeAnswer(500, (b"one",)), FakeAnswer(500, (b"two",))]
