Estimate the speed of services and backend servers at run time

Change: ServerSpeeds holds a clipped estimate for each service and a decaying factor for each server. Slow servers' times between tokens are shared with heartbeats (topics speeds, hub-speeds). Errors, cut streams, tunnels and callers that block teach nothing.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -259,6 +259,7 @@
         self.metrics.gauge(
             "brittle_services", lambda: len(self._places.brittle_services())
         )
+        self.metrics.gauge("slowest_server_factor", self._queue.speeds.factors.slowest)
         self.metrics.gauge("store_era", lambda: self._backends_era)
         self._era_began = asyncio.Event()
         self._crashes_known = False
@@ -620,6 +621,8 @@
             self._rate_limits.limit_to_share(self._roster.share, serving - 1)
             self._gateway.instances = serving
             self._limits.keep_only({r.identity for r in self._registry.records()})
+            self._queue.speeds.keep_only(self._registry.records())
+            self._queue.speeds.factors.keep_peers(self._roster.peers())
             self._places.refresh(self._registry.records())
             self._places.instances = serving
             if self._gateway.routes is None:
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -30,6 +30,7 @@
     RateLimits,
     RequestQueue,
     RetireNotice,
+    SlowServer,
     StreamOrigins,
 )
 from guavajunction.membership import Lease
@@ -270,6 +271,13 @@
             self._places.on_statements,
             list[StatedLimit],
         )
+        factors = parts.queue.speeds.factors
+        mesh.add_topic(
+            "speeds",
+            factors.own_slow,
+            self._unless_following(factors.update_peer),
+            list[SlowServer],
+        )
         mesh.add_topic("cut", lambda: parts.paths.is_cut, parts.roster.on_cut, bool)
         mesh.add_topic(
             "leaving", self._leaving_backends, self._on_leaving, list[BackendId]
@@ -305,6 +313,12 @@
             self._only_from_hub(self._places.on_statements),
             list[StatedLimit],
         )
+        mesh.add_peer_topic(
+            "hub-speeds",
+            self._only_for_followers(factors.slow_without),
+            self._only_from_hub(factors.update_peer),
+            list[SlowServer],
+        )
         mesh.add_peer_topic(
             "hub-cut",
             self._only_for_followers(lambda _: self._cut_instances()),
@@ -379,6 +393,7 @@
         the values of the peers.
         """
         self._parts.loads.keep_only([])
+        self._parts.queue.speeds.factors.keep_peers([])
         self._parts.rate_limits.reset_peer_counts()
 
     def _leader_name(self) -> str | None:
--- a/packages/guavajunction/src/guavajunction/gateway/__init__.py
+++ b/packages/guavajunction/src/guavajunction/gateway/__init__.py
@@ -26,6 +26,8 @@
 from ._request_queue import QueuedRequest, RequestQueue
 from ._retry_budget import RetryBounds, RetryBudget
 from ._route_table import RouteTable
+from ._server_speeds import ServerSpeeds
+from ._speed_factors import SlowServer
 from ._stream_origins import StreamBegan, StreamOrigin, StreamOrigins
 
 __all__ = [
@@ -62,7 +64,9 @@
     "RetryBounds",
     "Route",
     "RouteTable",
+    "ServerSpeeds",
     "Service",
+    "SlowServer",
     "StreamBegan",
     "StreamOrigin",
     "StreamOrigins",
--- a/packages/guavajunction/src/guavajunction/gateway/_admission.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_admission.py
@@ -18,8 +18,8 @@
 from ._request import GenerationSize
 
 SECONDS_PER_OUTPUT_TOKEN = 0.012
-"""Time between two output tokens in a fairly full batch; engines specify at least
-8.2 ms for each decoding step."""
+"""Prior of the time between two output tokens in a fairly full batch; engines specify
+4.7 to 10.1 ms for each decoding step."""
 
 PLAIN_SERVICE_SECONDS = 0.03
 """Service time of a plain request; backend servers specify 20 to 45 ms."""
@@ -28,6 +28,19 @@
 """Shortest retry delay; a caller that retries sooner meets the same queue."""
 
 
+class TokenTimes(NamedTuple):
+    """How fast the backend servers of a service process tokens."""
+
+    prefill_rate: float = PREFILL_TOKENS_PER_SECOND
+    """Prompt tokens a second."""
+    output_token_seconds: float = SECONDS_PER_OUTPUT_TOKEN
+    """Seconds between two output tokens."""
+
+
+USUAL_TOKEN_TIMES = TokenTimes()
+"""Prior of every service."""
+
+
 class WaitEstimate(NamedTuple):
     """When a request is expected to start, and what it waits for until then."""
 
@@ -46,20 +59,24 @@
 
 
 def service_seconds(
-    size: GenerationSize | None, plain_seconds: float = PLAIN_SERVICE_SECONDS
+    size: GenerationSize | None,
+    plain_seconds: float = PLAIN_SERVICE_SECONDS,
+    times: TokenTimes = USUAL_TOKEN_TIMES,
 ) -> float:
     """Return the seconds from the start of a request to the end of its answer.
 
     Args:
         size: Size of the generation, None for a plain service.
         plain_seconds: Service time of a plain request.
+        times: Speed of the service.
 
     >>> service_seconds(None)
     0.03
     """
     if size is None:
         return plain_seconds
-    return first_event_seconds(size) + size.max_output_tokens * SECONDS_PER_OUTPUT_TOKEN
+    output_seconds = size.max_output_tokens * times.output_token_seconds
+    return first_event_seconds(size, times) + output_seconds
 
 
 def check_deadline(
@@ -69,6 +86,7 @@
     seconds_left: float,
     first_event_left: float,
     plain_seconds: float = PLAIN_SERVICE_SECONDS,
+    times: TokenTimes = USUAL_TOKEN_TIMES,
 ) -> Refusal | None:
     """Return a refusal if a request would miss a deadline, or None if it may wait.
 
@@ -78,6 +96,7 @@
         seconds_left: Time until the deadline for the complete answer.
         first_event_left: Time until the deadline for the first event.
         plain_seconds: Service time of a plain request.
+        times: Speed of the service.
 
     >>> check_deadline(
     ...     WaitEstimate(1.0, "slots"), None, seconds_left=0.5, first_event_left=9
@@ -87,8 +106,8 @@
     ...     WaitEstimate(0.1, "slots"), None, seconds_left=0.5, first_event_left=9
     ... )
     """
-    first_event_in = estimate.seconds + first_event_seconds(size)
-    end_in = estimate.seconds + service_seconds(size, plain_seconds)
+    first_event_in = estimate.seconds + first_event_seconds(size, times)
+    end_in = estimate.seconds + service_seconds(size, plain_seconds, times)
     if first_event_in <= first_event_left and end_in <= seconds_left:
         return None
     if math.isinf(estimate.seconds):
@@ -118,6 +137,8 @@
     )
 
 
-def first_event_seconds(size: GenerationSize | None) -> float:
+def first_event_seconds(
+    size: GenerationSize | None, times: TokenTimes = USUAL_TOKEN_TIMES
+) -> float:
     """Return the seconds from the start of a request to its first event."""
-    return size.prompt_tokens / PREFILL_TOKENS_PER_SECOND if size else 0.0
+    return size.prompt_tokens / times.prefill_rate if size else 0.0
--- a/packages/guavajunction/src/guavajunction/gateway/_answer_progress.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_answer_progress.py
@@ -4,7 +4,7 @@
 
 
 class AnswerProgress:
-    """Times of the first and the last part of one answer.
+    """Times of the parts of one answer, and the number of its events.
 
     >>> progress = AnswerProgress()
     >>> progress.seconds is None
@@ -20,6 +20,24 @@
         self._last_at = 0.0
         self.chunks = 0
         """Number of chunks of the body so far."""
+        self.events = 0
+        """Number of complete events of a stream so far."""
+        self.blocked_seconds = 0.0
+        """Time for which the caller did not take the answer."""
+        self._first_event_at: float | None = None
+        self._event_at = 0.0
+
+    @property
+    def first_event_at(self) -> float | None:
+        """Return when the first event was complete; None before that."""
+        return self._first_event_at
+
+    @property
+    def event_seconds(self) -> float:
+        """Return the time from the first event to the last one."""
+        if self._first_event_at is None:
+            return 0.0
+        return self._event_at - self._first_event_at
 
     @property
     def seconds(self) -> float | None:
@@ -34,3 +52,14 @@
         """Record the arrival of a chunk of the body."""
         self._last_at = now
         self.chunks += 1
+
+    def note_events(self, events: int, now: float) -> None:
+        """Record that a stream has a number of complete events now."""
+        if events > self.events:
+            if self._first_event_at is None:
+                self._first_event_at = now
+            self.events, self._event_at = events, now
+
+    def note_blocked(self, seconds: float) -> None:
+        """Record a time for which the caller took nothing."""
+        self.blocked_seconds += seconds
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_selection.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_selection.py
@@ -4,12 +4,12 @@
 is a poor measure of load: a backend server with three long prompts would look as idle
 as one with three short ones. Pending work is therefore measured in prompt tokens that
 still need prefill. Running requests count only for the delay that they add to each
-step.
+step. `ServerSpeeds` estimates how long both take; the figures here are its priors.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import xxhash
 
@@ -18,7 +18,8 @@
 from ._request import GenerationSize
 
 PREFILL_TOKENS_PER_SECOND = 25_000.0
-"""Prefill speed of an engine; both deployments specify 25.8 tokens a millisecond."""
+"""Prior of an engine's prefill speed; deployments specify 19.2 to 38.4 tokens a
+millisecond."""
 
 DELAY_PER_RUNNING_SECONDS = 0.004
 """Delay of a new request's first token for each running request: the share of that
@@ -37,15 +38,33 @@
     0.1
     """
     prefill = (load.pending_prompt_tokens + prompt_tokens) / PREFILL_TOKENS_PER_SECOND
-    queueing = (
-        max(0, load.running + 1 - slots) / max(1, slots) * FULL_BATCH_DELAY_SECONDS
-    )
+    queueing = beyond_slots(load, slots) * FULL_BATCH_DELAY_SECONDS
     return prefill + load.running * DELAY_PER_RUNNING_SECONDS + queueing
 
 
+def beyond_slots(load: Load, slots: int) -> float:
+    """Return the requests beyond the slots with a new one, in batches.
+
+    >>> beyond_slots(Load(39, 0), 32)
+    0.25
+    """
+    return max(0, load.running + 1 - slots) / max(1, slots)
+
+
+FirstEventEstimate = Callable[[BackendRecord, int, Load], float]
+"""Returns the seconds until the first event, given the backend server, the prompt
+tokens that need prefill there and its load."""
+
+
+def by_fixed_figures(backend: BackendRecord, prompt_tokens: int, load: Load) -> float:
+    """Estimate a first event without regard to the speed of the backend server."""
+    return first_token_seconds(load, backend.slots, prompt_tokens)
+
+
 def choose(
     size: GenerationSize,
     candidates: Iterable[tuple[BackendRecord, Load]],
+    estimate: FirstEventEstimate = by_fixed_figures,
 ) -> BackendRecord | None:
     """Return the candidate with the earliest first token, or None if there is none.
 
@@ -61,7 +80,7 @@
         tokens = size.prompt_tokens
         if backend.name == caching:
             tokens -= sum(part.tokens for part in size.parts[:-1])
-        seconds = first_token_seconds(load, backend.slots, max(0, tokens))
+        seconds = estimate(backend, max(0, tokens), load)
         if seconds < best_seconds:
             best, best_seconds = backend, seconds
     return best
--- a/packages/guavajunction/src/guavajunction/gateway/_event_boundary.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_event_boundary.py
@@ -21,14 +21,16 @@
     >>> boundary.is_inside_event, boundary.open_bytes
     (True, 6)
     >>> boundary.feed(b"data: b\n\n")
-    >>> boundary.is_inside_event, boundary.open_bytes
-    (False, 0)
+    >>> boundary.is_inside_event, boundary.open_bytes, boundary.events
+    (False, 0, 2)
     """
 
     def __init__(self) -> None:
         self._last_bytes = b""
         self.open_bytes = 0
         """Number of bytes since the end of the last complete event."""
+        self.events = 0
+        """Number of complete events so far."""
 
     def feed(self, chunk: bytes) -> None:
         """Add a chunk of the stream."""
@@ -36,6 +38,8 @@
         text = self._last_bytes + chunk
         end = max(text.rfind(mark) + len(mark) for mark in EVENT_ENDS)
         has_end = any(mark in text for mark in EVENT_ENDS)
+        if has_end:
+            self.events += _count_ends(text) - _count_ends(self._last_bytes)
         self.open_bytes = len(text) - end if has_end else self.open_bytes + len(chunk)
         self._last_bytes = text[-LONGEST_END_BYTES:]
 
@@ -45,6 +49,10 @@
         return self.open_bytes > 0
 
 
+def _count_ends(text: bytes) -> int:
+    return sum(text.count(mark) for mark in EVENT_ENDS)
+
+
 def is_event_stream(headers: tuple[tuple[str, str], ...]) -> bool:
     """Return whether headers announce a stream of server-sent events.
 
--- a/packages/guavajunction/src/guavajunction/gateway/_events.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_events.py
@@ -1,4 +1,4 @@
-"""Log events of the gateway, 1000 to 1099."""
+"""Log events of the gateway, 1000 to 1099, and of speeds, 2100 to 2199."""
 
 from __future__ import annotations
 
@@ -63,3 +63,14 @@
 CONFIGURATION_REFUSED = LogEvent(
     1021, "gateway:configuration_refused", "A configuration could not be decoded."
 )
+SERVICE_SPEED = LogEvent(
+    2100,
+    "speeds:service",
+    "An estimate of the speed of a service has changed by more than a quarter.",
+)
+SERVER_SPEED = LogEvent(
+    2101,
+    "speeds:server",
+    "The speed of a backend server relative to its service has changed by more than a "
+    "quarter.",
+)
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -29,6 +29,7 @@
 from . import _admission
 from . import _events as events
 from ._answer_progress import AnswerProgress
+from ._answer_speed import AnswerSpeed
 from ._backend import BackendRecord
 from ._backend_registry import BackendRegistry
 from ._catalogue import Customer, RequestKind, Route, Service
@@ -423,7 +424,10 @@
             server_limit=statement.rate,
             cut=sent_while_cut,
         )
+        queue = self._parts.queue
         sent_at = self._parts.clock.monotonic()
+        load = queue.load_without(req, backend)
+        speed = AnswerSpeed(queue.speeds, req, backend, load, sent_at)
         paths.begin()
         try:
             async with self._parts.caller.send(
@@ -450,9 +454,21 @@
                 if admitted.route.resumable:
                     self._record_origin(admitted, backend)
                 self._parts.queue.on_first_event(req, backend)
-                await self._relay(admitted, backend, answer, sink, progress)
+                # The time of a tunnel is not the backend server's.
+                is_sample = answer.head.succeeded and not sent_while_cut
+                await self._relay(
+                    admitted,
+                    backend,
+                    answer,
+                    sink,
+                    progress,
+                    speed if is_sample else None,
+                )
                 complete = True
-                seconds = self._parts.clock.monotonic() - sent_at
+                ended_at = self._parts.clock.monotonic()
+                seconds = ended_at - sent_at
+                if is_sample:
+                    speed.on_complete(progress, ended_at)
                 if req.size is None:
                     self._parts.queue.run_times.note(admitted.service.name, seconds)
                 elif answer.head.succeeded and req.resume_after is None:
@@ -545,6 +561,7 @@
         answer: BackendAnswer,
         sink: AnswerSink,
         progress: AnswerProgress,
+        speed: AnswerSpeed | None,
     ) -> None:
         await sink.start(answer.head)
         size = 0
@@ -557,8 +574,12 @@
                 self._parts.paths.note_bytes(now)
                 if boundary is not None:
                     boundary.feed(chunk)
+                    progress.note_events(boundary.events, now)
+                    if speed is not None:
+                        speed.on_progress(progress)
                     self._check_event_size(boundary, backend)
                 await sink.write(chunk)
+                progress.note_blocked(self._parts.clock.monotonic() - now)
             if boundary is not None and boundary.is_inside_event:
                 raise AnswerCut(
                     f"the stream of backend server {backend.name!r} ended inside an "
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -25,13 +25,14 @@
 from guavajunction.quarantine import BackendId, PartQuarantine, RequestFingerprint
 
 from . import _admission, _backend_selection
-from ._admission import WaitEstimate
+from ._admission import TokenTimes, WaitEstimate
 from ._backend import BackendRecord
 from ._backend_registry import BackendRegistry
 from ._catalogue import EngineSpec, ModelSpec, Route, Service
 from ._load_view import Load, LoadView
 from ._request import GatewayRequest, GenerationSize
 from ._run_times import RunTimes
+from ._server_speeds import ServerSpeeds
 
 
 class QueuedRequest(NamedTuple):
@@ -141,8 +142,6 @@
     IDLE_REEVALUATION_SECONDS = 0.3
     """Interval of re-evaluation while the queue is empty. A new request is evaluated
     at once."""
-    MEAN_RUN_SECONDS = 1.5
-    """Mean time that a generation occupies a slot, to estimate waits."""
     NO_BACKEND_SECONDS = 2.0
     """Estimated wait while no backend server of the service accepts work: two
     heartbeats."""
@@ -185,6 +184,8 @@
         """How long plain requests run."""
         self.stream_times = RunTimes(clock)
         """How long new streams run."""
+        self.speeds = ServerSpeeds(clock)
+        """How fast backend servers process generations."""
         self.on_adapter_wanted: AdapterRequest = lambda *_: None
         """Called for a request that lacks only its adapter."""
         self.stops_at = float("inf")
@@ -208,6 +209,12 @@
         """Return the known number of requests in flight at a backend server."""
         return self._loads.of(backend).running
 
+    def load_without(self, req: GatewayRequest, backend: BackendRecord) -> Load:
+        """Return the known load of a backend server but for one request sent there."""
+        load = self._loads.of(backend.name)
+        tokens = req.size.prompt_tokens if req.size else 0
+        return Load(load.running - 1, load.pending_prompt_tokens - tokens)
+
     def waiting_by_model(self) -> dict[str, int]:
         """Return the number of requests that wait for a model load, by model."""
         return self._waiting_for("")
@@ -428,6 +435,7 @@
             estimate,
             self._expected_size(queued),
             plain_seconds=self._plain_seconds(queued),
+            times=self._token_times(queued),
             seconds_left=queued.ends_at - now,
             first_event_left=queued.first_event_by - now,
         )
@@ -538,7 +546,12 @@
     def _service_seconds(self, queued: QueuedRequest) -> float:
         """Return the seconds from the start of a request to the end of its answer."""
         plain_seconds = self.run_times.mean(queued.service.name)
-        return _admission.service_seconds(self._expected_size(queued), plain_seconds)
+        return _admission.service_seconds(
+            self._expected_size(queued), plain_seconds, self._token_times(queued)
+        )
+
+    def _token_times(self, queued: QueuedRequest) -> TokenTimes:
+        return self.speeds.token_times(queued.service.name)
 
     def _expected_size(self, queued: QueuedRequest) -> GenerationSize | None:
         """Return the size of a generation with the output that is expected of it.
@@ -552,7 +565,7 @@
         seconds = self.stream_times.measured_mean(queued.service.name)
         if seconds is None:
             return size
-        usual = math.ceil(seconds / _admission.SECONDS_PER_OUTPUT_TOKEN)
+        usual = math.ceil(seconds / self._token_times(queued).output_token_seconds)
         return size._replace(max_output_tokens=min(size.max_output_tokens, usual))
 
     def _plain_seconds(self, queued: QueuedRequest) -> float:
@@ -570,7 +583,9 @@
     def _ends_in_time(self, queued: QueuedRequest) -> bool:
         """Return whether a request would end before its deadline if it were sent."""
         seconds = _admission.service_seconds(
-            self._expected_size(queued), self._plain_seconds(queued)
+            self._expected_size(queued),
+            self._plain_seconds(queued),
+            self._token_times(queued),
         )
         return self._clock.monotonic() + seconds <= queued.ends_at
 
@@ -578,7 +593,7 @@
         """Return the mean time that such a request occupies a slot."""
         if queued.req.size is None:
             return _admission.PLAIN_SERVICE_SECONDS
-        return self.MEAN_RUN_SECONDS
+        return self.speeds.run_seconds(queued.service.name)
 
     def _options(self, queued: QueuedRequest) -> list[tuple[BackendRecord, Load]]:
         options = [
@@ -598,7 +613,9 @@
         ]
         options = preferred or options
         if queued.req.size is not None:
-            return _backend_selection.choose(queued.req.size, options)
+            return _backend_selection.choose(
+                queued.req.size, options, self.speeds.first_event_seconds
+            )
         best = min(options, key=_slot_usage, default=None)
         return best[0] if best else None
 
--- a/tests/entry/test_fleet_links.py
+++ b/tests/entry/test_fleet_links.py
@@ -8,8 +8,9 @@
 
 from fakes_gateway import FakeGateway, gateway_settings
 from guavajunction.fleet import Member, RelayedFeed, Roster
-from guavajunction.gateway import ModelDemand
+from guavajunction.gateway import ModelDemand, SlowServer
 from guavajunction.peers import FleetKeys, PeerId
+from guavajunction.quarantine import BackendId
 from guavajunction_entry.gateway import (
     Tuning,
 )
@@ -96,3 +97,17 @@
         node.paths.end_probe(False)
         assert node.candidates() == ["good"]
         assert node.links.leader.is_cut()
+
+
+class TestSpeeds:
+    """Slowness that a peer reports reaches the choice among backend servers."""
+
+    def test_report_of_a_peer_is_used_and_one_by_another_hub_is_not(self, node):
+        slow = BackendId("slow", 1)
+        factors = node.links._parts.queue.speeds.factors
+        report = [SlowServer(slow, 3.0, 20.0)]
+        topics = node.links._mesh._topics | node.links._mesh._peer_topics
+        topics["hub-speeds"].accept(PeerId("good", "1"), report)
+        assert factors.of(slow) == 1.0
+        topics["speeds"].accept(PeerId("good", "1"), report)
+        assert factors.of(slow) > 2.0
