--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -160,6 +160,7 @@
             clock,
             self._rng,
         )
+        self._queue.speeds.learns = tuning.routing.server_speeds == "learned"
         self._tunnels = TunnelLinks(
             settings,
             TunnelLinkParts(
@@ -261,6 +262,7 @@
             "brittle_services", lambda: len(self._places.brittle_services())
         )
         self.metrics.gauge("fleet_backlog", lambda: self._queue.backlog.size)
+        self.metrics.gauge("slowest_server_factor", self._queue.speeds.factors.slowest)
         self.metrics.gauge("store_era", lambda: self._backends_era)
         self._era_began = asyncio.Event()
         self._crashes_known = False
@@ -623,6 +625,8 @@
             self._rate_limits.limit_to_share(self._roster.share, serving - 1)
             self._gateway.instances = serving
             self._limits.keep_only({r.identity for r in self._registry.records()})
+            self._queue.speeds.keep_only(self._registry.records())
+            self._queue.speeds.factors.keep_peers(self._roster.peers())
             self._places.refresh(self._registry.records())
             self._places.instances = serving
             if self._gateway.routes is None:
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tuning.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tuning.py
@@ -57,6 +57,14 @@
     instances."""
 
 
+class RoutingTuning(NamedTuple):
+    """`[routing]`: the choice among backend servers."""
+
+    server_speeds: Annotated[str, parse_choice("fixed", "learned")] = "fixed"
+    """Whether the speeds of services and backend servers are `learned` from answers, or
+    `fixed` figures hold for all. Must be equal on all instances."""
+
+
 class Tuning(NamedTuple):
     """The complete settings file; each field is the section of the same name."""
 
@@ -64,6 +72,7 @@
     directory: DirectoryTuning = DirectoryTuning()
     fleet: FleetTuning = FleetTuning()
     admission: AdmissionTuning = AdmissionTuning()
+    routing: RoutingTuning = RoutingTuning()
     logging: LoggingSettings = LoggingSettings()
 
 
