Evacuated data centres: their backend servers get nothing more

Cause: operators need to empty a data centre within seconds, while the store may come back from an older copy and instances restart.

Change: `Evacuations` (pure) follows the rows of the configuration's partition; the filters of `BackendRegistry` leave the servers out, so that sends, retries, the queue, estimates and ledgers do. Tunnels, probes, orders and reports check it as well. A kept evacuation ends only by time and after an answer of the store.

The model check found that rows of a lagging peer could undo a row that was read before, when the changes since were no longer kept and the store did not answer. `RelayedFeed.rows_from_peer` now takes only newer ones.

Ruled out: to end a kept evacuation with the next list of the new era, or while the store is silent; both lose it in the model.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -57,6 +57,7 @@
 from . import _quarantine_links as quarantine_links
 from ._brittle_rows import BrittleRows
 from ._deployment import Deployment, ListenerParts
+from ._evacuation_rows import EvacuationRows
 from ._fleet_links import FleetLinkParts, FleetLinks
 from ._quarantine_links import QuarantineLinks
 from ._settings import GatewaySettings
@@ -173,11 +174,17 @@
                 rng=self._rng,
             ),
         )
-        self._tunnels.may_serve = lambda: self._stopping_since is None
+        self._evacuation_rows = EvacuationRows(
+            self._registry.evacuations, deployment.decode_evacuation
+        )
+        self._tunnels.may_serve = lambda: (
+            self._stopping_since is None and self._evacuation_rows.is_read
+        )
         self._limits.on_answered = self._queue.schedule_dispatch
         self._places.on_granted = self._queue.use_place
         self._places.on_refused = self._queue.schedule_dispatch
         self._quarantine.on_blamed = self._queue.schedule_dispatch
+        self._registry.evacuations.on_changed = self._queue.schedule_dispatch
         self._gateway = Gateway(
             GatewayParts(
                 registry=self._registry,
@@ -259,6 +266,9 @@
         self.metrics.gauge(
             "brittle_services", lambda: len(self._places.brittle_services())
         )
+        self.metrics.gauge(
+            "evacuated_data_centres", lambda: len(self._registry.evacuations)
+        )
         self.metrics.gauge("store_era", lambda: self._backends_era)
         self._era_began = asyncio.Event()
         self._crashes_known = False
@@ -382,6 +392,7 @@
     async def _follow_configuration(self) -> None:
         sort = self._deployment.configuration_row.sort
         async for changes in self._configuration:
+            self._evacuation_rows.apply(changes)
             bodies = [
                 row.body
                 for row in changes.rows
@@ -615,6 +626,7 @@
             self._tunnels.watch.check()
             self._roster.expire()
             self._registry.expire()
+            self._registry.evacuations.expire(self._configuration.read_at)
             self._loads.keep_only(self._roster.peers())
             serving = self._roster.serving
             self._rate_limits.limit_to_share(self._roster.share, serving - 1)
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_deployment.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_deployment.py
@@ -78,6 +78,20 @@
         """
         ...
 
+    def decode_evacuation(self, sort: str) -> str | None:
+        """Return the data centre that a row evacuates as long as it exists.
+
+        Args:
+            sort: Sort key of a row of the configuration's partition.
+
+        Returns:
+            The data centre; None if the row is of another kind.
+
+        Raises:
+            DocumentInvalid: The key names no data centre.
+        """
+        ...
+
     def decode_backend(self, name: str, body: bytes) -> BackendRecord:
         """Decode a backend server's row.
 
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -209,11 +209,15 @@
 
     async def _acquire_send(self, backend: BackendRecord) -> bool:
         """Wait until an order or a report may be sent to a backend server."""
-        if not self._parts.registry.statements.may_send(backend.identity):
+        registry = self._parts.registry
+        if not registry.statements.may_send(backend.identity):
+            return False
+        if registry.is_evacuated(backend):
             return False
-        return await self._parts.limits.acquire(
+        acquired = await self._parts.limits.acquire(
             backend.identity, self.ORDER_PATIENCE_SECONDS
         )
+        return acquired and not registry.is_evacuated(backend)
 
     def _note_limit(self, backend: BackendRecord, text: str) -> None:
         # The answers to orders and reports only lower a limit, as they overlap others.
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tunnel_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tunnel_links.py
@@ -62,7 +62,11 @@
         self._listener: TunnelListener | None = None
         paths = ServerPaths(parts.clock)
         self.watch = PathWatch(
-            paths, parts.registry.records, parts.clock, parts.rng, parts.probe
+            paths,
+            parts.registry.outside_evacuations,
+            parts.clock,
+            parts.rng,
+            parts.probe,
         )
         """Tells whether this instance is cut."""
         self._entrance = TunnelEntrance(
@@ -119,8 +123,12 @@
         ]
 
     def _address_of(self, backend: str) -> str | None:
-        record = self._parts.registry.get(backend)
-        return record.address if record is not None else None
+        """Return where a tunnel leads, or None if this instance may not open it."""
+        registry = self._parts.registry
+        record = registry.get(backend)
+        if record is None or registry.is_evacuated(record):
+            return None
+        return record.address
 
     def _backend_at(self, address: str) -> str | None:
         record = self._parts.registry.at_address(address)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
@@ -23,6 +23,7 @@
         self.version = 0
         """Number of the latest written version, 0 if there is none."""
         self._content: dict[str, Any] = {}
+        self._evacuations: dict[str, bool] = {}
         self.load_seconds = 0.1
         """Load time of a model from the weight store, in the next version."""
         self.customers: dict[str, dict[str, Any]] = {
@@ -80,5 +81,23 @@
         return self.version
 
     def write_again(self) -> None:
-        """Write the latest version once more, after the store lost it."""
+        """Write the latest version and all evacuations once more.
+
+        The store may have lost them, or show evacuations that have ended.
+        """
         self._store.write("op", "config", self._content)
+        for zone, is_evacuated in self._evacuations.items():
+            self._write_evacuation(zone, is_evacuated)
+
+    def evacuate(self, zone: str) -> None:
+        """Begin to evacuate a zone: its runners may get nothing more."""
+        self._write_evacuation(zone, True)
+
+    def end_evacuation(self, zone: str) -> None:
+        """End the evacuation of a zone."""
+        self._write_evacuation(zone, False)
+
+    def _write_evacuation(self, zone: str, is_evacuated: bool) -> None:
+        self._evacuations[zone] = is_evacuated
+        content = {} if is_evacuated else None
+        self._store.write("op", wire.evacuation_key(zone), content)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -51,6 +51,8 @@
     """Time to load a model."""
     version: str = "v1"
     """Version of the runner's software."""
+    zone: str = "here"
+    """Zone in which the runner is."""
 
 
 class Run(NamedTuple):
@@ -308,6 +310,7 @@
             service=self.spec.service,
             version=self.spec.version,
             address=self._address,
+            zone=self.spec.zone,
             slots=self.spec.slots,
             draining=self._draining,
             started_ms=self._started_ms,
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
@@ -37,6 +37,11 @@
 STORE_ERA = names.STORE_ERA
 
 
+def evacuation_key(zone: str) -> str:
+    """Return the key of the row that evacuates a zone."""
+    return f"evacuate/{zone}"
+
+
 def model_entry(name: str, adapters: list[str]) -> dict[str, Any]:
     """Return the entry of a resident model in a runner's report or store entry."""
     return {"name": name, "version": 1, "adapters": sorted(adapters)}
@@ -47,6 +52,7 @@
     service: str,
     version: str,
     address: str,
+    zone: str,
     slots: int,
     draining: bool,
     started_ms: int,
@@ -60,6 +66,7 @@
         service: Name of the service that the runner belongs to.
         version: Version of the runner's software.
         address: Address of the runner, `host:port`.
+        zone: Zone in which the runner is.
         slots: Maximum number of concurrent requests.
         draining: Whether the runner is about to leave.
         started_ms: Start time of the runner in milliseconds since the epoch.
@@ -70,7 +77,7 @@
     return {
         "service": service,
         "address": address,
-        "zone": "here",
+        "zone": zone,
         "version": version,
         "slots": slots,
         "state": "draining" if draining else "ready",
--- a/packages/guavajunction/src/guavajunction/fleet/_relayed_feed.py
+++ b/packages/guavajunction/src/guavajunction/fleet/_relayed_feed.py
@@ -161,14 +161,16 @@
         Args:
             partition: Partition key.
             after: Version up to which the caller has all changes; None if it has
-                none.
+                none, or reads all rows again.
 
         Returns:
             All rows at a later version; None if no peer has changes after it.
         """
         if self.source is None:
             return None
-        after = UNREAD if after is None else after
+        if after is None:
+            # The caller still applies the rows that it has read before.
+            after = self._newest_versions.get(partition, UNREAD)
         answer = await self.source.request_newer_rows(partition, after)
         if answer is None or not answer.changed or answer.version <= after:
             return None
--- a/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend_registry.py
@@ -8,6 +8,7 @@
 
 from guavajunction.bounded import drop_oldest
 from guavajunction.clock import Clock
+from guavajunction.evacuation import Evacuations
 from guavajunction.statements import ServerStatements
 
 from . import _events as events
@@ -65,6 +66,8 @@
         self._versions_seen: defaultdict[str, set[str]] = defaultdict(set)
         self.statements = ServerStatements(clock)
         """What backend servers say of themselves."""
+        self.evacuations = Evacuations(clock)
+        """Data centres whose backend servers get nothing."""
 
     def records(self) -> Iterable[BackendRecord]:
         """Return every known backend server."""
@@ -74,6 +77,19 @@
         """Return a backend server by name, or None if it has no record."""
         return self._records.get(name)
 
+    def outside_evacuations(self) -> list[BackendRecord]:
+        """Return every known backend server that may be contacted at all."""
+        return self._outside_evacuations(list(self._records.values()))
+
+    def is_evacuated(self, record: BackendRecord) -> bool:
+        """Return whether nothing may be sent to a backend server."""
+        return self.evacuations.is_evacuated(record.data_centre)
+
+    def _outside_evacuations(self, records: list[BackendRecord]) -> list[BackendRecord]:
+        if not self.evacuations:
+            return records
+        return [r for r in records if not self.is_evacuated(r)]
+
     def put(self, record: BackendRecord) -> None:
         """Store the record of a backend server, unless a newer one is known."""
         before = self._records.get(record.name)
@@ -288,7 +304,23 @@
         )
 
     def of_service(self, service: str) -> list[BackendRecord]:
-        """Return the backend servers of a service that neither drain nor leave."""
+        """Return the backend servers of a service that neither drain nor leave.
+
+        Those of evacuated data centres are left out.
+        """
+        return self._outside_evacuations(self._of_service(service))
+
+    def has_version(self, service: str, software_version: str) -> bool:
+        """Return whether a backend server of a version neither drains nor leaves.
+
+        It may be in an evacuated data centre, from which it returns.
+        """
+        return any(
+            record.software_version == software_version
+            for record in self._of_service(service)
+        )
+
+    def _of_service(self, service: str) -> list[BackendRecord]:
         records = [
             record
             for record in self._records.values()
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -731,9 +731,9 @@
 
     def _version_serves(self, queued: QueuedRequest) -> bool:
         """Return whether a backend server of the required version is registered."""
-        return queued.software_version is None or any(
-            backend.software_version == queued.software_version
-            for backend in self._registry.of_service(queued.service.name)
+        version = queued.software_version
+        return version is None or self._registry.has_version(
+            queued.service.name, version
         )
 
     def _load_seconds(self, queued: QueuedRequest, spec: ModelSpec) -> float:
--- a/packages/guavajunction/src/guavajunction/swapping/_order_manager.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_order_manager.py
@@ -52,8 +52,8 @@
             clock: Source of time.
             not_before: When backend servers with a recent order of the previous leader
                 may get orders, by name, on the monotonic clock.
-            acquire_send: Waits until a backend server that has named a limit takes an
-                order or a report; returns whether it does.
+            acquire_send: Waits until a backend server takes an order or a report;
+                returns whether it does.
         """
         self._sender = sender
         self._instance = instance
@@ -161,7 +161,7 @@
         if not await self._acquire_send(ledger.record):
             raise OrderRefused(
                 f"backend server {ledger.record.name!r} takes no order now: it has "
-                "named a limit"
+                "named a limit, leaves or is evacuated"
             )
         order = order._replace(fence=self._fence())
         self._ordered_at[ledger.record.name] = self._clock.monotonic()
@@ -217,7 +217,7 @@
         if since < self.REPORT_LAG_SECONDS:
             await self._clock.sleep(self.REPORT_LAG_SECONDS - since)
         if not await self._acquire_send(ledger.record):
-            events.REPORT_FAILED.log(backend=name, reason="it has named a limit")
+            events.REPORT_FAILED.log(backend=name, reason="it takes no report now")
             return None
         try:
             report = await self._sender.report(ledger.record)
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -35,6 +35,7 @@
         configuration_row=RowAddress("configuration", "head"),
         backends_partition="backends",
         decode_backend=decode,
+        decode_evacuation=lambda sort: sort.partition("out/")[2] or None,
         decode_configuration=lambda body: catalogue(int(body)),
     )
     return GatewayDaemon(gateway_settings(), deployment, ManualClock())
--- a/tests/entry/test_tunnel_links.py
+++ b/tests/entry/test_tunnel_links.py
@@ -139,6 +139,27 @@
         assert instance.links._backend_at("b1:1") == "b1"
         assert instance.links._backend_at("elsewhere:1") is None
 
+
+class TestEvacuation:
+    """Nothing leads to the backend servers of an evacuated data centre."""
+
+    async def test_no_tunnel_and_no_probe_leads_there(self, instance):
+        registry = instance.fleet.registry
+        registry.put(backend("far", BOOKINGS, data_centre="z"))
+        assert instance.links._address_of("far") == "far:1"
+        registry.evacuations.begin("z")
+        assert instance.links._address_of("far") is None
+        assert instance.links._address_of("b1") == "b1:1"
+        assert {r.name for r in instance.links.watch._candidates()} == {
+            record.name for record in SERVERS
+        }
+
+    async def test_cut_is_not_assumed_if_every_server_is_evacuated(self, instance):
+        """Guards against a probe, and a cut, without any server to ask."""
+        instance.fleet.registry.evacuations.begin("a")
+        await instance.fail(reachable=False)
+        assert not instance.links.watch.is_cut
+
     def test_dialer_of_the_connections_needs_a_secret(self, instance):
         dialer = instance.connections.dialer
         dialer._paths.begin_probe()
--- a/tests/fleet/test_relayed_rows.py
+++ b/tests/fleet/test_relayed_rows.py
@@ -10,7 +10,7 @@
 from fakes_clock import QuickClock
 from guavajunction.errors import HistoryGone
 from guavajunction.fleet import ReadRows, RelayedFeed
-from guavajunction.fleet._messages import RowsAnswer, RowsNotice
+from guavajunction.fleet._messages import NewerRowsAnswer, RowsAnswer, RowsNotice
 from guavajunction.fleet._relayed_rows import UNREAD, RelayedRows
 from guavajunction.storage import Changes, RowChange, era_of, position
 
@@ -169,6 +169,9 @@
     async def request_rows(self, _):
         return self.answer
 
+    async def request_newer_rows(self, _, after):
+        return self.newer
+
     def send_notice(self, after, version, *rows):
         self.sent = version
         self.notices.add(RowsNotice("p", after, version, rows))
@@ -237,6 +240,17 @@
         changes = await feed.changes("p", 51, wait_seconds=1.0)
         assert (changes.version, changes.complete) == (60, True)
 
+    async def test_older_rows_of_a_peer_do_not_replace_newer_ones_after_a_gap(
+        self, feed, hub
+    ):
+        """Guards against a row that is undone because its history is read anew."""
+        hub.answer = RowsAnswer(9, (row("x", b"9"),))
+        await feed.snapshot("p")
+        for version, expected in ((8, None), (9, None), (10, 10)):
+            hub.newer = NewerRowsAnswer(version, (row("x", b"p"),), True)
+            found = await feed.rows_from_peer("p", None)
+            assert (found and found.version) == expected
+
     async def test_gap_between_notices_raises_history_gone(self, feed, hub):
         await self.join(feed, hub, 5)
         hub.send_notice(7, 9, row("x", b"9"))
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -132,6 +132,7 @@
 
     def _entry(self, **changes):
         entry = wire.runner_entry(
+            zone="here",
             service="engines",
             address="10.0.0.1:1",
             slots=4,
--- a/tests/swapping/test_orders.py
+++ b/tests/swapping/test_orders.py
@@ -217,6 +217,27 @@
         assert not engine.overloaded
         assert engine.orders > 10
 
+    @pytest.mark.parametrize("seed", range(40))
+    async def test_ledger_made_anew_from_an_old_record_exceeds_nothing(self, seed):
+        """Guards against orders of a ledger that was dropped in an evacuation."""
+        rng = random.Random(seed)
+        engine = FakeEngine(("m1",), seed=seed, unanswered=0.4)
+        manager, ledger = manager_for(engine)
+        record = ledger.record
+        for number in range(self.STEPS):
+            await self._step(rng, engine, manager, ledger)
+            if number % 20 == 0:
+                record = backend("e1", models=tuple(engine.models))
+            if rng.random() < 0.1:
+                dropped = ledger
+                manager.sync({})
+                manager.sync({"e1": (record, ENGINE)})
+                ledger = manager.ledgers()[0]
+                with pytest.raises(OrderRefused):
+                    await manager.order(dropped, LOAD, "m3")
+        assert not engine.overloaded
+        assert engine.orders > 10
+
     async def _step(self, rng, engine, manager, ledger):
         model = rng.choice(["m1", "m2", "m3"])
         step = rng.randrange(6)
