Homes: regions that the requests of a route or a customer may not leave

Cause: contracts forbid that some requests run, or that their bodies pass, outside named regions.

Change: routes and customers name regions, the settings map data centres to regions. The queue's filter leaves other servers out, so that first sends, retries and resumed streams stay at home; the result of a pass over the queue is shared only by requests with the same homes. While homes are configured, a tunnel leads through the server's own region. The directory names instances in the homes of a host or in the caller's region.

Ruled out: to pass the homes of a request to the connector. It opens connections, not requests.

Not begun: the planner and the choice of a server for an adapter do not know homes.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/__init__.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ._daemon import GatewayDaemon
-from ._deployment import Deployment, ListenerParts, RowAddress
+from ._deployment import Deployment, DirectoryQuery, ListenerParts, RowAddress
 from ._settings import (
     Capacity,
     GatewaySettings,
@@ -16,6 +16,7 @@
 __all__ = [
     "Capacity",
     "Deployment",
+    "DirectoryQuery",
     "ListenerParts",
     "GatewayDaemon",
     "GatewaySettings",
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -34,6 +34,7 @@
     LoadView,
     ModelDemand,
     RateLimits,
+    Regions,
     RequestQueue,
     RetryBudget,
     RouteTable,
@@ -56,7 +57,7 @@
 from . import _events as gateway_events
 from . import _quarantine_links as quarantine_links
 from ._brittle_rows import BrittleRows
-from ._deployment import Deployment, ListenerParts
+from ._deployment import Deployment, DirectoryQuery, ListenerParts
 from ._evacuation_rows import EvacuationRows
 from ._fleet_links import FleetLinkParts, FleetLinks
 from ._quarantine_links import QuarantineLinks
@@ -177,6 +178,11 @@
         self._evacuation_rows = EvacuationRows(
             self._registry.evacuations, deployment.decode_evacuation
         )
+        self._queue.regions = Regions(settings.regions)
+        self._tunnels.must_stay_in_region = lambda: (
+            self._gateway.routes is not None
+            and self._gateway.routes.catalogue.has_homes
+        )
         self._tunnels.may_serve = lambda: (
             self._stopping_since is None and self._evacuation_rows.is_read
         )
@@ -385,6 +391,7 @@
             if getattr(settings, name) != getattr(self._settings, name)
         ]
         self._settings = settings
+        self._queue.regions = Regions(settings.regions)
         self._retries.change_bounds(settings.retries)
         self._rate_limits.change_bounds(settings.allowances)
         gateway_events.RELOADED.log(changed=changed)
@@ -650,19 +657,48 @@
             metrics=self.metrics,
         )
 
-    def _addresses(self, data_centre: str | None) -> list[str]:
+    def _addresses(self, query: DirectoryQuery) -> list[str]:
         members = [member for _, member in self._roster.reaching()]
         if not self._tunnels.watch.is_cut:
             members.append(self._own_member())
+        known = [*self._roster.members(), self._own_member()]
         if not any(member.ready for member in members):
-            members = [*self._roster.members(), self._own_member()]
+            members = known
         return choose_fronts(
-            members,
-            data_centre,
+            self._in_regions(query, members, known),
+            query.data_centre,
             near_enough=self._tuning.directory.near_enough,
             rng=self._rng,
         )
 
+    def _in_regions(
+        self, query: DirectoryQuery, members: list[Member], known: list[Member]
+    ) -> list[Member]:
+        """Return the instances to which callers of a host may be directed.
+
+        Args:
+            query: The caller's query.
+            members: Instances that reach backend servers.
+            known: All instances; one in the regions of the host that is cut serves
+                through others.
+        """
+        routes = self._gateway.routes
+        homes = routes.homes_of_host(query.host) if routes else None
+        if homes is None:
+            return members
+        regions = self._queue.regions
+        own = query.region or regions.region_of(query.data_centre)
+        near = homes | {own} if own else homes
+        for some in (members, known):
+            chosen = [
+                member
+                for member in some
+                if member.ready and regions.are_home(member.data_centre, near)
+            ]
+            if chosen:
+                return chosen
+        return members
+
     def _ready(self) -> bool:
         return (
             self._stopping_since is None
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_deployment.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_deployment.py
@@ -22,12 +22,21 @@
     sort: str
 
 
+class DirectoryQuery(NamedTuple):
+    """What a caller of the directory says of itself; None or empty if it does not."""
+
+    host: str = ""
+    """Host of the routes that it will call."""
+    region: str | None = None
+    data_centre: str | None = None
+
+
 class ListenerParts(NamedTuple):
     """Dependencies of the listeners for callers, directory and readiness checks."""
 
     gateway: Gateway
-    addresses: Callable[[str | None], list[str]]
-    """Returns the `host:port` of instances for callers in a data centre, if given."""
+    addresses: Callable[[DirectoryQuery], list[str]]
+    """Returns the `host:port` of instances for a caller of the directory."""
     ttl_seconds: Callable[[], float]
     """Returns how long callers may cache the addresses, in seconds."""
     ready: Callable[[], bool]
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_settings.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from guavajunction.gateway import RateLimitBounds, RetryBounds
@@ -79,4 +81,6 @@
     tunnel_port: int = 0
     """Port for tunnels of other instances to backend servers, the same on all
     instances; 0 for none."""
+    regions: Mapping[str, str] = MappingProxyType({})
+    """Region of each data centre, as far as it is known."""
     capacity: Capacity = Capacity(1.0, 100.0)
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tunnel_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tunnel_links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from contextlib import AsyncExitStack
 from typing import NamedTuple
 
@@ -72,10 +73,13 @@
         self._entrance = TunnelEntrance(
             paths, self._exits, self._backend_at, parts.clock, parts.rng
         )
+        self._entrance.may_lead = self._may_lead
         self.watch.on_change = self._on_change
         self.watch.on_reached = parts.registry.note_reachable
         parts.connections.dialer = self._entrance
         parts.quarantine.is_on_hold = lambda: paths.state is PathState.SUSPECT
+        self.must_stay_in_region: Callable[[], bool] = lambda: False
+        """Returns whether a tunnel must lead through the backend server's region."""
         self.may_serve = lambda: True
         """Returns whether this instance may begin to serve others."""
 
@@ -122,6 +126,23 @@
             if member.ready
         ]
 
+    def _may_lead(self, through: TunnelExit, backend: str) -> bool:
+        """Return whether a tunnel may carry requests through another instance.
+
+        The bodies of requests with homes may not leave them. The backend server is in
+        one of them, so an instance in its region is as well.
+        """
+        if not self.must_stay_in_region():
+            return True
+        parts = self._parts
+        record = parts.registry.get(backend)
+        region_of = parts.queue.regions.region_of
+        region = region_of(record.data_centre) if record is not None else None
+        return region is not None and any(
+            name == through.name and region_of(member.data_centre) == region
+            for name, member in parts.roster.reaching()
+        )
+
     def _address_of(self, backend: str) -> str | None:
         """Return where a tunnel leads, or None if this instance may not open it."""
         registry = self._parts.registry
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
@@ -160,6 +160,7 @@
         "ip": ip,
         "zone": "here",
         "region": "here",
+        "zones": {"here": "here", "there": "there"},
         "listen": {
             "front": f"{ip}:{front}",
             "ready": f"{ip}:{ready}",
--- a/packages/guavajunction/src/guavajunction/gateway/__init__.py
+++ b/packages/guavajunction/src/guavajunction/gateway/__init__.py
@@ -17,6 +17,7 @@
 )
 from ._framing import Framing
 from ._gateway import Gateway, GatewayParts
+from ._homes import Homes, Regions
 from ._load_view import Load, LoadView
 from ._model_demand import NO_DEMAND, Demand, ModelDemand
 from ._pooled_rate_limit import PooledRateLimit, RateLimitTerms
@@ -31,6 +32,8 @@
 __all__ = [
     "NO_DEMAND",
     "HoldingNotice",
+    "Homes",
+    "Regions",
     "RateLimitBounds",
     "RateLimitTerms",
     "RateLimits",
--- a/packages/guavajunction/src/guavajunction/gateway/_catalogue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_catalogue.py
@@ -48,6 +48,8 @@
     """Whether requests without a key are accepted."""
     resumable: bool
     """Whether a stream may be resumed on another backend server."""
+    homes: frozenset[str] = frozenset()
+    """Regions whose backend servers may run its requests; empty for all."""
 
     @property
     def retryable(self) -> bool:
@@ -115,6 +117,8 @@
     """Whether a unit is one token; otherwise it is one request."""
     plain_request_tokens: float
     """Tokens charged for a request without a token count."""
+    homes: frozenset[str] = frozenset()
+    """Regions whose backend servers may run its requests; empty for all."""
 
 
 class IngressLimits(NamedTuple):
@@ -134,3 +138,8 @@
     services: dict[str, Service]
     customers: tuple[Customer, ...]
     limits: IngressLimits
+
+    @property
+    def has_homes(self) -> bool:
+        """Return whether any route or customer names regions."""
+        return any(one.homes for one in (*self.routes, *self.customers))
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -34,6 +34,7 @@
 from ._catalogue import Customer, RequestKind, Route, Service
 from ._event_boundary import EventBoundary, is_event_stream
 from ._framing import Framing
+from ._homes import homes_of
 from ._model_demand import ModelDemand
 from ._protocols import (
     AnswerHead,
@@ -378,6 +379,7 @@
             service=admitted.service,
             priority=admitted.priority,
             software_version=admitted.software_version,
+            homes=homes_of(admitted.route, admitted.customer),
             trial=admitted.trial,
             fingerprint=admitted.fingerprint,
             ends_at=admitted.ends_at,
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -29,6 +29,7 @@
 from ._backend import BackendRecord
 from ._backend_registry import BackendRegistry
 from ._catalogue import EngineSpec, ModelSpec, Route, Service
+from ._homes import Homes, Regions
 from ._load_view import Load, LoadView
 from ._request import GatewayRequest, GenerationSize
 from ._run_times import RunTimes
@@ -52,6 +53,8 @@
     """Backend servers to use only if no other one has capacity."""
     software_version: str | None
     """Version of the backend servers that it may be sent to; None for any."""
+    homes: Homes
+    """Regions whose backend servers it may be sent to; None for any."""
     trial: bool
     """Whether it may be sent although it is quarantined."""
     fingerprint: RequestFingerprint
@@ -88,6 +91,7 @@
     service: str
     software_version: str | None
     only: frozenset[str] | None
+    homes: Homes
 
 
 class _Choice(NamedTuple):
@@ -187,6 +191,8 @@
         """How long new streams run."""
         self.on_adapter_wanted: AdapterRequest = lambda *_: None
         """Called for a request that lacks only its adapter."""
+        self.regions = Regions()
+        """Regions of the backend servers' data centres."""
         self.stops_at = float("inf")
         """When this instance stops, on the monotonic clock. Requests that can't end
         before then are refused."""
@@ -618,6 +624,7 @@
             for backend in backends
             if queued.software_version in (None, backend.software_version)
             and (queued.only is None or backend.name in queued.only)
+            and self.regions.are_home(backend.data_centre, queued.homes)
         ]
 
     def _pause_left(self, queued: QueuedRequest) -> float | None:
@@ -674,6 +681,8 @@
                 float("inf"),
                 f"a backend server of version {queued.software_version!r}",
             )
+        if not self._has_home(queued):
+            return WaitEstimate(float("inf"), "a backend server in its regions")
         pause = self._pause_left(queued)
         if pause is not None:
             return WaitEstimate(pause, "slots")
@@ -736,6 +745,14 @@
             queued.service.name, version
         )
 
+    def _has_home(self, queued: QueuedRequest) -> bool:
+        """Return whether a backend server is registered where a request may run."""
+        return queued.homes is None or any(
+            self.regions.are_home(backend.data_centre, queued.homes)
+            for backend in self._registry.records()
+            if backend.service == queued.service.name
+        )
+
     def _load_seconds(self, queued: QueuedRequest, spec: ModelSpec) -> float:
         backends = self._reachable(queued)
         if any(spec.name in backend.in_memory for backend in backends):
@@ -753,7 +770,11 @@
 
 def _target(queued: QueuedRequest) -> _Target:
     return _Target(
-        _group(queued), queued.service.name, queued.software_version, queued.only
+        _group(queued),
+        queued.service.name,
+        queued.software_version,
+        queued.only,
+        queued.homes,
     )
 
 
--- a/packages/guavajunction/src/guavajunction/gateway/_route_table.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_route_table.py
@@ -7,6 +7,7 @@
 from guavajunction.errors import KeyRefused, UnknownRoute
 
 from ._catalogue import Catalogue, Customer, Route
+from ._homes import Homes, homes_of_host
 
 
 class RouteTable:
@@ -37,6 +38,10 @@
                 return route
         raise UnknownRoute(f"no route of host {host!r} begins path {path!r}")
 
+    def homes_of_host(self, host: str) -> Homes:
+        """Return where callers of a host should be directed; None for anywhere."""
+        return homes_of_host(self._by_host.get(host.lower(), ()))
+
     def customer_of(self, route: Route, key: str | None) -> Customer | None:
         """Return the customer that a key belongs to.
 
--- a/packages/guavajunction/src/guavajunction/tunnels/_tunnel_entrance.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_tunnel_entrance.py
@@ -61,6 +61,8 @@
         self._clock = clock
         self._rng = rng
         self._avoid_until: dict[str, float] = {}
+        self.may_lead: Callable[[TunnelExit, str], bool] = lambda *_: True
+        """Returns whether a tunnel to a backend server may lead through an instance."""
         self.secret: str | None = None
         """The fleet's secret key; None before it is known."""
 
@@ -82,7 +84,7 @@
         backend = self._backend_at(address)
         if backend is None:
             raise ConnectionRefusedError(f"no backend server is known at {address}")
-        for chosen in self._choose_exits():
+        for chosen in self._choose_exits(backend):
             reply, sock = await self._ask(chosen, backend)
             if sock is not None:
                 events.TUNNEL_OPENED.log(backend=backend, instance=chosen.name)
@@ -97,9 +99,9 @@
             self._avoid(chosen)
         raise NoTunnel(f"no instance provides a path to {backend!r}")
 
-    def _choose_exits(self) -> list[TunnelExit]:
+    def _choose_exits(self, backend: str) -> list[TunnelExit]:
         now = self._clock.monotonic()
-        exits = self._exits()
+        exits = [one for one in self._exits() if self.may_lead(one, backend)]
         self._rng.shuffle(exits)
         exits.sort(key=lambda one: self._avoid_until.get(one.name, 0.0) > now)
         return exits[: self.MAX_EXITS]
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -6,14 +6,15 @@
 
 import pytest
 
-from fakes_gateway import ENGINES, backend, gateway_settings
+from fakes_gateway import ENGINES, HOST, backend, gateway_settings, route
 from guavajunction.clock import ManualClock
 from guavajunction.errors import DocumentInvalid
 from guavajunction.fleet import Member
-from guavajunction.gateway import Catalogue
+from guavajunction.gateway import Catalogue, Regions, RequestKind, RouteTable
 from guavajunction.peers import PeerId
 from guavajunction.storage import Changes, RowChange, position
 from guavajunction_entry.gateway import (
+    DirectoryQuery,
     GatewayDaemon,
     RowAddress,
 )
@@ -166,6 +167,57 @@
         assert daemon._own_member().configuration == 7
 
 
+class TestDirectory:
+    """Callers of a host whose routes all have homes are directed there."""
+
+    REGIONS = Regions({"n1": "north", "s1": "south", "w1": "west"})
+
+    @pytest.fixture
+    def daemon(self, daemon):
+        daemon._queue.regions = self.REGIONS
+        daemon._settings = daemon._settings._replace(data_centre="w1")
+        for place in ("n1", "s1"):
+            self.hear(daemon, place)
+        return daemon
+
+    def hear(self, daemon, place, *, ready=True, cut=False):
+        peer = PeerId(place, "1")
+        daemon._roster.on_heartbeat(peer, Member(f"{place}:1", place, ready, True))
+        daemon._roster.on_cut(peer, cut)
+
+    def resolve(self, daemon, *homes, region=None, place=None):
+        routes = [
+            route(f"r{n}", RequestKind.SAFE, "x", homes=frozenset(one))
+            for n, one in enumerate(homes)
+        ]
+        daemon._gateway.configure(RouteTable(catalogue(1)._replace(routes=routes)))
+        return daemon._addresses(DirectoryQuery(HOST, region, place))
+
+    @pytest.mark.parametrize(
+        ("homes", "region", "place", "expected"),
+        [
+            ([["north"]], None, None, ["n1:1"]),
+            ([["north"]], "south", None, ["n1:1", "s1:1"]),
+            ([["north"]], None, "s1", ["n1:1", "s1:1"]),
+            ([["north"], ["north", "south"]], None, None, ["n1:1"]),
+            ([["north"], []], None, None, ["n1:1", "s1:1"]),
+            ([["east"]], None, None, ["n1:1", "s1:1"]),
+            ([["north"]], "nowhere", "nowhere", ["n1:1"]),
+        ],
+    )
+    def test_named_instances(self, daemon, homes, region, place, expected):
+        found = self.resolve(daemon, *homes, region=region, place=place)
+        assert [one for one in found if one in ("n1:1", "s1:1")] == expected
+
+    def test_cut_instance_at_home_is_named_before_others(self, daemon):
+        self.hear(daemon, "n1", cut=True)
+        assert self.resolve(daemon, ["north"]) == ["n1:1"]
+
+    def test_all_are_named_if_none_at_home_is_ready(self, daemon):
+        self.hear(daemon, "n1", ready=False)
+        assert self.resolve(daemon, ["north"]) == ["s1:1"]
+
+
 class TestRowsOfAHub:
     """After a return, a hub keeps the later of two reports of a backend server."""
 
--- a/tests/entry/test_tunnel_links.py
+++ b/tests/entry/test_tunnel_links.py
@@ -8,6 +8,7 @@
 
 from fakes_gateway import BOOKINGS, FakeGateway, backend, gateway_settings
 from guavajunction.fleet import Member, Roster
+from guavajunction.gateway import Regions
 from guavajunction.peers import PeerId
 from guavajunction.quarantine import Evidence, PartQuarantine
 from guavajunction_entry.gateway._tunnel_links import TunnelLinkParts, TunnelLinks
@@ -140,6 +141,24 @@
         assert instance.links._backend_at("elsewhere:1") is None
 
 
+class TestHomes:
+    """While homes are configured, tunnels lead through the server's region."""
+
+    @pytest.mark.parametrize(
+        ("restricted", "allowed"), [(False, ["a", "b", "c"]), (True, ["a"])]
+    )
+    def test_exits_of_another_region_are_left_out(self, instance, restricted, allowed):
+        instance.fleet.queue.regions = Regions({"a": "north", "here": "north"})
+        instance.links.must_stay_in_region = lambda: restricted
+        instance.hear("a")
+        for name, place in (("b", "south"), ("c", "unknown")):
+            member = Member(f"{name}:8221", place, True, True)
+            instance.roster.on_heartbeat(PeerId(name, "1"), member)
+        exits = instance.links._exits()
+        found = [e.name for e in exits if instance.links._may_lead(e, "b1")]
+        assert sorted(found) == allowed
+
+
 class TestEvacuation:
     """Nothing leads to the backend servers of an evacuated data centre."""
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -15,6 +15,7 @@
 from guavajunction_fakes.deployment import _wire as wire
 from guavajunction_platform._backend_records import decode_backend
 from guavajunction_platform._configuration import decode_configuration
+from guavajunction_platform._deployment import decode_evacuation
 from guavajunction_platform._settings import decode_settings
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -55,6 +56,13 @@
         with pytest.raises(SettingsInvalid, match=message):
             decode_settings(settings(**changes), "boot.json")
 
+    def test_zones_are_mapped_to_regions(self):
+        zones = {"here": "north", "there": "south"}
+        decoded = decode_settings(settings(zones=zones), "boot.json")
+        assert decoded.regions == zones
+        decoded = decode_settings(settings(region="north", zones={}), "boot.json")
+        assert decoded.regions == {"here": "north"}
+
     @pytest.mark.parametrize("text", ["", "{", "[]", "null"])
     def test_malformed_file_is_a_typed_error(self, text):
         with pytest.raises(SettingsInvalid):
@@ -103,6 +111,28 @@
         assert engine.models["m1"].memory_load_seconds == 4.0
         assert (catalogue.customers[0].rate, catalogue.customers[0].burst) == (5, 6)
 
+    @pytest.mark.parametrize(
+        ("regions", "homes"),
+        [(["n", "s"], {"n", "s"}), ([], set()), (None, set())],
+    )
+    def test_regions_of_routes_and_tenants_are_homes(self, regions, homes):
+        route = wire.route("draft", "/draft/", "safe", "engines")
+        tenant = wire.customer("atelier", ["k"])
+        for part in (route, tenant):
+            part["allowedRegions"] = regions
+        body = self._document(routes=[route], tenants=[tenant])
+        decoded = decode_configuration(body)
+        assert decoded.routes[0].homes == decoded.customers[0].homes == homes
+        assert decoded.has_homes is bool(homes)
+
+    @pytest.mark.parametrize("regions", ["n", [1], {"n": 1}])
+    def test_malformed_regions_are_a_typed_error(self, regions):
+        """Guards against a restriction that is read as none."""
+        route = wire.route("draft", "/draft/", "safe", "engines")
+        body = self._document(routes=[route | {"allowedRegions": regions}])
+        with pytest.raises(DocumentInvalid):
+            decode_configuration(body)
+
     def test_patience_grows_with_the_latency_objective(self):
         route = wire.route("draft", "/draft/", "streaming", "engines")
         route["targetLatencyMs"] = 6000
@@ -127,6 +157,22 @@
             decode_configuration(body)
 
 
+class TestEvacuationKeys:
+    """Keys of rows in the configuration's table tell which zones are evacuated."""
+
+    @pytest.mark.parametrize(
+        ("key", "zone"),
+        [("evacuate/z1", "z1"), ("evacuate/a/b", "a/b"), ("config", None), ("", None)],
+    )
+    def test_zone_of_a_key(self, key, zone):
+        assert decode_evacuation(key) == zone
+
+    @pytest.mark.parametrize("key", ["evacuate/", "evacuate"])
+    def test_key_without_a_zone_is_a_typed_error(self, key):
+        with pytest.raises(DocumentInvalid):
+            decode_evacuation(key)
+
+
 class TestBackendRecords:
     """Valid entries are decoded; entries of other programs are refused."""
 
--- a/tests/tunnels/test_tunnels.py
+++ b/tests/tunnels/test_tunnels.py
@@ -317,7 +317,7 @@
     @pytest.mark.parametrize("count", [1, 7, 79])
     def test_tunnels_are_spread_evenly(self, count):
         one = entrance(*(f"10.0.0.{n}:1" for n in range(count)))
-        chosen = [one._choose_exits()[0].name for _ in range(count * 100)]
+        chosen = [one._choose_exits(NAME)[0].name for _ in range(count * 100)]
         counts = [chosen.count(f"i{n}") for n in range(count)]
         assert max(counts) <= 200
 
