--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -34,6 +34,7 @@
     LoadView,
     ModelDemand,
     RateLimits,
+    Regions,
     RequestQueue,
     RetryBudget,
     RouteTable,
@@ -56,7 +57,8 @@
 from . import _events as gateway_events
 from . import _quarantine_links as quarantine_links
 from ._brittle_rows import BrittleRows
-from ._deployment import Deployment, ListenerParts
+from ._deployment import Deployment, DirectoryQuery, ListenerParts
+from ._evacuation_rows import EvacuationRows
 from ._fleet_links import FleetLinkParts, FleetLinks
 from ._quarantine_links import QuarantineLinks
 from ._settings import GatewaySettings
@@ -175,11 +177,22 @@
                 rng=self._rng,
             ),
         )
-        self._tunnels.may_serve = lambda: self._stopping_since is None
+        self._evacuation_rows = EvacuationRows(
+            self._registry.evacuations, deployment.decode_evacuation
+        )
+        self._queue.regions = Regions(settings.regions)
+        self._tunnels.must_stay_in_region = lambda: (
+            self._gateway.routes is not None
+            and self._gateway.routes.catalogue.has_homes
+        )
+        self._tunnels.may_serve = lambda: (
+            self._stopping_since is None and self._evacuation_rows.is_read
+        )
         self._limits.on_answered = self._queue.schedule_dispatch
         self._places.on_granted = self._queue.use_place
         self._places.on_refused = self._queue.schedule_dispatch
         self._quarantine.on_blamed = self._queue.schedule_dispatch
+        self._registry.evacuations.on_changed = self._queue.schedule_dispatch
         self._gateway = Gateway(
             GatewayParts(
                 registry=self._registry,
@@ -263,6 +276,9 @@
         )
         self.metrics.gauge("fleet_backlog", lambda: self._queue.backlog.size)
         self.metrics.gauge("slowest_server_factor", self._queue.speeds.factors.slowest)
+        self.metrics.gauge(
+            "evacuated_data_centres", lambda: len(self._registry.evacuations)
+        )
         self.metrics.gauge("store_era", lambda: self._backends_era)
         self._era_began = asyncio.Event()
         self._crashes_known = False
@@ -379,6 +395,7 @@
             if getattr(settings, name) != getattr(self._settings, name)
         ]
         self._settings = settings
+        self._queue.regions = Regions(settings.regions)
         self._retries.change_bounds(settings.retries)
         self._rate_limits.change_bounds(settings.allowances)
         gateway_events.RELOADED.log(changed=changed)
@@ -386,6 +403,7 @@
     async def _follow_configuration(self) -> None:
         sort = self._deployment.configuration_row.sort
         async for changes in self._configuration:
+            self._evacuation_rows.apply(changes)
             bodies = [
                 row.body
                 for row in changes.rows
@@ -619,6 +637,7 @@
             self._tunnels.watch.check()
             self._roster.expire()
             self._registry.expire()
+            self._registry.evacuations.expire(self._configuration.read_at)
             self._loads.keep_only(self._roster.peers())
             self._queue.backlog.keep_only(self._roster.peers())
             serving = self._roster.serving
@@ -645,19 +664,48 @@
             metrics=self.metrics,
         )
 
-    def _addresses(self, data_centre: str | None) -> list[str]:
+    def _addresses(self, query: DirectoryQuery) -> list[str]:
         members = [member for _, member in self._roster.reaching()]
         if not self._tunnels.watch.is_cut:
             members.append(self._own_member())
+        known = [*self._roster.members(), self._own_member()]
         if not any(member.ready for member in members):
-            members = [*self._roster.members(), self._own_member()]
+            members = known
         return choose_fronts(
-            members,
-            data_centre,
+            self._in_regions(query, members, known),
+            query.data_centre,
             near_enough=self._tuning.directory.near_enough,
             rng=self._rng,
         )
 
+    def _in_regions(
+        self, query: DirectoryQuery, members: list[Member], known: list[Member]
+    ) -> list[Member]:
+        """Return the instances to which callers of a host may be directed.
+
+        Args:
+            query: The caller's query.
+            members: Instances that reach backend servers.
+            known: All instances; one in the regions of the host that is cut serves
+                through others.
+        """
+        routes = self._gateway.routes
+        homes = routes.homes_of_host(query.host) if routes else None
+        if homes is None:
+            return members
+        regions = self._queue.regions
+        own = query.region or regions.region_of(query.data_centre)
+        near = homes | {own} if own else homes
+        for some in (members, known):
+            chosen = [
+                member
+                for member in some
+                if member.ready and regions.are_home(member.data_centre, near)
+            ]
+            if chosen:
+                return chosen
+        return members
+
     def _ready(self) -> bool:
         return (
             self._stopping_since is None
--- a/packages/guavajunction/src/guavajunction/errors.py
+++ b/packages/guavajunction/src/guavajunction/errors.py
@@ -199,6 +199,10 @@
     TYPE = "backend_refused"
 
 
+class ArtifactMissing(BackendRefused):
+    """A backend server rejected the request for lack of its model or adapter."""
+
+
 class BackendReplaced(BackendRefused):
     """Another backend server answered at the address; none has run the request."""
 
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -10,6 +10,7 @@
 from guavajunction.clock import Clock
 from guavajunction.errors import (
     AnswerCut,
+    ArtifactMissing,
     BackendFailed,
     BackendRefused,
     BackendReplaced,
@@ -36,6 +37,7 @@
 from ._catalogue import Customer, RequestKind, Route, Service
 from ._event_boundary import EventBoundary, is_event_stream
 from ._framing import Framing
+from ._homes import homes_of
 from ._model_demand import ModelDemand
 from ._protocols import (
     AnswerHead,
@@ -119,12 +121,14 @@
     """Limit on the size of one event of a stream."""
     MAX_UNREACHABLE_BACKENDS = 3
     """A request fails once it has met more unreachable backend servers than this."""
-    MAX_REFUSED_SENDS = 3
-    """Times that a request is sent again after backend servers refused it, beyond the
-    attempts of its route. It has run nowhere, and an adapter may be about to load."""
-    REFUSED_PAUSE_SECONDS = 0.05
-    """Pause before a request is sent for the third time; doubled each time. A backend
-    server that refused it twice is full or still loads its adapter."""
+    MAX_REFUSED_SENDS = 1
+    """Times that a request is sent again after a backend server without capacity
+    refused it, beyond the attempts of its route. More would make brittle backend
+    servers fall over."""
+    MAX_MISSING_SENDS = 3
+    """The same for one that lacks its model or adapter, which may be about to load."""
+    MISSING_PAUSE_SECONDS = 0.05
+    """Pause before such a request is sent for the third time; doubled each time."""
     MAX_ENGINE_PRIORITY = 9
     """Highest priority number, the least urgent one, that an engine accepts."""
 
@@ -250,8 +254,8 @@
                 if not self._may_retry(admitted, sent, exc):
                     raise
                 reason = exc.message
-                if isinstance(exc, BackendRefused) and len(sent) > 1:
-                    pause = self.REFUSED_PAUSE_SECONDS * 2 ** (len(sent) - 2)
+                if isinstance(exc, ArtifactMissing) and len(sent) > 1:
+                    pause = self.MISSING_PAUSE_SECONDS * 2 ** (len(sent) - 2)
                     await self._parts.clock.sleep(pause)
             else:
                 return
@@ -394,6 +398,7 @@
             service=admitted.service,
             priority=admitted.priority,
             software_version=admitted.software_version,
+            homes=homes_of(admitted.route, admitted.customer),
             trial=admitted.trial,
             fingerprint=admitted.fingerprint,
             ends_at=admitted.ends_at,
@@ -561,7 +566,12 @@
             )
             service = admitted.service.name
             self._parts.metrics.count("rejections_total", service=service)
-            raise (BackendReplaced if is_replaced else BackendRefused)(
+            error_type = BackendRefused
+            if is_replaced:
+                error_type = BackendReplaced
+            elif head.misdirected and admitted.req.size is not None:
+                error_type = ArtifactMissing
+            raise error_type(
                 f"{message}: not run", retry_after=self.RETRY_AFTER_SECONDS
             )
         is_stream = admitted.route.kind is RequestKind.STREAM
@@ -642,7 +652,9 @@
             return False
         if may_have_run and len(set(sent)) >= admitted.route.max_attempts:
             return False
-        max_sends = admitted.route.max_attempts + self.MAX_REFUSED_SENDS
+        is_missing = isinstance(exc, ArtifactMissing)
+        extra = self.MAX_MISSING_SENDS if is_missing else self.MAX_REFUSED_SENDS
+        max_sends = admitted.route.max_attempts + extra
         if len(sent) >= max_sends or now >= admitted.ends_at:
             return False
         takes_requests = self._parts.registry.takes_requests
--- a/tests/entry/test_tunnel_links.py
+++ b/tests/entry/test_tunnel_links.py
@@ -8,6 +8,7 @@
 
 from fakes_gateway import BOOKINGS, FakeGateway, backend, gateway_settings
 from guavajunction.fleet import Member, Roster
+from guavajunction.gateway import Regions
 from guavajunction.peers import PeerId
 from guavajunction.quarantine import Evidence, PartQuarantine
 from guavajunction_entry.gateway._tunnel_links import TunnelLinkParts, TunnelLinks
@@ -139,6 +140,45 @@
         assert instance.links._backend_at("b1:1") == "b1"
         assert instance.links._backend_at("elsewhere:1") is None
 
+
+class TestHomes:
+    """While homes are configured, tunnels lead through the server's region."""
+
+    @pytest.mark.parametrize(
+        ("restricted", "allowed"), [(False, ["a", "b", "c"]), (True, ["a"])]
+    )
+    def test_exits_of_another_region_are_left_out(self, instance, restricted, allowed):
+        instance.fleet.queue.regions = Regions({"a": "north", "here": "north"})
+        instance.links.must_stay_in_region = lambda: restricted
+        instance.hear("a")
+        for name, place in (("b", "south"), ("c", "unknown")):
+            member = Member(f"{name}:8221", place, True, True)
+            instance.roster.on_heartbeat(PeerId(name, "1"), member)
+        exits = instance.links._exits()
+        found = [e.name for e in exits if instance.links._may_lead(e, "b1")]
+        assert sorted(found) == allowed
+
+
+class TestEvacuation:
+    """Nothing leads to the backend servers of an evacuated data centre."""
+
+    async def test_no_tunnel_and_no_probe_leads_there(self, instance):
+        registry = instance.fleet.registry
+        registry.put(backend("far", BOOKINGS, data_centre="z"))
+        assert instance.links._address_of("far") == "far:1"
+        registry.evacuations.begin("z")
+        assert instance.links._address_of("far") is None
+        assert instance.links._address_of("b1") == "b1:1"
+        assert {r.name for r in instance.links.watch._candidates()} == {
+            record.name for record in SERVERS
+        }
+
+    async def test_cut_is_not_assumed_if_every_server_is_evacuated(self, instance):
+        """Guards against a probe, and a cut, without any server to ask."""
+        instance.fleet.registry.evacuations.begin("a")
+        await instance.fail(reachable=False)
+        assert not instance.links.watch.is_cut
+
     def test_dialer_of_the_connections_needs_a_secret(self, instance):
         dialer = instance.connections.dialer
         dialer._paths.begin_probe()
