Cold backend servers get at most their cold rate from all instances together

Cause: a server that has started during traffic, or returns from an evacuation, crashes well above its cold rate. Nothing limited what all instances send to it.

Change: namedlimits becomes intake, with one rate for each server; the lowest cause applies. Entries (coldRemainingMs), heartbeats of peers and ends of evacuations tell which servers are cold. The instance that hands out the sends of named limits hands out those of cold servers. It begins at once with a part of the rate instead of waiting 1 s. Hubs relay the first entry of a cold state and later ends only. PermitWanted keeps its wire form; cold servers have a message of their own.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -40,8 +40,8 @@
     StreamOrigins,
 )
 from guavajunction.health import PassiveHealth
+from guavajunction.intake import ColdNews, ServerIntake
 from guavajunction.metrics import MetricsRegistry
-from guavajunction.namedlimits import ServerLimits
 from guavajunction.peers import FleetKeys, PeerId
 from guavajunction.quarantine import PartQuarantine
 from guavajunction.storage import (
@@ -148,7 +148,9 @@
         self._settings_fault: str | None = None
         self._roster = Roster(self._me, clock)
         self._quarantine = PartQuarantine(clock)
-        self._limits = ServerLimits(clock)
+        self._limits = ServerIntake(clock)
+        self._limits.cold.bounds = settings.cold
+        self._cold_news = ColdNews(clock)
         self._places = BrittlePlaces(clock)
         self._queue = RequestQueue(
             self._registry,
@@ -259,6 +261,7 @@
         self.metrics.gauge(
             "brittle_services", lambda: len(self._places.brittle_services())
         )
+        self.metrics.gauge("cold_servers", self._limits.cold.count)
         self.metrics.gauge("store_era", lambda: self._backends_era)
         self._era_began = asyncio.Event()
         self._crashes_known = False
@@ -377,6 +380,7 @@
         self._settings = settings
         self._retries.change_bounds(settings.retries)
         self._rate_limits.change_bounds(settings.allowances)
+        self._limits.cold.bounds = settings.cold
         gateway_events.RELOADED.log(changed=changed)
 
     async def _follow_configuration(self) -> None:
@@ -468,16 +472,29 @@
             decoded = [self._decode_backend(r.sort, r.body) for r in changes.rows]
             listed = [record for record in decoded if record is not None]
             self._registry.replace_all(listed, keep_missing=came_back)
+            for record in listed:
+                self._note_cold(record)
             return
         for row in changes.rows:
             record = self._decode_backend(row.sort, row.body)
             if record is not None:
                 self._registry.put(record)
+                self._note_cold(record)
             elif came_back:
                 self._registry.expect_again(row.sort)
             else:
                 self._registry.drop(row.sort)
 
+    def _note_cold(self, record: BackendRecord) -> None:
+        """Take the cold state of a record, unless the registry knows a newer one."""
+        if self._registry.get(record.name) is record:
+            self._limits.cold.note_entry(
+                record.identity,
+                record.service,
+                record.report_number,
+                record.cold_seconds,
+            )
+
     def _is_older_report(self, before: RowChange, row: RowChange) -> bool:
         """Return whether a backend server has reported more recently than in a row."""
         if row.body is None:
@@ -498,14 +515,22 @@
         return known is not None and (found is None or found.version < known.version)
 
     def _has_new_backend_state(self, before: RowChange | None, row: RowChange) -> bool:
-        """Return whether a row differs in more than its report number."""
+        """Return whether a row differs in more than its report number.
+
+        The time for which a backend server is cold counts down in each row.
+        """
+        record = self._decode_backend(row.sort, row.body)
+        is_cold_news = record is not None and self._cold_news.is_news(
+            record.identity, record.cold_seconds
+        )
         if before is None:
             return True
         known = self._decode_backend(before.sort, before.body)
-        record = self._decode_backend(row.sort, row.body)
         if known is None or record is None:
             return known is not record
-        return known != record._replace(report_number=known.report_number)
+        return is_cold_news or known != record._replace(
+            report_number=known.report_number, cold_seconds=known.cold_seconds
+        )
 
     def _decode_new_backend(
         self, name: str, body: bytes | None
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -32,8 +32,8 @@
     RetireNotice,
     StreamOrigins,
 )
+from guavajunction.intake import NO_LIMIT, ServerIntake
 from guavajunction.membership import Lease
-from guavajunction.namedlimits import NO_LIMIT, ServerLimits
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh
 from guavajunction.quarantine import BackendId
 from guavajunction.storage import TableService
@@ -47,7 +47,7 @@
 from guavajunction.tunnels import PathWatch
 
 from ._deployment import Deployment
-from ._limit_links import LimitLinks, StatedLimit
+from ._limit_links import LimitLinks, StatedCold, StatedLimit
 from ._place_links import PlaceLinks
 from ._quarantine_links import QuarantineLinks
 from ._settings import GatewaySettings
@@ -71,7 +71,7 @@
     demand: ModelDemand
     rate_limits: RateLimits
     streams: StreamOrigins
-    limits: ServerLimits
+    limits: ServerIntake
     places: BrittlePlaces
     paths: PathWatch
     roster: Roster
@@ -264,6 +264,12 @@
             self._limits.on_statements,
             list[StatedLimit],
         )
+        mesh.add_topic(
+            "cold",
+            self._limits.cold_entries,
+            self._limits.on_cold_entries,
+            list[StatedCold],
+        )
         mesh.add_topic(
             "brittle",
             self._places.statements,
@@ -299,6 +305,12 @@
             self._only_from_hub(self._limits.on_statements),
             list[StatedLimit],
         )
+        mesh.add_peer_topic(
+            "hub-cold",
+            self._only_for_followers(lambda _: self._limits.cold_entries() or None),
+            self._only_from_hub(self._limits.on_cold_entries),
+            list[StatedCold],
+        )
         mesh.add_peer_topic(
             "hub-brittle",
             self._only_for_followers(lambda _: self._places.statements()),
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_limit_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_limit_links.py
@@ -7,7 +7,7 @@
 
 from guavajunction.clock import Clock
 from guavajunction.fleet import Relay, Roster
-from guavajunction.namedlimits import LimitStatement, PermitDesk, ServerLimits
+from guavajunction.intake import ColdEntry, LimitStatement, PermitDesk, ServerIntake
 from guavajunction.peers import Links, PeerId
 from guavajunction.quarantine import BackendId
 
@@ -24,8 +24,23 @@
     """Whether the receiver hands out the sends, in the view of a hub."""
 
 
+class ColdPermitWanted(NamedTuple):
+    """Asks for one send to a cold backend server.
+
+    It is a message of its own, as instances of an earlier version would not decode
+    `PermitWanted` with another field.
+    """
+
+    backend: BackendId
+    statement: LimitStatement
+    cold_rate: float
+    """The rate while it is cold, as the asker knows it."""
+    forwarded: bool = False
+    """Whether the receiver hands out the sends, in the view of a hub."""
+
+
 class PermitAnswer(NamedTuple):
-    """Answers `PermitWanted`."""
+    """Answers `PermitWanted` and `ColdPermitWanted`."""
 
     wait: float | None
     """0 if a request may be sent, else seconds until the next send; None if unknown."""
@@ -38,6 +53,13 @@
     statement: LimitStatement
 
 
+class StatedCold(NamedTuple):
+    """What an entry says of a cold backend server, in a heartbeat."""
+
+    backend: BackendId
+    entry: ColdEntry
+
+
 class LimitLinks:
     """Asks for sends, hands them out, and exchanges statements."""
 
@@ -45,6 +67,9 @@
     """Timeout of a question to one instance."""
     FORWARDED_ANSWER_SECONDS = 0.4
     """Timeout of a question that a hub may forward."""
+    HEAR_SECONDS = 0.6
+    """Time after the start in which this instance hands out no sends: until the first
+    heartbeats arrive it takes itself for the only instance."""
 
     def __init__(
         self,
@@ -52,7 +77,7 @@
         links: Links,
         relay: Relay,
         roster: Roster,
-        limits: ServerLimits,
+        limits: ServerIntake,
         clock: Clock,
     ) -> None:
         self._me = me
@@ -61,10 +86,12 @@
         self._routes = DeskRoutes(me, relay, roster)
         self._limits = limits
         self._clock = clock
+        self._created_at = clock.monotonic()
         self._desk = PermitDesk()
         self._tasks: set[asyncio.Task[None]] = set()
         limits.ask = self._ask
         links.handle(PermitWanted, self._on_wanted)
+        links.handle(ColdPermitWanted, self._on_wanted)
 
     def statements(self) -> list[StatedLimit]:
         """Return all known statements, to send them with a heartbeat."""
@@ -75,49 +102,78 @@
         if stated:
             self._limits.book.merge(dict(stated))
 
+    def cold_entries(self) -> list[StatedCold]:
+        """Return the entries of cold backend servers, to send them with a heartbeat."""
+        return [StatedCold(*item) for item in self._limits.cold.entries().items()]
+
+    def on_cold_entries(self, _: PeerId, stated: list[StatedCold]) -> None:
+        """Apply the entries that a peer has seen, as it may see the store sooner."""
+        if stated:
+            self._limits.cold.note_peer(dict(stated))
+
     def _ask(self, backend: BackendId) -> None:
         if self._routes.next_peer(backend) == self._me:
-            self._limits.on_answer(backend, self._take(backend))
+            self._limits.on_answer(backend, self._take(self._question(backend)))
             return
         task = asyncio.ensure_future(self._ask_remote(backend))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _ask_remote(self, backend: BackendId) -> None:
-        wanted = PermitWanted(backend, self._limits.book.of(backend))
-        answer = await self._pass_on(wanted)
+        answer = await self._pass_on(self._question(backend))
         self._limits.on_answer(backend, answer.wait)
 
-    async def _pass_on(self, wanted: PermitWanted) -> PermitAnswer:
+    def _question(self, backend: BackendId) -> PermitWanted | ColdPermitWanted:
+        statement = self._limits.book.of(backend)
+        cold_rate = self._limits.cold.rate(backend)
+        if cold_rate is None:
+            return PermitWanted(backend, statement)
+        return ColdPermitWanted(backend, statement, cold_rate)
+
+    async def _pass_on(self, wanted: PermitWanted | ColdPermitWanted) -> PermitAnswer:
         """Return the answer of this instance's hub, or of the holder."""
         peer = self._routes.next_peer(wanted.backend)
         if peer is None:
             return PermitAnswer(None)
         if peer == self._me:
-            return PermitAnswer(self._take(wanted.backend))
+            return PermitAnswer(self._take(wanted))
         if self._routes.follows:
             return await self._request(peer, wanted, self.FORWARDED_ANSWER_SECONDS)
         wanted = wanted._replace(forwarded=True)
         return await self._request(peer, wanted, self.ANSWER_SECONDS)
 
     async def _request(
-        self, peer: PeerId, wanted: PermitWanted, timeout: float
+        self,
+        peer: PeerId,
+        wanted: PermitWanted | ColdPermitWanted,
+        timeout: float,
     ) -> PermitAnswer:
         unanswered = PermitAnswer(None)
         return await ask_desk(
             self._links, peer, wanted.backend, wanted, unanswered, timeout=timeout
         )
 
-    async def _on_wanted(self, _: PeerId, wanted: PermitWanted) -> PermitAnswer:
+    async def _on_wanted(
+        self, _: PeerId, wanted: PermitWanted | ColdPermitWanted
+    ) -> PermitAnswer:
         self._limits.book.merge({wanted.backend: wanted.statement})
         if wanted.forwarded:
-            return PermitAnswer(self._take(wanted.backend))
+            return PermitAnswer(self._take(wanted))
         return await self._pass_on(wanted)
 
-    def _take(self, backend: BackendId) -> float:
+    def _take(self, wanted: PermitWanted | ColdPermitWanted) -> float:
         """Take a send from the part of the limit that this side of a cut may use."""
-        rate = self._limits.book.rate(backend)
-        if rate is None:
+        cold_rate = None
+        if isinstance(wanted, ColdPermitWanted):
+            cold_rate = wanted.cold_rate
+        backend, now = wanted.backend, self._clock.monotonic()
+        turn = self._limits.turn(backend, cold_rate)
+        if turn is None:
             return 0.0
+        deaf_seconds = self._created_at + self.HEAR_SECONDS - now
+        if deaf_seconds > 0:
+            return deaf_seconds
         share = self._roster.live_fraction
-        return self._desk.take(backend, rate * share, self._clock.monotonic())
+        return self._desk.take(
+            backend, turn.rate * share, now, first_share=turn.first_share
+        )
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_place_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_place_links.py
@@ -9,7 +9,7 @@
 from guavajunction.brittle import BrittlePlaces, PlaceDesk, PlaceKey, PlaceQuestion
 from guavajunction.clock import Clock
 from guavajunction.fleet import Relay, Roster
-from guavajunction.namedlimits import LimitStatement
+from guavajunction.intake import LimitStatement
 from guavajunction.peers import Links, PeerId
 from guavajunction.quarantine import BackendId
 
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_settings.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_settings.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from guavajunction.gateway import RateLimitBounds, RetryBounds
+from guavajunction.intake import ColdBounds
 
 
 class ListenAddress(NamedTuple):
@@ -80,3 +81,5 @@
     """Port for tunnels of other instances to backend servers, the same on all
     instances; 0 for none."""
     capacity: Capacity = Capacity(1.0, 100.0)
+    cold: ColdBounds = ColdBounds()
+    """Bound on the requests to cold backend servers."""
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
@@ -25,6 +25,8 @@
         self._content: dict[str, Any] = {}
         self.load_seconds = 0.1
         """Load time of a model from the weight store, in the next version."""
+        self.cold_rate: float | None = None
+        """Requests a second to a cold runner of bookings, in the next version."""
         self.customers: dict[str, dict[str, Any]] = {
             "atelier": wire.customer("atelier", ["key-of-atelier"])
         }
@@ -67,7 +69,7 @@
                 memory_mb=MEMORY_MB,
                 load_seconds=self.load_seconds,
             ),
-            wire.plain_service(BOOKING_SERVICE),
+            wire.plain_service(BOOKING_SERVICE, cold_rate=self.cold_rate),
         ]
         content = wire.configuration(
             self.version,
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -169,6 +169,8 @@
         """Times at which the runner fell over under the requests that it rejected."""
         self.repeats_refusals = RefusalRepeat.NEVER
         """When the runner writes each refusal a second time."""
+        self.cold_seconds = 0.0
+        """Time for which the runner is cold after each restart."""
         self.arrived_at: list[float] = []
         """Times of all arrived requests, orders and reports, on the monotonic clock."""
         self.arrived_parts: list[str] = []
@@ -189,6 +191,7 @@
         self._registered = False
         self._draining = False
         self._started_ms = int(time.time() * 1000)
+        self._cold_until = 0.0
         self._address = ""
 
     @property
@@ -257,10 +260,15 @@
         """Accept work again, with the start time and counters of a restarted runner."""
         self._draining = False
         self._started_ms = int(time.time() * 1000)
+        self._cold_until = time.monotonic() + self.cold_seconds
         self._heartbeat = 0
         self._order_count = self._last_fence = 0
         self._write_entry()
 
+    def report(self) -> None:
+        """Write a heartbeat to the store."""
+        self._write_entry()
+
     async def crash(
         self, times: list[float], down_seconds: float = DOWN_SECONDS
     ) -> None:
@@ -314,6 +322,7 @@
             heartbeat=self._heartbeat,
             models=self._wire_models(),
             cached_models=sorted(self._cached_models),
+            cold_ms=max(0, round(1000 * (self._cold_until - time.monotonic()))),
         )
         self._store.write("servers", self.spec.name, entry)
 
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
@@ -53,6 +53,7 @@
     heartbeat: int,
     models: list[dict[str, Any]],
     cached_models: list[str],
+    cold_ms: float = 0,
 ) -> dict[str, Any]:
     """Return a runner's entry in the store.
 
@@ -66,6 +67,7 @@
         heartbeat: Sequence number of the entry, counted from the runner's start.
         models: Resident models, as `model_entry` returns them.
         cached_models: Names of the models that the runner has cached.
+        cold_ms: Time for which the runner is still cold, in milliseconds.
     """
     return {
         "service": service,
@@ -74,7 +76,7 @@
         "version": version,
         "slots": slots,
         "state": "draining" if draining else "ready",
-        "coldRemainingMs": 0,
+        "coldRemainingMs": cold_ms,
         "models": models,
         "atHand": {"inMemory": cached_models, "onDisk": cached_models},
         "sequence": heartbeat,
@@ -250,9 +252,15 @@
     }
 
 
-def plain_service(name: str) -> dict[str, Any]:
-    """Return a service whose runners have no models."""
-    return {"name": name, "healthCheck": "/health", "maxConnections": 100}
+def plain_service(name: str, *, cold_rate: float | None = None) -> dict[str, Any]:
+    """Return a service whose runners have no models.
+
+    Args:
+        name: Name of the service.
+        cold_rate: Requests a second to a runner that is cold; omitted for no limit.
+    """
+    content = {"name": name, "healthCheck": "/health", "maxConnections": 100}
+    return content | ({} if cold_rate is None else {"coldPerS": cold_rate})
 
 
 def customer(
--- a/packages/guavajunction/src/guavajunction/brittle/_places.py
+++ b/packages/guavajunction/src/guavajunction/brittle/_places.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple, Protocol
 
 from guavajunction.clock import Clock
-from guavajunction.namedlimits import LimitBook, LimitStatement
+from guavajunction.intake import LimitBook, LimitStatement
 from guavajunction.quarantine import BackendId
 
 from . import _events as events
--- a/packages/guavajunction/src/guavajunction/gateway/_backend.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_backend.py
@@ -30,6 +30,8 @@
     """Models whose weights are on disk."""
     software_version: str
     """Version of the software, not of a model's weights; empty if it is unknown."""
+    cold_seconds: float = 0.0
+    """Time for which it was still cold at the heartbeat, 0 if it was not."""
 
     @property
     def identity(self) -> BackendId:
--- a/packages/guavajunction/src/guavajunction/gateway/_catalogue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_catalogue.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from guavajunction.intake import ColdLimit
+
 
 class RequestKind(StrEnum):
     """Whether requests of a route may be retried."""
@@ -98,6 +100,8 @@
     """Connections that one backend server accepts in total."""
     engine: EngineSpec | None
     """None for a plain service."""
+    cold: ColdLimit = ColdLimit(0.0)
+    """Limit of each backend server while it is cold."""
 
 
 class Customer(NamedTuple):
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -22,8 +22,8 @@
     StreamNotResumable,
 )
 from guavajunction.health import PassiveHealth
+from guavajunction.intake import ServerIntake
 from guavajunction.metrics import MetricsRegistry
-from guavajunction.namedlimits import ServerLimits
 from guavajunction.quarantine import PartQuarantine, RequestFingerprint
 
 from . import _admission
@@ -59,7 +59,7 @@
     rate_limits: RateLimits
     streams: StreamOrigins
     quarantine: PartQuarantine
-    limits: ServerLimits
+    limits: ServerIntake
     places: BrittlePlaces
     paths: ServerWatch
     retries: RetryBudget
@@ -148,6 +148,8 @@
             return
         self._routes = routes
         self._parts.rate_limits.configure(routes.catalogue.customers)
+        services = routes.catalogue.services.values()
+        self._parts.limits.cold.configure({s.name: s.cold for s in services})
         self._parts.queue.schedule_dispatch()
         events.CONFIGURED.log(
             version=routes.catalogue.version,
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -21,7 +21,7 @@
     StreamNotResumable,
 )
 from guavajunction.health import PassiveHealth
-from guavajunction.namedlimits import PermitDesk, ServerLimits
+from guavajunction.intake import PermitDesk, ServerIntake
 from guavajunction.quarantine import BackendId, PartQuarantine, RequestFingerprint
 
 from . import _admission, _backend_selection
@@ -164,7 +164,7 @@
         loads: LoadView,
         health: PassiveHealth,
         quarantine: PartQuarantine,
-        limits: ServerLimits,
+        limits: ServerIntake,
         places: BrittlePlaces,
         clock: Clock,
     ) -> None:
@@ -701,7 +701,7 @@
             place_rate = self._places.rate({b.identity for b in backends})
             if place_rate is not None:
                 seconds_each = max(seconds_each, 1.0 / place_rate)
-        rates = [self._limits.book.rate(backend.identity) for backend in backends]
+        rates = [self._limits.rate(backend.identity) for backend in backends]
         if rates and None not in rates:
             rate = max(sum(filter(None, rates)), PermitDesk.MIN_RATE)
             seconds_each = max(seconds_each, 1.0 / rate)
--- a/packages/guavajunction/src/guavajunction/namedlimits/_permits.py
+++ b/packages/guavajunction/src/guavajunction/intake/_permits.py
@@ -1,4 +1,4 @@
-"""Hands out the sends to a backend server that has named a limit.
+"""Hands out the sends to a backend server that has a rate.
 
 The load that this answers: many instances, each with a few requests a second, and a
 limit that may be far below one request a second for each. A share for each instance
@@ -8,10 +8,19 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from guavajunction.bounded import drop_oldest
 from guavajunction.quarantine import BackendId
 
 
+class _Tenure(NamedTuple):
+    """Since when a desk has been asked for the sends to a backend server."""
+
+    began_at: float
+    asked_at: float
+
+
 class PermitDesk:
     """Spaces the sends to each backend server by its limit.
 
@@ -34,18 +43,33 @@
 
     def __init__(self) -> None:
         self._next_at: dict[BackendId, float] = {}
+        self._tenures: dict[BackendId, _Tenure] = {}
 
-    def take(self, backend: BackendId, rate: float, now: float) -> float:
+    def take(
+        self, backend: BackendId, rate: float, now: float, *, first_share: float = 0.0
+    ) -> float:
         """Take the next send to a backend server if it is due.
 
         Args:
             backend: Where to send.
             rate: Its limit, in requests a second.
             now: Monotonic time in seconds.
+            first_share: Part of the rate that may be used in the first
+                `HANDOVER_SECONDS` beside another instance that uses the rate. None
+                of it if it is 0.
 
         Returns:
             0 if a request may be sent now, else the seconds until the next send.
         """
+        if first_share:
+            tenure = self._tenures.pop(backend, None)
+            if tenure is None or now - tenure.asked_at > self.HANDOVER_SECONDS:
+                # Another instance may have handed out sends meanwhile.
+                tenure = _Tenure(began_at=now, asked_at=now)
+                self._next_at[backend] = now
+            self._tenures[backend] = tenure._replace(asked_at=now)
+            if now - tenure.began_at < self.HANDOVER_SECONDS:
+                rate *= first_share
         interval = 1.0 / max(self.MIN_RATE, rate)
         next_at = self._next_at.pop(backend, now + self.HANDOVER_SECONDS)
         # A limit that has risen does not wait for the pause of the lower one.
@@ -55,9 +79,11 @@
             next_at = max(next_at, now - self.CATCH_UP_SENDS * interval) + interval
         self._next_at[backend] = next_at
         drop_oldest(self._next_at, self.MAX_BACKENDS)
+        drop_oldest(self._tenures, self.MAX_BACKENDS)
         return wait
 
     def keep_only(self, backends: set[BackendId]) -> None:
         """Forget the backend servers that are no longer limited."""
-        for backend in self._next_at.keys() - backends:
-            del self._next_at[backend]
+        for known in (self._next_at, self._tenures):
+            for backend in known.keys() - backends:
+                del known[backend]
--- a/packages/guavajunction/src/guavajunction/namedlimits/_server_limits.py
+++ b/packages/guavajunction/src/guavajunction/intake/_server_intake.py
@@ -1,15 +1,27 @@
-"""Decides whether an instance may send a request to a backend server with a limit."""
+"""Decides whether an instance may send a request to a backend server now."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from guavajunction.clock import Clock
 from guavajunction.quarantine import BackendId
 
+from . import _events as events
+from ._cold_servers import USE_SECONDS, ColdServers
 from ._limit_book import LimitBook
 
 
+class Turn(NamedTuple):
+    """How one instance hands out the sends to a backend server."""
+
+    rate: float
+    """Requests a second."""
+    first_share: float = 0.0
+    """Part of the rate in the first second beside another instance that may use it."""
+
+
 class _Question:
     """A question for one send, for one request."""
 
@@ -18,12 +30,13 @@
         self.asked_at = asked_at
 
 
-class ServerLimits:
-    """One instance's permissions to send to backend servers that have named a limit.
+class ServerIntake:
+    """One instance's permissions to send to backend servers that have a rate.
 
-    A request that would go to such a backend server is held for some milliseconds
-    while the instance that hands out the sends is asked, and goes elsewhere if there is
-    none. One question is open for each backend server at a time.
+    The rate of a backend server is the lowest of those that apply to it. A request
+    that would go to a backend server with a rate is held for some milliseconds while
+    the instance that hands out the sends is asked, and goes elsewhere if there is none.
+    One question is open for each backend server at a time.
     """
 
     HOLD_SECONDS = 0.1
@@ -39,8 +52,11 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.book = LimitBook()
-        """The limits that are known."""
+        """The limits that backend servers have named."""
+        self.cold = ColdServers(clock)
+        """The backend servers that are cold."""
         self._questions: dict[BackendId, _Question] = {}
+        self._asked_at: dict[BackendId, float] = {}
         self._granted_until: dict[BackendId, float] = {}
         self._ask_again_at: dict[BackendId, float] = {}
         self._acquired = 0
@@ -49,9 +65,43 @@
         self.on_answered: Callable[[], None] = lambda: None
         """Called after each answer, as a held request may be sent or go elsewhere."""
 
+    def rate(self, backend: BackendId) -> float | None:
+        """Return the requests a second that a backend server takes; None for any."""
+        rates = (self.book.rate(backend), self.cold.rate(backend))
+        return min((rate for rate in rates if rate is not None), default=None)
+
+    def turn(self, backend: BackendId, cold_rate: float | None) -> Turn | None:
+        """Return how to hand out the sends to a backend server; None without a rate.
+
+        Args:
+            backend: The backend server.
+            cold_rate: Its rate while it is cold, as the instance that asks knows it.
+        """
+        own = self.cold.rate(backend)
+        cold = min((r for r in (own, cold_rate) if r is not None), default=None)
+        named = self.book.rate(backend)
+        if cold is None or (named is not None and named <= cold):
+            return None if named is None else Turn(named)
+        bounds = self.cold.bounds
+        return Turn(bounds.granted_rate(cold), bounds.first_share(cold))
+
     def is_limited(self, backend: BackendId) -> bool:
-        """Return whether a backend server has named a limit."""
-        return self.book.rate(backend) is not None
+        """Return whether a backend server has a rate."""
+        return self.rate(backend) is not None
+
+    def note_returned(
+        self, data_centre: str, backends: Iterable[tuple[BackendId, str]]
+    ) -> None:
+        """Treat the backend servers of a data centre as cold after its evacuation.
+
+        Args:
+            data_centre: The data centre that takes requests again.
+            backends: Its backend servers, each with its service.
+        """
+        returned = list(backends)
+        for backend, service in returned:
+            self.cold.note_returned(backend, service)
+        events.RETURNED.log(data_centre=data_centre, backends=len(returned))
 
     def may_send(self, backend: BackendId) -> bool:
         """Return whether a request may be sent to a backend server now."""
@@ -80,6 +130,7 @@
         if self._ask_again_at.get(backend, 0.0) > now:
             return False
         self._questions[backend] = _Question(asker, now)
+        self._asked_at[backend] = now
         self.ask(backend)
         return backend in self._questions
 
@@ -94,7 +145,11 @@
         now = self._clock.monotonic()
         self._questions.pop(backend, None)
         if wait == 0.0:
-            self._granted_until[backend] = now + self.VALID_SECONDS
+            until = now + self.VALID_SECONDS
+            if self.cold.rate(backend) is not None:
+                # The bound holds in each second, so sends must not be saved up.
+                until = self._asked_at.get(backend, now) + USE_SECONDS
+            self._granted_until[backend] = until
         else:
             pause = self.UNANSWERED_SECONDS if wait is None else wait
             self._ask_again_at[backend] = now + pause
@@ -126,7 +181,13 @@
     def keep_only(self, backends: set[BackendId]) -> None:
         """Forget the backend servers that have left or restarted."""
         self.book.keep_only(backends)
+        self.cold.keep_only(backends)
         limited = {b for b in backends if self.is_limited(b)}
-        for known in (self._questions, self._granted_until, self._ask_again_at):
+        for known in (
+            self._questions,
+            self._asked_at,
+            self._granted_until,
+            self._ask_again_at,
+        ):
             for backend in known.keys() - limited:
                 del known[backend]
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -11,6 +11,7 @@
 from guavajunction.errors import DocumentInvalid
 from guavajunction.fleet import Member
 from guavajunction.gateway import Catalogue
+from guavajunction.intake import ColdLimit
 from guavajunction.peers import PeerId
 from guavajunction.storage import Changes, RowChange, position
 from guavajunction_entry.gateway import (
@@ -92,6 +93,39 @@
         assert decoded == [("e1", b"1"), ("e1", b"2"), ("e1", b"3")]
 
 
+class TestColdServers:
+    """The cold state of entries is applied, and relayed only if it is news."""
+
+    ENTRIES = (
+        backend("e1", report_number=1, cold_seconds=3.0),
+        backend("e1", report_number=2, cold_seconds=1.8),
+        backend("e1", report_number=3, cold_seconds=3.0),
+        backend("e1", report_number=4, cold_seconds=0.0),
+    )
+
+    def test_heartbeats_that_count_down_are_not_relayed(self, daemon):
+        rows = [RowChange("e1", b"%d" % n, n) for n in range(4)]
+        daemon._deployment.decode_backend = lambda _, body: self.ENTRIES[int(body)]
+        relevant = []
+        for before, row in zip([None, *rows], rows, strict=False):
+            relevant.append(daemon._has_new_backend_state(before, row))
+            daemon._clock.advance(1.2)
+        assert relevant == [True, False, True, True]
+
+    def test_entry_that_the_registry_refuses_changes_nothing(self, daemon):
+        daemon._limits.cold.configure({ENGINES: ColdLimit(13.0)})
+        daemon._deployment.decode_backend = lambda _, body: self.ENTRIES[int(body)]
+        apply_changes(daemon, ("e1", b"3"))
+        apply_changes(daemon, ("e1", b"0"))
+        assert "guavajunction_cold_servers 0" in daemon.metrics.exposition()
+
+    def test_cold_servers_are_a_metric(self, daemon):
+        daemon._limits.cold.configure({ENGINES: ColdLimit(13.0)})
+        daemon._deployment.decode_backend = lambda _, body: self.ENTRIES[int(body)]
+        apply_changes(daemon, ("e1", b"0"))
+        assert "guavajunction_cold_servers 1" in daemon.metrics.exposition()
+
+
 class TestStoreComesBackFromACopy:
     """Backend servers that the copy lacks are kept until they should be back."""
 
--- a/tests/entry/test_limit_links.py
+++ b/tests/entry/test_limit_links.py
@@ -15,7 +15,7 @@
 from fakes_clock import ManualClock
 from guavajunction.errors import PeerTimeout
 from guavajunction.fleet import Member
-from guavajunction.namedlimits import NO_LIMIT, ServerLimits
+from guavajunction.intake import NO_LIMIT, ServerIntake
 from guavajunction.peers import PeerId
 from guavajunction.quarantine import BackendId
 from guavajunction_entry.gateway._limit_links import LimitLinks
@@ -84,7 +84,7 @@
     def __init__(self, fleet, name):
         self.fleet = fleet
         self.me = PeerId(name, f"{fleet.rng.random()}")
-        self.limits = ServerLimits(fleet.clock)
+        self.limits = ServerIntake(fleet.clock)
         self.links = LimitLinks(self.me, self, self, self, self.limits, fleet.clock)
 
     async def serve(self, request_id):
@@ -245,7 +245,7 @@
         limits.ask = lambda _: None
         assert limits.ask_to_send(ENGINE, "r1")
         assert not limits.ask_to_send(ENGINE, "r2")
-        fleet.clock.advance(ServerLimits.HOLD_SECONDS)
+        fleet.clock.advance(ServerIntake.HOLD_SECONDS)
         assert not limits.ask_to_send(ENGINE, "r1")
 
     async def test_call_without_a_queue_gives_up_after_its_patience(self):
--- a/tests/fakes_gateway.py
+++ b/tests/fakes_gateway.py
@@ -39,8 +39,8 @@
     WeightedService,
 )
 from guavajunction.health import PassiveHealth
+from guavajunction.intake import ServerIntake
 from guavajunction.metrics import MetricsRegistry
-from guavajunction.namedlimits import ServerLimits
 from guavajunction.quarantine import PartQuarantine
 from guavajunction.tunnels import PathWatch, ServerPaths
 from guavajunction_entry.gateway import (
@@ -264,7 +264,7 @@
         self.loads = LoadView()
         self.health = PassiveHealth(self.clock)
         self.quarantine = PartQuarantine(self.clock, self.clock.monotonic)
-        self.limits = ServerLimits(self.clock)
+        self.limits = ServerIntake(self.clock)
         self.places = BrittlePlaces(self.clock)
         self.queue = RequestQueue(
             self.registry,
--- a/tests/namedlimits/test_limit_book.py
+++ b/tests/intake/test_limit_book.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from guavajunction.namedlimits import NO_LIMIT, LimitBook, LimitStatement
+from guavajunction.intake import NO_LIMIT, LimitBook, LimitStatement
 from guavajunction.quarantine import BackendId
 
 ENGINE = BackendId("e1", 1)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -55,6 +55,7 @@
     *({"slots": slots} for slots in (0, -1, 10**30)),
     *({"sequence": number} for number in (-1, 2**64)),
     *({"born": at} for at in (-1, 10**30)),
+    *({"coldRemainingMs": ms} for ms in (-1, "900", None, 10**30)),
 ]
 DEEP = b'{"models":' + b"[" * 100_000
 DEEP_UNKNOWN = b'{"unknown":' + b"[" * 100_000
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -109,6 +109,26 @@
         catalogue = decode_configuration(self._document(routes=[route]))
         assert catalogue.routes[0].patience_seconds == 24.0
 
+    def _cold_limit(self, **figures):
+        service = wire.plain_service("engines") | figures
+        return (
+            decode_configuration(self._document(services=[service]))
+            .services["engines"]
+            .cold
+        )
+
+    def test_cold_figures_of_a_service(self):
+        assert self._cold_limit(coldStartS=2.5, coldPerS=13) == (13.0, 2.5)
+
+    @pytest.mark.parametrize("figures", [{}, {"coldPerS": 0}, {"coldPerS": None}])
+    def test_service_without_a_cold_rate_has_no_limit(self, figures):
+        assert self._cold_limit(**figures).rate == 0.0
+
+    @pytest.mark.parametrize("field", ["coldPerS", "coldStartS"])
+    def test_negative_cold_figure_makes_the_configuration_invalid(self, field):
+        with pytest.raises(DocumentInvalid):
+            self._cold_limit(**{field: -0.1})
+
     def test_split_routes_name_several_services(self):
         route = wire.route("draft", "/draft/", "safe", "engines")
         route["trafficSplit"] = [
@@ -149,6 +169,11 @@
         assert (record.incarnation, record.report_number) == (17, 12)
         assert record.models == {"m1": frozenset({"a1"})}
         assert record.on_disk == {"m1", "m2"}
+        assert record.cold_seconds == 0.0
+
+    def test_remaining_cold_time_is_decoded(self):
+        record = decode_backend("e1", self._entry(coldRemainingMs=1800.5))
+        assert record.cold_seconds == 1.8005
 
     @pytest.mark.parametrize(
         "changes",
