Pace of backend servers that start or recover, off by default

Cause: a server that has just started or recovered is overloaded or left idle too long.

Change: instances count good and bad answers of servers that ramp up and exchange the counts with heartbeats; the pace is a function of their sums. Ramps begin with a new incarnation, a readmission and the end of an evacuation. The setting [intake] pace is off by default.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -150,6 +150,8 @@
         self._quarantine = PartQuarantine(clock)
         self._limits = ServerIntake(clock)
         self._limits.cold.bounds = settings.cold
+        self._limits.paces.is_enabled = tuning.intake.pace == "on"
+        self._health.on_readmitted = self._on_readmitted
         self._cold_news = ColdNews(clock)
         self._places = BrittlePlaces(clock)
         self._queue = RequestQueue(
@@ -262,6 +264,7 @@
             "brittle_services", lambda: len(self._places.brittle_services())
         )
         self.metrics.gauge("cold_servers", self._limits.cold.count)
+        self.metrics.gauge("ramping_servers", self._limits.paces.count)
         self.metrics.gauge("store_era", lambda: self._backends_era)
         self._era_began = asyncio.Event()
         self._crashes_known = False
@@ -473,21 +476,29 @@
             listed = [record for record in decoded if record is not None]
             self._registry.replace_all(listed, keep_missing=came_back)
             for record in listed:
-                self._note_cold(record)
+                self._note_intake(record)
             return
         for row in changes.rows:
             record = self._decode_backend(row.sort, row.body)
             if record is not None:
                 self._registry.put(record)
-                self._note_cold(record)
+                self._note_intake(record)
             elif came_back:
                 self._registry.expect_again(row.sort)
             else:
                 self._registry.drop(row.sort)
 
-    def _note_cold(self, record: BackendRecord) -> None:
-        """Take the cold state of a record, unless the registry knows a newer one."""
+    def _on_readmitted(self, name: str) -> None:
+        record = self._registry.get(name)
+        if record is not None:
+            self._limits.paces.begin(record.identity, record.slots, "readmitted")
+
+    def _note_intake(self, record: BackendRecord) -> None:
+        """Take what a record says of a start, unless the registry knows a newer one."""
         if self._registry.get(record.name) is record:
+            self._limits.paces.note_listed(
+                record.identity, record.slots, is_first=not self._backends_known
+            )
             self._limits.cold.note_entry(
                 record.identity,
                 record.service,
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -47,7 +47,7 @@
 from guavajunction.tunnels import PathWatch
 
 from ._deployment import Deployment
-from ._limit_links import LimitLinks, StatedCold, StatedLimit
+from ._limit_links import LimitLinks, StatedCold, StatedLimit, StatedRamp
 from ._place_links import PlaceLinks
 from ._quarantine_links import QuarantineLinks
 from ._settings import GatewaySettings
@@ -270,6 +270,12 @@
             self._limits.on_cold_entries,
             list[StatedCold],
         )
+        mesh.add_topic(
+            "pace",
+            self._limits.own_ramps,
+            self._unless_following(self._limits.on_peer_ramps),
+            list[StatedRamp],
+        )
         mesh.add_topic(
             "brittle",
             self._places.statements,
@@ -311,6 +317,12 @@
             self._only_from_hub(self._limits.on_cold_entries),
             list[StatedCold],
         )
+        mesh.add_peer_topic(
+            "hub-pace",
+            self._only_for_followers(lambda peer: self._limits.hub_ramps(peer) or None),
+            self._only_from_hub(self._limits.on_hub_ramps),
+            list[StatedRamp],
+        )
         mesh.add_peer_topic(
             "hub-brittle",
             self._only_for_followers(lambda _: self._places.statements()),
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_limit_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_limit_links.py
@@ -7,7 +7,13 @@
 
 from guavajunction.clock import Clock
 from guavajunction.fleet import Relay, Roster
-from guavajunction.intake import ColdEntry, LimitStatement, PermitDesk, ServerIntake
+from guavajunction.intake import (
+    ColdEntry,
+    LimitStatement,
+    PermitDesk,
+    RampCounts,
+    ServerIntake,
+)
 from guavajunction.peers import Links, PeerId
 from guavajunction.quarantine import BackendId
 
@@ -60,6 +66,13 @@
     entry: ColdEntry
 
 
+class StatedRamp(NamedTuple):
+    """Answers of a backend server that ramps up, in a heartbeat."""
+
+    backend: BackendId
+    counts: RampCounts
+
+
 class LimitLinks:
     """Asks for sends, hands them out, and exchanges statements."""
 
@@ -111,6 +124,24 @@
         if stated:
             self._limits.cold.note_peer(dict(stated))
 
+    def own_ramps(self) -> list[StatedRamp]:
+        """Return this instance's counts of answers, to send them with a heartbeat."""
+        return [StatedRamp(*item) for item in self._limits.paces.own().items()]
+
+    def on_peer_ramps(self, peer: PeerId, stated: list[StatedRamp]) -> None:
+        """Apply the counts of a peer."""
+        if stated:
+            self._limits.paces.update_peer(peer, dict(stated))
+
+    def hub_ramps(self, peer: PeerId) -> list[StatedRamp]:
+        """Return the counts of all instances but one, to send them to that one."""
+        totals = self._limits.paces.total_without(peer)
+        return [StatedRamp(*item) for item in totals.items()]
+
+    def on_hub_ramps(self, _: PeerId, stated: list[StatedRamp]) -> None:
+        """Apply the sums that a hub sends."""
+        self._limits.paces.update_hub(dict(stated))
+
     def _ask(self, backend: BackendId) -> None:
         if self._routes.next_peer(backend) == self._me:
             self._limits.on_answer(backend, self._take(self._question(backend)))
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tuning.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tuning.py
@@ -48,12 +48,21 @@
     `all` hubs read it, which costs as many times the calls."""
 
 
+class IntakeTuning(NamedTuple):
+    """`[intake]`: how backend servers take up work; must be equal on all instances."""
+
+    pace: Annotated[str, parse_choice("on", "off")] = "off"
+    """Whether a backend server that starts or recovers gets requests at a pace that
+    follows its answers."""
+
+
 class Tuning(NamedTuple):
     """The complete settings file; each field is the section of the same name."""
 
     timing: TimingTuning = TimingTuning()
     directory: DirectoryTuning = DirectoryTuning()
     fleet: FleetTuning = FleetTuning()
+    intake: IntakeTuning = IntakeTuning()
     logging: LoggingSettings = LoggingSettings()
 
 
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from guavajunction.brittle import BrittlePlaces
@@ -26,7 +27,7 @@
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.quarantine import PartQuarantine, RequestFingerprint
 
-from . import _admission
+from . import _admission, _backend_selection
 from . import _events as events
 from ._answer_progress import AnswerProgress
 from ._backend import BackendRecord
@@ -34,6 +35,7 @@
 from ._catalogue import Customer, RequestKind, Route, Service
 from ._event_boundary import EventBoundary, is_event_stream
 from ._framing import Framing
+from ._load_view import Load
 from ._model_demand import ModelDemand
 from ._protocols import (
     AnswerHead,
@@ -70,6 +72,11 @@
     rng: random.Random
 
 
+FirstEventSeconds = Callable[[BackendRecord, int, Load], float]
+"""Returns the seconds until the first event that are expected of a backend server for a
+number of prompt tokens, at its load without the request."""
+
+
 class _AdmittedRequest(NamedTuple):
     """A request with its route, service, customer, priority and deadline."""
 
@@ -113,6 +120,11 @@
     MIN_FAILURE_SECONDS = 0.7
     """A missing answer counts as a failure of the backend server only if the request
     had at least this much time."""
+    LATE_FACTOR = 4.0
+    """An answer is late if its first event takes longer than this multiple of the
+    expected time. A server that is three times slower than others answers in time."""
+    MIN_LATE_SECONDS = 0.5
+    """An answer within this time is never late."""
     MAX_EVENT_BYTES = 1_048_576
     """Limit on the size of one event of a stream."""
     MAX_UNREACHABLE_BACKENDS = 3
@@ -128,6 +140,8 @@
         self.streams_until = float("inf")
         """When this instance starts to refuse generation requests, on the monotonic
         clock. Later ones might not end before it stops."""
+        self.first_event_seconds: FirstEventSeconds = _first_token_seconds
+        """What is expected of the first event of a generation."""
         self._in_flight: dict[asyncio.Task[None], _RequestInFlight] = {}
         self._is_ending = False
 
@@ -425,6 +439,7 @@
             server_limit=statement.rate,
             cut=sent_while_cut,
         )
+        late_seconds = self._late_seconds(admitted, backend)
         sent_at = self._parts.clock.monotonic()
         paths.begin()
         try:
@@ -447,6 +462,7 @@
                 )
                 self._note_statements(answer.head, backend)
                 rejected = answer.head.not_run and not answer.head.misdirected
+                self._note_pace(answer.head, backend, now - sent_at, late_seconds)
                 self._check_head(answer.head, admitted, backend, attempt)
                 prompt_pending = False
                 if admitted.route.resumable:
@@ -481,6 +497,38 @@
                 complete=complete,
             )
 
+    def _late_seconds(
+        self, admitted: _AdmittedRequest, backend: BackendRecord
+    ) -> float:
+        """Return the time after which the first event of an answer is late."""
+        size = admitted.req.size
+        if size is None:
+            expected = self._parts.queue.run_times.mean(admitted.service.name)
+        else:
+            # The load counts the request itself.
+            load = self._parts.queue.load_at(backend.name)
+            load = Load(
+                max(0, load.running - 1),
+                max(0, load.pending_prompt_tokens - size.prompt_tokens),
+            )
+            expected = self.first_event_seconds(backend, size.prompt_tokens, load)
+        return max(self.MIN_LATE_SECONDS, self.LATE_FACTOR * expected)
+
+    def _note_pace(
+        self,
+        head: AnswerHead,
+        backend: BackendRecord,
+        seconds: float,
+        late_seconds: float,
+    ) -> None:
+        if head.misdirected:
+            return
+        is_failure = head.status >= 500 or head.not_run
+        if is_failure or (head.succeeded and seconds > late_seconds):
+            self._parts.limits.paces.note_bad(backend.identity, seconds)
+        elif head.succeeded:
+            self._parts.limits.paces.note_good(backend.identity)
+
     def _record_origin(
         self, admitted: _AdmittedRequest, backend: BackendRecord
     ) -> None:
@@ -629,6 +677,11 @@
     ) -> None:
         if isinstance(exc, NoPathToServer):
             return
+        # The status of an answer that allows a retry was counted with its head.
+        if time_limit >= self.MIN_FAILURE_SECONDS and not isinstance(
+            exc, BackendFailed
+        ):
+            self._parts.limits.paces.note_bad(backend.identity)
         if isinstance(exc, NotSent):
             self._parts.registry.note_unreachable(backend)
             self._parts.quarantine.note_refused(backend.identity)
@@ -705,3 +758,9 @@
 
     def _age_ms(self, req: GatewayRequest) -> int:
         return round((self._parts.clock.monotonic() - req.arrived_at) * 1000)
+
+
+def _first_token_seconds(
+    backend: BackendRecord, prompt_tokens: int, load: Load
+) -> float:
+    return _backend_selection.first_token_seconds(load, backend.slots, prompt_tokens)
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -208,6 +208,10 @@
         """Return the known number of requests in flight at a backend server."""
         return self._loads.of(backend).running
 
+    def load_at(self, backend: str) -> Load:
+        """Return the known load of a backend server."""
+        return self._loads.of(backend)
+
     def waiting_by_model(self) -> dict[str, int]:
         """Return the number of requests that wait for a model load, by model."""
         return self._waiting_for("")
--- a/packages/guavajunction/src/guavajunction/health/_passive_health.py
+++ b/packages/guavajunction/src/guavajunction/health/_passive_health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 from guavajunction.clock import Clock
 
@@ -21,6 +22,8 @@
         self._clock = clock
         self._failures: dict[str, deque[float]] = {}
         self._suspect_until: dict[str, float] = {}
+        self.on_readmitted: Callable[[str], None] = lambda _: None
+        """Called with the name of a backend server that is no longer suspect."""
 
     def note_failure(self, name: str) -> bool:
         """Count a failed request.
@@ -58,4 +61,5 @@
         for name in expired:
             del self._suspect_until[name]
             self._failures.pop(name, None)
+            self.on_readmitted(name)
         return bool(expired)
--- a/packages/guavajunction/src/guavajunction/intake/__init__.py
+++ b/packages/guavajunction/src/guavajunction/intake/__init__.py
@@ -9,11 +9,13 @@
 from ._cold_servers import ColdBounds, ColdEntry, ColdLimit, ColdNews, ColdServers
 from ._limit_book import LimitBook
 from ._permits import PermitDesk
-from ._server_intake import ServerIntake
+from ._server_intake import ReturnedServer, ServerIntake
+from ._server_paces import AnswerCounts, RampCounts, ServerPaces
 from ._statement import NO_LIMIT, LimitStatement
 
 __all__ = [
     "NO_LIMIT",
+    "AnswerCounts",
     "ColdBounds",
     "ColdEntry",
     "ColdLimit",
@@ -22,5 +24,8 @@
     "LimitBook",
     "LimitStatement",
     "PermitDesk",
+    "RampCounts",
+    "ReturnedServer",
     "ServerIntake",
+    "ServerPaces",
 ]
--- a/packages/guavajunction/src/guavajunction/intake/_events.py
+++ b/packages/guavajunction/src/guavajunction/intake/_events.py
@@ -25,3 +25,12 @@
     "intake:returned",
     "An evacuation has ended; the data centre's backend servers count as cold.",
 )
+RAMP_BEGAN = LogEvent(
+    1505, "intake:ramp-began", "A backend server that starts or recovers gets a pace."
+)
+PACE_CHANGED = LogEvent(
+    1506, "intake:pace", "The pace of a backend server has doubled or halved."
+)
+RAMP_ENDED = LogEvent(
+    1507, "intake:ramp-ended", "A backend server has no pace any more."
+)
--- a/packages/guavajunction/src/guavajunction/intake/_server_intake.py
+++ b/packages/guavajunction/src/guavajunction/intake/_server_intake.py
@@ -11,6 +11,15 @@
 from . import _events as events
 from ._cold_servers import USE_SECONDS, ColdServers
 from ._limit_book import LimitBook
+from ._server_paces import ServerPaces
+
+
+class ReturnedServer(NamedTuple):
+    """A backend server of a data centre whose evacuation has ended."""
+
+    backend: BackendId
+    service: str
+    slots: int
 
 
 class Turn(NamedTuple):
@@ -46,6 +55,8 @@
     """Time within which a granted send must be made."""
     UNANSWERED_SECONDS = 0.3
     """Pause after a question without an answer."""
+    FIRST_PACE_SHARE = 0.5
+    """Part of a pace that an instance hands out in the second in which it begins."""
     ACQUIRE_POLL_SECONDS = 0.02
     """Interval at which `acquire` looks for an answer."""
 
@@ -55,6 +66,8 @@
         """The limits that backend servers have named."""
         self.cold = ColdServers(clock)
         """The backend servers that are cold."""
+        self.paces = ServerPaces(clock)
+        """The backend servers that ramp up."""
         self._questions: dict[BackendId, _Question] = {}
         self._asked_at: dict[BackendId, float] = {}
         self._granted_until: dict[BackendId, float] = {}
@@ -67,7 +80,11 @@
 
     def rate(self, backend: BackendId) -> float | None:
         """Return the requests a second that a backend server takes; None for any."""
-        rates = (self.book.rate(backend), self.cold.rate(backend))
+        rates = (
+            self.book.rate(backend),
+            self.cold.rate(backend),
+            self.paces.rate(backend),
+        )
         return min((rate for rate in rates if rate is not None), default=None)
 
     def turn(self, backend: BackendId, cold_rate: float | None) -> Turn | None:
@@ -79,28 +96,35 @@
         """
         own = self.cold.rate(backend)
         cold = min((r for r in (own, cold_rate) if r is not None), default=None)
-        named = self.book.rate(backend)
-        if cold is None or (named is not None and named <= cold):
-            return None if named is None else Turn(named)
-        bounds = self.cold.bounds
-        return Turn(bounds.granted_rate(cold), bounds.first_share(cold))
+        turns = []
+        named, pace = self.book.rate(backend), self.paces.rate(backend)
+        if named is not None:
+            turns.append(Turn(named))
+        if cold is not None:
+            bounds = self.cold.bounds
+            share = bounds.first_share(cold)
+            turns.append(Turn(bounds.granted_rate(cold), share))
+        if pace is not None:
+            turns.append(Turn(pace, self.FIRST_PACE_SHARE))
+        return min(turns, default=None)
 
     def is_limited(self, backend: BackendId) -> bool:
         """Return whether a backend server has a rate."""
         return self.rate(backend) is not None
 
     def note_returned(
-        self, data_centre: str, backends: Iterable[tuple[BackendId, str]]
+        self, data_centre: str, servers: Iterable[ReturnedServer]
     ) -> None:
         """Treat the backend servers of a data centre as cold after its evacuation.
 
         Args:
             data_centre: The data centre that takes requests again.
-            backends: Its backend servers, each with its service.
+            servers: Its backend servers.
         """
-        returned = list(backends)
-        for backend, service in returned:
+        returned = list(servers)
+        for backend, service, slots in returned:
             self.cold.note_returned(backend, service)
+            self.paces.begin(backend, slots, "evacuation ended")
         events.RETURNED.log(data_centre=data_centre, backends=len(returned))
 
     def may_send(self, backend: BackendId) -> bool:
@@ -182,6 +206,7 @@
         """Forget the backend servers that have left or restarted."""
         self.book.keep_only(backends)
         self.cold.keep_only(backends)
+        self.paces.keep_only(backends)
         limited = {b for b in backends if self.is_limited(b)}
         for known in (
             self._questions,
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -223,3 +223,21 @@
     def test_age_of_a_report(self, daemon, before, found, older):
         rows = RowChange("e1", before, 5), RowChange("e1", found, position(1, 2))
         assert daemon._is_older_report(*rows) is older
+
+
+class TestRamps:
+    """A new incarnation begins a ramp, unless it is in the first list."""
+
+    def test_server_that_starts_later_ramps_up(self, daemon):
+        daemon._limits.paces.is_enabled = True
+        apply_changes(daemon, ("e1", b"1"), complete=True)
+        daemon._backends_known = True
+        apply_changes(daemon, ("e1", b"2"), ("e2", b"1"))
+        assert "guavajunction_ramping_servers 1" in daemon.metrics.exposition()
+        daemon._on_readmitted("e1")
+        assert "guavajunction_ramping_servers 2" in daemon.metrics.exposition()
+
+    def test_pace_is_off_by_default(self, daemon):
+        daemon._backends_known = True
+        apply_changes(daemon, ("e1", b"1"))
+        assert "guavajunction_ramping_servers 0" in daemon.metrics.exposition()
