Merge intake: named limits, cold servers and pace are one rate a server

The end of an evacuation makes the servers of its data centre cold; the usual speed of a service tells which answers are late.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -41,8 +41,8 @@
     StreamOrigins,
 )
 from guavajunction.health import PassiveHealth
+from guavajunction.intake import ColdNews, ReturnedServer, ServerIntake
 from guavajunction.metrics import MetricsRegistry
-from guavajunction.namedlimits import ServerLimits
 from guavajunction.peers import FleetKeys, PeerId
 from guavajunction.quarantine import PartQuarantine
 from guavajunction.storage import (
@@ -150,7 +150,11 @@
         self._settings_fault: str | None = None
         self._roster = Roster(self._me, clock)
         self._quarantine = PartQuarantine(clock)
-        self._limits = ServerLimits(clock)
+        self._limits = ServerIntake(clock)
+        self._limits.cold.bounds = settings.cold
+        self._limits.paces.is_enabled = tuning.intake.pace == "on"
+        self._health.on_readmitted = self._on_readmitted
+        self._cold_news = ColdNews(clock)
         self._places = BrittlePlaces(clock)
         self._queue = RequestQueue(
             self._registry,
@@ -193,6 +197,7 @@
         self._places.on_refused = self._queue.schedule_dispatch
         self._quarantine.on_blamed = self._queue.schedule_dispatch
         self._registry.evacuations.on_changed = self._queue.schedule_dispatch
+        self._registry.evacuations.on_ended = self._on_evacuation_ended
         self._gateway = Gateway(
             GatewayParts(
                 registry=self._registry,
@@ -212,6 +217,7 @@
                 rng=self._rng,
             )
         )
+        self._gateway.first_event_seconds = self._queue.speeds.usual_first_event_seconds
         self._decode_backend = functools.lru_cache(self.DECODE_CACHE_ROWS)(
             self._decode_new_backend
         )
@@ -279,6 +285,8 @@
         self.metrics.gauge(
             "evacuated_data_centres", lambda: len(self._registry.evacuations)
         )
+        self.metrics.gauge("cold_servers", self._limits.cold.count)
+        self.metrics.gauge("ramping_servers", self._limits.paces.count)
         self.metrics.gauge("store_era", lambda: self._backends_era)
         self._era_began = asyncio.Event()
         self._crashes_known = False
@@ -398,6 +406,7 @@
         self._queue.regions = Regions(settings.regions)
         self._retries.change_bounds(settings.retries)
         self._rate_limits.change_bounds(settings.allowances)
+        self._limits.cold.bounds = settings.cold
         gateway_events.RELOADED.log(changed=changed)
 
     async def _follow_configuration(self) -> None:
@@ -490,16 +499,48 @@
             decoded = [self._decode_backend(r.sort, r.body) for r in changes.rows]
             listed = [record for record in decoded if record is not None]
             self._registry.replace_all(listed, keep_missing=came_back)
+            for record in listed:
+                self._note_intake(record)
             return
         for row in changes.rows:
             record = self._decode_backend(row.sort, row.body)
             if record is not None:
                 self._registry.put(record)
+                self._note_intake(record)
             elif came_back:
                 self._registry.expect_again(row.sort)
             else:
                 self._registry.drop(row.sort)
 
+    def _on_readmitted(self, name: str) -> None:
+        record = self._registry.get(name)
+        if record is not None:
+            self._limits.paces.begin(record.identity, record.slots, "readmitted")
+
+    def _note_intake(self, record: BackendRecord) -> None:
+        """Take what a record says of a start, unless the registry knows a newer one."""
+        if self._registry.get(record.name) is record:
+            self._limits.paces.note_listed(
+                record.identity, record.slots, is_first=not self._backends_known
+            )
+            self._limits.cold.note_entry(
+                record.identity,
+                record.service,
+                record.report_number,
+                record.cold_seconds,
+            )
+
+    def _on_evacuation_ended(self, data_centre: str) -> None:
+        """Let the backend servers of a data centre take up work like cold ones."""
+        self._limits.note_returned(
+            data_centre,
+            [
+                ReturnedServer(record.identity, record.service, record.slots)
+                for record in self._registry.records()
+                if record.data_centre == data_centre
+            ],
+        )
+
     def _is_older_report(self, before: RowChange, row: RowChange) -> bool:
         """Return whether a backend server has reported more recently than in a row."""
         if row.body is None:
@@ -520,14 +561,22 @@
         return known is not None and (found is None or found.version < known.version)
 
     def _has_new_backend_state(self, before: RowChange | None, row: RowChange) -> bool:
-        """Return whether a row differs in more than its report number."""
+        """Return whether a row differs in more than its report number.
+
+        The time for which a backend server is cold counts down in each row.
+        """
+        record = self._decode_backend(row.sort, row.body)
+        is_cold_news = record is not None and self._cold_news.is_news(
+            record.identity, record.cold_seconds
+        )
         if before is None:
             return True
         known = self._decode_backend(before.sort, before.body)
-        record = self._decode_backend(row.sort, row.body)
         if known is None or record is None:
             return known is not record
-        return known != record._replace(report_number=known.report_number)
+        return is_cold_news or known != record._replace(
+            report_number=known.report_number, cold_seconds=known.cold_seconds
+        )
 
     def _decode_new_backend(
         self, name: str, body: bytes | None
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -34,8 +34,8 @@
     SlowServer,
     StreamOrigins,
 )
+from guavajunction.intake import NO_LIMIT, ServerIntake
 from guavajunction.membership import Lease
-from guavajunction.namedlimits import NO_LIMIT, ServerLimits
 from guavajunction.peers import FleetKeys, PeerId, PeerMesh
 from guavajunction.quarantine import BackendId
 from guavajunction.storage import TableService
@@ -49,7 +49,7 @@
 from guavajunction.tunnels import PathWatch
 
 from ._deployment import Deployment
-from ._limit_links import LimitLinks, StatedLimit
+from ._limit_links import LimitLinks, StatedCold, StatedLimit, StatedRamp
 from ._place_links import PlaceLinks
 from ._quarantine_links import QuarantineLinks
 from ._settings import GatewaySettings
@@ -73,7 +73,7 @@
     demand: ModelDemand
     rate_limits: RateLimits
     streams: StreamOrigins
-    limits: ServerLimits
+    limits: ServerIntake
     places: BrittlePlaces
     paths: PathWatch
     roster: Roster
@@ -274,6 +274,18 @@
             self._limits.on_statements,
             list[StatedLimit],
         )
+        mesh.add_topic(
+            "cold",
+            self._limits.cold_entries,
+            self._limits.on_cold_entries,
+            list[StatedCold],
+        )
+        mesh.add_topic(
+            "pace",
+            self._limits.own_ramps,
+            self._unless_following(self._limits.on_peer_ramps),
+            list[StatedRamp],
+        )
         mesh.add_topic(
             "brittle",
             self._places.statements,
@@ -316,6 +328,18 @@
             self._only_from_hub(self._limits.on_statements),
             list[StatedLimit],
         )
+        mesh.add_peer_topic(
+            "hub-cold",
+            self._only_for_followers(lambda _: self._limits.cold_entries() or None),
+            self._only_from_hub(self._limits.on_cold_entries),
+            list[StatedCold],
+        )
+        mesh.add_peer_topic(
+            "hub-pace",
+            self._only_for_followers(lambda peer: self._limits.hub_ramps(peer) or None),
+            self._only_from_hub(self._limits.on_hub_ramps),
+            list[StatedRamp],
+        )
         mesh.add_peer_topic(
             "hub-brittle",
             self._only_for_followers(lambda _: self._places.statements()),
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_settings.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_settings.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from guavajunction.gateway import RateLimitBounds, RetryBounds
+from guavajunction.intake import ColdBounds
 
 
 class ListenAddress(NamedTuple):
@@ -84,3 +85,5 @@
     regions: Mapping[str, str] = MappingProxyType({})
     """Region of each data centre, as far as it is known."""
     capacity: Capacity = Capacity(1.0, 100.0)
+    cold: ColdBounds = ColdBounds()
+    """Bound on the requests to cold backend servers."""
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tuning.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_tuning.py
@@ -65,6 +65,14 @@
     `fixed` figures hold for all. Must be equal on all instances."""
 
 
+class IntakeTuning(NamedTuple):
+    """`[intake]`: how backend servers take up work; must be equal on all instances."""
+
+    pace: Annotated[str, parse_choice("on", "off")] = "off"
+    """Whether a backend server that starts or recovers gets requests at a pace that
+    follows its answers."""
+
+
 class Tuning(NamedTuple):
     """The complete settings file; each field is the section of the same name."""
 
@@ -73,6 +81,7 @@
     fleet: FleetTuning = FleetTuning()
     admission: AdmissionTuning = AdmissionTuning()
     routing: RoutingTuning = RoutingTuning()
+    intake: IntakeTuning = IntakeTuning()
     logging: LoggingSettings = LoggingSettings()
 
 
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
@@ -26,6 +26,8 @@
         self._evacuations: dict[str, bool] = {}
         self.load_seconds = 0.1
         """Load time of a model from the weight store, in the next version."""
+        self.cold_rate: float | None = None
+        """Requests a second to a cold runner of bookings, in the next version."""
         self.customers: dict[str, dict[str, Any]] = {
             "atelier": wire.customer("atelier", ["key-of-atelier"])
         }
@@ -68,7 +70,7 @@
                 memory_mb=MEMORY_MB,
                 load_seconds=self.load_seconds,
             ),
-            wire.plain_service(BOOKING_SERVICE),
+            wire.plain_service(BOOKING_SERVICE, cold_rate=self.cold_rate),
         ]
         content = wire.configuration(
             self.version,
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 from guavajunction.brittle import BrittlePlaces
@@ -24,11 +25,11 @@
     StreamNotResumable,
 )
 from guavajunction.health import PassiveHealth
+from guavajunction.intake import ServerIntake
 from guavajunction.metrics import MetricsRegistry
-from guavajunction.namedlimits import ServerLimits
 from guavajunction.quarantine import PartQuarantine, RequestFingerprint
 
-from . import _admission
+from . import _admission, _backend_selection
 from . import _events as events
 from ._answer_progress import AnswerProgress
 from ._answer_speed import AnswerSpeed
@@ -38,6 +39,7 @@
 from ._event_boundary import EventBoundary, is_event_stream
 from ._framing import Framing
 from ._homes import homes_of
+from ._load_view import Load
 from ._model_demand import ModelDemand
 from ._protocols import (
     AnswerHead,
@@ -63,7 +65,7 @@
     rate_limits: RateLimits
     streams: StreamOrigins
     quarantine: PartQuarantine
-    limits: ServerLimits
+    limits: ServerIntake
     places: BrittlePlaces
     paths: ServerWatch
     retries: RetryBudget
@@ -74,6 +76,11 @@
     rng: random.Random
 
 
+FirstEventSeconds = Callable[[BackendRecord, int, Load], float]
+"""Returns the seconds until the first event that are expected of a backend server for a
+number of prompt tokens, at its load without the request."""
+
+
 class _AdmittedRequest(NamedTuple):
     """A request with its route, service, customer, priority and deadline."""
 
@@ -117,6 +124,11 @@
     MIN_FAILURE_SECONDS = 0.7
     """A missing answer counts as a failure of the backend server only if the request
     had at least this much time."""
+    LATE_FACTOR = 4.0
+    """An answer is late if its first event takes longer than this multiple of the
+    expected time. A server that is three times slower than others answers in time."""
+    MIN_LATE_SECONDS = 0.5
+    """An answer within this time is never late."""
     MAX_EVENT_BYTES = 1_048_576
     """Limit on the size of one event of a stream."""
     MAX_UNREACHABLE_BACKENDS = 3
@@ -140,6 +152,8 @@
         self.streams_until = float("inf")
         """When this instance starts to refuse generation requests, on the monotonic
         clock. Later ones might not end before it stops."""
+        self.first_event_seconds: FirstEventSeconds = _first_token_seconds
+        """What is expected of the first event of a generation."""
         self._in_flight: dict[asyncio.Task[None], _RequestInFlight] = {}
         self._is_ending = False
 
@@ -160,6 +174,8 @@
             return
         self._routes = routes
         self._parts.rate_limits.configure(routes.catalogue.customers)
+        services = routes.catalogue.services.values()
+        self._parts.limits.cold.configure({s.name: s.cold for s in services})
         self._parts.queue.schedule_dispatch()
         events.CONFIGURED.log(
             version=routes.catalogue.version,
@@ -445,6 +461,7 @@
             cut=sent_while_cut,
         )
         queue = self._parts.queue
+        late_seconds = self._late_seconds(admitted, backend)
         sent_at = self._parts.clock.monotonic()
         load = queue.load_without(req, backend)
         speed = AnswerSpeed(queue.speeds, req, backend, load, sent_at)
@@ -469,6 +486,7 @@
                 )
                 self._note_statements(answer.head, backend)
                 rejected = answer.head.not_run and not answer.head.misdirected
+                self._note_pace(answer.head, backend, now - sent_at, late_seconds)
                 self._check_head(answer.head, admitted, backend, attempt)
                 prompt_pending = False
                 if admitted.route.resumable:
@@ -515,6 +533,33 @@
                 complete=complete,
             )
 
+    def _late_seconds(
+        self, admitted: _AdmittedRequest, backend: BackendRecord
+    ) -> float:
+        """Return the time after which the first event of an answer is late."""
+        size = admitted.req.size
+        if size is None:
+            expected = self._parts.queue.run_times.mean(admitted.service.name)
+        else:
+            load = self._parts.queue.load_without(admitted.req, backend)
+            expected = self.first_event_seconds(backend, size.prompt_tokens, load)
+        return max(self.MIN_LATE_SECONDS, self.LATE_FACTOR * expected)
+
+    def _note_pace(
+        self,
+        head: AnswerHead,
+        backend: BackendRecord,
+        seconds: float,
+        late_seconds: float,
+    ) -> None:
+        if head.misdirected:
+            return
+        is_failure = head.status >= 500 or head.not_run
+        if is_failure or (head.succeeded and seconds > late_seconds):
+            self._parts.limits.paces.note_bad(backend.identity, seconds)
+        elif head.succeeded:
+            self._parts.limits.paces.note_good(backend.identity)
+
     def _record_origin(
         self, admitted: _AdmittedRequest, backend: BackendRecord
     ) -> None:
@@ -679,6 +724,11 @@
     ) -> None:
         if isinstance(exc, NoPathToServer):
             return
+        # The status of an answer that allows a retry was counted with its head.
+        if time_limit >= self.MIN_FAILURE_SECONDS and not isinstance(
+            exc, BackendFailed
+        ):
+            self._parts.limits.paces.note_bad(backend.identity)
         if isinstance(exc, NotSent):
             self._parts.registry.note_unreachable(backend)
             self._parts.quarantine.note_refused(backend.identity)
@@ -755,3 +805,9 @@
 
     def _age_ms(self, req: GatewayRequest) -> int:
         return round((self._parts.clock.monotonic() - req.arrived_at) * 1000)
+
+
+def _first_token_seconds(
+    backend: BackendRecord, prompt_tokens: int, load: Load
+) -> float:
+    return _backend_selection.first_token_seconds(load, backend.slots, prompt_tokens)
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -22,7 +22,7 @@
     StreamNotResumable,
 )
 from guavajunction.health import PassiveHealth
-from guavajunction.namedlimits import PermitDesk, ServerLimits
+from guavajunction.intake import PermitDesk, ServerIntake
 from guavajunction.quarantine import BackendId, PartQuarantine, RequestFingerprint
 
 from . import _admission, _backend_selection
@@ -170,7 +170,7 @@
         loads: LoadView,
         health: PassiveHealth,
         quarantine: PartQuarantine,
-        limits: ServerLimits,
+        limits: ServerIntake,
         places: BrittlePlaces,
         clock: Clock,
         rng: random.Random,
@@ -226,7 +226,9 @@
         """Return the known load of a backend server but for one request sent there."""
         load = self._loads.of(backend.name)
         tokens = req.size.prompt_tokens if req.size else 0
-        return Load(load.running - 1, load.pending_prompt_tokens - tokens)
+        return Load(
+            max(0, load.running - 1), max(0, load.pending_prompt_tokens - tokens)
+        )
 
     def waiting_by_model(self) -> dict[str, int]:
         """Return the number of requests that wait for a model load, by model."""
@@ -777,7 +779,7 @@
             place_rate = self._places.rate({b.identity for b in backends})
             if place_rate is not None:
                 seconds_each = max(seconds_each, 1.0 / place_rate)
-        rates = [self._limits.book.rate(backend.identity) for backend in backends]
+        rates = [self._limits.rate(backend.identity) for backend in backends]
         if rates and None not in rates:
             rate = max(sum(filter(None, rates)), PermitDesk.MIN_RATE)
             seconds_each = max(seconds_each, 1.0 / rate)
