Memory: tests of one real instance under callers outside the limits

Cause: bodies are buffered whole before route and key are known, and nothing sums what connections hold.

The stand-ins take the limits of a machine, the size of the largest body and heads with many fields. The limits in the settings have no effect yet.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/_server.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/_server.py
@@ -21,6 +21,8 @@
 
     HOST = "127.0.0.1"
     MAX_BODY_BYTES = 64 * 1024 * 1024
+    MAX_HEADERS = 4096
+    """More than the largest head of a caller can contain."""
     SHUTDOWN_SECONDS = 0.2
     """Time that a stop allows open requests to end."""
     CANCEL_ON_DISCONNECT = False
@@ -103,6 +105,7 @@
                 access_log=None,
                 shutdown_timeout=self.SHUTDOWN_SECONDS,
                 handler_cancellation=self.CANCEL_ON_DISCONNECT,
+                max_headers=self.MAX_HEADERS,
             )
             await runner.setup()
             stack.push_async_callback(runner.cleanup)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_local_deployment.py
@@ -61,6 +61,7 @@
         gateway_settings: Path | None = None,
         links: LinkProvider | None = None,
         runners: Iterable[RunnerSpec] | None = None,
+        limits: dict[str, float] | None = None,
     ) -> None:
         """Create a deployment; entering it starts the processes.
 
@@ -72,7 +73,9 @@
             links: Provides the addresses of the store and the runners; instances
                 connect to them directly if omitted.
             runners: Properties of the runners; two for each service if omitted.
+            limits: Limits of each instance's machine; none if omitted.
         """
+        self._limits = limits
         self._links = links
         self._flags = [f"--settings={gateway_settings}"] if gateway_settings else []
         self._var = var
@@ -144,6 +147,7 @@
             store=self._store_addresses[name],
             grace_seconds=self.GRACE_SECONDS,
             ports=self._ports,
+            limits=self._limits,
         )
         path.write_text(json.dumps(content))
         if name not in self.instances:
@@ -198,6 +202,10 @@
             runner.write_again()
         return lost
 
+    def address_of(self, name: str) -> str:
+        """Return the IP address of an instance."""
+        return self._addresses[name]
+
     def front_url(self, name: str) -> str:
         """Return the URL at which an instance accepts requests."""
         return f"http://{self._addresses[name]}:{self._ports[0]}"
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
@@ -25,6 +25,8 @@
         self._content: dict[str, Any] = {}
         self.load_seconds = 0.1
         """Load time of a model from the weight store, in the next version."""
+        self.max_body_bytes = 100_000
+        """Size of the largest body of a request, in the next version."""
         self.customers: dict[str, dict[str, Any]] = {
             "atelier": wire.customer("atelier", ["key-of-atelier"])
         }
@@ -74,6 +76,7 @@
             list(self.routes.values()),
             services,
             list(self.customers.values()),
+            max_body_bytes=self.max_body_bytes,
         )
         self._content = content
         self.write_again()
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_wire.py
@@ -133,7 +133,13 @@
 
 
 def settings(
-    *, name: str, ip: str, store: str, grace_seconds: float, ports: list[int]
+    *,
+    name: str,
+    ip: str,
+    store: str,
+    grace_seconds: float,
+    ports: list[int],
+    limits: dict[str, float] | None = None,
 ) -> dict[str, Any]:
     """Return the content of an instance's settings file.
 
@@ -143,6 +149,7 @@
         store: Address of the store, `host:port`.
         grace_seconds: Time that a planned stop allows running requests to end.
         ports: Front, readiness, directory and peer port.
+        limits: Limits of the machine; none if omitted.
     """
     front, ready, directory, peer = ports
     return {
@@ -172,6 +179,7 @@
             "ttl_max_s": 5,
         },
         "platform": {"address": store},
+        **({"limits": limits} if limits else {}),
     }
 
 
@@ -282,6 +290,8 @@
     routes: list[dict[str, Any]],
     services: list[dict[str, Any]],
     customers: list[dict[str, Any]],
+    *,
+    max_body_bytes: int = 100_000,
 ) -> dict[str, Any]:
     """Return one version of the operator's configuration."""
     return {
@@ -290,7 +300,7 @@
         "services": services,
         "limits": {
             "maxHeaderBytes": 16384,
-            "maxBodyBytes": 100_000,
+            "maxBodyBytes": max_body_bytes,
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         },
