Memory: early checks, a budget, bounded connections and parsing on the platform

Cause: bodies were buffered whole before route and key were known, nothing summed what connections hold, aiohttp keeps up to 512 KiB and 32 parsed requests for each connection, and the kernel several MB.

Change: guavajunction.memory (MemoryBudget, choose_shed, ConnectionSlots, ParsingMeter, HeadAllowance) with replays without a network; BoundedServer; the platform's listeners and ingress use them. Settings limits.memoryMb and limits.maxFds, both optional. A refusal for memory is 503 (memory_short) with Retry-After before anything was sent. Answers are buffered up to 32 KiB and counted while unread.

Partial: peers and tunnels are not counted in the budget; the product's own front does not use it.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_settings.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_settings.py
@@ -40,6 +40,10 @@
     """Number of ordinary cores that the process may use."""
     link_mbps: float
     """Network bandwidth in megabits per second."""
+    memory_mb: float | None = None
+    """Memory of the machine; None if it is not known, which sets no limit."""
+    max_descriptors: int | None = None
+    """Descriptors that the machine allows; None if not known, which sets no limit."""
 
     @property
     def strong(self) -> bool:
--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ._bounded_server import BoundedServer, limit_kernel_buffers
 from ._read_body import BodyTooLarge, read_body
 from ._relayed_response import RelayedResponse
 from ._sockets import (
@@ -17,6 +18,7 @@
 from ._strict_connector import StrictConnector
 
 __all__ = [
+    "BoundedServer",
     "BodyTooLarge",
     "NO_LINGER",
     "RelayedResponse",
@@ -25,6 +27,7 @@
     "StrictConnector",
     "WrongResponse",
     "close_in_order",
+    "limit_kernel_buffers",
     "open_socket",
     "open_stream",
     "read_body",
--- a/packages/guavajunction/src/guavajunction/errors.py
+++ b/packages/guavajunction/src/guavajunction/errors.py
@@ -143,6 +143,13 @@
     TYPE = "overloaded"
 
 
+class MemoryShort(RequestError):
+    """This instance holds too much for other requests, and did not run this one."""
+
+    STATUS = 503
+    TYPE = "memory_short"
+
+
 class NoReplica(RequestError):
     """No backend server that accepts new requests has the model or runs the service."""
 
--- a/packages/guavajunction/src/guavajunction/events.py
+++ b/packages/guavajunction/src/guavajunction/events.py
@@ -6,7 +6,8 @@
 Number ranges: 100 process, 200 configuration, 300 membership and peers,
 400 customers, 500 backends, 600 placement, 700 routing, 800 idempotency, 900 directory
 (reserved), 1000 gateway, 1100 storage, 1200 fleet, 1300 swapping,
-1400 quarantine, 1500 namedlimits, 1600 tunnels, 1700 statements, 1800 brittle.
+1400 quarantine, 1500 namedlimits, 1600 tunnels, 1700 statements, 1800 brittle,
+2000 memory.
 """
 
 from __future__ import annotations
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -155,6 +155,21 @@
             routes=len(routes.catalogue.routes),
         )
 
+    def check_head(self, req: GatewayRequest) -> Customer | None:
+        """Check the route and the key of a request before its body is read.
+
+        Returns:
+            The customer, or None if the route is open to all and the key unknown.
+
+        Raises:
+            RequestError: The request is refused.
+        """
+        try:
+            return self._find_route(req)[1]
+        except RequestError as exc:
+            self._log_failure(req, exc)
+            raise
+
     async def serve(self, req: GatewayRequest, sink: AnswerSink) -> None:
         """Answer one request through a sink.
 
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/memory/__init__.py
@@ -0,0 +1,22 @@
+"""Bounds what one process holds for callers: bytes, connections and parsing work."""
+
+from __future__ import annotations
+
+from ._budget import Holding, MemoryBudget
+from ._connection_slots import CallerConnection, ConnectionSlots
+from ._head_allowance import HeadAllowance
+from ._parsing_meter import ParsingMeter, ParsingUse
+from ._shedding import Held, Standing, choose_shed
+
+__all__ = [
+    "CallerConnection",
+    "ConnectionSlots",
+    "HeadAllowance",
+    "Held",
+    "Holding",
+    "MemoryBudget",
+    "ParsingMeter",
+    "ParsingUse",
+    "Standing",
+    "choose_shed",
+]
--- /dev/null
+++ b/packages/guavajunction/src/guavajunction/memory/_events.py
@@ -0,0 +1,21 @@
+"""Log events of the memory budget, 2000 to 2099."""
+
+from __future__ import annotations
+
+from guavajunction.events import LogEvent
+
+BUDGET_NEARLY_USED = LogEvent(
+    2000, "memory:nearly_used", "Most of the memory for callers' requests is reserved."
+)
+REQUEST_SHED = LogEvent(
+    2001,
+    "memory:shed",
+    "Requests that had not been sent were shed because memory is short; at most one "
+    "line a second, with the number of requests and their bytes.",
+)
+CONNECTION_REFUSED = LogEvent(
+    2002,
+    "memory:connection_refused",
+    "Connections were refused or closed because too many are open; at most one line a "
+    "second, with their number.",
+)
--- /dev/null
+++ b/tests/connections/test_bounded_server.py
@@ -0,0 +1,97 @@
+"""Tests of connections that hold and parse a bounded amount."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+from aiohttp import web
+
+from fakes_clock import QuickClock
+from guavajunction.connections import BoundedServer
+from guavajunction.memory import ConnectionSlots, HeadAllowance, ParsingMeter
+from guavajunction.metrics import MetricsRegistry
+
+BODY = b"POST /%d HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\na body"
+
+
+@contextlib.asynccontextmanager
+async def connected(*, heads=None):
+    """Yield reader and writer of one connection; answers are paths and bodies."""
+
+    async def answer(req):
+        body = b""
+        while chunk := await req.content.read(100):
+            body += chunk
+        return web.Response(body=req.path.encode() + b" " + body + b"\n")
+
+    slots = ConnectionSlots(None, QuickClock(), MetricsRegistry())
+    server = BoundedServer(
+        answer, slots=slots, meter=ParsingMeter(), heads=HeadAllowance(heads)
+    )
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+        await runner.cleanup()
+
+
+async def answers(reader, count):
+    found = []
+    async with asyncio.timeout(5.0):
+        while len(found) < count:
+            line = await reader.readline()
+            if line.startswith(b"/"):
+                found.append(line.decode().strip())
+    return found
+
+
+class TestPipelining:
+    """A request that is not parsed at once is not forgotten."""
+
+    @pytest.mark.parametrize("cut", [1, 20, 60, len(BODY), len(BODY) + 4])
+    async def test_request_behind_a_body_that_arrives_late_is_answered(self, cut):
+        whole = b"".join(BODY % number for number in range(3))
+        async with connected() as (reader, writer):
+            writer.write(whole[:cut])
+            await asyncio.sleep(0.05)
+            writer.write(whole[cut:])
+            assert await answers(reader, 3) == [f"/{n} a body" for n in range(3)]
+
+    async def test_many_requests_ahead_are_all_answered(self):
+        async with connected() as (reader, writer):
+            writer.write(b"".join(BODY % number for number in range(200)))
+            assert len(await answers(reader, 200)) == 200
+
+    async def test_tiny_chunks_are_joined(self):
+        head = b"POST /0 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        async with connected() as (reader, writer):
+            writer.write(head + b"1\r\nx\r\n" * 50_000 + b"0\r\n\r\n" + BODY % 1)
+            first, second = await answers(reader, 2)
+            assert (len(first), second) == (len("/0 ") + 50_000, "/1 a body")
+
+
+class TestHeads:
+    """Heads that are too large, or of too many fields, are refused."""
+
+    async def test_head_without_end_is_refused(self):
+        async with connected() as (reader, writer):
+            writer.write(
+                b"GET / HTTP/1.1\r\n" + (b"name: " + b"x" * 5000 + b"\r\n") * 60
+            )
+            async with asyncio.timeout(5.0):
+                assert b" 431 " in await reader.readline()
+
+    async def test_head_with_many_fields_is_served_if_there_is_no_other(self):
+        async with connected(heads=1) as (reader, writer):
+            writer.write(
+                b"GET /1 HTTP/1.1\r\nHost: x\r\n" + b"n: v\r\n" * 1000 + b"\r\n"
+            )
+            assert await answers(reader, 1) == ["/1"]
