--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_operator.py
@@ -28,6 +28,8 @@
         """Load time of a model from the weight store, in the next version."""
         self.cold_rate: float | None = None
         """Requests a second to a cold runner of bookings, in the next version."""
+        self.max_body_bytes = 100_000
+        """Size of the largest body of a request, in the next version."""
         self.customers: dict[str, dict[str, Any]] = {
             "atelier": wire.customer("atelier", ["key-of-atelier"])
         }
@@ -77,6 +79,7 @@
             list(self.routes.values()),
             services,
             list(self.customers.values()),
+            max_body_bytes=self.max_body_bytes,
         )
         self._content = content
         self.write_again()
