Review: promises, shares, descriptors, ramps

Found by two reviews of code by others, each defect shown by a script or a test that fails before, or by reading where it says so. - A request whose first attempt may have run was refused as not run when a later attempt was rejected (safe and resumable routes); now 504. - Shares of scarce slots counted requests that need other servers (version, regions, service, adapter, one server) and those of cut instances, and held back plain requests of some milliseconds; the wait of a request behind more urgent ones of its own instance was estimated ten times too long; counting the queue took time by its square. - Connections that aiohttp had closed while their callers left bytes unread kept their descriptors; an answer that was being read could be closed as idle (by reading). - Ended ramps renewed each other's messages for good, and a late entry began another ramp for the fleet; a rate below one a second was exceeded by rare questions.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_fleet_links.py
@@ -388,6 +388,9 @@
         is_large = len(self._listed_by_name) > self._full_mesh
         if self._share_capacity == "large" and not is_large:
             return {}
+        if self._parts.paths.is_cut:
+            # Its requests can use no slot until it reaches backend servers again.
+            return {}
         return self._parts.queue.own_backlog()
 
     def _only_for_followers(
--- a/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
+++ b/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
@@ -38,6 +38,8 @@
 resume its transport, which costs two system calls."""
 READ_AHEAD_BYTES = 65_536
 """Bytes that may arrive with the end of a head."""
+MAX_PARSE_SECONDS = 0.2
+"""Longest time that parsing the bytes of one event takes."""
 FIELD_FRAME_BYTES = 4
 """Bytes of a field besides its name and value."""
 
@@ -57,6 +59,7 @@
     """
 
     __slots__ = (
+        "_accepted",
         "_bounds",
         "_head_bytes",
         "_heads_held",
@@ -73,6 +76,9 @@
     ) -> None:
         super().__init__(manager, loop=loop, **kwargs)
         self._bounds = manager
+        self._accepted: asyncio.BaseTransport | None = None
+        """The transport until the connection is lost. aiohttp forgets it when it closes
+        the connection, also while its caller leaves bytes unread."""
         # aiohttp queues up to 32 parsed requests, each with up to 4,096 fields.
         self._max_msg_queue_size = MAX_PARSED_AHEAD
         self._msg_queue_resume_size = MAX_PARSED_AHEAD // 2
@@ -102,6 +108,12 @@
         req = self._current_request
         return req is not None and req.content.is_eof()
 
+    @property
+    def has_unread(self) -> bool:
+        """Return whether a part of an answer has not been taken by the caller."""
+        accepted = self._accepted
+        return accepted is not None and accepted.get_write_buffer_size() > 0
+
     @property
     def is_receiving(self) -> bool:
         """Return whether the body of a request is arriving."""
@@ -115,17 +127,19 @@
 
     def shed(self) -> None:
         """Close the connection at once."""
-        if self.transport is not None:
-            self.transport.abort()
+        if self._accepted is not None:
+            self._accepted.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Serve the connection if there is a slot for it."""
         super().connection_made(transport)
+        self._accepted = transport
         if not self._bounds.slots.add(self):
             self.shed()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give back the slot."""
+        self._accepted = None
         self._bounds.slots.remove(self)
         self._bounds.heads.give_back(self._heads_held)
         self._heads_held = 0
@@ -148,7 +162,9 @@
         now = self._loop.time()
         if data:
             self.last_received_at = now
-        rest = self._bounds.meter.note(self._use, ended - began, now)
+        # A process that was suspended while it parsed has not used that time.
+        seconds = min(ended - began, MAX_PARSE_SECONDS)
+        rest = self._bounds.meter.note(self._use, seconds, now)
         if rest > 0 and not self._is_resting and not self._close:
             self._is_resting = True
             self._pause_transport_reading()
--- a/packages/guavajunction/src/guavajunction/gateway/_capacity_shares.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_capacity_shares.py
@@ -47,7 +47,7 @@
     """Time until a send shows in the load that other instances know: two heartbeats
     and the hub between them."""
     MAX_ROUNDS = 4096
-    """Number of models and services whose rounds are kept."""
+    """Number of keys whose rounds are kept."""
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
@@ -59,7 +59,7 @@
         """Return whether a request is within the share of this instance.
 
         Args:
-            key: Model or service that the request waits for.
+            key: What the request waits for.
             priority: Priority of the request, 0 is the most urgent.
             contention: What competes with it.
             now: Monotonic time in seconds.
@@ -126,8 +126,11 @@
 
     >>> requests_ahead(Contention(0, own={1: 2}, others={0: 5, 1: 8}), 1, 1)
     10.0
+    >>> requests_ahead(Contention(0, own={0: 10, 1: 1}, others={1: 99}), 1, 11)
+    110.0
     """
     urgent = sum(n for urgency, n in contention.others.items() if urgency < priority)
+    own_urgent = sum(n for urgency, n in contention.own.items() if urgency < priority)
     own = max(1, contention.own.get(priority, 0))
     waiting = own + contention.others.get(priority, 0)
-    return urgent + position * waiting / own
+    return urgent + own_urgent + max(1, position - own_urgent) * waiting / own
--- a/packages/guavajunction/src/guavajunction/gateway/_fleet_backlog.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_fleet_backlog.py
@@ -15,8 +15,7 @@
     """Sums the requests that wait on the other instances, as last reported."""
 
     MAX_KEYS = 64
-    """Number of models or services that an instance reports, those with most waiting
-    requests."""
+    """Number of keys that an instance reports, those with most waiting requests."""
 
     def __init__(self) -> None:
         self._peers: dict[PeerId, Backlog] = {}
@@ -36,13 +35,18 @@
         """Return the requests that wait on other instances, by priority.
 
         Args:
-            key: Model or service that they wait for.
+            key: What they wait for.
         """
         return self._total.get(key, {})
 
     def update_peer(self, peer: PeerId, backlog: Backlog) -> None:
         """Replace the backlog that a peer reported."""
         self._subtract(self._peers.pop(peer, {}))
+        backlog = {
+            key: positive
+            for key, counts in backlog.items()
+            if (positive := {priority: n for priority, n in counts.items() if n > 0})
+        }
         if not backlog:
             return
         self._peers[peer] = backlog
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -106,6 +106,8 @@
         self.sink = sink
         self.was_sent = False
         """Whether a backend server may have received it."""
+        self.may_have_run = False
+        """Whether an attempt failed after a backend server may have begun to run it."""
         self.is_ended = False
         """Whether it is ended because the process is about to end."""
 
@@ -261,6 +263,23 @@
             self._parts.demand.note(req.size.model, req.arrived_at)
             if req.size.adapter:
                 self._parts.demand.note(req.size.artifact, req.arrived_at)
+        try:
+            await self._send_until_answered(admitted, sink, in_flight)
+        except RequestError as exc:
+            if in_flight.may_have_run and exc.not_run == "true":
+                # A later refusal says nothing about the earlier attempt.
+                raise OutcomeUnknown(
+                    f"an attempt without an answer may have run; then: {exc.message}"
+                ) from exc
+            raise
+
+    async def _send_until_answered(
+        self,
+        admitted: _AdmittedRequest,
+        sink: AnswerSink,
+        in_flight: _RequestInFlight,
+    ) -> None:
+        req = admitted.req
         sent: list[str] = []
         unreachable: list[str] = []
         while True:
@@ -276,6 +295,8 @@
                     raise self._unreachable_error(admitted, exc) from exc
                 reason = exc.message
             except (BackendRefused, BackendFailed, OutcomeUnknown) as exc:
+                if not isinstance(exc, BackendRefused):
+                    in_flight.may_have_run = True
                 if isinstance(exc, BackendReplaced):
                     unreachable.append(backend.name)
                 else:
@@ -532,7 +553,8 @@
             # about the backend server.
             is_own_cut = paths.is_cut and not sent_while_cut
             if not is_own_cut:
-                self._record_failure(backend, exc, left)
+                seconds = self._parts.clock.monotonic() - sent_at
+                self._record_failure(backend, exc, left, seconds)
             if isinstance(exc, OutcomeUnknown | AnswerCut) and exc.connection_lost:
                 if not is_own_cut:
                     self._record_loss(admitted, backend, progress)
@@ -735,7 +757,11 @@
         )
 
     def _record_failure(
-        self, backend: BackendRecord, exc: RequestError | NotSent, time_limit: float
+        self,
+        backend: BackendRecord,
+        exc: RequestError | NotSent,
+        time_limit: float,
+        seconds: float,
     ) -> None:
         if isinstance(exc, NoPathToServer):
             return
@@ -743,7 +769,7 @@
         if time_limit >= self.MIN_FAILURE_SECONDS and not isinstance(
             exc, BackendFailed
         ):
-            self._parts.limits.paces.note_bad(backend.identity)
+            self._parts.limits.paces.note_bad(backend.identity, seconds)
         if isinstance(exc, NotSent):
             self._parts.registry.note_unreachable(backend)
             self._parts.quarantine.note_refused(backend.identity)
--- a/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request_queue.py
@@ -75,6 +75,9 @@
 MODEL_REASON = "a model"
 """Reason of a wait for a model load."""
 
+ADAPTER_REASON = "an adapter"
+"""Reason of a wait for an adapter load."""
+
 AdapterRequest = Callable[[GenerationSize, str, str], None]
 """Called with the size, service and software version of a request; the version is empty
 if any will do."""
@@ -156,6 +159,9 @@
     """Estimated wait for an adapter that is being loaded."""
     OTHER_INSTANCE_RETRY_SECONDS = 0.05
     """Retry delay if another instance can serve the request immediately."""
+    COUNT_SECONDS = 0.02
+    """Time for which the count of waiting requests is used; a queue of hundreds is
+    considered many times a second."""
     REFUSED_MODEL_SECONDS = 5.0
     """Time for which a model is wanted after a resumed stream was refused for it: a
     load, the retry delay and two heartbeats."""
@@ -203,6 +209,8 @@
         before then are refused."""
         self.loads_due: dict[str, float] = {}
         """When models that are being loaded are expected, on the monotonic clock."""
+        self._counts: Backlog = {}
+        self._counted_at = float("-inf")
         self.backlog = FleetBacklog()
         """Requests that wait on the other instances."""
         self._shares = CapacityShares(rng)
@@ -262,12 +270,27 @@
         return dict(models)
 
     def own_backlog(self) -> Backlog:
-        """Return the requests that wait on this instance, to send to peers."""
-        backlog: Backlog = {}
-        for queued in self._waiting:
-            counts = backlog.setdefault(_contended(queued), {})
-            counts[queued.priority] = counts.get(queued.priority, 0) + 1
-        return largest(backlog, FleetBacklog.MAX_KEYS)
+        """Return the generations that wait on this instance, to send to peers."""
+        return largest(self._count_waiting(), FleetBacklog.MAX_KEYS)
+
+    def _count_waiting(self) -> Backlog:
+        """Return the generations that compete for slots, by key and priority.
+
+        Counted at most once in `COUNT_SECONDS`, as each of them asks for it. Those that
+        wait for an adapter could not use a slot.
+        """
+        now = self._clock.monotonic()
+        if now - self._counted_at >= self.COUNT_SECONDS:
+            self._counted_at = now
+            self._counts = {}
+            for queued in self._waiting:
+                key = _contended(queued)
+                reason = self._wait_reasons.get(queued.req.request_id)
+                if key is None or queued.fut.done() or reason == ADAPTER_REASON:
+                    continue
+                counts = self._counts.setdefault(key, {})
+                counts[queued.priority] = counts.get(queued.priority, 0) + 1
+        return self._counts
 
     async def wait_for_backend(self, queued: QueuedRequest) -> BackendRecord:
         """Wait for a backend server and count the request in its load.
@@ -401,10 +424,9 @@
         self._limits.on_sent(backend.identity)
         self._places.on_sent(backend, queued.req.request_id)
         self._wait_reasons.pop(queued.req.request_id, None)
-        if not self.backlog.is_empty:
-            self._shares.on_sent(
-                _contended(queued), queued.priority, self._clock.monotonic()
-            )
+        key = _contended(queued)
+        if key is not None and not self.backlog.is_empty:
+            self._shares.on_sent(key, queued.priority, self._clock.monotonic())
         queued.fut.set_result(backend)
 
     async def run(self) -> None:
@@ -553,7 +575,7 @@
     ) -> bool:
         """Return whether this instance may use one more of the fleet's free slots."""
         key = _contended(queued)
-        if not self.backlog.of_others(key):
+        if key is None or not self.backlog.of_others(key):
             return True
         free = sum(
             self._capacity(backend, queued) - load.running for backend, load in options
@@ -561,16 +583,14 @@
         return self._shares.may_send(
             key,
             queued.priority,
-            self._contention(key, free),
+            self._contention(key, queued.priority, free),
             self._clock.monotonic(),
         )
 
-    def _contention(self, key: str, free: int = 0) -> Contention:
-        own = Counter(
-            queued.priority
-            for queued in self._waiting
-            if not queued.fut.done() and _contended(queued) == key
-        )
+    def _contention(self, key: str, priority: int, free: int = 0) -> Contention:
+        own = dict(self._count_waiting().get(key, {}))
+        # The request itself may have come after the count.
+        own[priority] = max(1, own.get(priority, 0))
         return Contention(free, own, self.backlog.of_others(key))
 
     def _may_send(self, backend: BackendRecord) -> bool:
@@ -768,7 +788,7 @@
             self.on_adapter_wanted(
                 size, queued.service.name, queued.software_version or ""
             )
-            return WaitEstimate(self.ADAPTER_SECONDS, "an adapter")
+            return WaitEstimate(self.ADAPTER_SECONDS, ADAPTER_REASON)
         return self._estimate_slot_wait(queued, seen)
 
     def _estimate_slot_wait(self, queued: QueuedRequest, seen: _Pass) -> WaitEstimate:
@@ -792,8 +812,8 @@
         """Return when a request gets a slot, after those of the fleet ahead of it."""
         ahead: float = seen.next_place(queued)
         key = _contended(queued)
-        if self.backlog.of_others(key):
-            contention = self._contention(key)
+        if key is not None and self.backlog.of_others(key):
+            contention = self._contention(key, queued.priority)
             ahead = requests_ahead(contention, queued.priority, round(ahead))
         return WaitEstimate(ahead * seconds_each, "slots")
 
@@ -848,10 +868,18 @@
     return queued.service.name if size is None else size.artifact
 
 
-def _contended(queued: QueuedRequest) -> str:
-    """Return the key of what a request competes for with those of other instances."""
+def _contended(queued: QueuedRequest) -> str | None:
+    """Return the key of the slots that a request competes for with other instances.
+
+    None for one that competes by itself: a plain request, which occupies a slot for
+    less than a round of the shares, and one that is bound to a backend server.
+    """
     size = queued.req.size
-    return f"service:{queued.service.name}" if size is None else size.model
+    if size is None or queued.only is not None:
+        return None
+    homes = "" if queued.homes is None else ",".join(sorted(queued.homes))
+    version = queued.software_version or ""
+    return f"{queued.service.name}/{size.model}/{version}/{homes}"
 
 
 def _target(queued: QueuedRequest) -> _Target:
--- a/packages/guavajunction/src/guavajunction/gateway/_speed_factors.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_speed_factors.py
@@ -221,7 +221,7 @@
         return self._slowest
 
     def _mean_ratio(self, evidence: _Evidence) -> float:
-        return min(math.exp(evidence.logs / evidence.weight), self.MAX_RATIO)
+        return math.exp(min(evidence.logs / evidence.weight, math.log(self.MAX_RATIO)))
 
     def _is_slow(self, evidence: _Evidence) -> bool:
         # A sum without a peer may be slightly older than what that peer reported.
--- a/packages/guavajunction/src/guavajunction/intake/_permits.py
+++ b/packages/guavajunction/src/guavajunction/intake/_permits.py
@@ -66,7 +66,10 @@
             if tenure is None or now - tenure.asked_at > self.HANDOVER_SECONDS:
                 # Another instance may have handed out sends meanwhile.
                 tenure = _Tenure(began_at=now, asked_at=now)
-                self._next_at[backend] = now
+                # A send that is due later stays due then: with less than one a second,
+                # each question might otherwise begin anew.
+                next_at = self._next_at.get(backend, now)
+                self._next_at[backend] = max(now, next_at)
             self._tenures[backend] = tenure._replace(asked_at=now)
             if now - tenure.began_at < self.HANDOVER_SECONDS:
                 rate *= first_share
--- a/packages/guavajunction/src/guavajunction/intake/_server_paces.py
+++ b/packages/guavajunction/src/guavajunction/intake/_server_paces.py
@@ -51,6 +51,8 @@
     slots: int
     """Slots of the backend server, from which its paces follow."""
     counts: AnswerCounts
+    is_ended: bool = False
+    """Whether the ramp has ended for the sender."""
 
 
 class _Paces(NamedTuple):
@@ -198,7 +200,8 @@
         """
         if backend not in self._listed:
             self._listed.add(backend)
-            if not is_first:
+            # A peer may have told of its ramp before its entry arrives here.
+            if not is_first and backend not in self._ramps:
                 self.begin(backend, slots, "started")
 
     def begin(self, backend: BackendId, slots: int, cause: str) -> None:
@@ -249,7 +252,7 @@
         """Return this instance's counts that changed a moment ago, for its peers."""
         since = self._clock.monotonic() - self.SEND_SECONDS
         return {
-            backend: RampCounts(ramp.number, ramp.slots, ramp.own)
+            backend: RampCounts(ramp.number, ramp.slots, ramp.own, ramp.is_ended)
             for backend, ramp in self._ramps.items()
             if ramp.own_changed_at >= since
         }
@@ -262,7 +265,9 @@
             if ramp.changed_at >= since:
                 others = ramp.heard.minus(ramp.peers.get(peer, AnswerCounts()))
                 total = ramp.own.plus(others)
-                totals[backend] = RampCounts(ramp.number, ramp.slots, total)
+                totals[backend] = RampCounts(
+                    ramp.number, ramp.slots, total, ramp.is_ended
+                )
         return totals
 
     def update_peer(
@@ -330,6 +335,8 @@
         if received.ramp < ramp.number:
             return None
         if ramp.is_ended:
+            if received.is_ended:
+                return None
             # The peer has missed the last counts.
             ramp.own_changed_at = ramp.changed_at = self._clock.monotonic()
             return None
--- a/packages/guavajunction/src/guavajunction/memory/_connection_slots.py
+++ b/packages/guavajunction/src/guavajunction/memory/_connection_slots.py
@@ -27,6 +27,11 @@
         """Return whether the body of a request is arriving."""
         ...
 
+    @property
+    def has_unread(self) -> bool:
+        """Return whether a part of an answer has not been taken by the caller."""
+        ...
+
     @property
     def served(self) -> int:
         """Return the number of requests that the connection has carried."""
@@ -53,7 +58,8 @@
     """Share of them for readiness, directory and metrics. The rest is for backend
     servers, other instances, tunnels and the store."""
     SILENT_SECONDS = 1.0
-    """A connection whose body is arriving may be closed after this time in silence."""
+    """A connection whose body is arriving, or whose answer is being read, may be closed
+    after this time without bytes from its caller."""
     LOG_SECONDS = 1.0
 
     def __init__(
@@ -102,7 +108,11 @@
                 return False
             victim = min(
                 candidates,
-                key=lambda c: (c.is_receiving, c.served > 0, c.last_received_at),
+                key=lambda c: (
+                    c.is_receiving or c.has_unread,
+                    c.served > 0,
+                    c.last_received_at,
+                ),
             )
             self.remove(victim)
             victim.shed()
@@ -117,7 +127,8 @@
         if connection.is_running:
             return False
         silent = now - connection.last_received_at
-        return not connection.is_receiving or silent >= self.SILENT_SECONDS
+        is_busy = connection.is_receiving or connection.has_unread
+        return not is_busy or silent >= self.SILENT_SECONDS
 
     def _note_shed(self, now: float) -> None:
         self._metrics.count("shed_total", reason="connections")
--- a/tests/gateway/test_capacity_shares.py
+++ b/tests/gateway/test_capacity_shares.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from fakes_gateway import FakeGateway, backend
+from fakes_gateway import ENGINES, FakeGateway, backend
 from guavajunction.errors import Overloaded
 from guavajunction.gateway import FleetBacklog
 from guavajunction.gateway._capacity_shares import CapacityShares, Contention
@@ -164,7 +164,7 @@
         fake = FakeGateway(backend("e1", models=("m1",)))
         for _ in range(8):
             fake.loads.begin("e1", None)
-        fake.queue.backlog.update_peer(peer(1), {"m1": {1: 500}})
+        fake.queue.backlog.update_peer(peer(1), {f"{ENGINES}/m1//": {1: 500}})
         with pytest.raises(Overloaded) as refusal:
             await fake.serve("/draft/1")
         assert refusal.value.retry_after > 100
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -129,6 +129,20 @@
         assert sink.finished
         assert len(fleet.caller.sent) == 4
 
+    @pytest.mark.parametrize(
+        "failure",
+        [OutcomeUnknown("no answer"), FakeAnswer(500)],
+        ids=["unknown", "500"],
+    )
+    async def test_refusal_after_an_attempt_that_may_have_run_promises_nothing(
+        self, failure
+    ):
+        fleet = FakeGateway(*PLAIN)
+        fleet.caller.script = [failure, *[FakeAnswer(503, not_run=True)] * 9]
+        with pytest.raises(OutcomeUnknown) as caught:
+            await fleet.serve("/look/1")
+        assert caught.value.STATUS == 504
+
     async def test_server_that_another_one_replaced_does_not_use_up_attempts(self):
         fleet = FakeGateway(*PLAIN)
         gone = FakeAnswer(421, answered_by="b9")
--- a/tests/intake/test_server_paces.py
+++ b/tests/intake/test_server_paces.py
@@ -297,6 +297,34 @@
         paces.update_peer(peer, {engine: RampCounts(1, SLOTS, AnswerCounts(90.0))})
         assert paces.rate(engine) == 8.0
 
+    def test_ended_ramps_do_not_renew_each_other(self):
+        clock, engine = ManualClock(), BackendId("e1", 1)
+        first, second = ServerPaces(clock), ServerPaces(clock)
+        for paces in (first, second):
+            paces.is_enabled = True
+            paces.begin(engine, SLOTS, "started")
+            for _ in range(100):
+                paces.note_good(engine)
+            clock.advance(ServerPaces.FULL_SECONDS)
+            paces.keep_only({engine})
+        for _ in range(10):
+            clock.advance(1.0)
+            first.update_peer(PeerId("b", "1"), second.own())
+            second.update_peer(PeerId("a", "1"), first.own())
+        assert not first.own()
+        assert not second.own()
+
+    def test_late_entry_begins_no_second_ramp(self):
+        clock, engine = ManualClock(), BackendId("e1", 1)
+        paces = ServerPaces(clock)
+        paces.is_enabled = True
+        counts = {engine: RampCounts(1, SLOTS, AnswerCounts(100.0))}
+        paces.update_peer(PeerId("a", "1"), counts)
+        clock.advance(ServerPaces.FULL_SECONDS)
+        paces.keep_only({engine})
+        paces.note_listed(engine, SLOTS, is_first=False)
+        assert paces.rate(engine) is None
+
     def test_nothing_is_sent_without_ramps(self):
         clock, engine = ManualClock(), BackendId("e1", 1)
         paces = ServerPaces(clock)
--- a/tests/memory/test_shedding.py
+++ b/tests/memory/test_shedding.py
@@ -114,10 +114,11 @@
 
 
 class _Connection:
-    def __init__(self, *, at, served=0, receiving=False, running=False):
+    def __init__(self, *, at, served=0, receiving=False, running=False, unread=False):
         self.last_received_at = at
         self.served = served
         self.is_receiving = receiving
+        self.has_unread = unread
         self.is_running = running
         self.is_closed = False
 
@@ -145,7 +146,7 @@
         assert (silent.is_closed, used.is_closed) == (True, False)
         assert slots.open == slots.limit == 2
 
-    @pytest.mark.parametrize("state", ["running", "receiving"])
+    @pytest.mark.parametrize("state", ["running", "receiving", "unread"])
     def test_working_connections_are_kept_and_the_new_one_is_refused(self, state):
         slots = self.slots(2)
         now = slots._clock.monotonic()
