Nothing is estimated per request for switched-off paces and speeds

Cause: found on reading the change: each request estimated when its answer is late, twice over its load, and each chunk was timed, also with pace off and fixed speeds; a hook and a function repeated what the queue's speeds give. Change: both are guarded by their switches, the hook is gone; two tests share their fleet shapes. Behaviour is unchanged.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -217,7 +217,6 @@
                 rng=self._rng,
             )
         )
-        self._gateway.first_event_seconds = self._queue.speeds.usual_first_event_seconds
         self._decode_backend = functools.lru_cache(self.DECODE_CACHE_ROWS)(
             self._decode_new_backend
         )
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
-from collections.abc import Callable
 from typing import NamedTuple
 
 from guavajunction.brittle import BrittlePlaces
@@ -29,7 +29,7 @@
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.quarantine import PartQuarantine, RequestFingerprint
 
-from . import _admission, _backend_selection
+from . import _admission
 from . import _events as events
 from ._answer_progress import AnswerProgress
 from ._answer_speed import AnswerSpeed
@@ -76,11 +76,6 @@
     rng: random.Random
 
 
-FirstEventSeconds = Callable[[BackendRecord, int, Load], float]
-"""Returns the seconds until the first event that are expected of a backend server for a
-number of prompt tokens, at its load without the request."""
-
-
 class _AdmittedRequest(NamedTuple):
     """A request with its route, service, customer, priority and deadline."""
 
@@ -154,8 +149,6 @@
         self.streams_until = float("inf")
         """When this instance starts to refuse generation requests, on the monotonic
         clock. Later ones might not end before it stops."""
-        self.first_event_seconds: FirstEventSeconds = _first_token_seconds
-        """What is expected of the first event of a generation."""
         self._in_flight: dict[asyncio.Task[None], _RequestInFlight] = {}
         self._is_ending = False
 
@@ -497,9 +490,9 @@
             cut=sent_while_cut,
         )
         queue = self._parts.queue
-        late_seconds = self._late_seconds(admitted, backend)
-        sent_at = self._parts.clock.monotonic()
         load = queue.load_without(req, backend)
+        late_seconds = self._late_seconds(admitted, backend, load)
+        sent_at = self._parts.clock.monotonic()
         speed = AnswerSpeed(queue.speeds, req, backend, load, sent_at)
         paths.begin()
         try:
@@ -529,7 +522,9 @@
                     self._record_origin(admitted, backend)
                 self._parts.queue.on_first_event(req, backend)
                 # The time of a tunnel is not the backend server's.
-                is_sample = answer.head.succeeded and not sent_while_cut
+                is_sample = (
+                    queue.speeds.learns and answer.head.succeeded and not sent_while_cut
+                )
                 await self._relay(
                     admitted,
                     backend,
@@ -571,15 +566,26 @@
             )
 
     def _late_seconds(
-        self, admitted: _AdmittedRequest, backend: BackendRecord
+        self, admitted: _AdmittedRequest, backend: BackendRecord, load: Load
     ) -> float:
-        """Return the time after which the first event of an answer is late."""
-        size = admitted.req.size
+        """Return the time after which the first event of an answer is late.
+
+        It is infinite without paces, which alone ask for it.
+
+        Args:
+            admitted: The request.
+            backend: Where it is sent.
+            load: Load of the backend server without the request.
+        """
+        if not self._parts.limits.paces.is_enabled:
+            return math.inf
+        queue, size = self._parts.queue, admitted.req.size
         if size is None:
-            expected = self._parts.queue.run_times.mean(admitted.service.name)
+            expected = queue.run_times.mean(admitted.service.name)
         else:
-            load = self._parts.queue.load_without(admitted.req, backend)
-            expected = self.first_event_seconds(backend, size.prompt_tokens, load)
+            expected = queue.speeds.usual_first_event_seconds(
+                backend, size.prompt_tokens, load
+            )
         return max(self.MIN_LATE_SECONDS, self.LATE_FACTOR * expected)
 
     def _note_pace(
@@ -846,9 +852,3 @@
 
     def _age_ms(self, req: GatewayRequest) -> int:
         return round((self._parts.clock.monotonic() - req.arrived_at) * 1000)
-
-
-def _first_token_seconds(
-    backend: BackendRecord, prompt_tokens: int, load: Load
-) -> float:
-    return _backend_selection.first_token_seconds(load, backend.slots, prompt_tokens)
--- a/tests/entry/test_cold_links.py
+++ b/tests/entry/test_cold_links.py
@@ -7,20 +7,12 @@
 
 import pytest
 
-from fakes_intake_fleet import ENGINE, SERVICE, IntakeFleet
+from fakes_intake_fleet import ENGINE, SERVICE, SHAPES, SMALL_SHAPES, IntakeFleet
 from guavajunction.intake import ReturnedServer
 
 BOUND = 24.5
 """13 a second, times 1.5, plus 5."""
 COLD_SECONDS = 3.0
-SMALL_SHAPES = pytest.mark.parametrize(
-    ("hubs", "followers"), [(8, 0), (3, 29)], ids=["8 instances", "90 instances"]
-)
-SHAPES = pytest.mark.parametrize(
-    ("hubs", "followers"),
-    [(8, 0), (3, 29), (10, 29)],
-    ids=["8 instances", "90 instances", "300 instances"],
-)
 
 
 def tell_all(fleet, number, seconds, *, within, lost=0.0):
--- a/tests/fakes_intake_fleet.py
+++ b/tests/fakes_intake_fleet.py
@@ -9,6 +9,8 @@
 import asyncio
 import random
 
+import pytest
+
 from fakes_clock import ManualClock
 from guavajunction.errors import PeerTimeout
 from guavajunction.fleet import Member
@@ -22,6 +24,14 @@
 STEP_SECONDS = 0.02
 HEARTBEAT_SECONDS = 0.16
 LIVE_SECONDS = 1.0
+SMALL_SHAPES = pytest.mark.parametrize(
+    ("hubs", "followers"), [(8, 0), (3, 29)], ids=["8 instances", "90 instances"]
+)
+SHAPES = pytest.mark.parametrize(
+    ("hubs", "followers"),
+    [(8, 0), (3, 29), (10, 29)],
+    ids=["8 instances", "90 instances", "300 instances"],
+)
 
 
 class IntakeFleet:
--- a/tests/intake/test_server_paces.py
+++ b/tests/intake/test_server_paces.py
@@ -15,6 +15,7 @@
 import pytest
 
 from fakes_clock import ManualClock
+from fakes_intake_fleet import SHAPES, SMALL_SHAPES
 from guavajunction.intake import AnswerCounts, RampCounts, ServerPaces
 from guavajunction.peers import PeerId
 from guavajunction.quarantine import BackendId
@@ -25,14 +26,6 @@
 FULL = 32.0
 FLOOR = 2.0
 LATE_SECONDS = 0.5
-SMALL_SHAPES = pytest.mark.parametrize(
-    ("hubs", "followers"), [(8, 0), (3, 29)], ids=["8 instances", "90 instances"]
-)
-SHAPES = pytest.mark.parametrize(
-    ("hubs", "followers"),
-    [(8, 0), (3, 29), (10, 29)],
-    ids=["8 instances", "90 instances", "300 instances"],
-)
 
 
 class Server:
