Log responses that belong to no request, callers' connections and carried tunnels

The logs could not tell the three hypotheses apart: a response that no request is due was discarded or queued without a line, and no line named the connection of a caller or the tunnel that an instance carries.

Line 2200 and the gauge stray_responses_total show each response, or run of bytes, that belongs to no request of its connection, with its place and both ids. Lines 1001, 1002, 1003 and 1005 name the caller's connection and the request's number on it. Line 1613 names both connections of a tunnel at the instance that carries it. No decision is changed.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -276,6 +276,8 @@
         self._backends_era = 0
         self.metrics.gauge("cut_from_backends", lambda: int(self._tunnels.watch.is_cut))
         self.metrics.gauge("tunnels_open", lambda: self._tunnels.open)
+        connections = self._deployment.backend_connections
+        self.metrics.gauge("stray_responses_total", lambda: connections.stray_responses)
         self.metrics.gauge(
             "brittle_services", lambda: len(self._places.brittle_services())
         )
--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._bounded_server import BoundedServer, limit_kernel_buffers
+from ._bounded_server import BoundedConnection, BoundedServer, limit_kernel_buffers
 from ._read_body import BodyTooLarge, read_body
 from ._relayed_response import RelayedResponse
 from ._sockets import (
@@ -18,6 +18,7 @@
 from ._strict_connector import StrictConnector
 
 __all__ = [
+    "BoundedConnection",
     "BoundedServer",
     "BodyTooLarge",
     "NO_LINGER",
--- a/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
+++ b/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
@@ -125,6 +125,11 @@
         """Return the number of requests that the connection has carried."""
         return self._request_count
 
+    @property
+    def answering(self) -> int:
+        """Return the number of the request that is being answered, from 1."""
+        return self._request_count - len(self._messages)
+
     def shed(self) -> None:
         """Close the connection at once."""
         if self._accepted is not None:
--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 
+from . import _events as events
+
 SWITCHING_PROTOCOLS = 101
 
 
@@ -32,11 +35,18 @@
     MAX_FRAMING_RATIO = 16
     """Further bytes of framing that are accepted for each byte of the body. Chunks of
     one byte need 6."""
+    MAX_LOGGED_ID = 64
+    """Number of characters of an id that are logged."""
     MAX_CARRIED = 256
     """Number of requests after which a connection is closed, as it remembers them."""
 
     def __init__(
-        self, *args: Any, id_header: str = "", id_required: bool = True, **kwargs: Any
+        self,
+        *args: Any,
+        id_header: str = "",
+        id_required: bool = True,
+        on_stray: Callable[[], None] = lambda: None,
+        **kwargs: Any,
     ) -> None:
         """Create the protocol of a connection that is not open yet.
 
@@ -44,9 +54,11 @@
             args: Arguments of aiohttp's protocol.
             id_header: Header by which a response names its request.
             id_required: Whether a response without that header is wrong as well.
+            on_stray: Called for each response, or bytes, that belong to no request.
             kwargs: Arguments of aiohttp's protocol.
         """
         super().__init__(*args, **kwargs)
+        self._on_stray = on_stray
         self._id_header = id_header
         self._id_required = id_required
         self._expected_id: str | None = None
@@ -86,15 +98,20 @@
         if not is_interim and self._body is None:
             named_id = message.headers.get(self._id_header)
             if not self._is_expected(named_id):
+                self._note_stray("instead of the response", named_id)
                 self._fail(WrongResponse(f"the response is to request {named_id!r}"))
                 return
             self._body = body
+        elif self._body is not None:
+            named_id = message.headers.get(self._id_header)
+            self._note_stray("with the end of the response", named_id)
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the transport; fail if they belong to no response."""
         # aiohttp passes no bytes when it resumes reading.
         if data and self._body is not None and self._body.is_eof():
+            self._note_stray("after the response", None)
             self._fail(
                 ClientPayloadError(
                     "the server sent bytes after the end of its response"
@@ -121,6 +138,23 @@
             return True
         return named_id == self._expected_id
 
+    def _note_stray(self, place: str, named_id: str | None) -> None:
+        """Log and count bytes that belong to no request of the connection.
+
+        Args:
+            place: Where they arrived, relative to the response to the last request.
+            named_id: Id of the request that they name, if any.
+        """
+        self._on_stray()
+        address = self.transport and self.transport.get_extra_info("peername")
+        events.STRAY_RESPONSE.log(
+            server=address and f"{address[0]}:{address[1]}",
+            place=place,
+            request_id=self._expected_id,
+            named_id=named_id and named_id[: self.MAX_LOGGED_ID],
+            carried=len(self._carried),
+        )
+
     def _fail(self, error: ClientPayloadError) -> None:
         self._fail_body(error)
         self.set_exception(error)
--- a/packages/guavajunction/src/guavajunction/connections/_strict_connector.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connector.py
@@ -37,12 +37,15 @@
         """
         super().__init__(**kwargs)
         self._id_header = id_header
+        self.stray_responses = 0
+        """Responses, or bytes, that belonged to no request of their connection."""
         # aiohttp has no public way to choose the type of a connection's protocol.
         self._factory = partial(
             StrictConnection,
             loop=self._loop,
             id_header=id_header or "",
             id_required=id_required,
+            on_stray=self._count_stray,
         )
 
     async def connect(
@@ -58,3 +61,6 @@
         assert isinstance(connection.protocol, StrictConnection)
         connection.protocol.expect(request_id)
         return connection
+
+    def _count_stray(self) -> None:
+        self.stray_responses += 1
--- a/packages/guavajunction/src/guavajunction/events.py
+++ b/packages/guavajunction/src/guavajunction/events.py
@@ -7,7 +7,7 @@
 400 customers, 500 backends, 600 placement, 700 routing, 800 idempotency, 900 directory
 (reserved), 1000 gateway, 1100 storage, 1200 fleet, 1300 swapping,
 1400 quarantine, 1500 intake, 1600 tunnels, 1700 statements, 1800 brittle,
-1900 evacuation, 2000 memory, 2100 server speeds.
+1900 evacuation, 2000 memory, 2100 server speeds, 2200 connections.
 """
 
 from __future__ import annotations
--- a/packages/guavajunction/src/guavajunction/gateway/_gateway.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_gateway.py
@@ -218,6 +218,7 @@
             events.CALLER_DISCONNECTED.log(
                 request_id=req.request_id,
                 after_ms=self._age_ms(req),
+                caller=req.caller,
                 artifact=req.size.artifact if req.size else None,
                 waiting_for=self._parts.queue.pop_wait_reason(req.request_id),
             )
@@ -718,6 +719,7 @@
             body_bytes=size,
             framing=answer.head.framing,
             after_ms=age,
+            caller=admitted.req.caller,
         )
 
     def _check_event_size(
@@ -847,6 +849,7 @@
             reason=exc.message,
             retry_after=exc.retry_after,
             after_ms=self._age_ms(req),
+            caller=req.caller,
             artifact=req.size.artifact if req.size else None,
         )
 
--- a/packages/guavajunction/src/guavajunction/gateway/_request.py
+++ b/packages/guavajunction/src/guavajunction/gateway/_request.py
@@ -72,6 +72,8 @@
     resumed_stream: str | None = None
     """Id of the caller's attempt that received the first event of the resumed stream;
     None if the caller does not name it."""
+    caller: str | None = None
+    """Connection of the caller, `host:port`, and the request's number on it."""
 
     @property
     def path(self) -> str:
--- a/packages/guavajunction/src/guavajunction/tunnels/_events.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_events.py
@@ -24,3 +24,8 @@
 TUNNEL_REFUSED = LogEvent(
     1612, "tunnels:refused", "A request of another instance for a tunnel was refused."
 )
+TUNNEL_CARRIED = LogEvent(
+    1613,
+    "tunnels:carried",
+    "Another instance has a connection to a backend server through this instance.",
+)
--- a/packages/guavajunction/src/guavajunction/tunnels/_tunnel_listener.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_tunnel_listener.py
@@ -101,6 +101,11 @@
         with contextlib.suppress(OSError):
             writer.write(bytes([reply]))
         if upstream is not None:
+            events.TUNNEL_CARRIED.log(
+                backend=backend,
+                instance=_address(writer.get_extra_info("peername")),
+                connection=_address(upstream[1].get_extra_info("sockname")),
+            )
             await self._carry((reader, writer), upstream)
 
     async def _receive_wanted(
@@ -171,3 +176,7 @@
             # uvloop raises `RuntimeError` for a write to a connection that was reset.
             return False
         return True
+
+
+def _address(name: tuple[str, int] | None) -> str | None:
+    return f"{name[0]}:{name[1]}" if name is not None else None
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -33,7 +33,7 @@
         store=None,
         caller=None,
         orders=SimpleNamespace(answers=None),
-        backend_connections=SimpleNamespace(dialer=None),
+        backend_connections=SimpleNamespace(dialer=None, stray_responses=0),
         configuration_row=RowAddress("configuration", "head"),
         backends_partition="backends",
         decode_backend=decode,
