Failing tests: callers get the copies of other answers

Backend servers that write an answer again make an instance pass the copy on to the next request on that connection.

Its head is sent ahead of the body, so that the end of an answer and the copy arrive together. RefusalRepeat is now AnswerRepeat, used for both.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/__init__.py
@@ -4,7 +4,8 @@
 
 from ._local_deployment import LinkProvider, LocalDeployment
 from ._operator import BOOKING_SERVICE, ENGINE_SERVICE, Operator
-from ._runner import CrashingRequest, FakeRunner, RefusalRepeat, Run, RunnerSpec
+from ._repeats import AnswerRepeat
+from ._runner import CrashingRequest, FakeRunner, Run, RunnerSpec
 from ._store import FakeStore
 from ._wire import HEADERS, HOST, Headers, OrderBody
 
@@ -13,6 +14,7 @@
     "ENGINE_SERVICE",
     "HEADERS",
     "HOST",
+    "AnswerRepeat",
     "CrashingRequest",
     "FakeRunner",
     "FakeStore",
@@ -21,7 +23,6 @@
     "LocalDeployment",
     "Operator",
     "OrderBody",
-    "RefusalRepeat",
     "Run",
     "RunnerSpec",
 ]
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -11,7 +11,6 @@
 import time
 from collections import deque
 from collections.abc import AsyncIterator
-from enum import StrEnum
 from typing import NamedTuple
 
 from aiohttp import web
@@ -20,6 +19,13 @@
 from guavajunction_fakes.unframed_response import UnframedResponse
 
 from . import _wire as wire
+from ._repeats import (
+    AnswerRepeat,
+    AnswerRepeater,
+    encode_response,
+    in_one_segment,
+    write,
+)
 from ._store import FakeStore
 from ._wire import HEADERS
 
@@ -72,15 +78,6 @@
     """Version of the runner's software."""
 
 
-class RefusalRepeat(StrEnum):
-    """When a faulty runner writes a refusal again on the connection that it kept."""
-
-    NEVER = "never"
-    AT_ONCE = "at once"
-    LATER = "later"
-    BEFORE_NEXT = "before the response to the next request"
-
-
 class CrashingRequest(NamedTuple):
     """A request that crashes each runner that begins to run it."""
 
@@ -100,8 +97,6 @@
     CANCEL_ON_DISCONNECT = True
     CRASH_DELAY_SECONDS = 0.05
     """Time from the beginning of an answer until the runner crashes on it."""
-    REPEAT_SECONDS = 0.06
-    """Longest time after which a refusal is written again."""
     DOWN_SECONDS = 0.4
     """Time from a crash until the runner accepts connections again."""
     BRITTLE_DOWN_SECONDS = 2.0
@@ -169,8 +164,11 @@
         """Time for which slots were in use, summed over the slots."""
         self.fell_at: list[float] = []
         """Times at which the runner fell over under the requests that it rejected."""
-        self.repeats_refusals = RefusalRepeat.NEVER
+        self.repeats_refusals = AnswerRepeat.NEVER
         """When the runner writes each refusal a second time."""
+        self.repeats_answers = AnswerRepeat.NEVER
+        """When the runner writes each answer to a request that it ran a second time.
+        The head of such an answer is sent ahead of its body."""
         self.cold_seconds = 0.0
         """Time for which the runner is cold after each restart."""
         self.arrived_at: list[float] = []
@@ -188,7 +186,7 @@
         self._running = 0
         self._waiting: deque[asyncio.Future[None]] = deque()
         self._open: list[web.Request] = []
-        self._copies: dict[asyncio.Transport, bytes] = {}
+        self._repeater = AnswerRepeater()
         self._heartbeat = 0
         self._registered = False
         self._draining = False
@@ -239,9 +237,7 @@
         self, req: web.Request, handler: Handler
     ) -> web.StreamResponse:
         self.arrived_at.append(time.monotonic())
-        copy = self._copies.pop(req.transport, None) if req.transport else None
-        if copy is not None:
-            _write(req.transport, copy)
+        self._repeater.write_pending(req.transport)
         return await handler(req)
 
     def register(self, url: str) -> None:
@@ -400,7 +396,12 @@
         rejection = self._rejection(req)
         if rejection is not None:
             rejection.headers[HEADERS.request_id] = req.headers[HEADERS.request_id]
-            self._repeat_later(req, rejection)
+            if req.transport is not None:
+                self._repeater.write_again(
+                    req.transport,
+                    encode_response(rejection, b""),
+                    self.repeats_refusals,
+                )
             return rejection
         async with self._slot(req):
             return await self._execute(req)
@@ -463,15 +464,19 @@
                 max(self.spec.work_seconds, random.uniform(0.0, self.max_work_seconds))
             )
             if self.stops_in_head:
-                _write(req.transport, b"HTTP/1.1 200 OK\r\nContent-Le")
+                write(req.transport, b"HTTP/1.1 200 OK\r\nContent-Le")
                 req.transport.close()
                 raise ConnectionResetError
             respond = (
                 self._respond_as_stream if self.spec.engine else self._respond_at_once
             )
-            resp = await respond(
-                req, "crossed" if self.wrong_request_ids else request_id
-            )
+            transport = req.transport
+            if transport is None:
+                raise ConnectionResetError
+            with self._repeater.answering(transport):
+                resp = await respond(
+                    req, "crossed" if self.wrong_request_ids else request_id
+                )
             self.completed.append(request_id)
             return resp
         except ConnectionResetError:
@@ -511,27 +516,40 @@
         if self.brittle and recent > float(self.brittle):
             self.spawn(self.crash(self.fell_at, self.BRITTLE_DOWN_SECONDS))
 
-    def _repeat_later(self, req: web.Request, refusal: web.Response) -> None:
-        """Write a refusal a second time on its connection, as a faulty runner would."""
-        transport = req.transport
-        if self.repeats_refusals is RefusalRepeat.NEVER or transport is None:
-            return
-        head = [f"HTTP/1.1 {refusal.status} {refusal.reason}"]
-        head += [f"{name}: {value}" for name, value in refusal.headers.items()]
-        copy = "\r\n".join([*head, "Content-Length: 0", "", ""]).encode()
-        if self.repeats_refusals is RefusalRepeat.BEFORE_NEXT:
-            self._copies[transport] = copy
-            return
-        is_later = self.repeats_refusals is RefusalRepeat.LATER
-        delay = random.uniform(0.0, self.REPEAT_SECONDS) if is_later else 0.0
-        asyncio.get_running_loop().call_later(delay, _write, transport, copy)
-
-    async def _respond_at_once(self, _: web.Request, request_id: str) -> web.Response:
+    async def _respond_at_once(
+        self, req: web.Request, request_id: str
+    ) -> web.StreamResponse:
         headers = {HEADERS.request_id: request_id, HEADERS.seal: "sealed"}
         status = self.error_status or 200
-        return web.Response(
-            status=status, body=b"done by " + request_id.encode(), headers=headers
-        )
+        body = b"done by " + request_id.encode()
+        if self.repeats_answers is AnswerRepeat.NEVER:
+            return web.Response(status=status, body=body, headers=headers)
+        resp = web.StreamResponse(status=status, headers=headers)
+        resp.content_length = len(body)
+        await resp.prepare(req)
+        await asyncio.sleep(self.spec.work_seconds)
+        await self._end_twice(req, resp, body)
+        return resp
+
+    async def _end_twice(
+        self, req: web.Request, resp: web.StreamResponse, body: bytes
+    ) -> None:
+        """Write the rest of a response, and the whole response again.
+
+        Args:
+            req: The request.
+            resp: Response whose head has been sent.
+            body: The whole body; what has not been sent is written now.
+        """
+        transport = req.transport
+        if transport is None:
+            raise ConnectionResetError
+        copy = encode_response(resp, body)
+        with in_one_segment(transport):
+            if resp.content_length is not None:
+                await resp.write(body)
+            await resp.write_eof()
+            self._repeater.write_again(transport, copy, self.repeats_answers)
 
     async def _respond_as_stream(
         self, req: web.Request, request_id: str
@@ -550,6 +568,7 @@
             await asyncio.sleep(self.CRASH_DELAY_SECONDS)
             self.spawn(self.crash(self.crashed_at))
         first = int(req.headers.get(HEADERS.last_event, 0)) + 1
+        sent = b""
         for number in range(first, self.spec.events + 1):
             if self.cut_after_events >= 0 and number > self.cut_after_events:
                 assert req.transport is not None
@@ -562,11 +581,10 @@
                 req.transport.close()
                 break
             await resp.write(event)
+            sent += event
             await asyncio.sleep(self.spec.work_seconds)
-        await resp.write_eof()
+        if self.repeats_answers is AnswerRepeat.NEVER:
+            await resp.write_eof()
+        else:
+            await self._end_twice(req, resp, sent)
         return resp
-
-
-def _write(transport: asyncio.Transport, data: bytes) -> None:
-    if not transport.is_closing():
-        transport.write(data)
--- a/tests/connections/test_stray_responses.py
+++ b/tests/connections/test_stray_responses.py
@@ -17,19 +17,24 @@
 """Long enough for what was written before to arrive by itself."""
 
 
-def head_of(request_id):
-    return (
-        f"HTTP/1.1 200 OK\r\n{ID_HEADER}: {request_id}\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n"
-    ).encode()
-
-
-def body_of(request_id):
+def head_of(request_id, *, chunked=True):
+    framing = (
+        "Transfer-Encoding: chunked"
+        if chunked
+        else f"Content-Length: {len(request_id)}"
+    )
+    lines = ["HTTP/1.1 200 OK", f"{ID_HEADER}: {request_id}", framing, "", ""]
+    return "\r\n".join(lines).encode()
+
+
+def body_of(request_id, *, chunked=True):
+    if not chunked:
+        return request_id.encode()
     return f"{len(request_id):x}\r\n{request_id}\r\n0\r\n\r\n".encode()
 
 
-def response_to(request_id):
-    return head_of(request_id) + body_of(request_id)
+def response_to(request_id, *, chunked=True):
+    return head_of(request_id, chunked=chunked) + body_of(request_id, chunked=chunked)
 
 
 def id_in(head):
@@ -106,3 +111,68 @@
                 place="with the end of the response",
                 named_id="a",
             )
+
+
+class RepeatingServer:
+    """Writes more bytes with the end of its first response.
+
+    Its other responses have nothing wrong, apart from bytes that are left over.
+    """
+
+    def __init__(self, *, chunked, extra, rest=b""):
+        self._chunked = chunked
+        self._extra = extra
+        self._rest = rest
+        """Bytes that precede the second response on the same connection."""
+        self._repeated_on = None
+
+    async def respond(self, writer, head):
+        request_id = id_in(head)
+        body = body_of(request_id, chunked=self._chunked)
+        if self._repeated_on is None:
+            self._repeated_on = writer
+            writer.write(head_of(request_id, chunked=self._chunked))
+            await asyncio.sleep(PAUSE_SECONDS)
+            writer.write(body + self._extra)
+            return
+        if self._repeated_on is writer:
+            writer.write(self._rest)
+        writer.write(head_of(request_id, chunked=self._chunked) + body)
+
+
+@pytest.mark.parametrize("chunked", [True, False], ids=["chunks", "length"])
+class TestNextRequest:
+    """A request never gets what a server wrote with the end of an earlier response."""
+
+    async def assert_next_gets_its_own(self, session, repeating):
+        async with raw_server(repeating.respond) as server:
+            assert await get(session, server, "aaaa") == ("aaaa", "aaaa")
+            assert await get(session, server, "bbbb") == ("bbbb", "bbbb")
+
+    @pytest.mark.parametrize("named", ["aaaa", "earlier"])
+    async def test_next_request_does_not_get_the_copy_of_a_response(
+        self, session, chunked, named
+    ):
+        copy = response_to(named, chunked=chunked)
+        repeating = RepeatingServer(chunked=chunked, extra=copy)
+        await self.assert_next_gets_its_own(session, repeating)
+
+    async def test_next_request_does_not_get_a_copy_that_is_cut_anywhere(self, chunked):
+        copy = response_to("aaaa", chunked=chunked)
+
+        async def check(cut):
+            connector = StrictConnector(id_header=ID_HEADER)
+            async with aiohttp.ClientSession(connector=connector) as session:
+                repeating = RepeatingServer(
+                    chunked=chunked, extra=copy[:cut], rest=copy[cut:]
+                )
+                await self.assert_next_gets_its_own(session, repeating)
+
+        await asyncio.gather(*(check(cut) for cut in range(1, len(copy))))
+
+    async def test_next_request_does_not_wait_for_an_interim_response(
+        self, session, chunked
+    ):
+        interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        repeating = RepeatingServer(chunked=chunked, extra=interim * 2)
+        await self.assert_next_gets_its_own(session, repeating)
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -13,7 +13,7 @@
 import aiohttp
 import pytest
 
-from guavajunction_fakes.deployment import HEADERS, LocalDeployment, RefusalRepeat
+from guavajunction_fakes.deployment import HEADERS, AnswerRepeat, LocalDeployment
 from platform_calls import call, runs
 
 from .conftest import PORTS
@@ -80,7 +80,7 @@
 
     @pytest.mark.parametrize(
         "repeat",
-        [RefusalRepeat.AT_ONCE, RefusalRepeat.LATER, RefusalRepeat.BEFORE_NEXT],
+        [AnswerRepeat.AT_ONCE, AnswerRepeat.LATER, AnswerRepeat.BEFORE_NEXT],
     )
     async def test_booking_is_not_refused_by_the_copy_of_a_refusal(
         self, deployment, repeat
@@ -91,7 +91,7 @@
         assert list(statuses.values()).count(200) > len(statuses) / 3
 
     async def test_promises_hold_while_instances_are_killed_in_turn(self, deployment):
-        make_faulty(deployment, RefusalRepeat.LATER)
+        make_faulty(deployment, AnswerRepeat.LATER)
         sending = asyncio.ensure_future(send_all(deployment))
         for name in list(deployment.instances)[1:]:
             await asyncio.sleep(0.1)
