A server's second response never becomes the answer to the next request

Cause: the id of a response was compared as its head was parsed, against whatever request was due then, but the response was taken later by whoever read it. aiohttp returns a connection to its pool as it parses the end of a response, inside the segment that holds it. A second response in the same segment was queued after that, without a comparison, because a head had been seen for the request before. The next request on the connection took it from the queue. A part of a head in the same segment was left behind as well: the request that came next failed on the rest of it.

Each wrong answer was to the first request of its caller's connection, and was sent on a direct connection.

Change: a connection takes one response for each request. A second one, or a part of its head, in the segment with the end of a response closes the connection before the event loop can give it to another request.

--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -28,6 +28,9 @@
     aiohttp reads them until the request times out. Here their size is limited in
     relation to the body. Bytes after the end of a response close the connection, and so
     does a response that does not name its request, before the connection is used again.
+
+    aiohttp returns a connection to its pool while it still parses the segment with the
+    end of a response. Whatever follows in that segment would wait for the next request.
     """
 
     MAX_FRAMING_BYTES = 262_144
@@ -94,31 +97,32 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take a head and its body from the parser."""
         message, body = data
+        named_id = message.headers.get(self._id_header)
+        if self._body is not None:
+            self._note_stray("with the end of the response", named_id)
+            self._fail(WrongResponse("the server sent a second response"))
+            return
         is_interim = message.code < 200 and message.code != SWITCHING_PROTOCOLS
-        if not is_interim and self._body is None:
-            named_id = message.headers.get(self._id_header)
+        if not is_interim:
             if not self._is_expected(named_id):
                 self._note_stray("instead of the response", named_id)
                 self._fail(WrongResponse(f"the response is to request {named_id!r}"))
                 return
             self._body = body
-        elif self._body is not None:
-            named_id = message.headers.get(self._id_header)
-            self._note_stray("with the end of the response", named_id)
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the transport; fail if they belong to no response."""
         # aiohttp passes no bytes when it resumes reading.
-        if data and self._body is not None and self._body.is_eof():
+        if data and self._has_ended:
             self._note_stray("after the response", None)
-            self._fail(
-                ClientPayloadError(
-                    "the server sent bytes after the end of its response"
-                )
-            )
+            self._fail_after_end()
             return
         super().data_received(data)
+        if self._has_ended and self._is_in_next_head():
+            self._note_stray("with the end of the response", None)
+            self._fail_after_end()
+            return
         self._received_bytes += len(data)
         body_bytes = self._body.total_bytes if self._body is not None else 0
         limit = self.MAX_FRAMING_BYTES + self.MAX_FRAMING_RATIO * body_bytes
@@ -133,6 +137,20 @@
             self._fail_body(ClientPayloadError(f"the connection was lost: {exc}"))
         super().connection_lost(exc)
 
+    @property
+    def _has_ended(self) -> bool:
+        return self._body is not None and self._body.is_eof()
+
+    def _is_in_next_head(self) -> bool:
+        """Return whether a part of a head follows the response in the same segment."""
+        if self._exception is not None or self._parser is None:
+            return False
+        try:
+            return self._parser.feed_eof() is not None
+        except Exception:
+            # The part cannot be parsed as a head.
+            return True
+
     def _is_expected(self, named_id: str | None) -> bool:
         if self._expected_id is None or (named_id is None and not self._id_required):
             return True
@@ -155,6 +173,11 @@
             carried=len(self._carried),
         )
 
+    def _fail_after_end(self) -> None:
+        self._fail(
+            ClientPayloadError("the server sent bytes after the end of its response")
+        )
+
     def _fail(self, error: ClientPayloadError) -> None:
         self._fail_body(error)
         self.set_exception(error)
--- a/tests/platform/test_backend_client.py
+++ b/tests/platform/test_backend_client.py
@@ -10,7 +10,7 @@
 import pytest
 
 from fakes_gateway import backend, request
-from guavajunction.connections import serve_streams
+from guavajunction.connections import StrictConnector, serve_streams
 from guavajunction.errors import AnswerCut, NotSent, OutcomeUnknown
 from guavajunction.swapping import Order, OrderKind, OrderOutcome
 from guavajunction_platform import _names as names
@@ -120,6 +120,14 @@
             with pytest.raises(OutcomeUnknown):
                 await send(http, port)
 
+    async def test_answer_is_compared_without_the_help_of_its_connection(self):
+        async with (
+            serving(response_to_another_request) as (_, port),
+            _open_session(StrictConnector()) as http,
+        ):
+            with pytest.raises(OutcomeUnknown, match="answered another request"):
+                await send(http, port)
+
     async def test_body_without_a_length_ends_with_its_connection(self):
         async with (
             serving(unframed_response(reset=False)) as (_, port),
