A head that begins with a part of another head is no response

A caller could get the status of another response with the headers and the body of its own: a 200 where the backend server had answered 500, or a 503, which promises that nothing ran, where it had answered 200.

Cause: a server that stopped within the head of a copy, and then answered the next request on that connection, joined both heads. If the cut was in the reason or in a value that precedes the id, the rest parsed as one head that names the right request.

Change: a status line inside the reason or a value shows that a head has two beginnings, and closes the connection. Ruled out: requiring the id exactly once, which misses a cut before the id.

--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from typing import Any
 
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
+from aiohttp.http import RawResponseMessage
 
 from . import _events as events
 
 SWITCHING_PROTOCOLS = 101
 
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
 
 class WrongResponse(ClientPayloadError):
     """A response belongs to another request, or names none."""
@@ -108,6 +112,10 @@
                 self._note_stray("instead of the response", named_id)
                 self._fail(WrongResponse(f"the response is to request {named_id!r}"))
                 return
+            if _is_joined(message):
+                self._note_stray("joined with the response", named_id)
+                self._fail(WrongResponse("the head of the response has two beginnings"))
+                return
             self._body = body
         super().feed_data(data, size)
 
@@ -188,3 +196,13 @@
         body = self._payload
         if body is not None and not body.is_eof():
             set_exception(body, error)
+
+
+def _is_joined(message: RawResponseMessage) -> bool:
+    """Return whether a head begins with a part of another head.
+
+    The status line of the second one is then in the reason or the value of a header.
+    """
+    reason = (message.reason or "").encode("utf-8", "surrogateescape")
+    values = (value for _, value in message.raw_headers)
+    return any(map(_STATUS_LINE.search, (reason, *values)))
--- a/tests/connections/test_stray_responses.py
+++ b/tests/connections/test_stray_responses.py
@@ -176,3 +176,49 @@
         interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
         repeating = RepeatingServer(chunked=chunked, extra=interim * 2)
         await self.assert_next_gets_its_own(session, repeating)
+
+
+class JoinedServer:
+    """Writes the beginning of a head, and then the response to each request."""
+
+    def __init__(self, beginning, *, seal_first):
+        self._beginning = beginning
+        self._seal_first = seal_first
+
+    async def respond(self, writer, head):
+        writer.write(self._beginning)
+        request_id = id_in(head)
+        writer.write(sealed_head(request_id, 500, seal_first=self._seal_first))
+        writer.write(request_id.encode())
+
+
+def sealed_head(request_id, status, *, seal_first):
+    lines = [f"{ID_HEADER}: {request_id}", f"X-Seal: seal of {request_id}"]
+    if seal_first:
+        lines.reverse()
+    length = f"Content-Length: {len(request_id)}"
+    return "\r\n".join([f"HTTP/1.1 {status} Any", *lines, length, "", ""]).encode()
+
+
+class TestJoinedHeads:
+    """The rest of a head that was never completed changes no response."""
+
+    @pytest.mark.parametrize("status", [200, 503])
+    @pytest.mark.parametrize("named", ["aaaa", "bbbb"])
+    @pytest.mark.parametrize("seal_first", [True, False])
+    async def test_head_that_is_joined_of_two_is_no_response(
+        self, status, named, seal_first
+    ):
+        head = sealed_head(named, status, seal_first=seal_first)
+
+        async def check(cut):
+            connector = StrictConnector(id_header=ID_HEADER)
+            joined = JoinedServer(head[:cut], seal_first=seal_first)
+            async with (
+                aiohttp.ClientSession(connector=connector) as session,
+                raw_server(joined.respond) as server,
+            ):
+                with pytest.raises(aiohttp.ClientError):
+                    await get(session, server, "bbbb")
+
+        await asyncio.gather(*(check(cut) for cut in range(1, len(head))))
