An answer without a length never carries another response to its caller

Callers got a body with the whole of another response behind it, if a backend server wrote an answer with neither a length nor chunks, wrote one again and closed the connection: 90 of 270 and 161 of 720 answers with 3 and 8 real instances.

Cause: only the connection ends such a body, so the copy was a part of it for the relay.

Evidence: two cases of test_backend_client.py and two of test_repeated_answers.py failed before.

Change: in such a body alone, bytes that may begin a head are held back until it is clear that they do not. A head that names a request ends the answer as incomplete: whether the body before it was whole cannot be told. Weighed and dropped: ending the answer in order there, which would call a body complete that a crash may have cut.

--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -5,6 +5,7 @@
 from ._bounded_server import BoundedConnection, BoundedServer, limit_kernel_buffers
 from ._read_body import BodyTooLarge, read_body
 from ._relayed_response import RelayedResponse
+from ._second_head import SecondHeadDetector
 from ._sockets import (
     NO_LINGER,
     close_in_order,
@@ -23,6 +24,7 @@
     "BodyTooLarge",
     "NO_LINGER",
     "RelayedResponse",
+    "SecondHeadDetector",
     "Stream",
     "StrictConnection",
     "StrictConnector",
--- a/tests/platform/test_backend_client.py
+++ b/tests/platform/test_backend_client.py
@@ -143,6 +143,23 @@
             with pytest.raises(AnswerCut):
                 await send(http, port)
 
+    @pytest.mark.parametrize("named", ["own", "other"])
+    async def test_body_without_a_length_that_another_response_follows_is_cut(
+        self, named
+    ):
+        async def answer(writer, request_id):
+            writer.write((OK.format(id=request_id) + "\r\nbody").encode())
+            copied_id = request_id if named == "own" else "other"
+            writer.write((OK.format(id=copied_id) + "\r\nbody").encode())
+            writer.close()
+
+        async with (
+            serving(answer) as (_, port),
+            _open_session(new_tunnel_connector()) as http,
+        ):
+            with pytest.raises(AnswerCut):
+                await send(http, port)
+
     async def test_refused_connection_means_not_sent(self):
         with socket.socket() as sock:
             sock.bind(("127.0.0.1", 0))
--- a/tests/platform/test_repeated_answers.py
+++ b/tests/platform/test_repeated_answers.py
@@ -98,6 +98,14 @@
         make_faulty(deployment, repeat)
         assert_answers_are_own(await ask_all(deployment))
 
+    async def test_caller_does_not_get_a_copy_behind_an_answer_without_a_length(
+        self, deployment
+    ):
+        make_faulty(deployment, AnswerRepeat.AT_ONCE)
+        for runner in deployment.runners.values():
+            runner.unframed_streams = True
+        assert_answers_are_own(await ask_all(deployment))
+
     async def test_caller_does_not_get_a_copy_while_instances_are_killed(
         self, deployment
     ):
