A whole response is not lost with the garbage in its segment

A request got 504 although its whole response had arrived, if bytes that are no response followed in the same segment; an unsafe one can't be sent again.

Cause: aiohttp's parser returns heads only after it has parsed all bytes of a call, and discards them if it fails on any.

Change: the connection gives the parser each head by itself, then what follows. Bytes after the end of a response in the same segment are logged also if they can't be parsed.

--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -9,11 +9,12 @@
 from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
-from aiohttp.http import RawResponseMessage
+from aiohttp.http import HttpProcessingError, RawResponseMessage
 
 from . import _events as events
 
 SWITCHING_PROTOCOLS = 101
+HEAD_END = b"\r\n\r\n"
 
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
@@ -71,6 +72,8 @@
         self._expected_id: str | None = None
         self._carried: set[str] = set()
         self._received_bytes = 0
+        self._end_received = b""
+        """Last bytes of the head that is arriving."""
         self._body: Any = None
 
     @property
@@ -95,6 +98,7 @@
     def set_response_params(self, **kwargs: Any) -> None:
         """Prepare for the response to the next request."""
         self._received_bytes = 0
+        self._end_received = b""
         self._body = None
         super().set_response_params(**kwargs)
 
@@ -121,16 +125,40 @@
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the transport; fail if they belong to no response."""
+        # The parser discards a head if it fails on what follows in the same call.
+        while self._body is None and (end := self._end_of_head(data)):
+            head, data = data[:end], data[end:]
+            self._receive(head)
+            if not data or self._exception is not None:
+                return
+        self._receive(data)
+
+    def _end_of_head(self, data: bytes) -> int:
+        """Return the length of the part of `data` that ends a head; 0 if none does."""
+        received = self._end_received + data
+        end = received.find(HEAD_END)
+        if end < 0:
+            self._end_received = received[1 - len(HEAD_END) :]
+            return 0
+        length = end + len(HEAD_END) - len(self._end_received)
+        self._end_received = b""
+        return length
+
+    def _receive(self, data: bytes) -> None:
         # aiohttp passes no bytes when it resumes reading.
         if data and self._has_ended:
             self._note_stray("after the response", None)
             self._fail_after_end()
             return
         super().data_received(data)
-        if self._has_ended and self._is_in_next_head():
-            self._note_stray("with the end of the response", None)
-            self._fail_after_end()
-            return
+        if self._has_ended:
+            if isinstance(self._exception, HttpProcessingError):
+                self._note_stray("with the end of the response", None)
+                return
+            if self._is_in_next_head():
+                self._note_stray("with the end of the response", None)
+                self._fail_after_end()
+                return
         self._received_bytes += len(data)
         body_bytes = self._body.total_bytes if self._body is not None else 0
         limit = self.MAX_FRAMING_BYTES + self.MAX_FRAMING_RATIO * body_bytes
--- a/tests/connections/test_stray_responses.py
+++ b/tests/connections/test_stray_responses.py
@@ -178,6 +178,29 @@
         await self.assert_next_gets_its_own(session, repeating)
 
 
+class TestWholeResponse:
+    """A response that has arrived whole is not lost, whatever follows it."""
+
+    @pytest.mark.parametrize("cut", [0, 1, 2, 3, 4])
+    @pytest.mark.parametrize("extra", [b"garbage", b"\0", b"HTTP/1.1 9", b"\r\nx"])
+    @pytest.mark.parametrize("chunked", [True, False], ids=["chunks", "length"])
+    async def test_response_is_not_lost_with_the_garbage_in_its_segment(
+        self, session, chunked, extra, cut
+    ):
+        async def respond(writer, head):
+            request_id = id_in(head)
+            head = head_of(request_id, chunked=chunked)
+            # The end of the head is split between two segments unless the cut is 0.
+            writer.write(head[: len(head) - cut] if cut else b"")
+            await asyncio.sleep(PAUSE_SECONDS if cut else 0)
+            rest = head[len(head) - cut :] if cut else head
+            writer.write(rest + body_of(request_id, chunked=chunked) + extra)
+
+        async with raw_server(respond) as server:
+            assert await get(session, server, "aaaa") == ("aaaa", "aaaa")
+            assert await get(session, server, "bbbb") == ("bbbb", "bbbb")
+
+
 class JoinedServer:
     """Writes the beginning of a head, and then the response to each request."""
 
