--- a/tests/platform/test_backend_client.py
+++ b/tests/platform/test_backend_client.py
@@ -144,11 +144,14 @@
                 await send(http, port)
 
     @pytest.mark.parametrize("named", ["own", "other"])
+    @pytest.mark.parametrize("coding", ["", "gzip", "chunked, gzip", "xchunked"])
     async def test_body_without_a_length_that_another_response_follows_is_cut(
-        self, named
+        self, named, coding
     ):
+        field = f"Transfer-Encoding: {coding}\r\n" if coding else ""
+
         async def answer(writer, request_id):
-            writer.write((OK.format(id=request_id) + "\r\nbody").encode())
+            writer.write((OK.format(id=request_id) + f"{field}\r\nbody").encode())
             copied_id = request_id if named == "own" else "other"
             writer.write((OK.format(id=copied_id) + "\r\nbody").encode())
             writer.close()
