A connection that carried a request is no connection for its repeat, after a wait either

With a limit on connections (the product's own stack), a request that waited for one got the connection that had just carried it, and the copy of the first answer: idle connections were checked before the wait. The check was made at one time and used at another. The connection that is handed over is checked now; the test failed before.

--- a/packages/guavajunction/src/guavajunction/connections/_strict_connector.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connector.py
@@ -57,10 +57,15 @@
             for connection, _ in self._conns.get(req.connection_key, ()):
                 if connection.has_carried(request_id):
                     connection.close()
-        connection = await super().connect(req, *args, **kwargs)
-        assert isinstance(connection.protocol, StrictConnection)
-        connection.protocol.expect(request_id)
-        return connection
+        while True:
+            connection = await super().connect(req, *args, **kwargs)
+            protocol = connection.protocol
+            assert isinstance(protocol, StrictConnection)
+            if request_id is None or not protocol.has_carried(request_id):
+                protocol.expect(request_id)
+                return connection
+            # It was in use when the idle ones were closed.
+            connection.close()
 
     def _count_stray(self) -> None:
         self.stray_responses += 1
--- a/tests/connections/test_reused_connections.py
+++ b/tests/connections/test_reused_connections.py
@@ -129,3 +129,22 @@
                     await resp.read()
         assert len(set(peers[:3])) == len(set(peers[3:])) == 1
         assert peers[2] != peers[3]
+
+    async def test_request_that_waits_for_a_connection_does_not_get_its_copy(self):
+        runs = []
+
+        async def respond(writer, head):
+            runs.append(head)
+            body = f"run {len(runs)}"
+            response = (
+                f"HTTP/1.1 200 OK\r\n{ID_HEADER}: a\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n{body}"
+            ).encode()
+            await asyncio.sleep(0.05)
+            writer.write(response)
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.005, writer.write, response)
+
+        async with raw_server(respond) as server, open_session(limit=1) as session:
+            bodies = await asyncio.gather(*(get(session, server, "a") for _ in "12"))
+        assert bodies == [b"run 1", b"run 2"]
