A response with a status below 100 is compared as any other

Found by the review. Such a status was taken for that of an interim response, which names no request, while aiohttp returns it to the reader: the id was not compared, and copies behind it were queued for the next request. The client of backend servers stopped the answer; other sessions did not.

--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -110,7 +110,7 @@
             self._note_stray("with the end of the response", named_id)
             self._fail(WrongResponse("the server sent a second response"))
             return
-        is_interim = message.code < 200 and message.code != SWITCHING_PROTOCOLS
+        is_interim = 100 <= message.code < 200 and message.code != SWITCHING_PROTOCOLS
         if not is_interim:
             if not self._is_expected(named_id):
                 self._note_stray("instead of the response", named_id)
