A response may quote a status line after its id

A response with a field such as 'X-Upstream-Error: HTTP/1.1 503' was taken for one that is joined of two heads: a request that had run got 504. A head that is joined of two has the second status line before its id, or two ids.

--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -116,7 +116,7 @@
                 self._note_stray("instead of the response", named_id)
                 self._fail(WrongResponse(f"the response is to request {named_id!r}"))
                 return
-            if _is_joined(message):
+            if self._is_joined(message):
                 self._note_stray("joined with the response", named_id)
                 self._fail(WrongResponse("the head of the response has two beginnings"))
                 return
@@ -204,6 +204,22 @@
         events.STRAY_RESPONSE.log(
             server=address and f"{address[0]}:{address[1]}",
             place=place,
+    def _is_joined(self, message: RawResponseMessage) -> bool:
+        """Return whether a head begins with a part of another head.
+
+        The status line of the second one is then in the reason, or in the value of a
+        field before the second one's id.
+        """
+        if _STATUS_LINE.search((message.reason or "").encode("utf-8", "replace")):
+            return True
+        id_header = self._id_header.lower().encode("ascii")
+        fields = [(name.lower(), value) for name, value in message.raw_headers]
+        ids = [n for n, (name, _) in enumerate(fields) if name == id_header]
+        if not ids:
+            return False
+        before = (value for _, value in fields[: ids[0]])
+        return len(ids) > 1 or any(map(_STATUS_LINE.search, before))
+
             request_id=self._expected_id,
             named_id=named_id and named_id[: self.MAX_LOGGED_ID],
             carried=len(self._carried),
@@ -224,13 +240,3 @@
         body = self._payload
         if body is not None and not body.is_eof():
             set_exception(body, error)
-
-
-def _is_joined(message: RawResponseMessage) -> bool:
-    """Return whether a head begins with a part of another head.
-
-    The status line of the second one is then in the reason or the value of a header.
-    """
-    reason = (message.reason or "").encode("utf-8", "surrogateescape")
-    values = (value for _, value in message.raw_headers)
-    return any(map(_STATUS_LINE.search, (reason, *values)))
