A part of a copy is noticed with aiohttp's parser without extensions, too

Found by the review: that parser's feed_eof tells whole heads only. Two cases of test_stray_responses.py failed with AIOHTTP_NO_EXTENSIONS=1; all pass.

--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -190,6 +190,9 @@
     def _is_expected(self, named_id: str | None) -> bool:
         if self._expected_id is None or (named_id is None and not self._id_required):
             return True
+        if getattr(self._parser, "_tail", b""):
+            # The parser without extensions, whose `feed_eof` tells whole heads only.
+            return True
         return named_id == self._expected_id
 
     def _note_stray(self, place: str, named_id: str | None) -> None:
