--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -128,6 +128,8 @@
         """Whether responses end in the middle of their head."""
         self.unframed_streams = False
         """Whether streams have neither a length nor chunks."""
+        self.events_name_request = False
+        """Whether the events of a stream name the request that they answer."""
         self.close_inside_event = -1
         """Number of an event in the middle of which streams end and their connection
         is closed in order; -1 for never."""
@@ -574,7 +576,8 @@
                 assert req.transport is not None
                 req.transport.abort()
                 break
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            suffix = f" of {request_id}" if self.events_name_request else ""
+            event = f"id: {number}\ndata: token {number}{suffix}\n\n".encode()
             if number == self.close_inside_event:
                 await resp.write(event[:-4])
                 assert req.transport is not None
--- a/tests/platform_calls.py
+++ b/tests/platform_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+from contextlib import asynccontextmanager
 from typing import NamedTuple
 
 import aiohttp
@@ -25,7 +26,8 @@
     headers: dict[str, str]
 
 
-async def call(
+@asynccontextmanager
+async def open_call(
     deployment,
     path,
     *,
@@ -36,7 +38,11 @@
     body=b"a body",
     **headers,
 ):
-    """Send one request with the headers that the platform's callers send."""
+    """Send one request with the headers that the platform's callers send.
+
+    Yields:
+        The response, whose body may still be arriving.
+    """
     sent = {
         "Host": HOST,
         HEADERS.request_id: f"request-{next(_ids)}",
@@ -55,6 +61,12 @@
         aiohttp.ClientSession(connector=StrictConnector()) as session,
         session.request(method, url, headers=sent, data=body) as resp,
     ):
+        yield resp
+
+
+async def call(deployment, path, **options):
+    """Send one request, with the options of `open_call`; return the whole response."""
+    async with open_call(deployment, path, **options) as resp:
         return Reply(resp.status, await resp.read(), dict(resp.headers))
 
 
