The end of a connection that is closed already raises no error

Cause: uvloop raises ValueError, not OSError, for an option of a closed connection. `reset` and its relatives suppressed OSError only.

--- a/packages/guavajunction/src/guavajunction/connections/_sockets.py
+++ b/packages/guavajunction/src/guavajunction/connections/_sockets.py
@@ -71,5 +71,6 @@
 def _set_linger(transport: asyncio.WriteTransport, value: bytes) -> None:
     sock = transport.get_extra_info("socket")
     if sock is not None:
-        with contextlib.suppress(OSError):
+        # uvloop raises `ValueError` for a connection that is closed already.
+        with contextlib.suppress(OSError, ValueError):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
