An entrance that is lost early leaves no connection to a backend server

Cause: the reply of the exit is written after it has connected to the backend server. On uvloop the write raises RuntimeError if the entrance reset its connection meanwhile. That was not suppressed, and nothing owned the connection to the server, which stayed open. A later failure, before the first byte is carried, would also have left the tunnel in the count that a planned stop waits for.

Change: an exit stack owns the connection to the server, and a tunnel counts from the point at which its end is certain to be counted too.

Evidence: the new test fails on uvloop without the change (the server's connection is still open after 1 s) and passes with it.

--- a/packages/guavajunction/src/guavajunction/tunnels/_tunnel_listener.py
+++ b/packages/guavajunction/src/guavajunction/tunnels/_tunnel_listener.py
@@ -96,17 +96,23 @@
             events.TUNNEL_REFUSED.log(reason="not an instance of this fleet")
             return
         reply, upstream = await self._connect(backend)
-        if upstream is None:
-            events.TUNNEL_REFUSED.log(backend=backend, reason=reply.name)
-        with contextlib.suppress(OSError):
-            writer.write(bytes([reply]))
-        if upstream is not None:
-            events.TUNNEL_CARRIED.log(
-                backend=backend,
-                instance=_address(writer.get_extra_info("peername")),
-                connection=_address(upstream[1].get_extra_info("sockname")),
-            )
-            await self._carry((reader, writer), upstream)
+        with contextlib.ExitStack() as stack:
+            if upstream is None:
+                events.TUNNEL_REFUSED.log(backend=backend, reason=reply.name)
+            else:
+                stack.callback(reset, upstream[1].transport)
+            try:
+                writer.write(bytes([reply]))
+            except (OSError, RuntimeError):
+                # uvloop raises `RuntimeError` if the entrance reset its connection.
+                return
+            if upstream is not None:
+                events.TUNNEL_CARRIED.log(
+                    backend=backend,
+                    instance=_address(writer.get_extra_info("peername")),
+                    connection=_address(upstream[1].get_extra_info("sockname")),
+                )
+                await self._carry((reader, writer), upstream)
 
     async def _receive_wanted(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -144,10 +150,10 @@
         The tunnel ends in order only if the backend server's connection did, not if
         this process ends meanwhile.
         """
-        self.open += 1
         # With this limit, `drain` waits until all bytes are in the kernel.
         downstream[1].transport.set_write_buffer_limits(high=0)
         reset_when_closed(downstream[1].transport)
+        self.open += 1
         up = asyncio.ensure_future(self._copy(downstream[0], upstream[1]))
         down = asyncio.ensure_future(self._copy(upstream[0], downstream[1]))
         try:
@@ -162,7 +168,6 @@
             for task in (up, down):
                 task.cancel()
             await asyncio.gather(up, down, return_exceptions=True)
-            reset(upstream[1].transport)
 
     async def _copy(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/tunnels/test_tunnels.py
+++ b/tests/tunnels/test_tunnels.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 import pytest
+import uvloop
 from aiohttp import web
 
 from guavajunction.clock import SystemClock
@@ -27,7 +28,12 @@
     TunnelExit,
     TunnelListener,
 )
-from guavajunction.tunnels._handshake import MAX_MESSAGE_BYTES, TunnelReply
+from guavajunction.tunnels._handshake import (
+    MAX_MESSAGE_BYTES,
+    NONCE_BYTES,
+    TunnelReply,
+    encode_wanted,
+)
 from guavajunction_fakes.unframed_response import UnframedResponse
 
 SECRET = "s" * 40
@@ -161,6 +167,44 @@
         assert far.listener.open == 0
 
 
+async def reset_entrance_while_exit_connects():
+    """Return the open tunnels and the failures of the exit after its entrance ended."""
+    failures = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, context: failures.append(context)
+    )
+    server, one = Server(), Exit({})
+    sock = socket.socket()
+    sock.setblocking(False)
+
+    def reset_and_look_up(_):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        sock.close()
+        return server.address
+
+    one.listener = TunnelListener(SECRET, reset_and_look_up, lambda: True)
+    async with (
+        serve_streams(server.serve, "127.0.0.1") as server.address,
+        one.listener.listen("127.0.0.1", 0) as address,
+    ):
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, (host, int(port)))
+        nonce = await loop.sock_recv(sock, NONCE_BYTES)
+        await loop.sock_sendall(sock, encode_wanted(NAME, nonce, SECRET))
+        await asyncio.wait_for(server.closed.wait(), 1.0)
+        await asyncio.sleep(0.05)
+        return one.listener.open, failures
+
+
+class TestLostEntrances:
+    """An entrance that is lost early leaves nothing open at the exit."""
+
+    @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+    def test_entrance_that_is_lost_while_the_exit_connects_leaves_no_tunnel(self, run):
+        assert run(reset_entrance_while_exit_connects()) == (0, [])
+
+
 class TestHandshake:
     """Only instances of the fleet are served, and only with paths that exist."""
 
