Tests of routing share their sink and their service router

No test changes: Sink, Times, config_of and the router of calls move to fakes_routing.py, which the tests of second answers will use as well.

--- a/tests/fakes_routing.py
+++ b/tests/fakes_routing.py
@@ -1,11 +1,25 @@
-"""In-memory fakes of the backend server state that routing reads."""
+"""Fakes of what routing reads and writes, and routers that use them."""
 
 from __future__ import annotations
 
+import random
 from typing import NamedTuple
 
-from guavajunction.configuration import Customer, Objective
-from guavajunction.routing import RoutedRequest
+from guavajunction.clock import SystemClock
+from guavajunction.configuration import (
+    EMPTY_CONFIGURATION,
+    BackendServer,
+    Customer,
+    Objective,
+    Route,
+    Service,
+)
+from guavajunction.routing import (
+    DecisionLog,
+    RetryBudget,
+    RoutedRequest,
+    ServiceRouter,
+)
 
 LIVE = Objective("live", first_token=1.0, between_tokens=0.1, max_wait=2.0)
 BATCH = Objective("batch", first_token=60.0, between_tokens=1.0, max_wait=60.0)
@@ -66,3 +80,55 @@
         cost=cost,
         arrived=arrived,
     )
+
+
+class Sink:
+    """Collects the answer that a caller would receive."""
+
+    def __init__(self) -> None:
+        self.started = False
+        self.body = b""
+
+    async def start(self, status, content_type):
+        self.started = True
+
+    async def write(self, chunk):
+        self.body += chunk
+
+
+class Times:
+    """Ignores all latencies."""
+
+    def on_slot_granted(self):
+        pass
+
+    def on_tokens(self, count):
+        pass
+
+
+DESK = Route("desk", "/bookings", ("POST", "PUT"), idempotent=False)
+
+
+def config_of(addresses, kind="engine"):
+    backends = {
+        name: BackendServer(name, kind, address, "dc", "pool")
+        for name, address in addresses.items()
+    }
+    return EMPTY_CONFIGURATION._replace(
+        backends=backends, services={"desk": Service("desk", "pool", (DESK,))}
+    )
+
+
+def service_router(session, addresses):
+    """Return a router whose backend servers are all replicas of one service."""
+    cfg = config_of(addresses, kind="service")
+    return ServiceRouter(
+        session,
+        FakeReplicas(*map(State, addresses)),
+        RetryBudget(random.Random(1)),
+        DecisionLog(),
+        SystemClock(),
+        random.Random(1),
+        lambda: cfg,
+        timeout=0.5,
+    )
--- a/tests/routing/test_relay.py
+++ b/tests/routing/test_relay.py
@@ -12,14 +12,18 @@
 import pytest
 from aiohttp import web
 
-from fakes_routing import FakeReplicas, State, customer, request
-from guavajunction.clock import SystemClock
-from guavajunction.configuration import (
-    EMPTY_CONFIGURATION,
-    BackendServer,
-    Route,
-    Service,
+from fakes_routing import (
+    DESK,
+    FakeReplicas,
+    Sink,
+    State,
+    Times,
+    config_of,
+    customer,
+    request,
+    service_router,
 )
+from guavajunction.clock import SystemClock
 from guavajunction.errors import (
     AnswerCut,
     BackendFailed,
@@ -39,7 +43,6 @@
     LoadTracker,
     RetryBudget,
     ServiceRequest,
-    ServiceRouter,
     engine_session,
     single_send_session,
 )
@@ -48,30 +51,6 @@
 TOKENS = 5
 
 
-class Sink:
-    """Collects the answer that a caller would receive."""
-
-    def __init__(self) -> None:
-        self.started = False
-        self.body = b""
-
-    async def start(self, status, content_type):
-        self.started = True
-
-    async def write(self, chunk):
-        self.body += chunk
-
-
-class Times:
-    """Ignores all latencies."""
-
-    def on_slot_granted(self):
-        pass
-
-    def on_tokens(self, count):
-        pass
-
-
 class ScriptedEngine:
     """Serves streams with faults, with one handler of the script per connection."""
 
@@ -182,17 +161,6 @@
     return f"127.0.0.1:{runner.addresses[0][1]}"
 
 
-def config_of(addresses, kind="engine"):
-    backends = {
-        name: BackendServer(name, kind, address, "dc", "pool")
-        for name, address in addresses.items()
-    }
-    route = Route("desk", "/bookings", ("POST", "PUT"), idempotent=False)
-    return EMPTY_CONFIGURATION._replace(
-        backends=backends, services={"desk": Service("desk", "pool", (route,))}
-    )
-
-
 async def route_to(*engines, check=lambda: None, stream=True):
     """Send a request to a router with `engines` as replicas."""
     async with AsyncExitStack() as stack:
@@ -392,18 +360,8 @@
         address = await serve(stack, handler, "/bookings")
         names = [f"s{i}" for i in range(replicas)]
         session = await stack.enter_async_context(single_send_session())
-        cfg = config_of(dict.fromkeys(names, address), kind="service")
-        router = ServiceRouter(
-            session,
-            FakeReplicas(*map(State, names)),
-            RetryBudget(random.Random(1)),
-            DecisionLog(),
-            SystemClock(),
-            random.Random(1),
-            lambda: cfg,
-            timeout=0.5,
-        )
-        route = cfg.services["desk"].routes[0]._replace(idempotent=idempotent)
+        router = service_router(session, dict.fromkeys(names, address))
+        route = DESK._replace(idempotent=idempotent)
         for number in range(2):
             req = ServiceRequest(f"r{number}", method, "/bookings", {}, b"x")
             answer = await router.call(route, req, lambda: None)
