Engines and plain services: no body carries another answer behind it

A caller of the own stack could get events of another request's stream, or the whole answer of another call, if the answer had neither a length nor chunks: only the connection ends such a body, so whatever the server wrote behind it was a part of it. A stream that was cut within its first event went on with the event of the same number, and one that was cut between two events passed for complete with the end mark of the other stream.

Whole answers of engines were safe, as they must be one JSON object that names the request.

Change: iter_body does what BackendClient did on its own, and routing reads with it. The limit that remains: a second head is found only if it names a request, which a plain service need not do.

--- a/packages/guavajunction/src/guavajunction/routing/_engine_call.py
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -8,7 +8,12 @@
 import aiohttp
 import msgspec
 
-from guavajunction.connections import StrictConnector, WrongResponse, read_body
+from guavajunction.connections import (
+    StrictConnector,
+    WrongResponse,
+    iter_body,
+    read_body,
+)
 from guavajunction.errors import BackendFailed, GuavaError
 
 from . import _events as events
@@ -171,7 +176,7 @@
     async def _relay_whole(
         self, resp: aiohttp.ClientResponse, backend: str
     ) -> AnswerSummary:
-        body = await read_body(resp)
+        body = await read_body(resp, id_header=REQUEST_ID_HEADER)
         if self._request_id not in body:
             self._record_foreign_event(backend)
             raise StreamCut(f"{backend} answered another request")
@@ -205,7 +210,7 @@
         self, resp: aiohttp.ClientResponse
     ) -> AsyncIterator[list[StreamEvent]]:
         splitter = EventSplitter()
-        async for chunk in resp.content.iter_any():
+        async for chunk in iter_body(resp, REQUEST_ID_HEADER):
             batch = splitter.feed(chunk)
             if splitter.is_oversize:
                 raise StreamCut("an event is longer than is accepted")
--- a/packages/guavajunction/src/guavajunction/routing/_service_router.py
+++ b/packages/guavajunction/src/guavajunction/routing/_service_router.py
@@ -176,7 +176,7 @@
             allow_redirects=False,
             skip_auto_headers=self.SKIPPED_AUTO_HEADERS,
         ) as resp:
-            body = await read_body(resp)
+            body = await read_body(resp, id_header=REQUEST_ID_HEADER)
             echoed = resp.headers.get(REQUEST_ID_HEADER)
             if echoed not in (None, req.request_id):
                 self._decisions.note(
