A stream does not end with the end mark of another stream

A caller of the own stack could get the beginning of its stream as if it were whole, or an event that was joined of its own and another request's, if a second response without an id followed in a body without a length. Engines need not name the request, so the search for a second head misses these.

Cause: end marks name no request and were taken by their number alone, and an event that names the request was relayed whole, with all that had been joined to it.

Change: an end mark belongs to the stream of the last event with data before it. An event with the line ends of an HTTP head inside is no event of the request. Either way the stream counts as cut and is resumed.

--- a/packages/guavajunction/src/guavajunction/routing/_engine_call.py
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -98,6 +98,8 @@
         self._last_event = -1
         self._usage: dict[str, Any] = {}
         self._last_data = b""
+        self._follows_foreign = False
+        """Whether the latest event with data belongs to another request."""
 
     @property
     def has_begun(self) -> bool:
@@ -190,6 +192,7 @@
     async def _relay_stream(
         self, resp: aiohttp.ClientResponse, backend: str
     ) -> AnswerSummary:
+        self._follows_foreign = False
         async for batch in self._batches(resp):
             own = [event for event in batch if self._is_for_request(event, backend)]
             new_events = [event for event in own if self._accept_if_next(event)]
@@ -218,11 +221,20 @@
                 yield batch
 
     def _is_for_request(self, event: StreamEvent, backend: str) -> bool:
-        """Return whether an event belongs to this request; log it otherwise."""
-        if event.is_end or self._request_id in event.data:
-            return True
-        self._record_foreign_event(backend)
-        return False
+        """Return whether an event belongs to this request; log it otherwise.
+
+        An end mark names no request. It ends the stream of the event before it.
+        """
+        if event.is_end:
+            is_own = not self._follows_foreign
+        else:
+            is_own = self._request_id in event.data
+            # Comments have no data and may be between any two events.
+            if event.data or event.is_joined:
+                self._follows_foreign = not is_own
+        if not is_own:
+            self._record_foreign_event(backend)
+        return is_own
 
     def _accept_if_next(self, event: StreamEvent) -> bool:
         """Accept an event if it is the next of the stream; return whether it was."""
--- a/packages/guavajunction/src/guavajunction/routing/_event_stream.py
+++ b/packages/guavajunction/src/guavajunction/routing/_event_stream.py
@@ -20,6 +20,8 @@
     data: bytes
     raw: bytes
     """The event as received, including the blank line at its end."""
+    is_joined: bool = False
+    """Whether a part of an HTTP head is inside: another response begins there."""
 
     @property
     def is_end(self) -> bool:
@@ -64,6 +66,9 @@
     match = PLAIN_EVENT(raw)
     if match is not None:
         return StreamEvent(int(match[1]), match[2], raw + EVENT_END)
+    # Engines end the lines of events with a line feed alone.
+    if b"\r\n" in raw:
+        return StreamEvent(-1, b"", raw + EVENT_END, is_joined=True)
     number = -1
     data = b""
     for line in raw.split(b"\n"):
--- a/tests/routing/test_second_answers.py
+++ b/tests/routing/test_second_answers.py
@@ -21,6 +21,7 @@
 
 PAUSE_SECONDS = 0.05
 """Long enough for what was written before to arrive by itself."""
+UNNAMED_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 
 
 def head_of(request_id, framing="X-Framing: none"):
@@ -131,13 +132,16 @@
 
     @pytest.mark.parametrize("own_bytes", range(0, 60, 3))
     @pytest.mark.parametrize("events", [0, 1])
+    @pytest.mark.parametrize(
+        "head", [head_of("bbbb"), UNNAMED_HEAD], ids=["named", "unnamed"]
+    )
     async def test_stream_that_is_cut_does_not_go_on_with_another(
-        self, own_bytes, events
+        self, own_bytes, events, head
     ):
-        async def respond(writer, head):
-            own = stream_body(id_in(head))[:own_bytes]
-            other = head_of("bbbb") + stream_body("bbbb", events)
-            writer.write(head_of(id_in(head)) + own + other)
+        async def respond(writer, _):
+            own = stream_body("aaaa")[:own_bytes]
+            other = head + stream_body("bbbb", events)
+            writer.write(head_of("aaaa") + own + other)
             writer.close()
 
         sink = Sink()
