A refusal that names no request never refuses the next one

An engine's refusal that was written again on a kept connection could pass for the refusal of the next request there: the router took it as not run although the engine ran it.

Cause: engines need not name the request in a response, so the connection compared nothing. The answers of models name it in their bodies, refusals do not; those of our own engine neither.

Change: a connection whose response did not name its request carries no other one. Copies of what it carried before do name theirs, and are compared. Requiring the id from every engine was weighed and dropped: it would refuse engines that work today.

--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -71,6 +71,9 @@
         self._id_required = id_required
         self._expected_id: str | None = None
         self._carried: set[str] = set()
+        self._had_unnamed = False
+        """Whether a response did not name its request, so that its copy would pass for
+        the response to any other."""
         self._received_bytes = 0
         self._end_received = b""
         """Last bytes of the head that is arriving."""
@@ -79,7 +82,11 @@
     @property
     def should_close(self) -> bool:
         """Return whether the connection must not be used again."""
-        return len(self._carried) >= self.MAX_CARRIED or super().should_close
+        return (
+            self._had_unnamed
+            or len(self._carried) >= self.MAX_CARRIED
+            or super().should_close
+        )
 
     def has_carried(self, request_id: str) -> bool:
         """Return whether a request was sent here, whose response may be copied."""
@@ -120,6 +127,7 @@
                 self._note_stray("joined with the response", named_id)
                 self._fail(WrongResponse("the head of the response has two beginnings"))
                 return
+            self._had_unnamed = self._expected_id is not None and named_id is None
             self._body = body
         super().feed_data(data, size)
 
--- a/tests/routing/test_second_answers.py
+++ b/tests/routing/test_second_answers.py
@@ -16,11 +16,12 @@
     engine_session,
     single_send_session,
 )
-from guavajunction.routing._engine_call import EngineCall, StreamCut
+from guavajunction.routing._engine_call import EngineCall, EngineRefused, StreamCut
 from raw_server import raw_server
 
 PAUSE_SECONDS = 0.05
 """Long enough for what was written before to arrive by itself."""
+REFUSAL = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
 UNNAMED_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 
 
@@ -171,3 +172,23 @@
         async with raw_server(respond) as server, single_send_session() as session:
             with pytest.raises(OutcomeUnknown):
                 await call_service(session, server, "aaaa")
+
+
+class TestUnnamedRefusals:
+    """A refusal that names no request is not taken for that of another request."""
+
+    async def test_refusal_that_is_written_again_refuses_no_other_request(self):
+        refused_on = []
+
+        async def respond(writer, head):
+            if refused_on and writer not in refused_on:
+                writer.write(b"".join(answer_to(id_in(head), stream=False)))
+                return
+            refused_on.append(writer)
+            writer.write(REFUSAL)
+
+        async with raw_server(respond) as server, engine_session() as session:
+            with pytest.raises(EngineRefused):
+                await call_engine(session, server, "aaaa", Sink(), stream=False)
+            body = await call_engine(session, server, "bbbb", Sink(), stream=False)
+        assert body == whole_body("bbbb")
