A copy of an earlier answer is never the answer to an order, in the own stack too

An order to a backend server could be taken as refused or accepted by the copy of the answer to an earlier order or report: a refusal closes its entry in the ledger although the order runs.

Cause: orders and reports of the own stack shared kept connections, and their answers do not name them.

Evidence: the new case of tests/backends/test_client.py fails with kept connections.

Change: a connection for each call.

--- a/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_aggregates.py
@@ -8,7 +8,12 @@
 
 import aiohttp
 
-from guavajunction.backends import HttpBackendClient, Inventory, Retirement
+from guavajunction.backends import (
+    HttpBackendClient,
+    Inventory,
+    Retirement,
+    backend_session,
+)
 from guavajunction.clock import Clock
 from guavajunction.configuration import (
     Configuration,
@@ -195,9 +200,9 @@
 
     def _build_backends(self) -> None:
         self.load_tracker = LoadTracker(self._clock)
-        self._backend_client = HttpBackendClient(
-            self._open_session(limit=MAX_POLL_CONNECTIONS)
-        )
+        session = backend_session(limit=MAX_POLL_CONNECTIONS)
+        self._stack.push_async_callback(session.close)
+        self._backend_client = HttpBackendClient(session)
         self._retirement = Retirement(
             self.mesh, self.load_tracker.in_flight, self._clock
         )
--- a/packages/guavajunction/src/guavajunction/backends/__init__.py
+++ b/packages/guavajunction/src/guavajunction/backends/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ._client import HttpBackendClient
+from ._client import HttpBackendClient, backend_session
 from ._errors import (
     AlreadyResident,
     BackendUnreachable,
@@ -67,4 +67,5 @@
     "OrderUnanswered",
     "Resident",
     "Retirement",
+    "backend_session",
 ]
--- a/packages/guavajunction/src/guavajunction/backends/_client.py
+++ b/packages/guavajunction/src/guavajunction/backends/_client.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from guavajunction.connections import read_body
+from guavajunction.connections import StrictConnector, read_body
 from guavajunction.decoding import decode
 from guavajunction.errors import OrderRefused
 
@@ -67,6 +67,21 @@
     last_fence: int
 
 
+def backend_session(*, limit: int = 0) -> aiohttp.ClientSession:
+    """Open a session for `HttpBackendClient`. The caller closes it.
+
+    It opens a connection for each call. The answers do not name their calls, so that
+    the copy of an earlier one could pass for the answer to an order.
+
+    Args:
+        limit: Maximum number of connections; 0 for no limit.
+    """
+    return aiohttp.ClientSession(
+        connector=StrictConnector(limit=limit, force_close=True),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
 class HttpBackendClient:
     """Calls backend servers over HTTP.
 
--- a/tests/backends/test_client.py
+++ b/tests/backends/test_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import aiohttp
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
@@ -15,8 +14,10 @@
     OrderNotSent,
     OrderStale,
     OrderUnanswered,
+    backend_session,
 )
 from guavajunction.errors import OrderRefused
+from raw_server import raw_server
 
 LOAD = {
     "seq": 4,
@@ -53,7 +54,7 @@
 
 @pytest.fixture
 async def client():
-    async with aiohttp.ClientSession() as session:
+    async with backend_session() as session:
         yield HttpBackendClient(session)
 
 
@@ -107,3 +108,20 @@
     async def test_failed_connection_differs_from_lost_response(self, client):
         with pytest.raises(OrderNotSent):
             await client.order("127.0.0.1:1", Order("x", 1, "load", "a@1", 5))
+
+    async def test_copy_of_an_earlier_answer_is_not_the_answer_to_an_order(
+        self, client
+    ):
+        refused_on = []
+
+        async def respond(writer, _):
+            status = "202 Accepted"
+            if not refused_on or writer in refused_on:
+                refused_on.append(writer)
+                status = "409 Conflict"
+            writer.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode())
+
+        async with raw_server(respond) as server:
+            with pytest.raises(OrderRefused):
+                await client.order(server.address, Order("x", 1, "load", "a@1", 5))
+            await client.order(server.address, Order("y", 1, "load", "b@1", 5))
