A reply of another instance is never the answer to a request

An instance took a reply by its request id alone, so a reply of an instance that was not asked passed for the answer. Ids are counted by each asking incarnation and a reply is only sent to that incarnation, so an instance without a fault never sends one; nothing was seen.

Evidence: the new case of tests/peers/test_mesh.py failed before, with another peer's reply.

Change: a request remembers the incarnation that it was sent to, and foreign replies are counted.

Run: tests/peers, tests/customers and tests/entry/test_stream_links.py passed; the new case six times in a row.

--- a/packages/guavajunction/src/guavajunction/peers/_mesh.py
+++ b/packages/guavajunction/src/guavajunction/peers/_mesh.py
@@ -45,6 +45,11 @@
     at: float
 
 
+class _PendingRequest(NamedTuple):
+    to: PeerId
+    reply: asyncio.Future[msgspec.Raw]
+
+
 class _Content(NamedTuple):
     """The part of a message that is the same for all receivers."""
 
@@ -131,7 +136,7 @@
         self._topics: dict[str, _Topic] = {}
         self._peer_topics: dict[str, _PeerTopic] = {}
         self._topic_selector: TopicSelector = lambda *_: self._topics
-        self._pending_requests: dict[int, asyncio.Future[msgspec.Raw]] = {}
+        self._pending_requests: dict[int, _PendingRequest] = {}
         self._last_request_id = 0
         self._sent: deque[_SentHeartbeat] = deque(maxlen=self.MAX_SEND_TIMES)
         self._sequence = 0
@@ -283,7 +288,7 @@
         self._last_request_id += 1
         request_id = self._last_request_id
         fut: asyncio.Future[msgspec.Raw] = asyncio.get_running_loop().create_future()
-        self._pending_requests[request_id] = fut
+        self._pending_requests[request_id] = _PendingRequest(to, fut)
         try:
             if not self._send(Kind.REQUEST, to, request_id, message):
                 raise PeerUnknown(f"no link to {to.name}")
@@ -555,11 +560,14 @@
         return self._sent[index].at if index < len(self._sent) else float("-inf")
 
     def _on_reply(self, envelope: Envelope) -> None:
-        fut = self._pending_requests.get(envelope.request_id)
-        if fut is None or fut.done():
+        pending = self._pending_requests.get(envelope.request_id)
+        if pending is None or pending.reply.done():
             self.counts["late_reply"] += 1
             return
-        fut.set_result(msgspec.Raw(bytes(envelope.body)))
+        if envelope.sender != pending.to:
+            self.counts["foreign_reply"] += 1
+            return
+        pending.reply.set_result(msgspec.Raw(bytes(envelope.body)))
 
     async def _dispatch(self, envelope: Envelope) -> None:
         known = self._handlers.get(envelope.name)
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -155,6 +155,22 @@
         quick = a.request(b.me, Note("quick"), Note, timeout=2)
         assert await asyncio.gather(slow, quick) == [Note("a:slow"), Note("a:quick")]
 
+    async def test_reply_of_another_peer_is_not_the_answer_to_a_request(
+        self, fleet: Fleet
+    ) -> None:
+        a, b = await fleet.pair()
+        c = await fleet.start("c")
+        c.set_targets([record(a)])
+        await until(lambda: a.me in c.peers() and c.me in a.peers())
+
+        async def answer(_: PeerId, note: Note) -> Note:
+            c._send(Kind.REPLY, a.me, a._last_request_id, Note("c"))
+            await until(lambda: a.counts["foreign_reply"] > 0)
+            return Note("b")
+
+        b.handle(Note, answer)
+        assert await a.request(b.me, Note(""), Note, timeout=2) == Note("b")
+
     async def test_messages_of_one_peer_are_handled_in_order(
         self, fleet: Fleet
     ) -> None:
