A replayed answer is the one that was recorded

A repeated call could get the body of another call: a large answer is recorded as an object, and whatever the object store answered to the read was replayed with the recorded status.

Cause: the name of such an object is the digest of its content, but the content was not compared with it, unlike bodies of the configuration. The store's answers do not name their calls.

Evidence: the new case of tests/idempotency failed before.

Change: a body without its digest counts as unreadable: the caller gets 503 with not_run "false" and can repeat the call.

Run: tests/idempotency passed.

--- a/packages/guavajunction/src/guavajunction/idempotency/_outcome_log.py
+++ b/packages/guavajunction/src/guavajunction/idempotency/_outcome_log.py
@@ -8,6 +8,7 @@
 from guavajunction.clock import Clock
 from guavajunction.errors import (
     ConditionFailed,
+    ObjectCorrupt,
     PlatformError,
     StoreAnswerLost,
 )
@@ -111,6 +112,8 @@
         body = claim.body
         if claim.body_object:
             body = await self._objects.get(claim.body_object)
+            if _object_name(body) != claim.body_object:
+                raise ObjectCorrupt(f"{claim.body_object} does not have its digest")
         return RecordedAnswer(claim.status, claim.headers, body)
 
     async def _try_write(self, attempt: str) -> bool:
@@ -160,7 +163,7 @@
         settled = settled._replace(status=status, headers=headers)
         if len(body) <= self.MAX_INLINE_BYTES:
             return settled._replace(body=body)
-        name = f"once/{hashlib.sha256(body).hexdigest()}"
+        name = _object_name(body)
         await self._objects.put(name, body)
         return settled._replace(body_object=name)
 
@@ -180,3 +183,7 @@
         dropped = self._pending.pop(attempt, None)
         if dropped is not None:
             _events.OUTCOME_DROPPED.log(attempt=attempt, state=dropped.outcome.state)
+
+
+def _object_name(body: bytes) -> str:
+    return f"once/{hashlib.sha256(body).hexdigest()}"
--- a/tests/idempotency/test_idempotency.py
+++ b/tests/idempotency/test_idempotency.py
@@ -50,6 +50,16 @@
             await b.claim()
         assert refusal.value.not_run == "false"
 
+    async def test_object_of_another_answer_is_not_replayed(self):
+        fleet, (a, b) = start("ab")
+        claim = await a.claim()
+        a.send(claim)
+        await claim.done(200, [], b"x" * 10_000)
+        (name,) = fleet.objects.objects
+        fleet.objects.objects[name] = b"the answer to another request"
+        with pytest.raises(StoreUnavailableForRequest):
+            await b.claim()
+
     async def test_concurrent_requests_run_once_and_both_are_answered(self):
         fleet, (a, b) = start("ab")
         answers = await asyncio.gather(a.call(), b.call())
