A row of another read is never the row that was read

A read of the table took whatever row its answer held: the answer to an earlier read on the connection gave the state of a lease or a claim for that of another.

Evidence: two new cases of tests/storage/test_clients.py failed before.

Change: a row with another key fails the read as unavailable, and so does a page with a row of another partition.

Run: tests/storage passed.

--- a/packages/guavajunction/src/guavajunction/storage/_table.py
+++ b/packages/guavajunction/src/guavajunction/storage/_table.py
@@ -106,7 +106,12 @@
         self.counts["get"] += 1
         request = {"Key": _key(partition, sort), "ConsistentRead": True}
         answer = await self._read("GetItem", request, _get_decoder)
-        return _decode(answer.Item) if answer.Item else None
+        if answer.Item is None:
+            return None
+        row = _decode(answer.Item, partition)
+        if row.sort != sort:
+            raise StoreUnavailable(f"GetItem: the answer has the row {row.sort!r}")
+        return row
 
     async def query(self, partition: str) -> list[Row]:
         """Read every row of a partition, page by page, in the order of the sort keys.
@@ -123,7 +128,7 @@
         while True:
             self.counts["query"] += 1
             answer = await self._read("Query", request, _query_decoder)
-            rows.extend(_decode(item) for item in answer.Items)
+            rows.extend(_decode(item, partition) for item in answer.Items)
             if not answer.LastEvaluatedKey:
                 return rows
             request["ExclusiveStartKey"] = answer.LastEvaluatedKey
@@ -241,7 +246,14 @@
     return {**_key(row.partition, row.sort), "ver": version, "body": {"B": body}}
 
 
-def _decode(item: _Item) -> Row:
+def _decode(item: _Item, partition: str) -> Row:
+    """Return the row of an item.
+
+    Raises:
+        StoreUnavailable: The item is malformed, or of another partition than was read.
+    """
+    if partition != item.pk.S:
+        raise StoreUnavailable(f"the answer has a row of partition {item.pk.S!r}")
     try:
         version = int(item.ver.N)
     except ValueError as exc:
--- a/tests/storage/test_clients.py
+++ b/tests/storage/test_clients.py
@@ -173,6 +173,19 @@
         with pytest.raises(StoreUnavailable):
             await table.get("p", "s")
 
+    @pytest.mark.parametrize(("partition", "sort"), [("p", "other"), ("other", "s")])
+    async def test_row_that_was_not_asked_for_is_no_answer(
+        self, server: Server, table: TableClient, partition: str, sort: str
+    ) -> None:
+        row = item(sort, 1) | {"pk": {"S": partition}}
+        server.answers = [(200, json.dumps({"Item": row}).encode())]
+        with pytest.raises(StoreUnavailable):
+            await table.get("p", "s")
+        if partition != "p":
+            server.answers = [(200, json.dumps({"Items": [row]}).encode())]
+            with pytest.raises(StoreUnavailable):
+                await table.query("p")
+
     async def test_cut_write_on_a_kept_connection_is_lost_and_sent_once(
         self, server: Server, table: TableClient
     ) -> None:
