Rows of another table of the store are never the rows that were read

A read of the platform's store took the rows of its answer for those of the table that it had asked for, although each row names its table.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -85,3 +85,19 @@
         fake.parts, fake.pause_seconds = 20, 0.2
         with pytest.raises(StoreUnavailable):
             await client.changes("op", 5, wait_seconds=0.0)
+
+
+class TestOtherAnswers:
+    """Rows are taken only from an answer about the table that was read."""
+
+    async def test_rows_of_another_table_are_no_answer(self, store, monkeypatch):
+        _, client = store
+        (row,) = ROWS["rows"]
+        monkeypatch.setitem(ROWS, "rows", [row | {"table": "servers"}])
+        for call in (
+            client.get("op", "config"),
+            client.snapshot("op"),
+            client.changes("op", 5, wait_seconds=0.0),
+        ):
+            with pytest.raises(StoreUnavailable):
+                await call
