A row with another key is not a missing row

A read of one row of the platform's store took an answer with another row for proof that the row does not exist.

Evidence: the new case of tests/platform/test_store.py failed before.

Run: test_store.py, test_store_access.py, test_store_eras.py and test_store_returns.py of tests/platform, passed.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -90,6 +90,10 @@
 class TestOtherAnswers:
     """Rows are taken only from an answer about the table that was read."""
 
+    async def test_row_with_another_key_is_not_a_missing_row(self, store):
+        with pytest.raises(StoreUnavailable):
+            await store[1].get("op", "another")
+
     async def test_rows_of_another_table_are_no_answer(self, store, monkeypatch):
         _, client = store
         (row,) = ROWS["rows"]
