--- a/packages/guavajunction/src/guavajunction/routing/_engine_call.py
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -8,7 +8,12 @@
 import aiohttp
 import msgspec
 
-from guavajunction.connections import StrictConnector, WrongResponse, read_body
+from guavajunction.connections import (
+    StrictConnector,
+    WrongResponse,
+    iter_body,
+    read_body,
+)
 from guavajunction.errors import BackendFailed, GuavaError
 
 from . import _events as events
@@ -93,6 +98,8 @@
         self._last_event = -1
         self._usage: dict[str, Any] = {}
         self._last_data = b""
+        self._follows_foreign = False
+        """Whether the latest event with data belongs to another request."""
 
     @property
     def has_begun(self) -> bool:
@@ -171,7 +178,7 @@
     async def _relay_whole(
         self, resp: aiohttp.ClientResponse, backend: str
     ) -> AnswerSummary:
-        body = await read_body(resp)
+        body = await read_body(resp, id_header=REQUEST_ID_HEADER)
         if self._request_id not in body:
             self._record_foreign_event(backend)
             raise StreamCut(f"{backend} answered another request")
@@ -185,6 +192,7 @@
     async def _relay_stream(
         self, resp: aiohttp.ClientResponse, backend: str
     ) -> AnswerSummary:
+        self._follows_foreign = False
         async for batch in self._batches(resp):
             own = [event for event in batch if self._is_for_request(event, backend)]
             new_events = [event for event in own if self._accept_if_next(event)]
@@ -205,7 +213,7 @@
         self, resp: aiohttp.ClientResponse
     ) -> AsyncIterator[list[StreamEvent]]:
         splitter = EventSplitter()
-        async for chunk in resp.content.iter_any():
+        async for chunk in iter_body(resp, REQUEST_ID_HEADER):
             batch = splitter.feed(chunk)
             if splitter.is_oversize:
                 raise StreamCut("an event is longer than is accepted")
@@ -213,11 +221,20 @@
                 yield batch
 
     def _is_for_request(self, event: StreamEvent, backend: str) -> bool:
-        """Return whether an event belongs to this request; log it otherwise."""
-        if event.is_end or self._request_id in event.data:
-            return True
-        self._record_foreign_event(backend)
-        return False
+        """Return whether an event belongs to this request; log it otherwise.
+
+        An end mark names no request. It ends the stream of the event before it.
+        """
+        if event.is_end:
+            is_own = not self._follows_foreign
+        else:
+            is_own = self._request_id in event.data
+            # Comments have no data and may be between any two events.
+            if event.data or event.is_joined:
+                self._follows_foreign = not is_own
+        if not is_own:
+            self._record_foreign_event(backend)
+        return is_own
 
     def _accept_if_next(self, event: StreamEvent) -> bool:
         """Accept an event if it is the next of the stream; return whether it was."""
