--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ._bounded_server import BoundedConnection, BoundedServer, limit_kernel_buffers
-from ._read_body import BodyTooLarge, iter_body, read_body
+from ._read_body import BodyTooLarge, is_chunked, iter_body, read_body
 from ._relayed_response import RelayedResponse
 from ._second_head import SecondHeadDetector
 from ._sockets import (
@@ -30,6 +30,7 @@
     "StrictConnector",
     "WrongResponse",
     "close_in_order",
+    "is_chunked",
     "iter_body",
     "limit_kernel_buffers",
     "open_socket",
--- a/packages/guavajunction/src/guavajunction/connections/_read_body.py
+++ b/packages/guavajunction/src/guavajunction/connections/_read_body.py
@@ -71,6 +71,11 @@
     return bytes(body)
 
 
+def is_chunked(resp: aiohttp.ClientResponse) -> bool:
+    """Return whether chunks mark the end of a body: they are its last coding."""
+    codings = resp.headers.get("Transfer-Encoding", "").lower().split(",")
+    return codings[-1].strip() == "chunked"
+
+
 def _ends_with_connection(resp: aiohttp.ClientResponse) -> bool:
-    is_chunked = "chunked" in resp.headers.get("Transfer-Encoding", "").lower()
-    return resp.content_length is None and not is_chunked
+    return resp.content_length is None and not is_chunked(resp)
