Soak: runners write answers twice, and each answer is checked to be its caller's

Its runners never wrote an answer again, streams of all requests had the same events, the id of an answer was compared for status 200 only, and answers that broke off or failed with a runner's seal were not compared at all.

Change: faults "repeat at once", "repeat later" and "repeat before next", up to four in a soak, drawn apart from the others, so that these stay as they were for a seed. They overlap with each other and with all else, and excuse no check. Events name their request. The guarantee covers the header, the seal and the body of all answers, also of a runner's failures and of parts. A stream with events that did not run is a violation; the check of versions failed with a ValueError there. A soak that checked no answers, or whose plan has repeats but no copy was written, fails. A runner whose connection is closing no longer tries to write its answer twice.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_repeats.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_repeats.py
@@ -28,6 +28,8 @@
     """Longest time after which an answer is written again."""
 
     def __init__(self) -> None:
+        self.copies = 0
+        """Number of answers that were written again."""
         self._pending: dict[asyncio.Transport, bytes] = {}
         """Copies that are due before the next answer on a connection."""
         self._begun: dict[asyncio.Transport, bytes] = {}
@@ -37,7 +39,7 @@
         """Write the answer that is due before the next one on a connection, if any."""
         copy = self._pending.pop(transport, None) if transport else None
         if transport is not None and copy is not None:
-            write(transport, copy)
+            self._write(transport, copy)
 
     @contextlib.contextmanager
     def answering(self, transport: asyncio.Transport) -> Iterator[None]:
@@ -46,13 +48,13 @@
         try:
             yield
         finally:
-            write(transport, self._begun.pop(transport))
+            self._write(transport, self._begun.pop(transport))
 
     def _write_when_idle(self, transport: asyncio.Transport, copy: bytes) -> None:
         if transport in self._begun:
             self._begun[transport] += copy
         else:
-            write(transport, copy)
+            self._write(transport, copy)
 
     def write_again(
         self, transport: asyncio.Transport, copy: bytes, when: AnswerRepeat
@@ -72,7 +74,11 @@
                 delay, self._write_when_idle, transport, copy
             )
         elif when is AnswerRepeat.AT_ONCE:
-            write(transport, copy)
+            self._write(transport, copy)
+
+    def _write(self, transport: asyncio.Transport, copy: bytes) -> None:
+        self.copies += bool(copy) and not transport.is_closing()
+        write(transport, copy)
 
 
 def encode_response(resp: web.StreamResponse, body: bytes) -> bytes:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -126,6 +126,8 @@
         """Content type of streams; another one makes it a page of text."""
         self.stops_in_head = False
         """Whether responses end in the middle of their head."""
+        self.names_requests = False
+        """Whether each event of a stream names the request."""
         self.unframed_streams = False
         """Whether streams have neither a length nor chunks."""
         self.close_inside_event = -1
@@ -199,6 +201,11 @@
         """Return the number of requests that are being executed."""
         return self._running
 
+    @property
+    def copies(self) -> int:
+        """Return the number of answers that were written a second time."""
+        return self._repeater.copies
+
     @property
     def address(self) -> str:
         """Return the registered address, `host:port`."""
@@ -542,7 +549,7 @@
             body: The whole body; what has not been sent is written now.
         """
         transport = req.transport
-        if transport is None:
+        if transport is None or transport.is_closing():
             raise ConnectionResetError
         copy = encode_response(resp, body)
         with in_one_segment(transport):
@@ -574,7 +581,10 @@
                 assert req.transport is not None
                 req.transport.abort()
                 break
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            token = f"token {number}"
+            if self.names_requests:
+                token += f" of {request_id}"
+            event = f"id: {number}\ndata: {token}\n\n".encode()
             if number == self.close_inside_event:
                 await resp.write(event[:-4])
                 assert req.transport is not None
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/__init__.py
@@ -9,11 +9,13 @@
 from ._loyal_callers import LoyalCallers
 from ._plan import (
     CUT_KINDS,
+    REPEAT_KINDS,
     Fault,
     FaultKind,
     draw_conditions,
     draw_cuts,
     draw_plan,
+    draw_repeats,
     draw_returns,
     reports_lost_at,
 )
@@ -33,12 +35,14 @@
     "LinkProxies",
     "LinkProxy",
     "LoyalCallers",
+    "REPEAT_KINDS",
     "Soak",
     "SoakResult",
     "find_violations",
     "draw_conditions",
     "draw_cuts",
     "draw_plan",
+    "draw_repeats",
     "draw_returns",
     "reports_lost_at",
 ]
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_callers.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_callers.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 import aiohttp
 from yarl import URL
@@ -25,6 +26,22 @@
 RESUMABLE_ROUTES = ("long",)
 
 
+@dataclass
+class _Answer:
+    """What has arrived of a response."""
+
+    status: int | None = None
+    sealed: bool = False
+    request_id: str | None = None
+    body: bytearray = field(default_factory=bytearray)
+
+    def added_to(self, call: Call) -> Call:
+        """Return a call with all of the response but its status."""
+        return call._replace(
+            sealed=self.sealed, answered_id=self.request_id, body=bytes(self.body)
+        )
+
+
 class Callers:
     """Runs concurrent callers, each with its own persistent connections."""
 
@@ -163,13 +180,15 @@
         artifact: str,
     ) -> Call:
         address = rng.choice(addresses)
-        body = bytearray()
+        answer = _Answer()
         try:
             async with asyncio.timeout(self.REQUEST_TIMEOUT_SECONDS):
-                call = await self._exchange(session, address, call, artifact, body)
+                await self._exchange(session, address, call, artifact, answer)
         except (aiohttp.ClientError, TimeoutError, OSError):
             addresses.remove(address)
-            call = call._replace(body=bytes(body))
+            call = answer.added_to(call)
+        else:
+            call = answer.added_to(call)._replace(status=answer.status)
         finally:
             self.calls.append(call)
         return call
@@ -180,16 +199,16 @@
         address: str,
         call: Call,
         artifact: str,
-        received: bytearray,
-    ) -> Call:
-        """Send one request and return it with its result.
+        answer: _Answer,
+    ) -> None:
+        """Send one request and receive its answer.
 
         Args:
             session: HTTP session of the caller.
             address: Address of the instance, `host:port`.
             call: The request.
             artifact: Model or adapter of the request; empty for a plain service.
-            received: Filled with the body as it arrives.
+            answer: Filled as the response arrives.
         """
         headers = {
             "Host": HOST,
@@ -210,10 +229,8 @@
         method = "GET" if call.kind == "look" else "POST"
         data = None if call.kind == "look" else b"a body"
         async with session.request(method, url, headers=headers, data=data) as resp:
+            answer.status = resp.status
+            answer.sealed = HEADERS.seal in resp.headers
+            answer.request_id = resp.headers.get(HEADERS.request_id)
             async for chunk in resp.content.iter_any():
-                received += chunk
-            body = bytes(received)
-            if resp.headers.get(HEADERS.request_id) not in (None, call.request_id):
-                body = b"of another request: " + body
-            sealed = HEADERS.seal in resp.headers
-            return call._replace(status=resp.status, sealed=sealed, body=body)
+                answer.body += chunk
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_fault_injector.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_fault_injector.py
@@ -5,15 +5,16 @@
 import asyncio
 import signal
 import time
+from collections import defaultdict
 from contextlib import AsyncExitStack
 from enum import StrEnum
 
-from guavajunction_fakes.deployment import FakeRunner, LocalDeployment
+from guavajunction_fakes.deployment import AnswerRepeat, FakeRunner, LocalDeployment
 from guavajunction_fakes.fleet import FleetProcess
 
 from ._history import Change
 from ._link_proxy import LinkProxy
-from ._plan import CUT_KINDS, STORE_RETURNS, Fault, FaultKind
+from ._plan import CUT_KINDS, REPEAT_KINDS, STORE_RETURNS, Fault, FaultKind
 
 
 class CutKind(StrEnum):
@@ -34,6 +35,11 @@
     FaultKind.STORE_FAILS: "error",
     FaultKind.STORE_DROPS: "drop",
 }
+REPEATS = {
+    FaultKind.REPEAT_AT_ONCE: AnswerRepeat.AT_ONCE,
+    FaultKind.REPEAT_LATER: AnswerRepeat.LATER,
+    FaultKind.REPEAT_BEFORE_NEXT: AnswerRepeat.BEFORE_NEXT,
+}
 
 
 class LinkProxies:
@@ -95,6 +101,8 @@
         self._deployment = deployment
         self._links = links
         self._faulty_targets: set[str] = set()
+        self._repeats: defaultdict[str, list[AnswerRepeat]] = defaultdict(list)
+        """By runner: how it is to write answers twice; the last one is in force."""
         self.changes: list[Change] = []
         """Changes written to the store so far."""
         self.failed_stops: list[str] = []
@@ -141,6 +149,8 @@
             return str(kind)
         elif kind in CUT_KINDS:
             return "links to runners"
+        elif kind in REPEAT_KINDS:
+            return f"answers from {fault.at}"
         else:
             names = sorted(self._deployment.instances)
         name = names[fault.target % len(names)]
@@ -170,6 +180,8 @@
             self._faulty_targets.difference_update(names)
         elif kind in CUT_KINDS:
             await self._cut(fault)
+        elif kind in REPEAT_KINDS:
+            await self._repeat_answers(fault)
         elif kind is FaultKind.KEYS:
             self._change_key()
         elif kind is FaultKind.HISTORY:
@@ -209,6 +221,28 @@
         for name in names:
             await self._links.heal(name)
 
+    async def _repeat_answers(self, fault: Fault) -> None:
+        """Let the runners whose bits are set in the target write answers twice."""
+        runners = [
+            runner
+            for number, (_, runner) in enumerate(
+                sorted(self._deployment.runners.items())
+            )
+            if fault.target >> number & 1
+        ]
+        for runner in runners:
+            self._repeats[runner.spec.name].append(REPEATS[fault.kind])
+            self._set_repeat(runner)
+        await asyncio.sleep(fault.seconds)
+        for runner in runners:
+            self._repeats[runner.spec.name].remove(REPEATS[fault.kind])
+            self._set_repeat(runner)
+
+    def _set_repeat(self, runner: FakeRunner) -> None:
+        repeats = self._repeats[runner.spec.name]
+        when = repeats[-1] if repeats else AnswerRepeat.NEVER
+        runner.repeats_answers = runner.repeats_refusals = when
+
     async def _kill(self, name: str, seconds: float) -> None:
         self.stopped_on_purpose.add(name)
         await self._deployment.instances[name].kill()
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_guarantees.py
@@ -12,6 +12,8 @@
 
 REFUSAL_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that guarantee that a request was not and will not be executed."""
+RUNNER_FAILURE_STATUS = 500
+"""Status of runners that are made to fail."""
 REPEATABLE_ROUTES = frozenset(("look", "long"))
 """Routes whose requests may run more than once."""
 CHANGE_TIMEOUT_SECONDS = 3.0
@@ -75,18 +77,44 @@
 
 def _check_answers(history: History) -> Iterator[str]:
     for call in history.calls:
-        if call.status != 200:
-            continue
-        if not call.sealed:
-            yield f"{call.kind} {call.request_id}: success without a runner's seal"
-        if call.body != _expected_body(call, history.stream_events):
-            yield f"{call.kind} {call.request_id}: answered with {call.body[:80]!r}"
+        name = f"{call.kind} {call.request_id}"
+        if call.status == 200 and not call.sealed:
+            yield f"{name}: success without a runner's seal"
+        # Instances' own errors need not name the request.
+        if call.answered_id != call.request_id and (
+            call.sealed or call.answered_id is not None
+        ):
+            yield f"{name}: answer names request {call.answered_id}"
+        expected = _expected_body(call, history.stream_events)
+        if call.status is None:
+            if call.sealed and not expected.startswith(call.body):
+                yield f"{name}: part of an answer with {call.body[:80]!r}"
+        elif (call.sealed or call.status == 200) and call.body != expected:
+            yield f"{name}: answered with {call.body[:80]!r}"
+        if call.sealed and call.status not in (None, 200, _own_failure(call)):
+            yield f"{name}: runner's seal on status {call.status}"
+
+
+def _own_failure(call: Call) -> int | None:
+    """Return the status with which a runner itself may fail a request, if any."""
+    return None if call.kind in ("draft", "long") else RUNNER_FAILURE_STATUS
+
+
+def _check_counts(history: History) -> Iterator[str]:
+    """Check that there were answers to check, and copies of answers if planned."""
+    if not history.checked_answers:
+        yield "no answer of a runner was checked"
+    if history.copies == 0:
+        yield "no answer was written a second time"
 
 
 def _expected_body(call: Call, events: int) -> bytes:
     if call.kind in ("draft", "long"):
         numbers = range(call.resume_after + 1, events + 1)
-        return b"".join(f"id: {n}\ndata: token {n}\n\n".encode() for n in numbers)
+        return b"".join(
+            f"id: {n}\ndata: token {n} of {call.request_id}\n\n".encode()
+            for n in numbers
+        )
     return b"done by " + call.request_id.encode()
 
 
@@ -96,6 +124,9 @@
     versions: defaultdict[str, set[str]] = defaultdict(set)
     for call in history.calls:
         if call.kind in REPEATABLE_ROUTES and call.last_event > call.resume_after:
+            if not runs[call.request_id]:
+                yield f"{call.kind} {call.request_id} has events, but did not run"
+                continue
             # Of several runs of one request, the last one was relayed.
             _, run = max(runs[call.request_id], key=lambda pair: pair[1].at)
             versions[call.stream].add(run.version)
@@ -328,6 +359,7 @@
     _check_at_most_once,
     _check_refused_requests,
     _check_answers,
+    _check_counts,
     _check_versions,
     _check_requests_unchanged,
     _check_runner_memory,
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_history.py
@@ -23,6 +23,8 @@
     """Status of the response; None if no complete response was received."""
     sealed: bool = False
     """Whether the response has a runner's seal header."""
+    answered_id: str | None = None
+    """Request that the response names in its header, also if it is not complete."""
     body: bytes = b""
     """Body, or the part of it that arrived before the connection broke."""
     resumes: str = ""
@@ -118,3 +120,11 @@
     orders: tuple[OrderBody, ...] = ()
     """Orders that reached runners, including refused ones."""
     ended: EndedInstance | None = None
+    copies: int | None = None
+    """Number of answers that runners wrote a second time; None if none were to be."""
+
+    @property
+    def checked_answers(self) -> int:
+        """Return the number of complete answers of runners that callers received."""
+        calls = self.calls + (self.ended.calls if self.ended else ())
+        return sum(call.sealed and call.status is not None for call in calls)
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_loyal_callers.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_loyal_callers.py
@@ -118,8 +118,12 @@
         url = self._deployment.front_url(self._name) + call.target
         async with session.post(url, headers=headers, data=body) as resp:
             received = await resp.read()
-            sealed = HEADERS.seal in resp.headers
-            return call._replace(status=resp.status, sealed=sealed, body=received)
+            return call._replace(
+                status=resp.status,
+                sealed=HEADERS.seal in resp.headers,
+                answered_id=resp.headers.get(HEADERS.request_id),
+                body=received,
+            )
 
 
 async def _chunks() -> AsyncIterator[bytes]:
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_plan.py
@@ -64,13 +64,27 @@
     """Some instances reach no runner; their connections are reset."""
     CUT_LIVE_ON = "cut live on"
     """Some instances reach no runner by new connections; open ones live on."""
+    REPEAT_AT_ONCE = "repeat at once"
+    """Some runners write each answer and refusal a second time, at once."""
+    REPEAT_LATER = "repeat later"
+    """Some runners write each answer and refusal a second time, some time later."""
+    REPEAT_BEFORE_NEXT = "repeat before next"
+    """Some runners write each answer and refusal a second time, before the next."""
 
 
 CUT_KINDS = (FaultKind.CUT_HANG, FaultKind.CUT_RESET, FaultKind.CUT_LIVE_ON)
+REPEAT_KINDS = (
+    FaultKind.REPEAT_AT_ONCE,
+    FaultKind.REPEAT_LATER,
+    FaultKind.REPEAT_BEFORE_NEXT,
+)
 DRAWN_KINDS = tuple(
-    kind for kind in FaultKind if kind not in (FaultKind.STORE_RETURNS, *CUT_KINDS)
+    kind
+    for kind in FaultKind
+    if kind not in (FaultKind.STORE_RETURNS, *CUT_KINDS, *REPEAT_KINDS)
 )
-"""Kinds that `draw_plan` draws; `draw_returns` and `draw_cuts` draw the others."""
+"""Kinds that `draw_plan` draws; `draw_returns`, `draw_cuts` and `draw_repeats` draw
+the others."""
 
 INSTANT_KINDS = frozenset(
     (
@@ -250,6 +264,28 @@
     return sorted(cuts)
 
 
+MAX_REPEAT_SECONDS = 4.0
+
+
+def draw_repeats(seed: int, seconds: float, *, runners: int) -> list[Fault]:
+    """Draw the times at which runners write their answers twice, up to four.
+
+    They do not change the plan that is drawn from the same seed. The target of each
+    fault has a bit for each runner; the first that is drawn is about all runners.
+    """
+    rng = random.Random(f"repeats/{seed}")
+    all_runners = 2**runners - 1
+    repeats = []
+    for number in range(rng.choice((0, 1, 2, 3, 4))):
+        duration = rng.uniform(1.0, min(MAX_REPEAT_SECONDS, seconds - 0.5))
+        at = rng.uniform(0.0, seconds - duration)
+        kind = rng.choice(REPEAT_KINDS)
+        some = rng.randrange(1, all_runners + 1)
+        target = some if number and rng.random() < 0.5 else all_runners
+        repeats.append(Fault(round(at, 2), round(duration, 2), kind, target))
+    return sorted(repeats)
+
+
 REWRITE_SECONDS = 2.0
 """Time after a return in which instances write their rows again."""
 
--- a/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/soak/_soak.py
@@ -21,6 +21,7 @@
 from ._loyal_callers import LoyalCallers
 from ._plan import (
     CUT_KINDS,
+    REPEAT_KINDS,
     Conditions,
     Fault,
     FaultKind,
@@ -28,6 +29,7 @@
     draw_cuts,
     draw_ending,
     draw_plan,
+    draw_repeats,
     draw_returns,
     reports_lost_at,
 )
@@ -43,6 +45,10 @@
     """A line for each violation of a guarantee."""
     answers: Counter[str]
     """Number of calls by status; `none` for calls without a complete response."""
+    checked: int = 0
+    """Number of complete answers of runners that were checked."""
+    copies: int = 0
+    """Number of answers that runners wrote a second time."""
 
     def __str__(self) -> str:
         answers = ", ".join(f"{k}: {n}" for k, n in sorted(self.answers.items()))
@@ -55,6 +61,9 @@
         returns = sum(f.kind is FaultKind.STORE_RETURNS for f in self.plan)
         cuts = sum(f.kind in CUT_KINDS for f in self.plan)
         drawn += f", returns of the store {returns}, cuts from runners {cuts}"
+        repeats = sum(f.kind in REPEAT_KINDS for f in self.plan)
+        drawn += f", repeats of answers {repeats}"
+        answers += f"; {self.checked} answers checked, {self.copies} written twice"
         return f"seed {self.seed}: {verdict}; {drawn}; {answers}"
 
 
@@ -65,6 +74,8 @@
     """Time from the end of the last fault until requests must be served normally."""
     STEADY_SECONDS = 2.0
     """Time after the recovery deadline during which callers still send requests."""
+    RUNNER_COUNT = 4
+    """Number of runners in the deployment."""
     CALLER_COUNT = 6
     LOYAL_CALLERS = 12
     """Number of callers that use an instance until it has ended."""
@@ -111,6 +122,7 @@
             draw_plan(seed, seconds, faults=faults)
             + draw_returns(seed, seconds)
             + draw_cuts(seed, seconds, instances=instances)
+            + draw_repeats(seed, seconds, runners=self.RUNNER_COUNT)
         )
         self._conditions = draw_conditions(seed)
         self._rng = random.Random(f"keys/{seed}")
@@ -158,6 +170,7 @@
 
     def _apply_conditions(self, deployment: LocalDeployment) -> None:
         for runner in deployment.runners.values():
+            runner.names_requests = True
             runner.crash_part = self._conditions.crashing_part
             runner.crash_request = self._crashing_request()
         if self._conditions.named_limit is not None:
@@ -198,6 +211,8 @@
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
         ended = await self._end_an_instance(deployment, injector.current_key)
+        repeats = any(fault.kind in REPEAT_KINDS for fault in self._plan)
+        copies = sum(runner.copies for runner in deployment.runners.values())
         history = History(
             calls=tuple(callers.calls),
             runs={n: tuple(r.runs) for n, r in deployment.runners.items()},
@@ -208,6 +223,7 @@
                     min(faults_ended_at, started_at + fault.ends_at + 1.0),
                 )
                 for fault in self._plan
+                if fault.kind not in REPEAT_KINDS
             ),
             overloads={n: tuple(r.overloads) for n, r in deployment.runners.items()},
             unexpected_exits=tuple(sorted(self._unexpected_exits)),
@@ -246,10 +262,18 @@
                 order for r in deployment.runners.values() for order in r.orders
             ),
             ended=ended,
+            copies=copies if repeats else None,
         )
         answers = Counter(str(call.status or "none") for call in history.calls)
-        violations = find_violations(history)
-        return SoakResult(self._seed, self._plan, self._conditions, violations, answers)
+        return SoakResult(
+            self._seed,
+            self._plan,
+            self._conditions,
+            find_violations(history),
+            answers,
+            history.checked_answers,
+            copies,
+        )
 
     async def _end_an_instance(
         self, deployment: LocalDeployment, key: str
--- a/tests/soak/test_guarantees.py
+++ b/tests/soak/test_guarantees.py
@@ -19,10 +19,15 @@
     request_id = f"r{number}"
     body = b"done by " + request_id.encode()
     if kind == "draft":
-        body = b"".join(f"id: {n}\ndata: token {n}\n\n".encode() for n in (1, 2, 3))
-    return Call(
-        request_id, kind, f"/{kind}/x", "key", 10.0 + number, status, True, body
-    )._replace(**changes)
+        body = events(request_id, 1, 2, 3)
+    sent = Call(request_id, kind, f"/{kind}/x", "key", 10.0 + number, status, True)
+    return sent._replace(**({"answered_id": request_id, "body": body} | changes))
+
+
+def events(request_id, *numbers):
+    return b"".join(
+        f"id: {n}\ndata: token {n} of {request_id}\n\n".encode() for n in numbers
+    )
 
 
 def run(number, kind="book", **changes):
@@ -98,9 +103,8 @@
         assert not find_violations(during)
 
     def test_stream_joined_from_two_versions_is_reported(self):
-        event = b"id: 1\ndata: token 1\n\n"
-        rest = b"id: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n"
-        broken = call(60, "long", status=None, body=event)
+        broken = call(60, "long", status=None, body=events("r60", 1))
+        rest = events("r61", 2, 3)
         resumed = call(61, "long", body=rest, resumes="r60", resume_after=1)
         same = self.history._replace(calls=(*self.history.calls, broken, resumed))
         same = add(same, "engine-1", run(60, "long"), run(61, "long"))
@@ -135,6 +139,49 @@
         history = add(self.history._replace(calls=calls), "booking-3", run(9))
         assert "answered with" in self.only(history)
 
+    def with_call(self, *args, **changes):
+        calls = (*self.history.calls, call(9, *args, **changes))
+        return add(self.history._replace(calls=calls), "booking-3", run(9, *args))
+
+    @pytest.mark.parametrize("status", [200, 500, None])
+    @pytest.mark.parametrize("answered_id", ["r8", None])
+    def test_answer_that_names_another_request(self, status, answered_id):
+        history = self.with_call(status=status, answered_id=answered_id)
+        assert f"names request {answered_id}" in self.only(history)
+
+    def test_error_of_an_instance_that_names_another_request(self):
+        error = {"status": 504, "sealed": False, "body": b"timeout"}
+        history = self.with_call(**error, answered_id="r8")
+        assert "names request r8" in self.only(history)
+        assert not find_violations(self.with_call(**error, answered_id=None))
+
+    @pytest.mark.parametrize("status", [200, None])
+    @pytest.mark.parametrize("before", [b"", events("r9", 1, 2, 3)])
+    @pytest.mark.parametrize("other", [events("r8", 1), events("r9", 2)])
+    def test_events_of_another_stream(self, status, before, other):
+        body = before + other
+        history = self.with_call("draft", status=status, body=body)
+        assert "answer" in self.only(history)
+        part = events("r9", 1, 2)[:-4]
+        assert not find_violations(self.with_call("draft", status=None, body=part))
+
+    def test_events_of_a_stream_that_did_not_run(self):
+        stream = call(9, "long", body=events("r9", 1, 2, 3))
+        history = self.history._replace(calls=(*self.history.calls, stream))
+        assert "long r9 has events, but did not run" in self.only(history)
+
+    def test_failure_with_a_seal_that_is_not_what_a_runner_wrote(self):
+        assert not find_violations(self.with_call(status=500))
+        assert "answered with" in self.only(self.with_call(status=500, body=b"done"))
+        assert "seal on status 504" in self.only(self.with_call(status=504))
+        assert "seal on status 500" in self.only(self.with_call("draft", status=500))
+
+    def test_soak_that_checks_nothing_fails(self):
+        assert not find_violations(self.history._replace(copies=1))
+        assert "second time" in self.only(self.history._replace(copies=0))
+        history = self.history._replace(calls=(call(9, status=504, sealed=False),))
+        assert "no answer of a runner was checked" in find_violations(history)
+
     def test_run_without_a_call(self):
         assert "no caller sent" in self.only(add(self.history, "booking-3", run(77)))
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 
 from guavajunction_fakes.soak import (
     CUT_KINDS,
+    REPEAT_KINDS,
     Fault,
     FaultKind,
     Soak,
     draw_conditions,
     draw_cuts,
     draw_plan,
+    draw_repeats,
     draw_returns,
     reports_lost_at,
 )
@@ -22,7 +26,8 @@
 
 The plans drawn from seeds 3 and 11 contain four kinds of fault: the store responds with
 errors, and links to a runner are delayed, reset or permanently stalled. With seed 5,
-engines crash on a part of a prompt; all three name a limit.
+engines crash on a part of a prompt; with seed 3, runners write answers twice. All three
+name a limit.
 """
 
 
@@ -45,10 +50,21 @@
         drawn = {f.kind for seed in range(50) for f in draw_plan(seed, 8.0, faults=6)}
         returns = {f.kind for seed in range(50) for f in draw_returns(seed, 8.0)}
         cuts = {f.kind for seed in range(50) for f in self.cuts(seed)}
-        assert drawn | returns | cuts == set(FaultKind)
+        repeats = [draw_repeats(seed, 8.0, runners=4) for seed in range(50)]
+        assert {f.kind for plan in repeats for f in plan} == set(REPEAT_KINDS)
+        assert drawn | returns | cuts | set(REPEAT_KINDS) == set(FaultKind)
         assert returns == {FaultKind.STORE_RETURNS}
         assert cuts == set(CUT_KINDS)
 
+    def test_repeats_end_in_time_overlap_and_begin_with_all_runners(self):
+        plans = [draw_repeats(seed, 8.0, runners=4) for seed in range(50)]
+        assert {len(plan) for plan in plans} == {0, 1, 2, 3, 4}
+        assert all(fault.ends_at <= 8.0 for plan in plans for fault in plan)
+        assert all(any(f.target == 15 for f in plan) for plan in plans if plan)
+        assert {f.target for plan in plans for f in plan} > {15}
+        pairs = [(a, b) for plan in plans for a, b in itertools.pairwise(plan)]
+        assert {b.at < a.ends_at for a, b in pairs} == {True, False}
+
     def cuts(self, seed, instances=4):
         return draw_cuts(seed, 8.0, instances=instances)
 
@@ -100,3 +116,4 @@
             *result.violations,
         ]
         assert result.answers["200"] > 100
+        assert result.checked > 100
