--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -201,6 +201,11 @@
         """Return the number of requests that are being executed."""
         return self._running
 
+    @property
+    def copies(self) -> int:
+        """Return the number of answers that were written a second time."""
+        return self._repeater.copies
+
     @property
     def address(self) -> str:
         """Return the registered address, `host:port`."""
@@ -544,7 +549,7 @@
             body: The whole body; what has not been sent is written now.
         """
         transport = req.transport
-        if transport is None:
+        if transport is None or transport.is_closing():
             raise ConnectionResetError
         copy = encode_response(resp, body)
         with in_one_segment(transport):
