Stand-in: an answer without a length that is cut is reset

A runner with `unframed_streams` and `cut_after_events` closed its connection in order, which marks the part as a whole answer. No one who reads it can tell the difference, so a test of such a cut proved nothing. Framed streams are cut as before.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -15,6 +15,7 @@
 
 from aiohttp import web
 
+from guavajunction.connections import reset
 from guavajunction_fakes._server import FakeServer, Handler
 from guavajunction_fakes.unframed_response import UnframedResponse
 
@@ -572,7 +573,11 @@
         for number in range(first, self.spec.events + 1):
             if self.cut_after_events >= 0 and number > self.cut_after_events:
                 assert req.transport is not None
-                req.transport.abort()
+                if self.unframed_streams:
+                    # The end of the connection would mark the part as complete.
+                    reset(req.transport)
+                else:
+                    req.transport.abort()
                 break
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             if number == self.close_inside_event:
