A whole request is not refused for the bytes behind it

Cause: aiohttp's parser raises for bytes that it can't parse and keeps the requests that it completed in the same call. They were lost, and the caller got the error's 400 at the place of the first of them. It took no garbage: with `Connection: close`, or HTTP/1.0, the parser takes any further request for an error.

Nothing is parsed behind an error.

--- a/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
+++ b/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
@@ -91,7 +91,9 @@
             max_headers=self.max_headers,
             payload_exception=RequestPayloadError,
             auto_decompress=kwargs.get("auto_decompress", True),
-            max_msg_queue_size=MAX_PARSED_AHEAD,
+            # The parser drops the requests that it completed in the same call as an
+            # error, so it stops after each of them.
+            max_msg_queue_size=1,
         )
         self._use = ParsingUse()
         self._is_resting = self._must_parse = False
@@ -159,14 +161,13 @@
         if self._is_resting and not data:
             self._must_parse = True
             return
+        if data:
+            self.last_received_at = self._loop.time()
         began = time.perf_counter()
-        if self._parse(data):
-            # The parser stops at the end of a body, before the next head.
-            self._parse(b"")
+        while self._parse(data) and self._may_parse_more:
+            data = b""
         ended = time.perf_counter()
         now = self._loop.time()
-        if data:
-            self.last_received_at = now
         # A process that was suspended while it parsed has not used that time.
         seconds = min(ended - began, MAX_PARSE_SECONDS)
         rest = self._bounds.meter.note(self._use, seconds, now)
@@ -175,8 +176,15 @@
             self._pause_transport_reading()
             self._loop.call_later(rest, self._end_rest)
 
+    @property
+    def _may_parse_more(self) -> bool:
+        return (
+            not (self._is_last or self._close or self._force_close)
+            and len(self._messages) < MAX_PARSED_AHEAD
+        )
+
     def _parse(self, data: bytes) -> bool:
-        """Parse bytes; return whether they have completed a body."""
+        """Parse bytes up to the end of a request; return whether it was reached."""
         in_head = self._last_payload is None or self._last_payload.is_eof()
         requests = self._request_count
         super().data_received(data)
@@ -184,7 +192,7 @@
             self._head_bytes = 0
             self._last_payload = self._messages[-1][1]
             self._check_heads(self._request_count - requests)
-            return False
+            return self._last_payload.is_eof()
         if in_head and not self._buffer_paused:
             self._head_bytes += len(data)
             if self._head_bytes > self._bounds.max_head_bytes() + READ_AHEAD_BYTES:
@@ -215,6 +223,7 @@
     def _check_last_head(self) -> None:
         message, payload = self._messages[-1]
         if isinstance(message, _ErrInfo):
+            self._is_last = True
             return
         fields = message.raw_headers
         size = sum(len(name) + len(value) + FIELD_FRAME_BYTES for name, value in fields)
--- a/tests/platform/test_caller_connections.py
+++ b/tests/platform/test_caller_connections.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from caller_wire import ask, last, stream, whole_answers
+from caller_wire import Sent, ask, last, stream, whole_answers
 from guavajunction.connections import open_stream, reset
 from guavajunction_fakes.deployment import HEADERS, AnswerRepeat, LocalDeployment
 from platform_calls import runs
@@ -57,7 +57,13 @@
     "head": (lambda: [ask(method="HEAD"), stream(method="HEAD"), last()], 3),
     "head-refused": (lambda: [ask("/no", method="HEAD", status=404), last()], 1),
     "chunks": (lambda: [ask(body=INNER.data, chunked=True), stream(), last()], 3),
+    "http-1.0": (lambda: [ask(version="1.0"), last()], 1),
     "http-1.0-kept": (lambda: [ask(version="1.0", **KEPT), last()], 2),
+    "closed-then-more": (lambda: [last(), ask()], 1),
+    "malformed-behind": (
+        lambda: [ask(), Sent("", "POST", b"no request\r\n\r\n", 400)],
+        2,
+    ),
 }
 
 
