An HTTP/1.0 answer without a length ends its connection

Cause: for a client of HTTP/1.0 that asked to keep the connection, aiohttp announces the end of the connection for an answer without a length, but keeps the connection. The answer to the next request became a part of the body, and without a next request the body did not end.

--- a/packages/guavajunction/src/guavajunction/connections/_relayed_response.py
+++ b/packages/guavajunction/src/guavajunction/connections/_relayed_response.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any
 
-from aiohttp import hdrs, web
+from aiohttp import HttpVersion11, hdrs, web
 from aiohttp.abc import AbstractStreamWriter
 
 from ._sockets import close_in_order, reset, reset_when_closed
@@ -40,6 +40,9 @@
         """Send the head, unless it has been sent."""
         if self.prepared:
             return await super().prepare(request)
+        if request.version < HttpVersion11 and self.content_length is None:
+            # aiohttp would keep the connection open if the client asked for that.
+            self.force_close()
         writer = await super().prepare(request)
         framing = {hdrs.CONTENT_LENGTH, hdrs.TRANSFER_ENCODING}
         if request.transport is not None and framing.isdisjoint(self.headers):
--- a/tests/platform/test_caller_connections.py
+++ b/tests/platform/test_caller_connections.py
@@ -59,6 +59,7 @@
     "chunks": (lambda: [ask(body=INNER.data, chunked=True), stream(), last()], 3),
     "http-1.0": (lambda: [ask(version="1.0"), last()], 1),
     "http-1.0-kept": (lambda: [ask(version="1.0", **KEPT), last()], 2),
+    "http-1.0-stream": (lambda: [stream(version="1.0", **KEPT), last()], 1),
     "closed-then-more": (lambda: [last(), ask()], 1),
     "malformed-behind": (
         lambda: [ask(), Sent("", "POST", b"no request\r\n\r\n", 400)],
