A request to switch protocols is the last on its connection

Cause: behind a request with `Connection: upgrade`, aiohttp's parser drops the rest of the segment, or, for WebSocket, parses it past the limits of `BoundedConnection`. If the head of the next request was dropped, its body was parsed as a request and run.

Change: such a request is answered as any other, with `Connection: close`. What follows it is not read.

--- a/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
+++ b/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
@@ -233,9 +233,12 @@
         held = self._bounds.heads.take(len(fields))
         if held is None:
             self._refuse(_TOO_MANY_FIELDS)
-        elif held:
+            return
+        if held:
             # The parser keeps the fields until the next head or the connection's end.
             self._heads_held += held
+        if held or message.upgrade:
+            # The parser drops what follows a request to switch protocols.
             self._messages[-1] = message._replace(should_close=True), payload
             self._last_payload = payload
             self._is_last = True
--- a/tests/platform/test_caller_connections.py
+++ b/tests/platform/test_caller_connections.py
@@ -36,6 +36,8 @@
 LARGE = b"x" * (MAX_BODY_BYTES - 1)
 TOO_LARGE = b"x" * MAX_BODY_BYTES * 2
 KEPT = {"Connection": "keep-alive"}
+WEBSOCKET = {"Connection": "upgrade", "Upgrade": "websocket"}
+H2C = {"Connection": "upgrade", "Upgrade": "h2c"}
 
 # The requests of each case, and how many of them are answered at least.
 CASES = {
@@ -65,6 +67,12 @@
         lambda: [ask(), Sent("", "POST", b"no request\r\n\r\n", 400)],
         2,
     ),
+    "websocket": (
+        lambda: [ask(body=INNER.data, **WEBSOCKET), ask(body=LARGE), last()],
+        1,
+    ),
+    "h2c": (lambda: [ask(body=INNER.data, **H2C), ask(body=LARGE), last()], 1),
+    "h2c-no-body": (lambda: [ask(body=b"", **H2C), ask(body=INNER.data), last()], 1),
 }
 
 
