A body with an error in its chunks fails at once

Cause: aiohttp queues an error in a body as a further request, and leaves the body without an end. Its reader waited until the caller gave up.

Change: the body ends with an error; the caller gets 400, and the connection ends.

--- a/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
+++ b/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
@@ -189,6 +189,8 @@
         requests = self._request_count
         super().data_received(data)
         if self._request_count != requests:
+            if not in_head and not self._last_payload.is_eof():
+                self._fail_body(self._last_payload)
             self._head_bytes = 0
             self._last_payload = self._messages[-1][1]
             self._check_heads(self._request_count - requests)
@@ -199,6 +201,11 @@
                 self._refuse_unfinished_head()
         return not in_head and self._last_payload.is_eof()
 
+    def _fail_body(self, payload: StreamReader) -> None:
+        """End a body in which an error was found, also for its reader."""
+        payload.set_exception(RequestPayloadError("the body can't be parsed"))
+        payload.feed_eof()
+
     def _resume_transport_reading(self) -> None:
         if not self._is_resting:
             super()._resume_transport_reading()
--- a/tests/platform/test_caller_connections.py
+++ b/tests/platform/test_caller_connections.py
@@ -31,6 +31,11 @@
 """Address from which nothing else connects."""
 
 
+def malformed_chunk():
+    sent = ask(body=INNER.data, chunked=True, status=400)
+    return sent._replace(data=sent.data[:-5] + b"zz\r\n")
+
+
 INNER = ask()
 """A whole request, sent as the body of another one."""
 LARGE = b"x" * (MAX_BODY_BYTES - 1)
@@ -73,6 +78,7 @@
     ),
     "h2c": (lambda: [ask(body=INNER.data, **H2C), ask(body=LARGE), last()], 1),
     "h2c-no-body": (lambda: [ask(body=b"", **H2C), ask(body=INNER.data), last()], 1),
+    "malformed-chunk": (lambda: [malformed_chunk(), last()], 1),
 }
 
 
@@ -101,9 +107,9 @@
 
 
 def pick_cuts(requests, rng):
-    """Return the ends of heads and requests, and places drawn at random."""
+    """Return the ends of heads, requests and chunks, and places drawn at random."""
     data = b"".join(sent.data for sent in requests)
-    ends = [match.end() for match in re.finditer(rb"\r\n\r\n", data)]
+    ends = [match.end() for match in re.finditer(rb"\r\n\r\n|(?=\r\nzz)", data)]
     ends += itertools.accumulate(len(sent.data) for sent in requests)
     return (ends + [rng.randrange(len(data)) for _ in range(CUTS)])[:CUTS]
 
