--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -199,7 +199,7 @@
         if self._exception is not None or self._parser is None:
             return False
         if getattr(self._parser, "_tail", b""):
-            # The parser without extensions, whose `feed_eof` tells whole heads only.
+            # The parser without extensions; its `feed_eof` returns whole heads only.
             return True
         try:
             return self._parser.feed_eof() is not None
