An accepted unload of an adapter no longer frees its slot

Cause: the ledger dropped an adapter as soon as its unload was answered with 202, as it does for 200, and the load followed at once. 202 comes whenever requests use the adapter that other instances have sent since their last heartbeats. Ruled out: orders of two leaders and late orders, which the count of accepted orders refuses.

Change: an adapter whose unload was accepted keeps its slot until a report no longer lists it; another one is evicted instead, three at most. Instances are told before the unload. Adapters that are being unloaded are not loaded on the same server.

--- a/packages/guavajunction/src/guavajunction/swapping/_events.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_events.py
@@ -36,3 +36,8 @@
 TAKE_OVER_FAILED = LogEvent(
     1309, "swapping:take_over_failed", "A released lease could not be taken over."
 )
+ADAPTER_IN_USE = LogEvent(
+    1310,
+    "swapping:adapter_in_use",
+    "The unload of an adapter waits for requests that use it, so its slot is not free.",
+)
--- a/packages/guavajunction/src/guavajunction/swapping/_ledger.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_ledger.py
@@ -15,6 +15,9 @@
     state that it was planned for. If an unanswered order was accepted, the next order
     is refused as a conflict. If it was not, it becomes invalid once the next order is
     accepted.
+
+    An accepted unload frees nothing until a report or a record shows its end: it waits
+    for the requests that use the model or the adapter.
     """
 
     MIN_ADAPTER_RESIDENT_SECONDS = 0.5
@@ -32,7 +35,7 @@
         self.adapters: dict[str, set[str]] = {
             model: set(adapters) for model, adapters in record.models.items()
         }
-        """Resident adapters by model."""
+        """Resident adapters by model, without those that are being unloaded."""
         self.loading: str | None = None
         """Model that is being loaded, None if there is none."""
         self.unloading: str | None = None
@@ -43,6 +46,17 @@
         self._report_busy = True
         self._reserved: set[tuple[str, str]] = set()
         self._evicting: set[tuple[str, str]] = set()
+        self._unloading_adapters: dict[tuple[str, str], int] = {}
+        """Adapters whose unload was accepted and has not ended, with the number of
+        orders accepted when they were last known to be resident."""
+        self._unconfirmed_unloads: set[tuple[str, str]] = set()
+        """Those of them that may be resident after all: the backend server answered
+        that they are unloaded, and reported them later."""
+        self._unloaded_adapters: dict[tuple[str, str], int] = {}
+        """Adapters that the backend server said to be unloaded, with the number of
+        orders accepted according to that answer."""
+        self._record_is_current = False
+        """Whether a record has shown the state before the order in progress."""
         self._loaded_at: dict[tuple[str, str], float] = {}
 
     @property
@@ -57,6 +71,15 @@
         ordered = self.loading is not None or self.unloading is not None
         return self._report_busy and not ordered
 
+    @property
+    def unloading_adapters(self) -> list[tuple[str, str]]:
+        """Return the adapters that are being unloaded, as pairs of model and adapter.
+
+        They use their slots and memory until `settle_unloads` or `resync` gets a report
+        without them.
+        """
+        return sorted(self._unloading_adapters)
+
     @property
     def adapter_count(self) -> int:
         """Return the number of adapter slots that are used or reserved."""
@@ -112,7 +135,21 @@
             for pair, loaded_at in self._loaded_at.items()
             if now - loaded_at < self.MIN_ADAPTER_RESIDENT_SECONDS
         }
-        return sorted(self._held_adapters() - self._evicting - new)
+        return sorted(self._resident_adapters() - self._evicting - new)
+
+    def can_load_adapter(self, model: str, adapter: str) -> bool:
+        """Return whether an adapter may be loaded, provided that a slot is free.
+
+        An adapter that is being unloaded may not: the backend server would take it as
+        resident, and then unload it.
+        """
+        pair = model, adapter
+        return pair not in self._evicting and pair not in self._unloading_adapters
+
+    def offered_adapters(self, model: str) -> tuple[str, ...]:
+        """Return the adapters of a model for which requests may be sent."""
+        names = self.adapters.get(model, ())
+        return tuple(name for name in names if (model, name) not in self._evicting)
 
     def holds(self, order: Order) -> bool:
         """Return whether the adapter of an order is resident."""
@@ -140,45 +177,117 @@
         other changes are derived from the orders.
         """
         self.record = record
-        loaded = self.loading in record.models
-        unloaded = self.unloading and self.unloading not in record.models
-        if loaded or unloaded:
+        model = self.loading or self.unloading
+        if model is None:
+            return
+        if not self._shows_end(record, model):
+            self._record_is_current = True
+        elif self._record_is_current:
             self._end_order()
 
     def resync(self, report: EngineReport) -> None:
         """Replace the contents with the backend server's own report."""
+        self._end_unloads(report)
+        for pair, orders in self._unloaded_adapters.items():
+            if report.orders_accepted < orders and _lists(report, *pair):
+                # The answer counted as no order: the adapter is still being loaded, or
+                # an earlier order, perhaps of another leader, is unloading it.
+                self._unloading_adapters[pair] = report.orders_accepted
+                self._unconfirmed_unloads.add(pair)
+        self._unloaded_adapters.clear()
         self.orders_accepted = report.orders_accepted
         self.models = set(report.models)
         self.adapters = {m: set(names) for m, names in report.models.items()}
+        for model, adapter in self._unloading_adapters:
+            self.adapters.get(model, set()).discard(adapter)
         self._report_busy = report.busy
         if not report.busy:
             self.loading = self.unloading = None
 
+    def settle_unloads(self, report: EngineReport) -> None:
+        """Apply a report to the adapters that are being unloaded.
+
+        Args:
+            report: A report of this incarnation, requested while no request was known
+                to use these adapters. It may be older than the latest order.
+        """
+        self._end_unloads(report)
+        for pair in self._unconfirmed_unloads.copy():
+            if report.orders_accepted >= self._unloading_adapters[pair]:
+                self._forget_unload(pair)
+                self.adapters.setdefault(pair[0], set()).add(pair[1])
+
+    def _end_unloads(self, report: EngineReport) -> None:
+        """Free the slots of adapters whose unload has ended according to a report."""
+        for pair, orders in list(self._unloading_adapters.items()):
+            if report.orders_accepted >= orders and not _lists(report, *pair):
+                self._forget_unload(pair)
+
+    def _forget_unload(self, pair: tuple[str, str]) -> None:
+        del self._unloading_adapters[pair]
+        self._unconfirmed_unloads.discard(pair)
+
     def accepted(self, order: Order, now: float) -> None:
-        """Apply an accepted order."""
+        """Apply an order that the backend server has accepted and carries out."""
         self.orders_accepted = order.expected_orders + 1
         if order.adapter:
-            names = self.adapters.setdefault(order.model, set())
             if order.kind is OrderKind.LOAD:
-                names.add(order.adapter)
+                self.adapters.setdefault(order.model, set()).add(order.adapter)
                 self._loaded_at[order.model, order.adapter] = now
+                self._unloaded_adapters.pop((order.model, order.adapter), None)
             else:
-                names.discard(order.adapter)
-                self._loaded_at.pop((order.model, order.adapter), None)
-        elif order.kind is OrderKind.LOAD:
+                self._unload_accepted(order)
+            return
+        if order.kind is OrderKind.LOAD:
             self.loading = order.model
         else:
             self.unloading = order.model
+        self._record_is_current = not self._shows_end(self.record, order.model)
 
-    def _held_adapters(self) -> set[tuple[str, str]]:
+    def unload_unconfirmed(self, order: Order) -> None:
+        """Keep the slot of an adapter that was reported after its unload was answered.
+
+        An earlier copy of the order may have been accepted.
+        """
+        self._unload_accepted(order)
+        self._unconfirmed_unloads.add((order.model, order.adapter))
+
+    def _unload_accepted(self, order: Order) -> None:
+        """Keep the slot of an adapter until a report shows the end of its unload."""
+        self._remove_adapter(order)
+        orders = order.expected_orders
+        self._unloading_adapters[order.model, order.adapter] = orders
+
+    def unload_ended(self, order: Order) -> None:
+        """Free the slot of an adapter that was unloaded at once."""
+        self.orders_accepted = order.expected_orders + 1
+        self._remove_adapter(order)
+        orders = self.orders_accepted
+        self._unloaded_adapters[order.model, order.adapter] = orders
+
+    def _remove_adapter(self, order: Order) -> None:
+        self.adapters.get(order.model, set()).discard(order.adapter)
+        self._loaded_at.pop((order.model, order.adapter), None)
+
+    def _shows_end(self, record: BackendRecord, model: str) -> bool:
+        """Return whether a record shows a model as the order in progress leaves it."""
+        return (model in record.models) is (model == self.loading)
+
+    def _resident_adapters(self) -> set[tuple[str, str]]:
         return {(model, a) for model, names in self.adapters.items() for a in names}
 
+    def _held_adapters(self) -> set[tuple[str, str]]:
+        return self._resident_adapters() | set(self._unloading_adapters)
+
     def _end_order(self) -> None:
         if self.loading is not None:
             self.models.add(self.loading)
         if self.unloading is not None:
             self.models.discard(self.unloading)
             self.adapters.pop(self.unloading, None)
+            for pair in self.unloading_adapters:
+                if pair[0] == self.unloading:
+                    self._forget_unload(pair)
         self.loading = self.unloading = None
         self._report_busy = False
 
@@ -190,5 +299,10 @@
         return spec.memory_mb if spec else self.spec.memory_mb
 
     def adapters_size_mb(self, model: str) -> float:
-        """Return the memory used by a model's resident adapters."""
-        return len(self.adapters.get(model, ())) * self.spec.adapter_mb.get(model, 0.0)
+        """Return the memory used by a model's adapters."""
+        count = sum(1 for held, _ in self._held_adapters() if held == model)
+        return count * self.spec.adapter_mb.get(model, 0.0)
+
+
+def _lists(report: EngineReport, model: str, adapter: str) -> bool:
+    return adapter in report.models.get(model, ())
--- a/packages/guavajunction/src/guavajunction/swapping/_order_manager.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_order_manager.py
@@ -11,7 +11,7 @@
 
 from . import _events as events
 from ._ledger import BackendLedger
-from ._protocols import Order, OrderKind, OrderOutcome, OrderSender
+from ._protocols import EngineReport, Order, OrderKind, OrderOutcome, OrderSender
 
 
 async def _always(_: BackendRecord) -> bool:
@@ -98,10 +98,13 @@
     ) -> None:
         """Send an order until it is accepted or the ordered state is already reached.
 
+        An unload that was accepted may still be in progress.
+
         Raises:
             OrderRefused: The order was refused, not sent or repeatedly not answered.
             LeaseLost: This instance is no longer the leader.
         """
+        may_be_accepted = False
         async with self._locks[ledger.record.name]:
             for _ in range(self.MAX_SENDS):
                 known = ledger.orders_accepted
@@ -110,7 +113,12 @@
                 if known is None:
                     continue
                 order = Order(kind, model, adapter, known, self._instance, 0)
-                if self._is_done(ledger, order) or await self._attempt(ledger, order):
+                if self._is_done(ledger, order):
+                    return
+                outcome = await self._attempt(ledger, order)
+                if outcome is None:
+                    may_be_accepted = True
+                elif await self._apply(ledger, order, outcome, may_be_accepted):
                     return
         raise OrderRefused(
             f"backend server {ledger.record.name!r} did not accept the order to "
@@ -127,6 +135,12 @@
         async with self._locks[ledger.record.name]:
             await self._resync(ledger)
 
+    async def settle_unloads(self, ledger: BackendLedger) -> None:
+        """Fetch a report and free the slots of adapters whose unload has ended."""
+        report = await self._fetch_report(ledger)
+        if report is not None:
+            ledger.settle_unloads(report)
+
     def _is_done(self, ledger: BackendLedger, order: Order) -> bool:
         """Return whether an order has nothing to do since its model is gone.
 
@@ -143,7 +157,19 @@
             return True
         raise OrderRefused(f"backend server {name!r} no longer has {order.model!r}")
 
-    async def _attempt(self, ledger: BackendLedger, order: Order) -> bool:
+    async def _attempt(
+        self, ledger: BackendLedger, order: Order
+    ) -> OrderOutcome | None:
+        """Send an order once.
+
+        Returns:
+            The answer, or None if the order may have been accepted or may be accepted
+            later.
+
+        Raises:
+            OrderRefused: The order does not fit or was not sent.
+            LeaseLost: This instance is no longer the leader.
+        """
         if not ledger.has_capacity(order):
             raise OrderRefused(
                 f"backend server {ledger.record.name!r} has no free capacity for "
@@ -170,7 +196,7 @@
         except (NotSent, OutcomeUnknown) as exc:
             self._log_failure(ledger, order, exc.message)
             if isinstance(exc, OutcomeUnknown):
-                return False
+                return None
             ledger.unreachable_until = (
                 self._clock.monotonic() + self.UNREACHABLE_PAUSE_SECONDS
             )
@@ -184,11 +210,41 @@
             fence=order.fence,
             outcome=outcome,
         )
-        unloaded = outcome is OrderOutcome.HOLDS and order.kind is OrderKind.UNLOAD
-        if outcome is OrderOutcome.ACCEPTED or (unloaded and ledger.holds(order)):
+        return outcome
+
+    async def _apply(
+        self,
+        ledger: BackendLedger,
+        order: Order,
+        outcome: OrderOutcome,
+        may_be_accepted: bool,
+    ) -> bool:
+        """Apply the answer to an order.
+
+        Args:
+            ledger: Ledger of the backend server.
+            order: The order.
+            outcome: The answer.
+            may_be_accepted: Whether an earlier copy of the order was not answered.
+
+        Returns:
+            Whether the order was accepted or its state is already reached.
+        """
+        if outcome is OrderOutcome.ACCEPTED:
             ledger.accepted(order, self._clock.monotonic())
             return True
-        return await self._handle_refusal(ledger, order, outcome)
+        unload_holds = (
+            outcome is OrderOutcome.HOLDS
+            and order.kind is OrderKind.UNLOAD
+            and ledger.holds(order)
+        )
+        if unload_holds and not may_be_accepted:
+            ledger.unload_ended(order)
+            return True
+        done = await self._handle_refusal(ledger, order, outcome)
+        if unload_holds and ledger.holds(order):
+            ledger.unload_unconfirmed(order)
+        return done
 
     async def _handle_refusal(
         self, ledger: BackendLedger, order: Order, outcome: OrderOutcome
@@ -216,14 +272,8 @@
         since = self._clock.monotonic() - self._ordered_at.get(name, float("-inf"))
         if since < self.REPORT_LAG_SECONDS:
             await self._clock.sleep(self.REPORT_LAG_SECONDS - since)
-        if not await self._acquire_send(ledger.record):
-            events.REPORT_FAILED.log(backend=name, reason="it takes no report now")
-            return None
-        try:
-            report = await self._sender.report(ledger.record)
-        except NotSent as exc:
-            events.REPORT_FAILED.log(backend=name, reason=exc.message)
-            await self._clock.sleep(self.REPORT_LAG_SECONDS)
+        report = await self._fetch_report(ledger)
+        if report is None:
             return None
         ledger.resync(report)
         events.RESYNCED.log(
@@ -234,6 +284,19 @@
         )
         return report.orders_accepted
 
+    async def _fetch_report(self, ledger: BackendLedger) -> EngineReport | None:
+        """Return a new report, or None if it could not be fetched."""
+        name = ledger.record.name
+        if not await self._acquire_send(ledger.record):
+            events.REPORT_FAILED.log(backend=name, reason="it takes no report now")
+            return None
+        try:
+            return await self._sender.report(ledger.record)
+        except NotSent as exc:
+            events.REPORT_FAILED.log(backend=name, reason=exc.message)
+            await self._clock.sleep(self.REPORT_LAG_SECONDS)
+            return None
+
     def _log_failure(self, ledger: BackendLedger, order: Order, reason: str) -> None:
         events.ORDER_FAILED.log(
             backend=ledger.record.name,
--- a/packages/guavajunction/src/guavajunction/swapping/_term.py
+++ b/packages/guavajunction/src/guavajunction/swapping/_term.py
@@ -80,6 +80,8 @@
     ADAPTER_RETRY_SECONDS = 0.05
     """Delay before an adapter that a backend server holds but refused is announced
     again. Loads of adapters take up to 29 ms, and longer while many are loaded."""
+    MAX_EVICTIONS = 3
+    """Adapters evicted for one load, if requests still use those evicted first."""
     RECORD_DELAY_SECONDS = 1.0
     """Delay between the end of a load and the record that shows it."""
 
@@ -143,8 +145,23 @@
         while True:
             self._sync()
             await self._manager.refresh_unknown()
+            await self._settle_adapter_unloads()
             await self._parts.clock.sleep(self.REFRESH_UNKNOWN_SECONDS)
 
+    async def _settle_adapter_unloads(self) -> None:
+        """Find adapter slots that were freed once no request used them any more."""
+        idle = [
+            ledger
+            for ledger in self._manager.ledgers()
+            if any(
+                not self._parts.loads.of(ledger.record.name).artifacts.get(
+                    "/".join(pair)
+                )
+                for pair in ledger.unloading_adapters
+            )
+        ]
+        await asyncio.gather(*(self._manager.settle_unloads(le) for le in idle))
+
     def _engines(self) -> dict[str, EngineSpec]:
         catalogue = self._parts.catalogue()
         services = catalogue.services.values() if catalogue else ()
@@ -339,7 +356,7 @@
         held = [
             ledger
             for ledger in ledgers
-            if wanted.adapter in ledger.adapters.get(wanted.model, ())
+            if wanted.adapter in ledger.offered_adapters(wanted.model)
         ]
         if held:
             if held[0].record.name in wanted.refused_by:
@@ -347,32 +364,63 @@
                 await self._parts.clock.sleep(self.ADAPTER_RETRY_SECONDS)
             self._send_holding_notice(held[0])
             return held[0].record.name
+        for _ in range(self.MAX_EVICTIONS):
+            placement = self._place_adapter(ledgers, wanted)
+            if placement.evict is None or await self._evict(
+                placement.ledger, *placement.evict
+            ):
+                await self._order_adapter_load(placement.ledger, wanted)
+                return placement.ledger.record.name
+        raise OrderRefused(
+            f"{self.MAX_EVICTIONS} adapters to be replaced by {wanted.model!r}/"
+            f"{wanted.adapter!r} are still used by requests"
+        )
+
+    def _place_adapter(
+        self, ledgers: list[BackendLedger], wanted: AdapterWanted
+    ) -> AdapterPlacement:
         loads = {le.record.name: self._parts.loads.of(le.record.name) for le in ledgers}
         now = self._parts.clock.monotonic()
-        idle = [le for le in ledgers if not le.busy and le.unreachable_until <= now]
+        candidates = [
+            ledger
+            for ledger in ledgers
+            if not ledger.busy
+            and ledger.unreachable_until <= now
+            and ledger.can_load_adapter(wanted.model, wanted.adapter)
+        ]
         placement = choose_placement(
-            idle, loads, wanted.model, self._parts.demand(), now
+            candidates, loads, wanted.model, self._parts.demand(), now
         )
         if placement is None:
             raise OrderRefused(
                 f"no backend server with {wanted.model!r} has a free adapter slot"
             )
-        await self._order_adapter_load(placement, wanted)
-        await self._parts.clock.sleep(self.ADAPTER_SETTLE_SECONDS)
-        self._send_holding_notice(placement.ledger)
-        return placement.ledger.record.name
+        return placement
+
+    async def _evict(self, ledger: BackendLedger, model: str, adapter: str) -> bool:
+        """Unload an adapter after announcing that it gets no more requests.
+
+        Returns:
+            Whether its slot is free. It is not while requests use the adapter that
+            other instances have sent since their last heartbeats.
+        """
+        ledger.begin_eviction(model, adapter)
+        self._send_holding_notice(ledger)
+        try:
+            await self._manager.order(ledger, OrderKind.UNLOAD, model, adapter)
+        finally:
+            ledger.end_eviction(model, adapter)
+            self._send_holding_notice(ledger)
+        if (model, adapter) not in ledger.unloading_adapters:
+            return True
+        events.ADAPTER_IN_USE.log(
+            backend=ledger.record.name, model=model, adapter=adapter
+        )
+        return False
 
     async def _order_adapter_load(
-        self, placement: AdapterPlacement, wanted: AdapterWanted
+        self, ledger: BackendLedger, wanted: AdapterWanted
     ) -> None:
-        ledger = placement.ledger
-        if placement.evict is not None:
-            ledger.begin_eviction(*placement.evict)
-            try:
-                await self._manager.order(ledger, OrderKind.UNLOAD, *placement.evict)
-            finally:
-                ledger.end_eviction(*placement.evict)
-            self._send_holding_notice(ledger)
         ledger.reserve(wanted.model, wanted.adapter)
         try:
             await self._manager.order(
@@ -380,13 +428,15 @@
             )
         finally:
             ledger.unreserve(wanted.model, wanted.adapter)
+        await self._parts.clock.sleep(self.ADAPTER_SETTLE_SECONDS)
+        self._send_holding_notice(ledger)
 
     def _send_holding_notice(self, ledger: BackendLedger) -> None:
         notice = HoldingNotice(
             backend=ledger.record.name,
             incarnation=ledger.record.incarnation,
             orders_accepted=ledger.orders_accepted or 0,
-            models={m: tuple(ledger.adapters.get(m, ())) for m in ledger.models},
+            models={model: ledger.offered_adapters(model) for model in ledger.models},
         )
         self._parts.registry.note_holding(notice)
         self._parts.broadcast(notice)
--- a/tests/swapping/test_orders.py
+++ b/tests/swapping/test_orders.py
@@ -8,94 +8,19 @@
 
 from fakes_clock import QuickClock
 from fakes_gateway import ENGINE, backend
-from guavajunction.errors import LeaseLost, NotSent, OrderRefused, OutcomeUnknown
+from fakes_orders import FakeEngine
+from guavajunction.errors import LeaseLost, OrderRefused
 from guavajunction.swapping import (
     BackendLedger,
     EngineReport,
     Order,
     OrderKind,
     OrderManager,
-    OrderOutcome,
 )
 
 LOAD, UNLOAD = OrderKind.LOAD, OrderKind.UNLOAD
 
 
-class FakeEngine:
-    """Accepts orders like a backend server; some are not answered or applied late."""
-
-    def __init__(self, models=("m1",), *, seed=0, unanswered=0.0):
-        self.models = {model: set() for model in models}
-        self.orders = 0
-        self.busy = None
-        self.fence = 0
-        self.overloaded = []
-        self.reachable = True
-        self._rng = random.Random(seed)
-        self._unanswered = unanswered
-        self._late = []
-
-    async def send(self, _, order):
-        if not self.reachable:
-            raise NotSent("refused")
-        if self._rng.random() < self._unanswered:
-            if self._rng.random() < 0.5:
-                self._late.append(order)
-            else:
-                self._apply(order)
-            raise OutcomeUnknown("no answer")
-        return self._apply(order)
-
-    async def report(self, _):
-        models = {model: frozenset(names) for model, names in self.models.items()}
-        return EngineReport(self.orders, models, self.busy is not None)
-
-    def apply_late_orders(self):
-        while self._late:
-            self._apply(self._late.pop(0))
-
-    def end_order(self):
-        if self.busy is None:
-            return
-        kind, model = self.busy
-        if kind is LOAD:
-            self.models.setdefault(model, set())
-        else:
-            self.models.pop(model, None)
-        self.busy = None
-
-    def used_mb(self):
-        loading = self.busy[1] if self.busy and self.busy[0] is LOAD else None
-        names = set(self.models) | ({loading} if loading else set())
-        adapters = sum(len(held) for held in self.models.values())
-        return sum(ENGINE.models[name].memory_mb for name in names) + adapters
-
-    def _apply(self, order):
-        if order.fence < self.fence:
-            return OrderOutcome.STALE
-        if self.busy or order.expected_orders != self.orders:
-            return OrderOutcome.CONFLICT
-        self.fence = order.fence
-        self.orders += 1
-        if order.adapter:
-            outcome = self._change_adapter(order)
-        else:
-            self.busy = (order.kind, order.model)
-            outcome = OrderOutcome.ACCEPTED
-        adapters = sum(len(held) for held in self.models.values())
-        if self.used_mb() > ENGINE.memory_mb or adapters > ENGINE.adapter_slots:
-            self.overloaded.append(order)
-        return outcome
-
-    def _change_adapter(self, order):
-        held = self.models.setdefault(order.model, set())
-        if order.kind is UNLOAD:
-            held.discard(order.adapter)
-            return OrderOutcome.HOLDS
-        held.add(order.adapter)
-        return OrderOutcome.ACCEPTED
-
-
 def manager_for(engine, *, fence=lambda: 1, models=("m1",)):
     clock = QuickClock()
     manager = OrderManager(engine, "front-1", fence, clock)
@@ -217,6 +142,22 @@
         assert not engine.overloaded
         assert engine.orders > 10
 
+    @pytest.mark.parametrize("seed", range(40))
+    async def test_accepted_unloads_of_adapters_in_use_free_no_slot(self, seed):
+        rng = random.Random(seed)
+        engine = FakeEngine(("m1",), seed=seed, unanswered=0.4)
+        manager, ledger = manager_for(engine)
+        for _ in range(self.STEPS):
+            await self._step(rng, engine, manager, ledger)
+            held = [(m, a) for m, names in engine.models.items() for a in names]
+            if held and rng.random() < 0.4:
+                engine.in_use.add(rng.choice(sorted(held)))
+            if engine.in_use and rng.random() < 0.3:
+                engine.end_use(*rng.choice(sorted(engine.in_use)))
+                await manager.settle_unloads(ledger)
+        assert not engine.overloaded
+        assert engine.orders > 10
+
     @pytest.mark.parametrize("seed", range(40))
     async def test_ledger_made_anew_from_an_old_record_exceeds_nothing(self, seed):
         """Guards against orders of a ledger that was dropped in an evacuation."""
