The grammar of RFC 9112 decides what counts as a response

Cause: aiohttp's parser decided what is a response. It is lenient, and there are two, with and without C extensions, which accept different malformed heads and chunks. A head that they did refuse counted as a lost connection, that is, towards the crashes that requests are blamed for.

Change: a grammar of responses in one module, which reads the bytes before the parser: status line and version, statuses 100 to 599, field lines, framing, chunks, trailers. Requests with other versions, other transfer codings, or lengths beyond 64 bits are refused; the parsers refuse most other malformed ones already.

--- a/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
+++ b/packages/guavajunction-fakes/src/guavajunction_fakes/deployment/_runner.py
@@ -127,6 +127,9 @@
         """Content type of streams; another one makes it a page of text."""
         self.stops_in_head = False
         """Whether responses end in the middle of their head."""
+        self.raw_answer = b""
+        """Bytes written instead of each answer, with the header line that names the
+        request in place of `{id}`; empty for answers."""
         self.unframed_streams = False
         """Whether streams have neither a length nor chunks."""
         self.events_name_request = False
@@ -475,6 +478,11 @@
                 write(req.transport, b"HTTP/1.1 200 OK\r\nContent-Le")
                 req.transport.close()
                 raise ConnectionResetError
+            if self.raw_answer and req.transport is not None:
+                id_line = f"{HEADERS.request_id}: {request_id}\r\n".encode()
+                write(req.transport, self.raw_answer.replace(b"{id}", id_line))
+                req.transport.close()
+                raise ConnectionResetError
             respond = (
                 self._respond_as_stream if self.spec.engine else self._respond_at_once
             )
--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ._bounded_server import BoundedConnection, BoundedServer, limit_kernel_buffers
+from ._message_grammar import MalformedMessage, ResponseGrammar
 from ._read_body import BodyTooLarge, is_chunked, iter_body, read_body
 from ._relayed_response import RelayedResponse
 from ._second_head import SecondHeadDetector
@@ -15,15 +16,24 @@
     set_timers,
 )
 from ._streams import Stream, open_stream, serve_streams
-from ._strict_connection import StrictConnection, WrongResponse
+from ._strict_connection import (
+    InvalidResponse,
+    MalformedResponse,
+    StrictConnection,
+    WrongResponse,
+)
 from ._strict_connector import StrictConnector
 
 __all__ = [
     "BoundedConnection",
     "BoundedServer",
     "BodyTooLarge",
+    "InvalidResponse",
+    "MalformedMessage",
+    "MalformedResponse",
     "NO_LINGER",
     "RelayedResponse",
+    "ResponseGrammar",
     "SecondHeadDetector",
     "Stream",
     "StrictConnection",
--- a/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
+++ b/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from aiohttp import web
-from aiohttp.http import HttpRequestParser
+from aiohttp import HttpVersion10, HttpVersion11, web
+from aiohttp.http import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
 
@@ -20,6 +20,8 @@
     ParsingUse,
 )
 
+from ._message_grammar import MalformedMessage, read_framing
+
 READ_BYTES = 16_384
 """Low-water mark of a connection's read buffer; reading pauses at twice as much."""
 KERNEL_BYTES = 65_536
@@ -49,6 +51,8 @@
 _TOO_MANY_FIELDS = _ErrInfo(
     503, web.HTTPServiceUnavailable(), "too much memory is in use for other heads"
 )
+_MALFORMED = _ErrInfo(400, web.HTTPBadRequest(), "the request is malformed")
+_OWN_ERRORS = (_HEAD_TOO_LARGE, _TOO_MANY_FIELDS, _MALFORMED)
 
 
 class BoundedConnection(RequestHandler):
@@ -232,6 +236,9 @@
         if isinstance(message, _ErrInfo):
             self._is_last = True
             return
+        if not _is_well_formed(message):
+            self._refuse(_MALFORMED)
+            return
         fields = message.raw_headers
         size = sum(len(name) + len(value) + FIELD_FRAME_BYTES for name, value in fields)
         if size > self._bounds.max_head_bytes():
@@ -265,7 +272,7 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Return the response to a request that no handler has seen."""
-        if exc not in (_HEAD_TOO_LARGE.exc, _TOO_MANY_FIELDS.exc):
+        if exc not in [error.exc for error in _OWN_ERRORS]:
             return super().handle_error(request, status, exc, message)
         response = web.Response(status=status, text=message)
         if exc is _TOO_MANY_FIELDS.exc:
@@ -280,6 +287,21 @@
             self._waiter.set_result(None)
 
 
+def _is_well_formed(message: RawRequestMessage) -> bool:
+    """Return whether the version and the framing of a request are as in RFC 9112.
+
+    aiohttp's parsers refuse the other malformed heads; they check these differently.
+    """
+    if message.version not in (HttpVersion10, HttpVersion11):
+        return False
+    try:
+        is_http_1_0 = message.version == HttpVersion10
+        read_framing(message.raw_headers, is_http_1_0=is_http_1_0)
+    except MalformedMessage:
+        return False
+    return True
+
+
 class BoundedServer(web.Server):
     """Creates a `BoundedConnection` for each connection."""
 
--- a/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
+++ b/packages/guavajunction/src/guavajunction/connections/_strict_connection.py
@@ -12,20 +12,23 @@
 from aiohttp.http import HttpProcessingError, RawResponseMessage
 
 from . import _events as events
+from ._message_grammar import MalformedMessage, ResponseGrammar
 
-SWITCHING_PROTOCOLS = 101
-HEAD_END = b"\r\n\r\n"
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
-_OVERLAP = len(HEAD_END) - 1
-"""Bytes of the end of a head that may arrive before the rest of it."""
 
-_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+class InvalidResponse(ClientPayloadError):
+    """What a server sent is not the response to the request."""
 
 
-class WrongResponse(ClientPayloadError):
+class WrongResponse(InvalidResponse):
     """A response belongs to another request, or names none."""
 
 
+class MalformedResponse(InvalidResponse):
+    """The bytes that a server sent are no response."""
+
+
 class StrictConnection(ResponseHandler):
     """Protocol of one HTTP client connection.
 
@@ -37,6 +40,9 @@
     relation to the body. Bytes after the end of a response close the connection, and so
     does a response that does not name its request, before the connection is used again.
 
+    Bytes that violate the grammar close the connection before aiohttp parses them: its
+    two parsers accept different malformed heads and chunks.
+
     aiohttp returns a connection to its pool while it still parses the segment with the
     end of a response. Whatever follows in that segment would wait for the next request.
     """
@@ -46,8 +52,6 @@
     MAX_FRAMING_RATIO = 16
     """Further bytes of framing that are accepted for each byte of the body. Chunks of
     one byte need 6."""
-    MAX_HEADS_APART = 8
-    """Number of heads in one segment that are parsed one by one."""
     MAX_LOGGED_ID = 64
     """Number of characters of an id that are logged."""
     MAX_CARRIED = 256
@@ -80,8 +84,7 @@
         """Whether a response did not name its request, so that its copy would pass for
         the response to any other."""
         self._received_bytes = 0
-        self._end_received = b""
-        """Last bytes of the head that is arriving."""
+        self._grammar = ResponseGrammar()
         self._body: Any = None
 
     @property
@@ -107,12 +110,12 @@
         if request_id is not None:
             self._carried.add(request_id)
 
-    def set_response_params(self, **kwargs: Any) -> None:
+    def set_response_params(self, *, skip_payload: bool = False, **kwargs: Any) -> None:
         """Prepare for the response to the next request."""
         self._received_bytes = 0
-        self._end_received = b""
+        self._grammar = ResponseGrammar(has_body=not skip_payload)
         self._body = None
-        super().set_response_params(**kwargs)
+        super().set_response_params(skip_payload=skip_payload, **kwargs)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take a head and its body from the parser."""
@@ -122,8 +125,7 @@
             self._note_stray("with the end of the response", named_id)
             self._fail(WrongResponse("the server sent a second response"))
             return
-        is_interim = 100 <= message.code < 200 and message.code != SWITCHING_PROTOCOLS
-        if not is_interim:
+        if message.code >= 200:
             if not self._is_expected(named_id):
                 self._note_stray("instead of the response", named_id)
                 self._fail(WrongResponse(f"the response is to request {named_id!r}"))
@@ -138,45 +140,24 @@
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the transport; fail if they belong to no response."""
-        # The parser discards a head if it fails on what follows in the same call.
-        for _ in range(self.MAX_HEADS_APART):
-            end = self._end_of_head(data) if self._body is None else 0
-            if end == 0:
-                break
-            head, data = data[:end], data[end:]
-            self._receive(head)
-            if not data or self._exception is not None:
-                return
-        self._receive(data)
-
-    def _end_of_head(self, data: bytes) -> int:
-        """Return the length of the part of `data` that ends a head; 0 if none does."""
-        before = self._end_received
-        self._end_received = b""
-        end = (before + data[:_OVERLAP]).find(HEAD_END) - len(before)
-        if end < -len(before):
-            end = data.find(HEAD_END)
-            if end < 0:
-                self._end_received = (before + data[-_OVERLAP:])[-_OVERLAP:]
-                return 0
-        return end + len(HEAD_END)
-
-    def _receive(self, data: bytes) -> None:
-        # aiohttp passes no bytes when it resumes reading.
-        if data and self._has_ended:
-            self._note_stray("after the response", None)
-            self._fail_after_end()
+        if not data or self._parser is None:
+            # aiohttp resumes reading, or keeps the bytes until a request is sent.
+            super().data_received(data)
+            return
+        if self._exception is not None:
             return
-        super().data_received(data)
-        if self._has_ended:
-            if isinstance(self._exception, HttpProcessingError):
-                self._note_stray("with the end of the response", None)
-                return
-            if self._is_in_next_head():
-                self._note_stray("with the end of the response", None)
-                self._fail_after_end()
-                return
         self._received_bytes += len(data)
+        try:
+            pieces = self._grammar.feed(data)
+        except MalformedMessage as exc:
+            self._note_stray("in a malformed response", None)
+            self._fail(MalformedResponse(str(exc)))
+            return
+        # The parser discards a head if it fails on what follows in the same call.
+        for piece in pieces:
+            self._receive(piece)
+            if self._exception is not None:
+                return
         body_bytes = self._body.total_bytes if self._body is not None else 0
         limit = self.MAX_FRAMING_BYTES + self.MAX_FRAMING_RATIO * body_bytes
         if self._received_bytes - body_bytes > limit:
@@ -184,6 +165,20 @@
                 ClientPayloadError(f"the response has over {limit} bytes of framing")
             )
 
+    def _receive(self, data: bytes) -> None:
+        if self._has_ended:
+            self._note_stray("after the response", None)
+            self._fail_after_end()
+            return
+        super().data_received(data)
+        if not self._has_ended:
+            return
+        if isinstance(self._exception, HttpProcessingError):
+            self._note_stray("with the end of the response", None)
+        elif self._is_in_next_head():
+            self._note_stray("with the end of the response", None)
+            self._fail_after_end()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a body that the loss of the connection left incomplete."""
         if exc is not None:
--- a/packages/guavajunction/src/guavajunction/routing/_engine_call.py
+++ b/packages/guavajunction/src/guavajunction/routing/_engine_call.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from guavajunction.connections import (
+    MalformedResponse,
     StrictConnector,
     WrongResponse,
     iter_body,
@@ -138,6 +139,8 @@
         except WrongResponse as exc:
             self._record_foreign_event(backend)
             raise StreamCut(f"{backend} answered another request") from exc
+        except MalformedResponse as exc:
+            raise StreamCut(f"{backend}: {exc}") from exc
         except TimeoutError as exc:
             raise StreamCut(f"{backend}: {type(exc).__name__}") from exc
         except aiohttp.ClientError as exc:
--- a/tests/connections/test_bounded_server.py
+++ b/tests/connections/test_bounded_server.py
@@ -6,10 +6,10 @@
 import contextlib
 
 import pytest
-from aiohttp import web
+from aiohttp import http_parser, web
 
 from fakes_clock import QuickClock
-from guavajunction.connections import BoundedServer
+from guavajunction.connections import BoundedServer, _bounded_server
 from guavajunction.memory import ConnectionSlots, HeadAllowance, ParsingMeter
 from guavajunction.metrics import MetricsRegistry
 
@@ -95,3 +95,61 @@
                 b"GET /1 HTTP/1.1\r\nHost: x\r\n" + b"n: v\r\n" * 1000 + b"\r\n"
             )
             assert await answers(reader, 1) == ["/1"]
+
+
+HOST = b"Host: x\r\n"
+CHUNKS = b"4\r\nbody\r\n0\r\n\r\n"
+
+
+@pytest.fixture(params=["installed", "python"])
+def parser(request, monkeypatch):
+    """Use aiohttp's installed parser, or the one without extensions."""
+    if request.param == "python":
+        chosen = http_parser.HttpRequestParserPy
+        monkeypatch.setattr(_bounded_server, "HttpRequestParser", chosen)
+
+
+@pytest.mark.usefixtures("parser")
+class TestMalformedRequests:
+    """Whichever parser is installed, a malformed request reaches no handler."""
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"GET /a\r\n" + HOST + b"\r\n",
+            b"GET /a HTTP/0.9\r\n" + HOST + b"\r\n",
+            b"GET /a HTTP/2.0\r\n" + HOST + b"\r\n",
+            b"GET /a HTTP/1.1\r\n" + HOST + b"X : 1\r\n\r\n",
+            b"GET /a HTTP/1.1\r\n" + HOST + b"X\x01: 1\r\n\r\n",
+            b"GET /a HTTP/1.1\r\n" + HOST + b"X: a\x1bb\r\n\r\n",
+            b"GET /a HTTP/1.1\r\n" + HOST + b"X: a\r\n b\r\n\r\n",
+            b"GET /a HTTP/1.1\n" + HOST + b"\r\n",
+            b"POST /a HTTP/1.1\r\n"
+            + HOST
+            + b"Content-Length: 18446744073709551620\r\n\r\nbody",
+            b"POST /a HTTP/1.1\r\n" + HOST + b"Content-Length: 4, 4\r\n\r\nbody",
+            b"POST /a HTTP/1.1\r\n"
+            + HOST
+            + b"Transfer-Encoding: gzip, chunked\r\n\r\n"
+            + CHUNKS,
+            b"POST /a HTTP/1.1\r\n"
+            + HOST
+            + b"Transfer-Encoding: chunked, chunked\r\n\r\n"
+            + CHUNKS,
+            b"POST /a HTTP/1.0\r\n"
+            + HOST
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+            + CHUNKS,
+        ],
+    )
+    async def test_malformed_request_is_refused(self, data):
+        async with connected() as (reader, writer), asyncio.timeout(5.0):
+            writer.write(data)
+            received = await reader.read()
+        assert received.split(b" ", 2)[1] == b"400"
+
+    async def test_sound_request_with_odd_fields_is_answered(self):
+        fields = HOST + b"!#$%&'*+-.^_`|~: caf\xe9\r\nTransfer-Encoding: Chunked\r\n"
+        async with connected() as (reader, writer):
+            writer.write(b"POST /a HTTP/1.1\r\n" + fields + b"\r\n" + CHUNKS)
+            assert await answers(reader, 1) == ["/a body"]
