A planned stop refuses requests that come as it ends

Cause: the stop ended at the first look without a request in progress, while requests that came between that look and the end of the listener were still sent on.

Change: in the same step the gateway begins to refuse with 503, so that nothing is sent whose answer the process can't wait for. The process then waits until callers have taken their answers from it, at most until the deadline; without slow readers a stop takes no longer.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/__init__.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/__init__.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 from ._daemon import GatewayDaemon
-from ._deployment import Deployment, DirectoryQuery, ListenerParts, RowAddress
+from ._deployment import (
+    CallerConnections,
+    Deployment,
+    DirectoryQuery,
+    ListenerParts,
+    RowAddress,
+)
 from ._settings import (
     Capacity,
     GatewaySettings,
@@ -14,6 +20,7 @@
 from ._tuning import Tuning, read_tuning
 
 __all__ = [
+    "CallerConnections",
     "Capacity",
     "Deployment",
     "DirectoryQuery",
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -57,7 +57,12 @@
 from . import _events as gateway_events
 from . import _quarantine_links as quarantine_links
 from ._brittle_rows import BrittleRows
-from ._deployment import Deployment, DirectoryQuery, ListenerParts
+from ._deployment import (
+    CallerConnections,
+    Deployment,
+    DirectoryQuery,
+    ListenerParts,
+)
 from ._evacuation_rows import EvacuationRows
 from ._fleet_links import FleetLinkParts, FleetLinks
 from ._quarantine_links import QuarantineLinks
@@ -97,6 +102,8 @@
     """Time by which the process ends before the platform would kill it."""
     LAST_RESPONSES_SECONDS = 0.1
     """Time in which errors are sent for the requests that are left at the deadline."""
+    DRAIN_POLL_SECONDS = 0.05
+    """Interval at which a stopping instance checks what it still has to finish."""
     STREAM_ACCEPT_SECONDS = 1.0
     """Time after the stop signal during which new streams are still accepted."""
     MIN_STOP_SECONDS = 2.5
@@ -328,7 +335,7 @@
             data_centre=self._settings.data_centre,
         )
         async with AsyncExitStack() as stack:
-            await stack.enter_async_context(
+            connections = await stack.enter_async_context(
                 self._deployment.listen(self._listener_parts())
             )
             tasks = [
@@ -339,7 +346,7 @@
                 await self._stop.wait()
                 # Runs concurrently: an unreachable store must not delay the stop.
                 tasks.append(asyncio.create_task(self._store_roster.leave()))
-                await self._drain_requests()
+                await self._drain_requests(connections)
             finally:
                 for task in tasks:
                     task.cancel()
@@ -764,22 +771,25 @@
             and self._crashes_known
         )
 
-    async def _drain_requests(self) -> None:
-        """Wait for the minimum stop time and the end of all requests.
+    async def _drain_requests(self, connections: CallerConnections) -> None:
+        """Wait for the minimum stop time, the end of all requests, and slow readers.
 
         At the stop deadline, the requests that are left end with an error.
         """
         assert self._stopping_since is not None
-        started = self._stopping_since
-        max_end = self._stop_deadline(started)
-        min_end = started + self.MIN_STOP_SECONDS
+        min_end = self._stopping_since + self.MIN_STOP_SECONDS
+        max_end = self._stop_deadline(self._stopping_since)
         while (now := self._clock.monotonic()) < max_end:
             in_use = self._gateway.in_flight + self._tunnels.open
             if now >= min_end and not in_use:
-                return
-            await self._clock.sleep(0.05)
+                break
+            await self._clock.sleep(self.DRAIN_POLL_SECONDS)
+        # Later requests are refused: the process may end before their answers.
         self._gateway.end_requests()
-        await self._clock.sleep(self.LAST_RESPONSES_SECONDS)
+        if self._gateway.in_flight:
+            await self._clock.sleep(self.LAST_RESPONSES_SECONDS)
+        while connections.unread and self._clock.monotonic() < max_end:
+            await self._clock.sleep(self.DRAIN_POLL_SECONDS)
 
     def _stop_deadline(self, started: float) -> float:
         return started + self._settings.grace_seconds - self.STOP_MARGIN_SECONDS
--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_deployment.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_deployment.py
@@ -46,6 +46,15 @@
     metrics: MetricsRegistry
 
 
+class CallerConnections(Protocol):
+    """Open connections of callers."""
+
+    @property
+    def unread(self) -> int:
+        """Return the number of connections whose callers still read an answer."""
+        ...
+
+
 class Deployment(Protocol):
     """Deployment-specific platform access, formats and listeners."""
 
@@ -117,6 +126,8 @@
         """
         ...
 
-    def listen(self, parts: ListenerParts) -> AbstractAsyncContextManager[None]:
+    def listen(
+        self, parts: ListenerParts
+    ) -> AbstractAsyncContextManager[CallerConnections]:
         """Return a context manager that runs the listeners while it is entered."""
         ...
--- a/packages/guavajunction/src/guavajunction/memory/_connection_slots.py
+++ b/packages/guavajunction/src/guavajunction/memory/_connection_slots.py
@@ -94,6 +94,11 @@
         """Return the number of open connections."""
         return len(self._open)
 
+    @property
+    def unread(self) -> int:
+        """Return the number of connections whose callers still read an answer."""
+        return sum(connection.has_unread for connection in self._open)
+
     def add(self, connection: CallerConnection) -> bool:
         """Take a slot for a new connection; return whether there is one.
 
--- a/tests/entry/test_gateway_daemon.py
+++ b/tests/entry/test_gateway_daemon.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from fakes_gateway import ENGINES, HOST, backend, gateway_settings, route
+from fakes_clock import QuickClock
+from fakes_gateway import ENGINES, HOST, backend, gateway_settings, request, route
 from guavajunction.clock import ManualClock
-from guavajunction.errors import DocumentInvalid
+from guavajunction.errors import DocumentInvalid, InstanceNotReady
 from guavajunction.fleet import Member
 from guavajunction.gateway import Catalogue, Regions, RequestKind, RouteTable
 from guavajunction.intake import ColdLimit
@@ -294,3 +295,49 @@
         daemon._backends_known = True
         apply_changes(daemon, ("e1", b"1"))
         assert "guavajunction_ramping_servers 0" in daemon.metrics.exposition()
+
+
+class FakeConnections:
+    """Callers that read their answers until some time on a clock."""
+
+    def __init__(self, clock, read_until):
+        self._clock = clock
+        self._read_until = read_until
+
+    @property
+    def unread(self):
+        return int(self._clock.monotonic() < self._read_until)
+
+
+class TestPlannedStop:
+    """A process ends when its callers have their answers, or at the deadline."""
+
+    async def stop(self, daemon, reading_seconds):
+        """Return the seconds from the signal until the process may end."""
+        clock = daemon._clock = QuickClock()
+        began = clock.monotonic()
+        daemon.stop()
+        connections = FakeConnections(clock, began + reading_seconds)
+        await daemon._drain_requests(connections)
+        return clock.monotonic() - began
+
+    @pytest.mark.parametrize("reading_seconds", [0.0, 2.0])
+    async def test_stop_takes_no_longer_than_without_slow_readers(
+        self, daemon, reading_seconds
+    ):
+        seconds = await self.stop(daemon, reading_seconds)
+        assert seconds == pytest.approx(GatewayDaemon.MIN_STOP_SECONDS, abs=0.1)
+
+    async def test_slow_reader_gets_the_rest_of_its_answer(self, daemon):
+        assert await self.stop(daemon, 4.0) == pytest.approx(4.0, abs=0.1)
+
+    async def test_reader_that_never_ends_does_not_delay_the_deadline(self, daemon):
+        seconds = await self.stop(daemon, 1000.0)
+        grace = daemon._settings.grace_seconds
+        assert grace - 1.0 < seconds < grace
+
+    async def test_request_that_comes_as_the_stop_ends_is_not_sent(self, daemon):
+        """Guards against requests that run and whose answers are lost."""
+        await self.stop(daemon, 0.0)
+        with pytest.raises(InstanceNotReady, match="the instance stops"):
+            await daemon._gateway.serve(request("/book/1"), None)
