Blanks around a length are stripped in one place

Cause: whether a parser leaves blanks behind the value of a field decides whether a length is accepted. Change: the grammar strips them for requests and responses alike; pieces without bytes are not passed to the parser. Tests: tests/connections, platform/test_malformed_answers.py and test_backend_client.py pass.

--- a/packages/guavajunction/src/guavajunction/connections/_message_grammar.py
+++ b/packages/guavajunction/src/guavajunction/connections/_message_grammar.py
@@ -15,8 +15,6 @@
 LINE_END = b"\r\n"
 MAX_BODY_BYTES = 2**63 - 1
 """Largest length of a body or a chunk."""
-SWITCHING_PROTOCOLS = 101
-STATUSES_WITHOUT_BODY = (204, 304)
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]"
@@ -33,8 +31,8 @@
 # RFC 9112, section 7.1.
 _CHUNK_LINE = re.compile(
     rb"(?P<size>[0-9A-Fa-f]++)"
-    rb"(?:[\t ]*;[\t ]*" + _TOKEN + rb"(?:[\t ]*=[\t ]*(?:" + _TOKEN + rb"|"
-    rb"" + _QUOTED + rb"))?)*+\r\n"
+    rb"(?:[\t ]*;[\t ]*" + _TOKEN + rb"(?:[\t ]*=[\t ]*"
+    rb"(?:" + _TOKEN + rb"|" + _QUOTED + rb"))?)*+\r\n"
 )
 _DIGITS = re.compile(rb"[0-9]++")
 
@@ -42,6 +40,8 @@
 _CONTENT_LENGTH = b"content-length"
 _TRANSFER_ENCODING = b"transfer-encoding"
 _CHUNKED = b"chunked"
+_SWITCHING_PROTOCOLS = 101
+_STATUSES_WITHOUT_BODY = (204, 304)
 _MAX_SHOWN = 60
 """Number of bytes of a line that an error shows."""
 
@@ -64,7 +64,7 @@
     """Return where a body ends: RFC 9112, section 6.3.
 
     Args:
-        fields: Names and values of a head; the values have no blanks around them.
+        fields: Names and values of a head.
         is_http_1_0: Whether the version is HTTP/1.0, which has no chunks.
 
     Raises:
@@ -73,7 +73,7 @@
     """
     coding = length = None
     for name, value in fields:
-        name = name.lower()
+        name, value = name.lower(), value.strip(b"\t ")
         if name not in (_CONTENT_LENGTH, _TRANSFER_ENCODING):
             continue
         if length is not None or coding is not None:
@@ -148,8 +148,8 @@
         pieces: list[list[bytes]] = []
         if self._part in (_Part.START_LINE, _Part.FIELDS):
             data = self._read_heads(data, pieces)
-        if data:
-            pieces.append([self._read_body(data)])
+        if data and (body := self._read_body(data)):
+            pieces.append([body])
         return [b"".join(piece) for piece in pieces]
 
     def _read_heads(self, data: bytes, pieces: list[list[bytes]]) -> bytes:
@@ -200,17 +200,17 @@
         match = _FIELD_LINE.fullmatch(line)
         if match is None:
             raise _malformed("field line", line)
-        self._fields.append((match["name"], match["value"].rstrip(b"\t ")))
+        self._fields.append((match["name"], match["value"]))
 
     def _begin_body(self) -> None:
         framing = read_framing(self._fields, is_http_1_0=self._is_http_1_0)
         self._is_chunked = framing.is_chunked
         self._left = framing.length or 0
-        if self._status == SWITCHING_PROTOCOLS:
+        if self._status == _SWITCHING_PROTOCOLS:
             raise MalformedMessage("the sender switches protocols unasked")
         if self._status < 200:
             self._part = _Part.START_LINE
-        elif not self._has_body or self._status in STATUSES_WITHOUT_BODY:
+        elif not self._has_body or self._status in _STATUSES_WITHOUT_BODY:
             self._part = _Part.ENDED
         elif framing.is_chunked:
             self._part = _Part.CHUNK_LINE
--- a/tests/connections/test_bounded_server.py
+++ b/tests/connections/test_bounded_server.py
@@ -153,3 +153,9 @@
         async with connected() as (reader, writer):
             writer.write(b"POST /a HTTP/1.1\r\n" + fields + b"\r\n" + CHUNKS)
             assert await answers(reader, 1) == ["/a body"]
+
+    async def test_blanks_around_the_length_of_a_body_are_accepted(self):
+        fields = HOST + b"Content-Length: \t4 \t\r\n"
+        async with connected() as (reader, writer):
+            writer.write(b"POST /a HTTP/1.1\r\n" + fields + b"\r\nbody")
+            assert await answers(reader, 1) == ["/a body"]
