Reports of crashes list the most suspect parts first

Cause: a report of a crash holds 128 keys and was filled in the order in which lost requests were noticed. The request that causes the crash is one of the newest on its server, and its part was cut off.

Change: parts that other crashes speak against come first, then those of the answers that had been arriving for the least time. What is noticed after a report may replace parts in it. Room for the parts of one whole request (160). What is left out is counted and logged.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -285,6 +285,9 @@
         self.metrics.gauge("tunnels_open", lambda: self._tunnels.open)
         connections = self._deployment.backend_connections
         self.metrics.gauge("stray_responses_total", lambda: connections.stray_responses)
+        self.metrics.gauge(
+            "crash_parts_left_out_total", lambda: self._quarantine.parts_left_out
+        )
         self.metrics.gauge(
             "brittle_services", lambda: len(self._places.brittle_services())
         )
--- a/packages/guavajunction/src/guavajunction/quarantine/_events.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_events.py
@@ -32,3 +32,8 @@
     "quarantine:trial",
     "The one attempt of what is blamed was claimed by this instance, or by another.",
 )
+PARTS_LEFT_OUT = LogEvent(
+    1406,
+    "quarantine:parts_left_out",
+    "A report of a crash has no room for all parts of the requests that were lost.",
+)
--- a/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
@@ -4,7 +4,7 @@
 
 import time
 from collections import deque
-from collections.abc import Awaitable, Callable, Collection, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from guavajunction.bounded import drop_oldest
@@ -23,10 +23,26 @@
     def __init__(self, lost_at: float, unix_at: float) -> None:
         self.lost_at = lost_at
         self.unix_at = unix_at
-        self.parts: dict[str, None] = {}
+        self.ages: dict[str, float] = {}
+        """Seconds for which the answer to a request with each part had been arriving,
+        the least of all requests."""
         self.reported = False
         """Whether all parts have been reported."""
 
+    def add(self, parts: Iterable[str], age: float, limit: int) -> None:
+        """Add the parts of a lost request; keep those of the newest answers.
+
+        Args:
+            parts: Keys of the parts.
+            age: Seconds for which its answer had been arriving.
+            limit: Number of parts to keep.
+        """
+        for part in parts:
+            self.ages[part] = min(age, self.ages.get(part, age))
+        if len(self.ages) > limit:
+            by_age = sorted(self.ages.items(), key=lambda item: item[1])
+            self.ages = dict(by_age[:limit])
+
 
 class _UnmarkedEnd(NamedTuple):
     """A request whose answer ended with its connection, in order and without a mark.
@@ -91,8 +107,10 @@
     """Number of sound parts that this instance reports."""
     MAX_CRASHES = 48
     """Number of crashes that this instance reports."""
-    MAX_PARTS_PER_CRASH = 128
-    """Number of parts in one report."""
+    MAX_PARTS_PER_CRASH = 160
+    """Number of parts in one report, at least those of one request."""
+    MAX_SUSPECTED_PARTS = 1024
+    """Number of parts of lost requests that are remembered for one crash."""
     MAX_REPORTED_PARTS = 1500
     """Number of parts in all reports of this instance, which are one row of the store.
     A key has 25 bytes at most, and a row 64 KiB."""
@@ -130,6 +148,8 @@
         that no crash is confirmed."""
         self.on_blamed: Callable[[], None] = lambda: None
         """Called when parts are newly blamed."""
+        self.parts_left_out = 0
+        """Number of parts that reports of crashes had no room for."""
 
     def own(self) -> Evidence:
         """Return the reports of this instance."""
@@ -245,8 +265,7 @@
             suspicion = _Suspicion(self._clock.monotonic(), self._unix_time())
             self._suspicions[backend] = suspicion
             drop_oldest(self._suspicions, self.MAX_SUSPICIONS)
-        for part in parts[: self.MAX_PARTS_PER_CRASH - len(suspicion.parts)]:
-            suspicion.parts[part] = None
+        suspicion.add(parts, answer_seconds or 0.0, self.MAX_SUSPECTED_PARTS)
         suspicion.reported = False
         self.on_change()
 
@@ -437,7 +456,8 @@
         self._change()
 
     def _report_crash(self, backend: BackendId, suspicion: _Suspicion) -> None:
-        report = CrashReport(backend, suspicion.unix_at, tuple(suspicion.parts))
+        parts = self._most_suspect(backend, suspicion.ages)
+        report = CrashReport(backend, suspicion.unix_at, parts)
         if self._add_own(report):
             events.CRASH_REPORTED.log(
                 backend=backend.name,
@@ -446,19 +466,39 @@
                 part_count=len(report.parts),
             )
 
+    def _most_suspect(
+        self, backend: BackendId, ages: Mapping[str, float]
+    ) -> tuple[str, ...]:
+        """Return the parts to report of a crash.
+
+        A crash follows soon after the beginning of the answer that causes it. So parts
+        that other crashes speak against come first, then those of the newest answers.
+
+        Args:
+            backend: The backend server that crashed.
+            ages: Seconds for which the answers with each part had been arriving.
+        """
+
+        def rank(part: str) -> tuple[int, float]:
+            others = self._joined.crashes.get(part, frozenset()) - {backend}
+            return -len(others), ages[part]
+
+        if len(ages) > self.MAX_PARTS_PER_CRASH:
+            left_out = len(ages) - self.MAX_PARTS_PER_CRASH
+            events.PARTS_LEFT_OUT.log(backend=backend.name, part_count=left_out)
+            self.parts_left_out += left_out
+        ranked = sorted(ages, key=rank)
+        return tuple(ranked[: self.MAX_PARTS_PER_CRASH])
+
     def _add_own(self, report: CrashReport) -> bool:
         """Add a report, or the parts that are new in it; return whether any are."""
         known = self._own_crashes.get(report.backend)
         if known is not None:
-            parts = dict.fromkeys((*known.parts, *report.parts))
-            merged = CrashReport(
-                report.backend,
-                max(known.at, report.at),
-                tuple(parts)[: self.MAX_PARTS_PER_CRASH],
-            )
-            if merged == known:
+            parts = dict.fromkeys((*report.parts, *known.parts))
+            kept = tuple(parts)[: self.MAX_PARTS_PER_CRASH]
+            if report.at <= known.at and set(kept) == set(known.parts):
                 return False
-            report = merged
+            report = CrashReport(report.backend, max(known.at, report.at), kept)
         self._own_crashes[report.backend] = report
         self._limit_own_crashes()
         self._change()
--- a/tests/quarantine/test_part_quarantine.py
+++ b/tests/quarantine/test_part_quarantine.py
@@ -328,3 +328,80 @@
             fleet.settle()
         blamed = [b.parts for b in fleet.instances[0].blamed()]
         assert blamed == [frozenset(["bad"])]
+
+
+class TestLongPrompts:
+    """The part that crashes backend servers is blamed, however much is lost with it.
+
+    Guards against reports that are filled by the parts of other requests.
+    """
+
+    PARTS = 120
+    LOST = 6
+    """Sound requests that each instance loses in a crash."""
+
+    def lose_sound(self, fleet, backend, crash, rng):
+        for number, instance in enumerate(fleet.instances):
+            for lost in range(self.LOST):
+                parts = [
+                    f"{crash}-{number}-{lost}-{part}" for part in range(self.PARTS)
+                ]
+                instance.note_lost(
+                    backend, parts, answer_seconds=rng.uniform(0.1, 0.9), chunks=3
+                )
+
+    def crash(self, fleet, crash, rng):
+        """End a backend server on a part of a prompt, noticed as the last one lost."""
+        backend = BackendId(f"e{crash}", 1)
+        self.lose_sound(fleet, backend, crash, rng)
+        own = [f"own-{crash}-{part}" for part in range(self.PARTS - 1)]
+        own.insert(rng.randrange(self.PARTS), "bad")
+        rng.choice(fleet.instances).note_lost(
+            backend, own, answer_seconds=None, chunks=0
+        )
+        fleet.settle()
+        fleet.clock.advance(0.7)
+
+    @pytest.mark.parametrize("count", [3, 8, 80])
+    def test_part_is_blamed_after_the_third_crash(self, count):
+        rng = random.Random(count)
+        fleet = Fleet(count)
+        for crash in range(3):
+            self.crash(fleet, crash, rng)
+        for instance in fleet.instances:
+            assert instance.blamed_in(["x", "bad", "y"]) is not None
+            assert len(instance.blamed()) == 1
+
+    def test_part_stays_blamed_at_ten_times_the_number_of_reported_crashes(self):
+        rng = random.Random(1)
+        fleet = Fleet(3)
+        for crash in range(3):
+            self.crash(fleet, crash, rng)
+        for crash in range(3, 10 * PartQuarantine.MAX_CRASHES):
+            self.lose_sound(fleet, BackendId(f"e{crash}", 1), crash, rng)
+            fleet.settle()
+        assert fleet.instances[0].blamed_in(["bad"]) is not None
+
+    def test_part_of_other_crashes_is_reported_before_newer_answers(self):
+        quarantine, clock = one()
+        lose(quarantine, 1, "seen")
+        clock.advance(1.0)
+        quarantine.settle()
+        for number in range(PartQuarantine.MAX_PARTS_PER_CRASH):
+            lose(quarantine, 2, f"n{number}", seconds=0.0)
+        lose(quarantine, 2, "seen", seconds=0.9)
+        clock.advance(1.0)
+        reports = {r.backend.name: r.parts for r in quarantine.settle().crashes}
+        assert reports["e2"][0] == "seen"
+        assert len(reports["e2"]) == PartQuarantine.MAX_PARTS_PER_CRASH
+        assert quarantine.parts_left_out == 1
+
+    def test_request_that_is_noticed_after_the_report_replaces_older_ones(self):
+        quarantine, clock = one()
+        old = [f"o{n}" for n in range(PartQuarantine.MAX_PARTS_PER_CRASH)]
+        lose(quarantine, 1, *old, seconds=0.5)
+        clock.advance(1.0)
+        quarantine.settle()
+        lose(quarantine, 1, "new", seconds=0.0)
+        (report,) = quarantine.settle().crashes
+        assert "new" in report.parts
