A new start of a backend server confirms a crash that was taken back

Cause: while all servers are down, each instance takes itself for cut and takes its reports of crashes back; nothing told the two cases apart.

Change: crashes that are taken back are remembered for 30 s, and reported once the store shows a newer start of the same server, unless the earlier start has answered meanwhile.

--- a/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/gateway/_daemon.py
@@ -511,13 +511,13 @@
             listed = [record for record in decoded if record is not None]
             self._registry.replace_all(listed, keep_missing=came_back)
             for record in listed:
-                self._note_intake(record)
+                self._note_start(record)
             return
         for row in changes.rows:
             record = self._decode_backend(row.sort, row.body)
             if record is not None:
                 self._registry.put(record)
-                self._note_intake(record)
+                self._note_start(record)
             elif came_back:
                 self._registry.expect_again(row.sort)
             else:
@@ -528,9 +528,10 @@
         if record is not None:
             self._limits.paces.begin(record.identity, record.slots, "readmitted")
 
-    def _note_intake(self, record: BackendRecord) -> None:
+    def _note_start(self, record: BackendRecord) -> None:
         """Take what a record says of a start, unless the registry knows a newer one."""
         if self._registry.get(record.name) is record:
+            self._quarantine.note_start(record.identity)
             self._limits.paces.note_listed(
                 record.identity, record.slots, is_first=not self._backends_known
             )
--- a/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
+++ b/packages/guavajunction/src/guavajunction/quarantine/_part_quarantine.py
@@ -87,6 +87,9 @@
     a crash follows within some tenths of a second after the beginning."""
     SOUND_ANSWER_CHUNKS = 4
     """Number of chunks of such an answer. A suspended instance sees one late chunk."""
+    RESTART_SECONDS = 30.0
+    """Time after the loss of a connection in which a new start of its backend server
+    shows that the server had ended."""
     UNMARKED_SECONDS = 3.0
     """Time between an answer without a mark at its end and another sign of a crash of
     its backend server, after which they are not of the same crash."""
@@ -129,6 +132,8 @@
         self._sound: dict[str, float] = {}
         self._lost_requests: dict[str, None] = {}
         self._suspicions: dict[BackendId, _Suspicion] = {}
+        self._doubted: dict[BackendId, _Suspicion] = {}
+        """Suspicions that were taken back because this instance was cut."""
         self._unmarked: dict[BackendId, deque[_UnmarkedEnd]] = {}
         self._own_crashes: dict[BackendId, CrashReport] = {}
         self._own_sound: dict[str, float] = {}
@@ -340,6 +345,7 @@
     def note_alive(self, backend: BackendId) -> None:
         """Record that a backend server sends answers, so it has not crashed."""
         self._note_sound_ends(backend)
+        self._doubted.pop(backend, None)
         suspicion = self._suspicions.get(backend)
         if suspicion is None:
             return
@@ -380,11 +386,44 @@
         return self.own()
 
     def forget_since(self, seconds: float) -> None:
-        """Take back the crashes of the last seconds; this instance's paths were cut."""
+        """Take back the crashes of the last seconds; this instance's paths were cut.
+
+        It also seems to be cut while all its backend servers are down. `note_start`
+        tells which of them had ended.
+        """
         since = self._clock.monotonic() - seconds
         for backend, suspicion in list(self._suspicions.items()):
             if suspicion.lost_at >= since:
                 self._retract(backend)
+                self._doubted[backend] = suspicion
+        drop_oldest(self._doubted, self.MAX_SUSPICIONS)
+
+    def note_start(self, backend: BackendId) -> None:
+        """Record a start of a backend server: its earlier starts have ended.
+
+        Args:
+            backend: The newest start that is known, also if it was known before.
+        """
+        now = self._clock.monotonic()
+        for doubted, suspicion in list(self._doubted.items()):
+            if now - suspicion.lost_at > self.RESTART_SECONDS:
+                del self._doubted[doubted]
+            elif (
+                doubted.name == backend.name
+                and doubted.incarnation < backend.incarnation
+            ):
+                del self._doubted[doubted]
+                self._suspect_again(doubted, suspicion)
+
+    def _suspect_again(self, backend: BackendId, suspicion: _Suspicion) -> None:
+        later = self._suspicions.get(backend)
+        if later is not None:
+            for part, age in later.ages.items():
+                suspicion.add((part,), age, self.MAX_SUSPECTED_PARTS)
+        suspicion.reported = False
+        self._suspicions[backend] = suspicion
+        drop_oldest(self._suspicions, self.MAX_SUSPICIONS)
+        self.on_change()
 
     @property
     def unsettled(self) -> bool:
--- a/tests/quarantine/test_part_quarantine.py
+++ b/tests/quarantine/test_part_quarantine.py
@@ -405,3 +405,61 @@
         lose(quarantine, 1, "new", seconds=0.0)
         (report,) = quarantine.settle().crashes
         assert "new" in report.parts
+
+
+class TestOnlyService:
+    """All backend servers of the only service end, so that each instance seems cut.
+
+    Guards against a request that crashes them again and again, and is never blamed.
+    """
+
+    def crash_all(self, quarantine, clock, incarnation):
+        """End three servers on one part; the instance takes itself for cut."""
+        ended = [BackendId(f"e{number}", incarnation) for number in range(3)]
+        for backend in ended:
+            quarantine.note_lost(backend, ["bad"], answer_seconds=0.0, chunks=0)
+        clock.advance(PartQuarantine.CONFIRM_SECONDS)
+        quarantine.settle()
+        quarantine.forget_since(3.0)
+        quarantine.settle()
+        return ended
+
+    def test_crash_counts_once_its_server_has_started_anew(self):
+        quarantine, clock = one()
+        ended = self.crash_all(quarantine, clock, 1)
+        assert quarantine.blamed_in(["bad"]) is None
+        clock.advance(2.0)
+        for backend in ended:
+            quarantine.note_start(backend._replace(incarnation=2))
+        quarantine.settle()
+        assert quarantine.blamed_in(["bad"]) is not None
+
+    def test_server_that_was_only_out_of_reach_has_not_crashed(self):
+        quarantine, clock = one()
+        ended = self.crash_all(quarantine, clock, 1)
+        clock.advance(2.0)
+        for backend in ended:
+            quarantine.note_start(backend)
+            quarantine.note_alive(backend)
+        for backend in ended:
+            quarantine.note_start(backend._replace(incarnation=2))
+        quarantine.settle()
+        assert quarantine.blamed_in(["bad"]) is None
+        assert not quarantine.own().crashes
+
+    def test_start_long_after_a_cut_is_no_sign_of_a_crash(self):
+        quarantine, clock = one()
+        (first, *_) = self.crash_all(quarantine, clock, 1)
+        clock.advance(PartQuarantine.RESTART_SECONDS + 1.0)
+        quarantine.note_start(first._replace(incarnation=2))
+        quarantine.settle()
+        assert not quarantine.own().crashes
+
+    def test_parts_that_were_lost_again_before_the_start_count_too(self):
+        quarantine, clock = one()
+        (first, *_) = self.crash_all(quarantine, clock, 1)
+        quarantine.note_lost(first, ["later"], answer_seconds=0.0, chunks=0)
+        quarantine.note_start(first._replace(incarnation=2))
+        clock.advance(1.0)
+        (report,) = quarantine.settle().crashes
+        assert set(report.parts) == {"bad", "later"}
