Tests: heads and framing that do not end, on real instances of both stacks

Cause: the crowds of test_memory sent complete heads of many fields, or unfinished ones of few, and its 400 descriptors admit only 120 callers; the own stack had no such test. What a caller saw in a trial, a process that ran out of memory, therefore did not show.

Change: crowds of 400 callers on a machine of the least memory and the fewest descriptors of a deployment in force (160 MB, 1,638), with aiohttp's parser with extensions and the one without; the same for the port of the own stack (160 MB, 1,000 descriptors).

--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -8,12 +8,15 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from guavajunction.connections import open_stream
 from guavajunction_fakes.deployment import HOST
 
 WRITE_BYTES = 65_536
 """Bytes that a client hands to its socket at once."""
 MAX_STALLED_SECONDS = 1.5
 """A client that can't send for this long counts as having sent all that is taken."""
+MAX_CALM_SECONDS = 20.0
+"""Time for the answer to a request without other load."""
 
 
 class Traffic(NamedTuple):
@@ -25,11 +28,14 @@
     body: bytes
     repeats: int = 1
     """Number of copies of the whole that each client sends."""
+    prefix: bytes = b""
+    """What precedes the first request line."""
 
     def pieces(self, path: str) -> Iterator[bytes]:
         """Yield the bytes that one client sends, in pieces."""
         head = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{self.head}\r\n"
-        whole = (head.encode() + self.body) * self.repeats
+        request = head.encode("latin-1") + self.body
+        whole = self.prefix + request * self.repeats
         for start in range(0, len(whole), WRITE_BYTES):
             yield whole[start : start + WRITE_BYTES]
 
@@ -87,6 +93,54 @@
     return Traffic("endless-head", caller_head() + fields[:-2], b"")
 
 
+def unfinished_head(name: str, field: str, size: int) -> Traffic:
+    """Return heads of one field many times, without the empty line at their end.
+
+    Args:
+        name: Name of the traffic.
+        field: The field, without its line end.
+        size: Bytes of the fields.
+    """
+    fields = f"{field}\r\n" * (size // (len(field) + 2))
+    return Traffic(name, caller_head() + fields[:-2], b"")
+
+
+def endless_line(size: int) -> Traffic:
+    """Return heads whose last line has no end."""
+    return Traffic("endless-line", caller_head() + "a: " + "x" * size, b"")
+
+
+def empty_lines(count: int) -> Traffic:
+    """Return empty lines before a request that does not follow."""
+    return Traffic("empty-lines", caller_head()[:-2], b"", prefix=b"\r\n" * count)
+
+
+def trailers(name: str, count: int) -> Traffic:
+    """Return bodies in chunks whose trailers do not end."""
+    head = caller_head() + "Transfer-Encoding: chunked\r\n"
+    return Traffic(name, head, b"1\r\nx\r\n0\r\n" + b"a:\r\n" * count)
+
+
+def endless_extension(size: int) -> Traffic:
+    """Return bodies whose first chunk has an extension without end."""
+    head = caller_head() + "Transfer-Encoding: chunked\r\n"
+    return Traffic("endless-extension", head, b"1;" + b"x" * size)
+
+
+def usual_fields(name: str, count: int, body: bytes, repeats: int = 1) -> Traffic:
+    """Return heads of a usual number of fields, with bodies of 1,000 bytes.
+
+    Args:
+        name: Name of the traffic.
+        count: Number of fields besides those that all callers send.
+        body: What is sent of each body.
+        repeats: Number of copies that each client sends.
+    """
+    fields = "".join(f"f{n}: {n}\r\n" for n in range(count))
+    head = caller_head() + fields + "Content-Length: 1000\r\n"
+    return Traffic(name, head, body, repeats)
+
+
 def pipelined(count: int) -> Traffic:
     """Return many requests ahead on one connection; no answer is read."""
     head = caller_head() + "Content-Length: 6\r\n"
@@ -127,3 +181,20 @@
             for piece in pieces:
                 async with asyncio.timeout(MAX_STALLED_SECONDS):
                     await loop.sock_sendall(sock, piece)
+
+
+async def send_largest_head(
+    address: str, port: int, path: str, field: str, size: int
+) -> int:
+    """Send one request whose header lines have `size` bytes; return the status.
+
+    The lines are those that callers send, and copies of `field`.
+    """
+    known = f"Host: {HOST}\r\n{caller_head()}Connection: close\r\nContent-Length: 0\r\n"
+    count, rest = divmod(size - len(known) - len("r:\r\n"), len(field) + 2)
+    lines = known + f"{field}\r\n" * count + f"r:{'x' * rest}\r\n"
+    assert len(lines) == size
+    async with open_stream(address, port) as (reader, writer):
+        writer.write(f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode())
+        async with asyncio.timeout(MAX_CALM_SECONDS):
+            return int((await reader.read()).split(b" ", 2)[1])
