A head is parsed once it is complete

A caller whose head has the largest size got 431 if a field has no blank behind its colon.

Cause: both parsers of aiohttp keep objects of each line of a head that is arriving, up to 90 times its bytes. Its size, its number of fields and their cost were checked when the parser returned the head; until then only the received bytes were limited. Trailers of chunks went to the same lists and were never checked. Requests ahead were held by the parser and not counted. The size was computed from parsed fields, with four bytes besides name and value, where a line has three or four.

Ruled out: the bytes themselves (400 heads of 15,500 bytes are 6 MB), and refused connections, as the peak is reached before any is refused.

Change: RequestSplitter cuts the bytes of a connection into heads and bodies before the parser sees them. An incomplete head is held as bytes; its size is the one on the wire; the allowance for many fields is taken before the head is parsed. Extensions and trailers are checked and dropped, and chunks of one segment are joined. UnparsedBytes bounds what all connections hold of incomplete heads and requests ahead; the connection that has held some for longest makes room. Nothing is parsed before it is counted, so this works whatever a parser keeps. What is held and what is too large is one decision in one place, so the wrong size is fixed in the same commit.

--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -7,6 +7,7 @@
 from ._read_body import BodyTooLarge, is_chunked, iter_body, read_body
 from ._relayed_response import RelayedResponse
 from ._second_head import SecondHeadDetector
+from ._server_bounds import ServerBounds
 from ._sockets import (
     NO_LINGER,
     close_in_order,
@@ -35,6 +36,7 @@
     "RelayedResponse",
     "ResponseGrammar",
     "SecondHeadDetector",
+    "ServerBounds",
     "Stream",
     "StrictConnection",
     "StrictConnector",
--- a/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
+++ b/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
@@ -4,23 +4,27 @@
 
 import asyncio
 import socket
+import sys
 import time
 from collections.abc import Callable
 from typing import Any
 
 from aiohttp import HttpVersion10, HttpVersion11, web
+from aiohttp.hdrs import METH_CONNECT
 from aiohttp.http import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
 
-from guavajunction.memory import (
-    ConnectionSlots,
-    HeadAllowance,
-    ParsingMeter,
-    ParsingUse,
-)
+from guavajunction.memory import ConnectionSlots, ParsingUse
 
-from ._message_grammar import MalformedMessage, read_framing
+from ._message_grammar import (
+    LINE_END,
+    BodyFraming,
+    MalformedMessage,
+    read_framing,
+)
+from ._request_splitter import HeadTooLarge, RequestSplitter
+from ._server_bounds import ServerBounds
 
 READ_BYTES = 16_384
 """Low-water mark of a connection's read buffer; reading pauses at twice as much."""
@@ -29,21 +33,16 @@
 megabytes for each."""
 MAX_FIELDS = 4096
 """Number of fields of a head; a head of 16,384 bytes has fewer."""
-MAX_HEAD_BYTES = 131_072
-"""Largest head, for a deployment without a limit of its own."""
 LINGER_SECONDS = 2.0
 """Time in which the rest of a refused request is read and discarded, so that its sender
 gets the answer before the connection closes."""
 RETRY_AFTER_SECONDS = "1"
-MAX_PARSED_AHEAD = 2
-"""Parsed requests of one connection that wait. With one, each request would pause and
-resume its transport, which costs two system calls."""
-READ_AHEAD_BYTES = 65_536
-"""Bytes that may arrive with the end of a head."""
+MAX_PARSED_AHEAD = 1
+"""Parsed requests of one connection that wait."""
+LINES_BESIDES_FIELDS = 2
+"""The request line and the empty line of a head."""
 MAX_PARSE_SECONDS = 0.2
 """Longest time that parsing the bytes of one event takes."""
-FIELD_FRAME_BYTES = 4
-"""Bytes of a field besides its name and value."""
 
 _HEAD_TOO_LARGE = _ErrInfo(
     431, web.HTTPRequestHeaderFieldsTooLarge(), "the head is too large"
@@ -51,26 +50,32 @@
 _TOO_MANY_FIELDS = _ErrInfo(
     503, web.HTTPServiceUnavailable(), "too much memory is in use for other heads"
 )
+_TOO_MANY_UNPARSED = _ErrInfo(
+    503, web.HTTPServiceUnavailable(), "too much memory is in use for other requests"
+)
 _MALFORMED = _ErrInfo(400, web.HTTPBadRequest(), "the request is malformed")
-_OWN_ERRORS = (_HEAD_TOO_LARGE, _TOO_MANY_FIELDS, _MALFORMED)
+_OWN_ERRORS = (_HEAD_TOO_LARGE, _TOO_MANY_FIELDS, _TOO_MANY_UNPARSED, _MALFORMED)
 
 
 class BoundedConnection(RequestHandler):
     """One connection of a caller.
 
-    At most two requests are parsed ahead of the one that is being answered, a head has
-    a maximum size, and the connection rests while parsing takes too much time.
+    At most one request is parsed ahead of the one that is being answered, a head has a
+    maximum size and is parsed once it is complete, and the connection rests while
+    parsing takes too much time.
     """
 
     __slots__ = (
         "_accepted",
         "_bounds",
-        "_head_bytes",
         "_heads_held",
+        "_is_holding",
         "_is_last",
         "_is_resting",
         "_last_payload",
         "_must_parse",
+        "_slots",
+        "_splitter",
         "_use",
         "last_received_at",
     )
@@ -79,13 +84,14 @@
         self, manager: BoundedServer, *, loop: asyncio.AbstractEventLoop, **kwargs: Any
     ) -> None:
         super().__init__(manager, loop=loop, **kwargs)
-        self._bounds = manager
+        self._bounds = manager.bounds
+        self._slots = manager.slots
         self._accepted: asyncio.BaseTransport | None = None
         """The transport until the connection is lost. aiohttp forgets it when it closes
         the connection, also while its caller leaves bytes unread."""
-        # aiohttp queues up to 32 parsed requests, each with up to 4,096 fields.
-        self._max_msg_queue_size = MAX_PARSED_AHEAD
-        self._msg_queue_resume_size = MAX_PARSED_AHEAD // 2
+        # Reading is paused here, and only if a further request has arrived.
+        self._max_msg_queue_size = sys.maxsize
+        self._msg_queue_resume_size = 0
         self._parser = HttpRequestParser(
             self,
             loop,
@@ -95,13 +101,12 @@
             max_headers=self.max_headers,
             payload_exception=RequestPayloadError,
             auto_decompress=kwargs.get("auto_decompress", True),
-            # The parser drops the requests that it completed in the same call as an
-            # error, so it stops after each of them.
-            max_msg_queue_size=1,
         )
+        self._splitter = RequestSplitter()
+        self._is_holding = False
+        """Whether the bound on unparsed bytes knows of bytes held here."""
         self._use = ParsingUse()
         self._is_resting = self._must_parse = False
-        self._head_bytes = 0
         self._heads_held = 0
         self._is_last = False
         self._last_payload: StreamReader | None = None
@@ -145,31 +150,35 @@
         """Serve the connection if there is a slot for it."""
         super().connection_made(transport)
         self._accepted = transport
-        if not self._bounds.slots.add(self):
+        if not self._slots.add(self):
             self.shed()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give back the slot."""
         self._accepted = None
-        self._bounds.slots.remove(self)
+        self._slots.remove(self)
         self._bounds.heads.give_back(self._heads_held)
         self._heads_held = 0
+        self._splitter.clear()
+        self._bounds.unparsed.hold(self, 0)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; with none, parse what was left unparsed."""
-        if self._is_last and (
-            self._last_payload is None or self._last_payload.is_eof()
-        ):
-            return
-        if self._is_resting and not data:
-            self._must_parse = True
+        """Take received bytes; with none, go on with those that were received."""
+        if self._has_ended:
+            self._splitter.clear()
             return
         if data:
             self.last_received_at = self._loop.time()
+            self._splitter.receive(data)
+        if self._is_resting:
+            self._must_parse = True
+            return
         began = time.perf_counter()
-        while self._parse(data) and self._may_parse_more:
-            data = b""
+        if not data and self._in_body:
+            # The parser has kept a part of the body while its reader was behind.
+            super().data_received(b"")
+        self._parse_received()
         ended = time.perf_counter()
         now = self._loop.time()
         # A process that was suspended while it parsed has not used that time.
@@ -181,34 +190,84 @@
             self._loop.call_later(rest, self._end_rest)
 
     @property
-    def _may_parse_more(self) -> bool:
-        return (
-            not (self._is_last or self._close or self._force_close)
-            and len(self._messages) < MAX_PARSED_AHEAD
-        )
+    def _has_ended(self) -> bool:
+        """Return whether nothing that arrives from now on is read."""
+        return self._close or self._force_close or (self._is_last and not self._in_body)
+
+    @property
+    def _in_body(self) -> bool:
+        return self._last_payload is not None and not self._last_payload.is_eof()
 
-    def _parse(self, data: bytes) -> bool:
-        """Parse bytes up to the end of a request; return whether it was reached."""
-        in_head = self._last_payload is None or self._last_payload.is_eof()
+    @property
+    def _is_ahead(self) -> bool:
+        """Return whether enough requests are parsed while more were received."""
+        return len(self._messages) >= MAX_PARSED_AHEAD and self._splitter.held > 0
+
+    def _parse_received(self) -> None:
+        """Parse the requests that were received, as far as they may be parsed ahead."""
+        try:
+            while not self._has_ended:
+                if not (self._parse_body() if self._in_body else self._parse_head()):
+                    break
+        except HeadTooLarge:
+            self._refuse_received(_HEAD_TOO_LARGE)
+        except MalformedMessage:
+            self._refuse_received(_MALFORMED)
+        if self._has_ended:
+            self._splitter.clear()
+        elif self._is_ahead and not self._buffer_paused:
+            self._pause_reading_for_buffer()
+        held = self._splitter.held
+        if held or self._is_holding:
+            self._is_holding = held > 0
+            self._bounds.unparsed.hold(self, held)
+
+    def _parse_body(self) -> bool:
+        """Parse the received part of a body; return whether the body has ended."""
+        part = self._splitter.take_body(self._bounds.max_head_bytes())
+        if part:
+            super().data_received(part)
+        return not self._in_body
+
+    def _parse_head(self) -> bool:
+        """Parse the next head; return whether it was complete."""
+        if len(self._messages) >= MAX_PARSED_AHEAD:
+            return False
+        head = self._splitter.take_head(self._bounds.max_head_bytes())
+        if head is None:
+            return False
+        held = self._bounds.heads.take(head.count(LINE_END) - LINES_BESIDES_FIELDS)
+        if held is None:
+            self._refuse_received(_TOO_MANY_FIELDS)
+            return False
+        # The parser keeps the fields until the next head or the connection's end.
+        self._heads_held += held
         requests = self._request_count
-        super().data_received(data)
-        if self._request_count != requests:
-            if not in_head and not self._last_payload.is_eof():
-                self._fail_body(self._last_payload)
-            self._head_bytes = 0
-            self._last_payload = self._messages[-1][1]
-            self._check_heads(self._request_count - requests)
-            return self._last_payload.is_eof()
-        if in_head and not self._buffer_paused:
-            self._head_bytes += len(data)
-            if self._head_bytes > self._bounds.max_head_bytes() + READ_AHEAD_BYTES:
-                self._refuse_unfinished_head()
-        return not in_head and self._last_payload.is_eof()
-
-    def _fail_body(self, payload: StreamReader) -> None:
-        """End a body in which an error was found, also for its reader."""
-        payload.set_exception(RequestPayloadError("the body can't be parsed"))
-        payload.feed_eof()
+        super().data_received(head)
+        if self._request_count == requests:
+            raise MalformedMessage("the parser found no end of the head")
+        message, payload = self._messages[-1]
+        if isinstance(message, _ErrInfo):
+            self._is_last = True
+            return False
+        framing = _read_request_framing(message)
+        if framing is None:
+            self._refuse(_MALFORMED)
+            return False
+        self._splitter.begin_body(framing)
+        self._last_payload = payload
+        if held or message.upgrade:
+            # No protocol is switched to, and aiohttp drops what follows.
+            self._messages[-1] = message._replace(should_close=True), payload
+            self._is_last = True
+        if message.method == METH_CONNECT:
+            payload.feed_eof()
+        return True
+
+    def _resume_reading_if_drained(self) -> None:
+        self.data_received(b"")
+        if not self._is_ahead:
+            self._resume_reading_for_buffer()
 
     def _resume_transport_reading(self) -> None:
         if not self._is_resting:
@@ -224,38 +283,31 @@
         if not self._reading_paused and not self._buffer_paused:
             self._resume_transport_reading()
 
-    def _check_heads(self, count: int) -> None:
-        """Refuse those of the requests parsed last whose heads are too large."""
-        latest = [self._messages.pop() for _ in range(count)]
-        while latest and not self._is_last:
-            self._messages.append(latest.pop())
-            self._check_last_head()
+    def refuse_unparsed(self) -> None:
+        """Refuse what was received and not parsed, as others need the memory."""
+        self._is_holding = False
+        if self._in_body:
+            self.shed()
+        else:
+            self._refuse_received(_TOO_MANY_UNPARSED)
+
+    def _refuse_received(self, error: _ErrInfo) -> None:
+        """Refuse the request whose head or body is arriving, and read no more."""
+        if not self._in_body:
+            self._append_message(error)
+        elif not self._messages:
+            # Its reader answers; the error follows if the reader has answered before.
+            exc = RequestPayloadError("the body can't be parsed")
+            self._last_payload.set_exception(exc)
+            self._last_payload.feed_eof()
+            self._append_message(error)
+        self._refuse(error)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
 
-    def _check_last_head(self) -> None:
-        message, payload = self._messages[-1]
-        if isinstance(message, _ErrInfo):
-            self._is_last = True
-            return
-        if not _is_well_formed(message):
-            self._refuse(_MALFORMED)
-            return
-        fields = message.raw_headers
-        size = sum(len(name) + len(value) + FIELD_FRAME_BYTES for name, value in fields)
-        if size > self._bounds.max_head_bytes():
-            self._refuse(_HEAD_TOO_LARGE)
-            return
-        held = self._bounds.heads.take(len(fields))
-        if held is None:
-            self._refuse(_TOO_MANY_FIELDS)
-            return
-        if held:
-            # The parser keeps the fields until the next head or the connection's end.
-            self._heads_held += held
-        if held or message.upgrade:
-            # The parser drops what follows a request to switch protocols.
-            self._messages[-1] = message._replace(should_close=True), payload
-            self._last_payload = payload
-            self._is_last = True
+    def _append_message(self, error: _ErrInfo) -> None:
+        self._request_count += 1
+        self._messages.append((error, EMPTY_PAYLOAD))
 
     def _refuse(self, error: _ErrInfo) -> None:
         """Answer the last request with an error and parse nothing more."""
@@ -263,6 +315,7 @@
         self._last_payload = EMPTY_PAYLOAD
         self._is_last = True
         self._parser = None
+        self._splitter.clear()
 
     def handle_error(
         self,
@@ -275,31 +328,24 @@
         if exc not in [error.exc for error in _OWN_ERRORS]:
             return super().handle_error(request, status, exc, message)
         response = web.Response(status=status, text=message)
-        if exc is _TOO_MANY_FIELDS.exc:
+        if status == _TOO_MANY_FIELDS.status:
             response.headers["Retry-After"] = RETRY_AFTER_SECONDS
         response.force_close()
         return response
 
-    def _refuse_unfinished_head(self) -> None:
-        self._messages.append((_HEAD_TOO_LARGE, EMPTY_PAYLOAD))
-        self._refuse(_HEAD_TOO_LARGE)
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
 
-def _is_well_formed(message: RawRequestMessage) -> bool:
-    """Return whether the version and the framing of a request are as in RFC 9112.
+def _read_request_framing(message: RawRequestMessage) -> BodyFraming | None:
+    """Return where the body of a request ends; None if RFC 9112 allows no such head.
 
     aiohttp's parsers refuse the other malformed heads; they check these differently.
     """
     if message.version not in (HttpVersion10, HttpVersion11):
-        return False
+        return None
     try:
         is_http_1_0 = message.version == HttpVersion10
-        read_framing(message.raw_headers, is_http_1_0=is_http_1_0)
+        return read_framing(message.raw_headers, is_http_1_0=is_http_1_0)
     except MalformedMessage:
-        return False
-    return True
+        return None
 
 
 class BoundedServer(web.Server):
@@ -309,34 +355,28 @@
         self,
         handler: Callable[..., Any],
         *,
-        slots: ConnectionSlots,
-        meter: ParsingMeter,
-        heads: HeadAllowance,
-        max_head_bytes: Callable[[], int] = lambda: MAX_HEAD_BYTES,
+        bounds: ServerBounds,
+        slots: ConnectionSlots | None = None,
         **kwargs: Any,
     ) -> None:
         """Create a server.
 
         Args:
             handler: Answers requests.
-            slots: Open connections of the process.
-            meter: Parsing time of the process.
-            heads: What heads with very many fields may hold.
-            max_head_bytes: Returns the size of the largest head.
+            bounds: What the process may hold and parse for its callers.
+            slots: Slots of the connections; those of callers if omitted.
             kwargs: Arguments of aiohttp's server.
         """
-        bounds = {
+        defaults = {
             "read_bufsize": READ_BYTES,
             "max_headers": MAX_FIELDS,
             "lingering_time": LINGER_SECONDS,
             # A compressed body is forwarded as it is, and expands in no buffer here.
             "auto_decompress": False,
         }
-        super().__init__(handler, **(bounds | kwargs))
-        self.slots = slots
-        self.meter = meter
-        self.heads = heads
-        self.max_head_bytes = max_head_bytes
+        super().__init__(handler, **(defaults | kwargs))
+        self.bounds = bounds
+        self.slots = slots or bounds.slots
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
--- a/packages/guavajunction/src/guavajunction/connections/_message_grammar.py
+++ b/packages/guavajunction/src/guavajunction/connections/_message_grammar.py
@@ -87,6 +87,44 @@
     return BodyFraming(coding is not None, length)
 
 
+class ChunkLine(NamedTuple):
+    """The line that begins a chunk."""
+
+    digits: bytes
+    """The size as it was written."""
+    size: int
+    """Bytes of the chunk; 0 for the last one."""
+
+
+def read_chunk_line(line: bytes) -> ChunkLine:
+    """Read the line that begins a chunk; extensions are ignored.
+
+    Args:
+        line: The line with its end.
+
+    Raises:
+        MalformedMessage: The line does not begin a chunk.
+    """
+    match = _CHUNK_LINE.fullmatch(line)
+    if match is None:
+        raise _malformed("beginning of a chunk", line)
+    return ChunkLine(match["size"], _parse_size("size of a chunk", match["size"], 16))
+
+
+def check_field_line(what: str, line: bytes) -> None:
+    """Check a field line with its end.
+
+    Args:
+        what: Name of such a line in errors.
+        line: The line.
+
+    Raises:
+        MalformedMessage: The line is no field line.
+    """
+    if not _FIELD_LINE.fullmatch(line):
+        raise _malformed(what, line)
+
+
 class _Part(Enum):
     """Part of a message that arrives next."""
 
@@ -263,18 +301,16 @@
             return self._begin_chunk(line)
         elif line == LINE_END:
             self._part = _Part.ENDED
-        elif not _FIELD_LINE.fullmatch(line):
-            raise _malformed("trailer", line)
+        else:
+            check_field_line("trailer", line)
         return line
 
     def _begin_chunk(self, line: bytes) -> bytes:
         """Return the line without extensions; a parser may refuse blanks in them."""
-        match = _CHUNK_LINE.fullmatch(line)
-        if match is None:
-            raise _malformed("beginning of a chunk", line)
-        self._left = _parse_size("size of a chunk", match["size"], 16)
+        chunk = read_chunk_line(line)
+        self._left = chunk.size
         self._part = _Part.BODY if self._left else _Part.TRAILERS
-        return match["size"] + LINE_END
+        return chunk.digits + LINE_END
 
 
 def _parse_size(what: str, digits: bytes, base: int) -> int:
--- a/packages/guavajunction/src/guavajunction/memory/__init__.py
+++ b/packages/guavajunction/src/guavajunction/memory/__init__.py
@@ -7,6 +7,7 @@
 from ._head_allowance import HeadAllowance
 from ._parsing_meter import ParsingMeter, ParsingUse
 from ._shedding import Held, Standing, choose_shed
+from ._unparsed_bytes import UnparsedBytes, UnparsedHolder
 
 __all__ = [
     "CallerConnection",
@@ -18,5 +19,7 @@
     "ParsingMeter",
     "ParsingUse",
     "Standing",
+    "UnparsedBytes",
+    "UnparsedHolder",
     "choose_shed",
 ]
--- a/packages/guavajunction/src/guavajunction/memory/_events.py
+++ b/packages/guavajunction/src/guavajunction/memory/_events.py
@@ -19,3 +19,9 @@
     "Connections were refused or closed because too many are open; at most one line a "
     "second, with their number.",
 )
+UNPARSED_REFUSED = LogEvent(
+    2003,
+    "memory:unparsed_refused",
+    "Incomplete heads, or requests sent ahead, were refused because connections hold "
+    "too many bytes of them; at most one line a second, with their number.",
+)
--- a/tests/connections/test_bounded_server.py
+++ b/tests/connections/test_bounded_server.py
@@ -9,27 +9,46 @@
 from aiohttp import http_parser, web
 
 from fakes_clock import QuickClock
-from guavajunction.connections import BoundedServer, _bounded_server
-from guavajunction.memory import ConnectionSlots, HeadAllowance, ParsingMeter
+from guavajunction.connections import BoundedServer, ServerBounds, _bounded_server
+from guavajunction.memory import HeadAllowance, UnparsedBytes
 from guavajunction.metrics import MetricsRegistry
 
+MAX_HEAD_BYTES = 131_072
+SLOW_PATH = "/slow"
 BODY = b"POST /%d HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\na body"
 
 
+class Other:
+    """Another connection that holds unparsed bytes."""
+
+    def refuse_unparsed(self):
+        """Hold nothing any more."""
+
+
 @contextlib.asynccontextmanager
-async def connected(*, heads=None):
-    """Yield reader and writer of one connection; answers are paths and bodies."""
+async def connected(**replaced):
+    """Yield reader and writer of one connection; answers are paths and bodies.
+
+    Args:
+        replaced: Bounds that replace those of a machine without limits.
+    """
 
     async def answer(req):
         body = b""
         while chunk := await req.content.read(100):
             body += chunk
+        if req.path == SLOW_PATH:
+            await asyncio.sleep(0.2)
         return web.Response(body=req.path.encode() + b" " + body + b"\n")
 
-    slots = ConnectionSlots(None, QuickClock(), MetricsRegistry())
-    server = BoundedServer(
-        answer, slots=slots, meter=ParsingMeter(), heads=HeadAllowance(heads)
+    bounds = ServerBounds.for_machine(
+        memory_mb=None,
+        max_descriptors=None,
+        max_head_bytes=lambda: MAX_HEAD_BYTES,
+        clock=QuickClock(),
+        metrics=MetricsRegistry(),
     )
+    server = BoundedServer(answer, bounds=bounds._replace(**replaced))
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", 0)
@@ -90,13 +109,40 @@
                 assert b" 431 " in await reader.readline()
 
     async def test_head_with_many_fields_is_served_if_there_is_no_other(self):
-        async with connected(heads=1) as (reader, writer):
+        async with connected(heads=HeadAllowance(1)) as (reader, writer):
             writer.write(
                 b"GET /1 HTTP/1.1\r\nHost: x\r\n" + b"n: v\r\n" * 1000 + b"\r\n"
             )
             assert await answers(reader, 1) == ["/1"]
 
 
+class TestUnparsedBytes:
+    """Requests that were not parsed are refused if they hold too much."""
+
+    async def test_running_request_keeps_its_answer_when_those_ahead_are_refused(self):
+        unparsed = UnparsedBytes(10_000, QuickClock(), MetricsRegistry())
+        slow = b"GET %b HTTP/1.1\r\nHost: x\r\n\r\n" % SLOW_PATH.encode()
+        async with connected(unparsed=unparsed) as (reader, writer):
+            writer.write(slow + (BODY % 1) * 100)
+            await asyncio.sleep(0.05)
+            unparsed.hold(Other(), 9_000)
+            async with asyncio.timeout(5.0):
+                received = await reader.read()
+        assert SLOW_PATH.encode() in received
+        assert received.count(b" 200 ") == 2
+        assert received.count(b" 503 ") == 1
+        assert received.count(b"Retry-After: 1") == 1
+        assert unparsed.held == 9_000
+
+    async def test_body_that_failed_before_it_was_read_is_no_empty_body(self):
+        head = b"POST /a HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+        async with connected() as (reader, writer), asyncio.timeout(5.0):
+            writer.write(head + b"zz\r\n")
+            received = await reader.read()
+        assert received.split(b" ", 2)[1] == b"400"
+        assert b"/a" not in received
+
+
 HOST = b"Host: x\r\n"
 CHUNKS = b"4\r\nbody\r\n0\r\n\r\n"
 
