Own stack: the port for callers and operators has bounds on memory

What callers saw: 400 callers with unfinished heads of 120 long fields took an instance to 706 MB, callers of unfinished chunks to 200 MB, 1,200 idle ones to 1,235 descriptors.

Cause: the daemon of a fleet of one's own started a plain aiohttp listener. The bounds on connections, heads, unparsed bytes and parsing belonged to the platform's listeners, and only its ingress reserved memory for bodies.

Change: ServerBounds builds one set of bounds for both stacks; BoundedAppRunner serves an application on bounded connections. Bodies are reserved in the budget before they are read, and requests are shed as on the platform; what a request holds is on an exit stack until it is answered. Both stacks reserve by the same methods of Holding. New settings with defaults that no caller inside the documented limits meets: `[machine] memory_mb` (512), `[machine] max_descriptors` (4,096), `[serving] max_head_bytes` (65,536). Operators' routes read their bodies outside the budget, after the token.

The list of known sections in tests/settings has one more.

--- a/packages/guavajunction-entry/src/guavajunction_entry/_incarnation.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_incarnation.py
@@ -12,8 +12,15 @@
 
 from guavajunction.clock import Clock, SystemClock
 from guavajunction.configuration import OperatorDependencies, operator_routes
+from guavajunction.connections import (
+    BoundedAppRunner,
+    ServerBounds,
+    limit_kernel_buffers,
+)
 from guavajunction.customers import IssuedKey, issue
 from guavajunction.errors import PlatformError
+from guavajunction.memory import MemoryBudget
+from guavajunction.metrics import MetricsRegistry
 from guavajunction.settings import Settings
 
 from . import _events as events
@@ -90,9 +97,11 @@
 
     async def _serve(self, aggregates: Aggregates, stack: AsyncExitStack) -> Ending:
         await aggregates.mesh.ready()
-        front = self._create_front(aggregates)
-        runner = web.AppRunner(
+        bounds = self._create_bounds(aggregates.metrics)
+        front = self._create_front(aggregates, bounds.budget)
+        runner = BoundedAppRunner(
             front.app(),
+            bounds=bounds,
             handler_cancellation=True,
             shutdown_timeout=self._settings.timing.drain,
             lingering_time=REFUSED_BODY_READ_SECONDS,
@@ -101,7 +110,9 @@
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
         own = self._settings.instance
-        await web.TCPSite(runner, own.address, own.http_port, reuse_port=False).start()
+        site = web.TCPSite(runner, own.address, own.http_port, reuse_port=False)
+        await site.start()
+        limit_kernel_buffers(site)
         events.STARTED.log(
             instance=own.name,
             incarnation=aggregates.mesh.me.incarnation,
@@ -163,7 +174,17 @@
             await self._clock.sleep(self._settings.timing.load_poll / 2)
             aggregates.dispatcher.dispatch_waiting()
 
-    def _create_front(self, aggregates: Aggregates) -> Front:
+    def _create_bounds(self, metrics: MetricsRegistry) -> ServerBounds:
+        machine = self._settings.machine
+        return ServerBounds.for_machine(
+            memory_mb=machine.memory_mb,
+            max_descriptors=machine.max_descriptors,
+            max_head_bytes=lambda: self._settings.serving.max_head_bytes,
+            clock=self._clock,
+            metrics=metrics,
+        )
+
+    def _create_front(self, aggregates: Aggregates, budget: MemoryBudget) -> Front:
         operator_dependencies = OperatorDependencies(
             store=aggregates.store,
             manager=aggregates.manager,
@@ -185,6 +206,7 @@
             directory=aggregates.directory,
             decisions=aggregates.decisions,
             demand=aggregates.demand,
+            budget=budget,
             metrics=aggregates.metrics,
             clock=self._clock,
             ready=aggregates.ready,
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_app.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_app.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from ._admission import Admission
-from ._body import BodyReader
+from ._body import BodyReader, release_resources
 from ._errors import ErrorMiddleware
 from ._inference_handler import InferenceHandler
 from ._info_handler import InfoHandler
@@ -30,7 +30,8 @@
         """Create the aiohttp application."""
         app = web.Application(
             middlewares=[
-                ErrorMiddleware(self._parts.metrics, self._parts.draining).middleware()
+                release_resources,
+                ErrorMiddleware(self._parts.metrics, self._parts.draining).middleware(),
             ],
             client_max_size=self._parts.serving.max_body_bytes,
         )
@@ -45,7 +46,10 @@
     def _caller_routes(self) -> list[web.RouteDef]:
         admission = Admission(self._parts)
         reader = BodyReader(
-            self._parts.serving.max_body_bytes, self._parts.serving.body_timeout
+            self._parts.serving.max_body_bytes,
+            self._parts.serving.body_timeout,
+            self._parts.budget,
+            self._parts.clock,
         )
         inference = InferenceHandler(self._parts, admission, reader)
         services = ServiceHandler(self._parts, admission, reader, self._shielded)
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_errors.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_errors.py
@@ -12,6 +12,7 @@
 from guavajunction.errors import (
     BadRequest,
     InternalFault,
+    MemoryShort,
     MethodNotAllowed,
     RequestError,
     RequestTimeout,
@@ -25,7 +26,7 @@
 REQUEST_ID = web.RequestKey("request_id", str)
 """Key of the request id in the aiohttp request."""
 
-UNREAD_BODY_ERRORS = (RequestTimeout, RequestTooLarge)
+UNREAD_BODY_ERRORS = (MemoryShort, RequestTimeout, RequestTooLarge)
 """Errors that leave body bytes unread, so that the connection must be closed."""
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_inference_handler.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_inference_handler.py
@@ -105,7 +105,7 @@
         self, req: web.Request, customer: Customer, check_allowed: Callable[[], None]
     ) -> _Admitted:
         arrived = self._parts.clock.monotonic()
-        raw, body = await self._reader.read_inference(req)
+        raw, body = await self._reader.read_inference(req, customer.name)
         refuse_embedded_key(raw, req)
         self._admission.check_model(customer, body.model)
         artifact = self._find_artifact(body.model)
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_parts.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_parts.py
@@ -11,6 +11,7 @@
 from guavajunction.customers import KeyAuthenticator, RateLimitPolicy
 from guavajunction.directory import Directory
 from guavajunction.idempotency import IdempotencyRegistry
+from guavajunction.memory import MemoryBudget
 from guavajunction.metrics import MetricsRegistry
 from guavajunction.routing import (
     DecisionLog,
@@ -34,6 +35,8 @@
     directory: Directory
     decisions: DecisionLog
     demand: DemandMeter
+    budget: MemoryBudget
+    """What requests may hold in this process."""
     metrics: MetricsRegistry
     clock: Clock
     ready: Callable[[], bool]
--- a/packages/guavajunction-entry/src/guavajunction_entry/front/_service_handler.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/front/_service_handler.py
@@ -78,7 +78,7 @@
         route = self._find_route(req)
         customer = None if route.open_to_all else self._admission.customer_of(req)
         check_allowed = self._admission_check(req, route)
-        service_req = await self._read_service_request(req)
+        service_req = await self._read_service_request(req, customer)
         if customer is not None:
             check_allowed()
             reservation = await self._parts.limits.admit(customer, route.cost)
@@ -155,8 +155,10 @@
         else:
             await claim.unknown()
 
-    async def _read_service_request(self, req: web.Request) -> ServiceRequest:
-        body = await self._reader.read(req)
+    async def _read_service_request(
+        self, req: web.Request, customer: Customer | None
+    ) -> ServiceRequest:
+        body = await self._reader.read(req, customer and customer.name)
         refuse_embedded_key(body, req)
         refuse_embedded_key(req.path.encode(), req)
         key = bearer_token_of(req)
--- a/packages/guavajunction/src/guavajunction/connections/__init__.py
+++ b/packages/guavajunction/src/guavajunction/connections/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ._bounded_app_runner import BoundedAppRunner
 from ._bounded_server import BoundedConnection, BoundedServer, limit_kernel_buffers
 from ._message_grammar import MalformedMessage, ResponseGrammar
 from ._read_body import BodyTooLarge, is_chunked, iter_body, read_body
@@ -26,6 +27,7 @@
 from ._strict_connector import StrictConnector
 
 __all__ = [
+    "BoundedAppRunner",
     "BoundedConnection",
     "BoundedServer",
     "BodyTooLarge",
--- a/packages/guavajunction/src/guavajunction/memory/_budget.py
+++ b/packages/guavajunction/src/guavajunction/memory/_budget.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from guavajunction.clock import Clock
 from guavajunction.errors import MemoryShort
@@ -15,11 +17,19 @@
 from . import _events as events
 from ._shedding import Held, Standing, choose_shed
 
+REQUEST_BYTES = 32_768
+"""Reserved for each request: its task, and what is buffered of its answer."""
+FIELD_BYTES = 400
+"""Reserved for each field of a head, which is kept as text and as bytes."""
+BODY_STEP_BYTES = 65_536
+"""Bytes that are reserved at once for a body whose length is not declared."""
+
 
 class Holding:
     """The memory that one request holds, until its context ends."""
 
     __slots__ = (
+        "_body_reserved",
         "_budget",
         "began_at",
         "customer",
@@ -44,6 +54,7 @@
         self.standing = Standing.UNKNOWN
         self.customer = ""
         self.reserved = 0
+        self._body_reserved = 0
         self.received = 0
         self.began_at = self.last_received_at = now
 
@@ -73,15 +84,63 @@
         """
         self._budget.reserve(self, size)
 
-    def count(self, size: int) -> None:
-        """Count bytes that are held already; no request is refused for them."""
-        self._budget.count(self, size)
+    def reserve_head(self, fields: int) -> None:
+        """Reserve what a request with so many fields holds besides its body.
+
+        Raises:
+            MemoryShort: Memory is short, and the request is refused.
+        """
+        self.reserve(REQUEST_BYTES + FIELD_BYTES * fields)
+
+    def reserve_body(self, declared: int) -> None:
+        """Reserve the declared length of a body; 0 if there is none.
+
+        Raises:
+            MemoryShort: Memory is short, and the request is refused.
+        """
+        self.reserve(declared)
+        self._body_reserved = declared
+
+    def receive(self, size: int, now: float) -> None:
+        """Note bytes of the body that have arrived, and reserve what they exceed.
 
-    def note_received(self, size: int, now: float) -> None:
-        """Note bytes of the body that have arrived."""
+        Args:
+            size: Number of bytes.
+            now: Time on the clock of the budget.
+
+        Raises:
+            MemoryShort: Memory is short, and the request is refused.
+        """
+        if self.received + size > self._body_reserved:
+            self.reserve(BODY_STEP_BYTES)
+            self._body_reserved += BODY_STEP_BYTES
         self.received += size
         self.last_received_at = now
 
+    @contextmanager
+    def refused_if_shed(self) -> Iterator[None]:
+        """Convert the cancellation of a task whose request was shed.
+
+        Raises:
+            MemoryShort: The request was shed.
+        """
+        try:
+            yield
+        except asyncio.CancelledError:
+            if not self.is_shed:
+                raise
+            task = asyncio.current_task()
+            assert task is not None
+            task.uncancel()
+            raise MemoryShort(
+                "memory was needed for other requests",
+                retry_after=MemoryBudget.RETRY_AFTER_SECONDS,
+            ) from None
+
+    def count(self, size: int) -> None:
+        """Count bytes that are held already; no request is refused for them."""
+        self._budget.count(self, size)
+
     def note_known(self, customer: str) -> None:
         """Note that the request has the key of a customer."""
         self.customer = customer
--- a/packages/guavajunction/src/guavajunction/settings/_model.py
+++ b/packages/guavajunction/src/guavajunction/settings/_model.py
@@ -90,6 +90,8 @@
 
     max_body_bytes: Count = 1_048_576
     """Maximum size of the body of a request, in bytes."""
+    max_head_bytes: Count = 65_536
+    """Maximum size of all header lines of a request, in bytes."""
     body_timeout: Seconds = 10.0
     """Timeout for reading the body of a request, in seconds."""
     service_timeout: Seconds = 30.0
@@ -100,6 +102,15 @@
     """Maximum number of requests queued on this instance."""
 
 
+class MachineSettings(NamedTuple):
+    """`[machine]`: what this instance may use of its machine."""
+
+    memory_mb: Count = 512
+    """Memory in MiB. A quarter of it may be held for callers' requests."""
+    max_descriptors: Count = 4_096
+    """Open descriptors. Less 200 for files, 0.6 of them are for callers."""
+
+
 class PlacementSettings(NamedTuple):
     """`[placement]`: fleet-wide limits on loads, equal on every instance of a fleet."""
 
@@ -150,6 +161,7 @@
     secrets: SecretSettings
     timing: TimingSettings
     serving: ServingSettings
+    machine: MachineSettings
     placement: PlacementSettings
     policy: PolicySettings
     logging: LoggingSettings
--- a/tests/settings/test_reader.py
+++ b/tests/settings/test_reader.py
@@ -66,8 +66,8 @@
         text += "[timing]\nlease = -1\nheart = 2\n[extras]\nx = 1\n"
         assert faults(write(text)) == [
             "[extras]: found an unknown section, expected one of ['instance',"
-            " 'logging', 'placement', 'platform', 'policy', 'secrets', 'serving',"
-            " 'timing']",
+            " 'logging', 'machine', 'placement', 'platform', 'policy', 'secrets',"
+            " 'serving', 'timing']",
             "[instance] address: found 'localhost', expected an IP number",
             "[instance] http_port: found '99999', expected a port from 1 to 65535",
             "[instance] peer_port: found nothing, expected a value",
