Whole chunks of a request are joined in one loop

Change: chunks without extensions that arrived whole are read by one short expression. The grammar reads the others, also the malformed ones.

--- a/packages/guavajunction/src/guavajunction/connections/_request_splitter.py
+++ b/packages/guavajunction/src/guavajunction/connections/_request_splitter.py
@@ -21,6 +21,7 @@
 _BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 # RFC 9112, section 3. The parser checks the parts.
 _REQUEST_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+ [^\r\n]* HTTP/\d\.\d\r\n")
+_PLAIN_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
 _METHOD_BEGIN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]")
 
 
@@ -140,6 +141,8 @@
                 position += len(part)
                 self._count_body(len(part))
                 continue
+            if self._part is _Part.CHUNK_LINE:
+                position = self._take_whole_chunks(position, parts)
             end = self._held.find(b"\n", position) + 1
             self._check_framing(position, end, max_line_bytes)
             if end == 0:
@@ -151,6 +154,21 @@
         chunk = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
         return chunk + b"0\r\n\r\n" if self._part is _Part.HEAD else chunk
 
+    def _take_whole_chunks(self, position: int, parts: list[bytes]) -> int:
+        """Add the data of chunks that arrived whole; return where the last one ends.
+
+        Chunks with extensions and the last chunk of a body are left.
+        """
+        held = self._held
+        while match := _PLAIN_CHUNK_LINE.match(held, position):
+            size, begin = int(match[1], 16), match.end()
+            end = begin + size
+            if size == 0 or held[end : end + len(LINE_END)] != LINE_END:
+                break
+            parts.append(held[begin:end])
+            position = end + len(LINE_END)
+        return position
+
     def _skip_empty_lines(self, max_bytes: int) -> None:
         match = _EMPTY_LINES.match(self._held)
         if match is None:
