The kernel's buffers of a crowd share a part of the machine's memory

What callers saw: 800 callers whose bytes are not read at once had up to 96 MB in the kernel, beside 58 to 113 MB of the process, on a machine of 160 MB. Bytes that were received and not read count as memory.

Cause: each connection had buffers of 64 KiB each way, which the kernel doubles, whatever the number of connections and the memory.

Evidence: the crowds' checks read what the kernel holds for the connections that an instance accepted (/proc/net/tcp).

Change: KernelBuffers gives buffers of the usual size to the first connections and shares what is left of a quarter of the memory among the others. The listening socket has the least size, as the kernel fills the buffers before a connection is accepted; accepted ones are enlarged.

Ruled out: making accepted connections smaller in a crowd; 87 MB stayed.

--- a/packages/guavajunction-entry/src/guavajunction_entry/_incarnation.py
+++ b/packages/guavajunction-entry/src/guavajunction_entry/_incarnation.py
@@ -112,7 +112,7 @@
         own = self._settings.instance
         site = web.TCPSite(runner, own.address, own.http_port, reuse_port=False)
         await site.start()
-        limit_kernel_buffers(site)
+        limit_kernel_buffers(site, bounds.buffers)
         events.STARTED.log(
             instance=own.name,
             incarnation=aggregates.mesh.me.incarnation,
--- a/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
+++ b/packages/guavajunction/src/guavajunction/connections/_bounded_server.py
@@ -15,7 +15,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
 
-from guavajunction.memory import ConnectionSlots, ParsingUse
+from guavajunction.memory import ConnectionSlots, KernelBuffers, ParsingUse
 
 from ._message_grammar import (
     LINE_END,
@@ -28,9 +28,6 @@
 
 READ_BYTES = 16_384
 """Low-water mark of a connection's read buffer; reading pauses at twice as much."""
-KERNEL_BYTES = 65_536
-"""Size of the kernel's buffers of a connection. Without it, the kernel holds several
-megabytes for each."""
 MAX_FIELDS = 4096
 """Number of fields of a head; a head of 16,384 bytes has fewer."""
 LINGER_SECONDS = 2.0
@@ -152,6 +149,14 @@
         self._accepted = transport
         if not self._slots.add(self):
             self.shed()
+            return
+        buffers = self._bounds.buffers
+        size = buffers.size_for(self._bounds.open_connections)
+        # The listening socket has passed on the least size.
+        if size > buffers.least:
+            sock = transport.get_extra_info("socket")
+            _set_kernel_buffers(sock, size)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, size)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give back the slot."""
@@ -383,8 +388,16 @@
         return BoundedConnection(self, loop=self._loop, **self._kwargs)
 
 
-def limit_kernel_buffers(site: web.TCPSite) -> None:
-    """Limit the kernel's buffers of the connections that a site will accept."""
+def limit_kernel_buffers(site: web.TCPSite, buffers: KernelBuffers) -> None:
+    """Limit the kernel's buffers of the connections that a site will accept.
+
+    The kernel fills them before a connection is accepted, so they begin with the least
+    size. `BoundedConnection` enlarges them.
+    """
     for sock in site._server.sockets if site._server else ():
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BYTES)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BYTES)
+        _set_kernel_buffers(sock, buffers.least)
+
+
+def _set_kernel_buffers(sock: socket.socket, size: int) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
--- a/packages/guavajunction/src/guavajunction/connections/_server_bounds.py
+++ b/packages/guavajunction/src/guavajunction/connections/_server_bounds.py
@@ -9,6 +9,7 @@
 from guavajunction.memory import (
     ConnectionSlots,
     HeadAllowance,
+    KernelBuffers,
     MemoryBudget,
     ParsingMeter,
     UnparsedBytes,
@@ -32,6 +33,7 @@
     meter: ParsingMeter
     heads: HeadAllowance
     unparsed: UnparsedBytes
+    buffers: KernelBuffers
     max_head_bytes: Callable[[], int]
     """Returns the largest size of the header lines of a request."""
 
@@ -54,9 +56,10 @@
             clock: Source of time.
             metrics: Registry of the process.
         """
-        limit = share = None
+        memory = limit = share = None
         if memory_mb is not None:
-            limit = int(memory_mb * MemoryBudget.SHARE * BYTES_PER_MB)
+            memory = int(memory_mb * BYTES_PER_MB)
+            limit = int(memory * MemoryBudget.SHARE)
             share = limit // HEADS_SHARE
         budget = MemoryBudget(limit, clock, metrics)
         slots, other_slots = (
@@ -67,6 +70,21 @@
         metrics.gauge("memory_reserved_bytes", lambda: budget.reserved)
         metrics.gauge("memory_unparsed_bytes", lambda: unparsed.held)
         metrics.gauge("connections_open", lambda: slots.open + other_slots.open)
-        heads = HeadAllowance(share)
-        meter = ParsingMeter()
-        return cls(budget, slots, other_slots, meter, heads, unparsed, max_head_bytes)
+        connections = None
+        if slots.limit is not None and other_slots.limit is not None:
+            connections = slots.limit + other_slots.limit
+        return cls(
+            budget=budget,
+            slots=slots,
+            other_slots=other_slots,
+            meter=ParsingMeter(),
+            heads=HeadAllowance(share),
+            unparsed=unparsed,
+            buffers=KernelBuffers(memory, connections),
+            max_head_bytes=max_head_bytes,
+        )
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of open connections at all listeners."""
+        return self.slots.open + self.other_slots.open
--- a/packages/guavajunction/src/guavajunction/memory/__init__.py
+++ b/packages/guavajunction/src/guavajunction/memory/__init__.py
@@ -5,6 +5,7 @@
 from ._budget import Holding, MemoryBudget
 from ._connection_slots import CallerConnection, ConnectionSlots
 from ._head_allowance import HeadAllowance
+from ._kernel_buffers import KernelBuffers
 from ._parsing_meter import ParsingMeter, ParsingUse
 from ._shedding import Held, Standing, choose_shed
 from ._unparsed_bytes import UnparsedBytes, UnparsedHolder
@@ -15,6 +16,7 @@
     "HeadAllowance",
     "Held",
     "Holding",
+    "KernelBuffers",
     "MemoryBudget",
     "ParsingMeter",
     "ParsingUse",
--- a/tests/bounded_process.py
+++ b/tests/bounded_process.py
@@ -48,8 +48,16 @@
 
 
 def peak_mb(pid):
+    return _status_mb(pid, "VmHWM")
+
+
+def resident_mb(pid):
+    return _status_mb(pid, "VmRSS")
+
+
+def _status_mb(pid, name):
     status = Path(f"/proc/{pid}/status").read_text()
-    (line,) = [line for line in status.splitlines() if line.startswith("VmHWM")]
+    (line,) = [line for line in status.splitlines() if line.startswith(name)]
     return int(line.split()[1]) / 1024
 
 
@@ -57,6 +65,18 @@
     return len(os.listdir(f"/proc/{pid}/fd"))
 
 
+def kernel_mb(address, ports):
+    """Return what the kernel holds for the connections that a process accepted."""
+    host = "".join(f"{int(part):02X}" for part in reversed(address.split(".")))
+    own = {f"{host}:{port:04X}" for port in ports}
+    size = 0
+    for line in Path("/proc/net/tcp").read_text().splitlines():
+        fields = line.split()
+        if fields[1] in own:
+            size += sum(int(queue, 16) for queue in fields[4].split(":"))
+    return size / 1024 / 1024
+
+
 async def answered(target):
     """Return the status once the request is answered, however late it is."""
     async with asyncio.timeout(ANSWER_SECONDS):
@@ -70,11 +90,13 @@
 async def assert_bears(target, bounds, ports, path, traffic, callers):
     """Check memory, descriptors and an ordinary request under a crowd at each port."""
     process = target.process
-    descriptors = []
+    descriptors, memory = [], []
 
     async def watch():
         while True:
             descriptors.append(count_descriptors(process.pid))
+            kernel = kernel_mb(target.address, ports)
+            memory.append(resident_mb(process.pid) + kernel)
             await asyncio.sleep(0.1)
 
     watching = asyncio.ensure_future(watch())
@@ -91,7 +113,11 @@
     watching.cancel()
     process.raise_if_ended()
     peak = peak_mb(process.pid)
-    print(f"peak {peak:.0f} MB, {max(descriptors)} descriptors")
+    print(
+        f"peak {peak:.0f} MB, {max(memory):.0f} MB with what the kernel holds,"
+        f" {max(descriptors)} descriptors"
+    )
     assert peak < bounds.memory_mb
+    assert max(memory) < bounds.memory_mb
     assert max(descriptors) < bounds.max_descriptors
     assert await answered(target) == 200
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -105,6 +105,19 @@
     return Traffic(name, caller_head() + fields[:-2], b"")
 
 
+def short_fields(name: str, size: int, body: bytes, repeats: int = 1) -> Traffic:
+    """Return complete heads of the shortest fields, with bodies of 1,000 bytes.
+
+    Args:
+        name: Name of the traffic.
+        size: Bytes of the shortest fields.
+        body: What is sent of each body.
+        repeats: Number of copies that each client sends.
+    """
+    head = caller_head() + "a:\r\n" * (size // 4) + "Content-Length: 1000\r\n"
+    return Traffic(name, head, body, repeats)
+
+
 def endless_line(size: int) -> Traffic:
     """Return heads whose last line has no end."""
     return Traffic("endless-line", caller_head() + "a: " + "x" * size, b"")
--- a/tests/platform/test_unfinished_heads.py
+++ b/tests/platform/test_unfinished_heads.py
@@ -17,6 +17,8 @@
 
 BOUNDS = Bounds(memory_mb=160, max_descriptors=1_638)
 CALLERS = 400
+MANY_CALLERS = 800
+NO_ROUTE = "/nowhere/1"
 METRICS_PORT = 9464
 MAX_HEAD_BYTES = 16_384
 UNFINISHED_BYTES = 15_500
@@ -36,11 +38,23 @@
         crowd.trailers("trailers-endless", ENDLESS_BYTES // 4),
         crowd.endless_extension(ENDLESS_BYTES),
         crowd.many_fields(1_900, 2),
+        crowd.short_fields("short-fields-body", UNFINISHED_BYTES, b"x" * 990),
+        crowd.short_fields("short-fields-ahead", UNFINISHED_BYTES, b"x" * 1000, 10),
         crowd.usual_fields("usual-fields", 120, b"x" * 990),
         crowd.usual_fields("usual-fields-ahead", 120, b"x" * 1000, 10),
     )
 }
 
+UNREAD = {
+    traffic.name: traffic
+    for traffic in (
+        crowd.usual_fields("usual-fields-ahead", 120, b"x" * 1000, 100),
+        crowd.tiny_chunks(60_000),
+        crowd.pipelined(5_000),
+    )
+}
+"""Traffic that arrives faster than it is read."""
+
 
 @pytest.fixture(params=["installed", "python"])
 async def smallest_machine(request, tmp_path, monkeypatch):
@@ -72,6 +86,11 @@
             CALLERS,
         )
 
+    @pytest.mark.parametrize("name", UNREAD)
+    async def test_bytes_in_the_kernel_count_as_memory(self, smallest_machine, name):
+        target, traffic = Target.in_deployment(smallest_machine), UNREAD[name]
+        await assert_bears(target, BOUNDS, [PORTS[0]], NO_ROUTE, traffic, MANY_CALLERS)
+
 
 class TestOtherListeners:
     """The readiness, directory and metrics ports."""
@@ -93,6 +112,14 @@
             CALLERS,
         )
 
+    @pytest.mark.parametrize("port", [PORTS[3], PORTS[3] + 1], ids=["peers", "tunnels"])
+    @pytest.mark.parametrize("name", ["short-fields-endless", "endless-line"])
+    async def test_ports_for_instances_stay_within_memory(
+        self, smallest_machine, port, name
+    ):
+        target = Target.in_deployment(smallest_machine)
+        await assert_bears(target, BOUNDS, [port], "/", TRAFFIC[name], CALLERS)
+
     async def test_crowds_at_all_listeners_add_up(self, smallest_machine):
         await assert_bears(
             Target.in_deployment(smallest_machine),
