--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -16,6 +16,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -106,16 +107,28 @@
     def __init__(self) -> None:
         self.address = ""
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self, ip: str) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, ip, 0, limit=MAX_HEAD)
+    async def start(self, ip: str, port: int = 0) -> None:
+        """Listen on a port, a free one if it is 0."""
+        self._server = await asyncio.start_server(self._serve, ip, port, limit=MAX_HEAD)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
+    def reset(self) -> None:
+        """Listen no more, and reset all channels."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 message = await read_message(reader, is_response=False)
@@ -127,6 +140,7 @@
             # Only the end of the case cancels; asyncio would log it as an error.
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
@@ -264,6 +278,18 @@
         self._write_entry()
         self._beat = asyncio.create_task(self._heartbeats())
 
+    async def crash(self, seconds: float) -> None:
+        """End, and start again after a while under the same id, with all models."""
+        ip, _, port = self.address.partition(":")
+        if self._beat is not None:
+            self._beat.cancel()
+        self.reset()
+        await asyncio.sleep(seconds)
+        self._born, self._sequence = int(time.time() * 1000), 0
+        await self.start(ip, int(port))
+        self._write_entry()
+        self._beat = asyncio.create_task(self._heartbeats())
+
     async def _heartbeats(self) -> None:
         while True:
             await asyncio.sleep(self.HEARTBEAT_SECONDS)
@@ -340,10 +366,22 @@
 
     async def _work(self, message: Message, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self.work_seconds)
-        fields = {**self._identity(message), "X-Server-Seal": f"{self.name}.seal"}
         if not self.models:
-            writer.write(response(200, fields, b"done"))
+            writer.write(response(200, self._sealed(message), b"done"))
             return
+        self._begin_stream(message, writer)
+        for number in range(1, self.events + 1):
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self.work_seconds)
+        writer.write(b"0\r\n\r\n")
+
+    def _sealed(self, message: Message) -> dict[str, str]:
+        return {**self._identity(message), "X-Server-Seal": f"{self.name}.seal"}
+
+    def _begin_stream(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        fields = self._sealed(message)
         head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -351,12 +389,6 @@
             + head.encode("latin-1")
             + b"\r\n"
         )
-        for number in range(1, self.events + 1):
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-            await writer.drain()
-            await asyncio.sleep(self.work_seconds)
-        writer.write(b"0\r\n\r\n")
 
 
 def _model(message: Message) -> str:
@@ -440,8 +472,11 @@
 
     MEMORY_MB = 300
 
-    def __init__(self, folder: Path, instances: int = 2) -> None:
+    def __init__(
+        self, folder: Path, instances: int = 2, runner_type: type[Runner] | None = None
+    ) -> None:
         self.folder = folder
+        self._runner_type = runner_type or Runner
         self.store = Store()
         self.runners: list[Runner] = []
         self.ip_base = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
@@ -471,7 +506,7 @@
             ("i-booking-1", "bookings", []),
             ("i-booking-2", "bookings", []),
         ):
-            runner = Runner(self.store, name, service, models)
+            runner = self._runner_type(self.store, name, service, models)
             await runner.register(runner_ip)
             self.runners.append(runner)
         for instance in self.instances:
@@ -837,14 +872,20 @@
 """Plays a case, with or without the disruption; returns whether the rule held."""
 
 
-def run_case(folder: Path, case: Case, *, instances: int = 2) -> int:
+def run_case(
+    folder: Path,
+    case: Case,
+    *,
+    instances: int = 2,
+    runner_type: type[Runner] | None = None,
+) -> int:
     """Run a case and return the exit status of its script."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
 
     async def play() -> bool:
         with tempfile.TemporaryDirectory() as temporary:
-            deployment = Deployment(Path(temporary), instances)
+            deployment = Deployment(Path(temporary), instances, runner_type)
             try:
                 async with asyncio.timeout(LIMIT_SECONDS):
                     await deployment.start()
